--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/package-info.java
@@ -0,0 +1,2 @@
+/** Scenarios with the real binary as separate processes. */
+package baobabcroft.acceptance;
--- /dev/null
+++ b/router/src/main/java/baobabcroft/package-info.java
@@ -0,0 +1,2 @@
+/** Entry point of the router; start at {@link baobabcroft.Main}. */
+package baobabcroft;
