--- /dev/null
+++ b/router/src/main/java/baobabcroft/common/NearestWord.java
@@ -0,0 +1,56 @@
+package baobabcroft.common;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+
+/** Finds the known word that a misspelt one is most like, by Levenshtein distance. */
+public final class NearestWord {
+    private static final int MAX_LENGTH = 128;
+
+    private NearestWord() {}
+
+    /**
+     * Returns the known word that is most like the one found.
+     *
+     * @param found the word found
+     * @param known the words that would have been right
+     * @return the nearest word, if at most a third of the longer word's characters differ (at least two may)
+     */
+    public static Optional<String> to(String found, Collection<String> known) {
+        if (found.isEmpty() || found.length() > MAX_LENGTH) {
+            return Optional.empty();
+        }
+        return known.stream()
+                .filter(word -> word.length() <= MAX_LENGTH)
+                .map(word -> new Candidate(word, distance(found, word)))
+                .filter(candidate -> candidate.distance() <= tolerance(found, candidate.word()))
+                .min(Comparator.comparingInt(Candidate::distance).thenComparing(Candidate::word))
+                .map(Candidate::word);
+    }
+
+    private record Candidate(String word, int distance) {}
+
+    private static int tolerance(String found, String word) {
+        return Math.max(2, Math.max(found.length(), word.length()) / 3);
+    }
+
+    private static int distance(String a, String b) {
+        int[] previous = new int[b.length() + 1];
+        int[] current = new int[b.length() + 1];
+        for (int j = 0; j <= b.length(); j++) {
+            previous[j] = j;
+        }
+        for (int i = 1; i <= a.length(); i++) {
+            current[0] = i;
+            for (int j = 1; j <= b.length(); j++) {
+                int substitution = previous[j - 1] + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1);
+                current[j] = Math.min(substitution, 1 + Math.min(previous[j], current[j - 1]));
+            }
+            int[] swap = previous;
+            previous = current;
+            current = swap;
+        }
+        return previous[b.length()];
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rules/FaultCollector.java
@@ -0,0 +1,40 @@
+package baobabcroft.rules;
+
+import baobabcroft.common.NearestWord;
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Gathers the faults of one file. Not thread-safe. */
+final class FaultCollector {
+    private final List<RuleFault> faults = new ArrayList<>();
+
+    void add(int line, int column, String problem, String expected) {
+        faults.add(new RuleFault(line, column, problem, expected, Optional.empty()));
+    }
+
+    void addUnknown(int line, int column, String what, String found, Collection<String> known) {
+        Optional<String> nearest = NearestWord.to(found, known);
+        String expected = known.isEmpty() ? what + " that a rule declares, but there is none" : oneOf(what, known);
+        faults.add(new RuleFault(line, column, "unknown " + what + " '" + found + "'", expected, nearest));
+    }
+
+    private static String oneOf(String what, Collection<String> known) {
+        if (known.size() > 12) {
+            return "one of " + known.size() + " known names of this kind (" + what + ")";
+        }
+        return "one of " + String.join(", ", known);
+    }
+
+    boolean isEmpty() {
+        return faults.isEmpty();
+    }
+
+    ImmutableList<RuleFault> inOrder() {
+        return ImmutableList.sortedCopyOf(
+                Comparator.comparingInt(RuleFault::line).thenComparingInt(RuleFault::column), faults);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rules/RuleLine.java
@@ -0,0 +1,136 @@
+package baobabcroft.rules;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.base.CharMatcher;
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * One rule as it stands in the file, split into words but not yet checked.
+ *
+ * @param number the line's number, counted from 1
+ * @param kind the rule's first word
+ * @param kindColumn column of the first word
+ * @param name the rule's second word; empty if there is none
+ * @param nameColumn column of the second word, or where it should stand
+ * @param words the words after the name
+ * @param author who asked for the rule; empty if the comment does not say
+ * @param reason why they asked; empty if the comment does not say
+ * @param commentColumn column of the comment, or where it should stand
+ */
+public record RuleLine(
+        int number,
+        String kind,
+        int kindColumn,
+        String name,
+        int nameColumn,
+        List<RuleWord> words,
+        String author,
+        String reason,
+        int commentColumn) {
+    private static final CharMatcher BLANK = CharMatcher.whitespace();
+
+    /** Copies the words. */
+    public RuleLine {
+        words = ImmutableList.copyOf(words);
+    }
+
+    /**
+     * Splits a rules file into its rules, leaving out blank lines and lines of comment.
+     *
+     * @param text the whole file
+     * @return its rules in the order of the file
+     */
+    static ImmutableList<RuleLine> splitAll(String text) {
+        List<String> lines = checkNotNull(text).lines().toList();
+        ImmutableList.Builder<RuleLine> rules = ImmutableList.builder();
+        for (int i = 0; i < lines.size(); i++) {
+            split(i + 1, lines.get(i)).ifPresent(rules::add);
+        }
+        return rules.build();
+    }
+
+    private static Optional<RuleLine> split(int number, String line) {
+        int hash = line.indexOf('#');
+        String code = hash < 0 ? line : line.substring(0, hash);
+        List<RuleWord> words = words(code);
+        if (words.isEmpty()) {
+            return Optional.empty();
+        }
+        String comment = hash < 0 ? "" : line.substring(hash + 1);
+        int colon = comment.indexOf(':');
+        RuleWord kind = words.get(0);
+        RuleWord name = words.size() > 1 ? words.get(1) : new RuleWord("", "", code.length() + 1);
+        return Optional.of(new RuleLine(
+                number,
+                wholeWord(kind),
+                kind.column(),
+                wholeWord(name),
+                name.column(),
+                words.subList(Math.min(2, words.size()), words.size()),
+                colon < 0 ? "" : BLANK.trimFrom(comment.substring(0, colon)),
+                colon < 0 ? "" : BLANK.trimFrom(comment.substring(colon + 1)),
+                hash < 0 ? line.length() + 1 : hash + 1));
+    }
+
+    private static String wholeWord(RuleWord word) {
+        return word.value().isEmpty() ? word.key() : word.toString();
+    }
+
+    private static List<RuleWord> words(String code) {
+        List<RuleWord> words = new ArrayList<>();
+        int start = 0;
+        while (start < code.length()) {
+            if (BLANK.matches(code.charAt(start))) {
+                start++;
+                continue;
+            }
+            int blank = BLANK.indexIn(code, start);
+            int end = blank < 0 ? code.length() : blank;
+            words.add(word(code.substring(start, end), start + 1));
+            start = end;
+        }
+        return words;
+    }
+
+    private static RuleWord word(String text, int column) {
+        int equals = text.indexOf('=');
+        if (equals < 0) {
+            return new RuleWord(text, "", column);
+        }
+        return new RuleWord(text.substring(0, equals), text.substring(equals + 1), column);
+    }
+
+    /**
+     * Returns the word of the given key.
+     *
+     * @param key the key
+     * @return the first word that has it, if there is one
+     */
+    public Optional<RuleWord> word(String key) {
+        return words.stream().filter(word -> word.key().equals(key)).findFirst();
+    }
+
+    /**
+     * Returns the kind and name, which tell rules of one file apart.
+     *
+     * @return for example {@code account kovacic-shop}
+     */
+    public String title() {
+        return kind + " " + name;
+    }
+
+    /**
+     * Returns the rule as a line of a rules file.
+     *
+     * @return the rule with single spaces between its words
+     */
+    public String render() {
+        StringBuilder line = new StringBuilder(title());
+        words.forEach(word -> line.append(' ').append(word));
+        return line.append(" # ").append(author).append(": ").append(reason).toString();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rules/RuleReader.java
@@ -0,0 +1,170 @@
+package baobabcroft.rules;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Reads one rule of a known kind. Adds it to the rule set only if all its values can be read. Not thread-safe. */
+final class RuleReader {
+    private static final int DEFAULT_PRIORITY = 5;
+    private static final int MAX_PRIORITY = 9;
+    private static final long MAX_RATE = 1_000_000_000;
+    private static final int MAX_CONCURRENT = 1_000_000;
+
+    private final RuleLine line;
+    private final FaultCollector faults;
+    private final WordReader words;
+
+    RuleReader(RuleLine line, FaultCollector faults) {
+        this.line = line;
+        this.faults = faults;
+        this.words = new WordReader(line, faults);
+    }
+
+    void readInto(RuleSet.Builder rules, RuleKind kind) {
+        Consumer<RuleSet.Builder> reader =
+                switch (kind) {
+                    case FAILURE_DOMAIN -> this::readFailureDomain;
+                    case ACCOUNT -> this::readAccount;
+                    case VERSION -> this::readVersion;
+                    case CASCADE -> this::readCascade;
+                    case OPERATION -> this::readOperation;
+                    case ENDPOINT -> this::readEndpoint;
+                };
+        reader.accept(rules);
+    }
+
+    private void readFailureDomain(RuleSet.Builder rules) {
+        Optional<String> name = simpleName();
+        Optional<String> region = words.name("region");
+        if (name.isPresent() && region.isPresent()) {
+            rules.add(new FailureDomainRule(name.get(), region.get()));
+        }
+    }
+
+    private void readAccount(RuleSet.Builder rules) {
+        Optional<String> name = simpleName();
+        Optional<String> key = words.sha256("key-sha256");
+        ImmutableSet<String> allowed = texts(words.items("allow"));
+        int priority = words.wholeInt("priority", 0, MAX_PRIORITY).orElse(DEFAULT_PRIORITY);
+        long requestsPerSecond = words.whole("requests-per-second", 1, MAX_RATE).orElse(MAX_RATE);
+        long tokensPerMinute = words.whole("tokens-per-minute", 1, MAX_RATE).orElse(MAX_RATE);
+        int maxConcurrent = words.wholeInt("max-concurrent", 1, MAX_CONCURRENT).orElse(MAX_CONCURRENT);
+        if (name.isPresent() && key.isPresent()) {
+            rules.add(new AccountRule(
+                    name.get(), key.get(), allowed, priority, requestsPerSecond, tokensPerMinute, maxConcurrent));
+        }
+    }
+
+    private void readVersion(RuleSet.Builder rules) {
+        Optional<VersionId> id = versionId();
+        Optional<VersionState> state = words.state("state");
+        Optional<Integer> share = words.wholeInt("share", 0, 100);
+        Optional<Long> priceMicros = words.priceMicros("price");
+        Optional<Double> quality = words.fraction("quality");
+        boolean overruled = words.choice("automatic-stop", ImmutableMap.of("overruled", true))
+                .orElse(false);
+        state.ifPresent(this::checkShareFits);
+        if (id.isPresent() && state.isPresent() && priceMicros.isPresent() && quality.isPresent()) {
+            rules.add(new VersionRule(
+                    id.get(), state.get(), share.orElse(0), priceMicros.get(), quality.get(), overruled));
+        }
+    }
+
+    private void checkShareFits(VersionState state) {
+        Optional<RuleWord> share = line.word("share");
+        if (state == VersionState.OPEN && share.isEmpty()) {
+            faults.add(line.number(), line.nameColumn(), "no share on an open version", "share=<percent>");
+        }
+        if (state != VersionState.OPEN && share.isPresent()) {
+            String problem = "a share on a version that is not open";
+            faults.add(line.number(), share.get().column(), problem, "state=open, or no share");
+        }
+    }
+
+    private void readCascade(RuleSet.Builder rules) {
+        Optional<String> name = simpleName();
+        ImmutableSet<String> models = texts(words.items("models"));
+        Optional<Double> qualityTarget = words.fraction("quality-target");
+        if (name.isPresent() && qualityTarget.isPresent()) {
+            rules.add(new CascadeRule(name.get(), models.asList(), qualityTarget.get()));
+        }
+    }
+
+    private void readOperation(RuleSet.Builder rules) {
+        Optional<List<String>> parts = operationName();
+        Optional<Boolean> idempotent = words.yesOrNo("idempotent");
+        Optional<Long> priceMicros = words.priceMicros("price");
+        Optional<Long> timeoutMillis = words.durationMillis("timeout");
+        if (parts.isPresent() && idempotent.isPresent() && priceMicros.isPresent() && timeoutMillis.isPresent()) {
+            rules.add(new OperationRule(
+                    parts.get().get(0), parts.get().get(1), idempotent.get(), priceMicros.get(), timeoutMillis.get()));
+        }
+    }
+
+    private void readEndpoint(RuleSet.Builder rules) {
+        Optional<String> name = simpleName();
+        var address = words.address("address");
+        Optional<String> failureDomain = words.name("failure-domain");
+        ImmutableSet<VersionId> versions = versions(words.items("versions"));
+        Optional<String> service = words.name("service");
+        Optional<Integer> maxConcurrent = words.wholeInt("max-concurrent", 1, MAX_CONCURRENT);
+        boolean checksFencing = words.yesOrNo("checks-fencing").orElse(false);
+        if (line.word("versions").isPresent() == line.word("service").isPresent()) {
+            String problem = "an endpoint serves either versions or a service";
+            faults.add(line.number(), line.nameColumn(), problem, "one of versions=<...> and service=<name>");
+        }
+        if (name.isPresent() && address.isPresent() && failureDomain.isPresent() && maxConcurrent.isPresent()) {
+            rules.add(new EndpointRule(
+                    name.get(),
+                    address.get(),
+                    failureDomain.get(),
+                    versions,
+                    service,
+                    maxConcurrent.get(),
+                    checksFencing));
+        }
+    }
+
+    private ImmutableSet<VersionId> versions(ImmutableList<RuleWord> items) {
+        ImmutableSet.Builder<VersionId> versions = ImmutableSet.builder();
+        for (RuleWord item : items) {
+            VersionId.parse(item.key()).ifPresent(versions::add);
+        }
+        return versions.build();
+    }
+
+    private static ImmutableSet<String> texts(ImmutableList<RuleWord> items) {
+        return items.stream().map(RuleWord::key).collect(ImmutableSet.toImmutableSet());
+    }
+
+    private Optional<String> simpleName() {
+        if (WordReader.isName(line.name())) {
+            return Optional.of(line.name());
+        }
+        return badName("a name of at most 64 letters, digits, '.', '_' and '-'");
+    }
+
+    private Optional<VersionId> versionId() {
+        Optional<VersionId> id = VersionId.parse(line.name())
+                .filter(parsed -> WordReader.isName(parsed.model()) && WordReader.isName(parsed.version()));
+        return id.isPresent() ? id : badName("a version as film-small@2");
+    }
+
+    private Optional<List<String>> operationName() {
+        List<String> parts = Splitter.on('/').splitToList(line.name());
+        if (parts.size() == 2 && WordReader.isName(parts.get(0)) && WordReader.isName(parts.get(1))) {
+            return Optional.of(parts);
+        }
+        return badName("an operation as ledger/place-order");
+    }
+
+    private <T> Optional<T> badName(String expected) {
+        faults.add(line.number(), line.nameColumn(), "name is '" + line.name() + "'", expected);
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rules/RulesParser.java
@@ -0,0 +1,63 @@
+package baobabcroft.rules;
+
+import com.google.common.collect.ImmutableList;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Parses a rules file and checks it as a whole. Stateless. */
+public final class RulesParser {
+    private RulesParser() {}
+
+    /**
+     * Parses a rules file.
+     *
+     * @param text the whole file
+     * @return the rules, or all faults at once
+     */
+    public static ParsedRules parse(String text) {
+        ImmutableList<RuleLine> lines = RuleLine.splitAll(text);
+        FaultCollector faults = new FaultCollector();
+        RuleSet.Builder rules = RuleSet.builder();
+        for (RuleLine line : lines) {
+            checkComment(line, faults);
+            Optional<RuleKind> kind = RuleKind.of(line.kind());
+            if (kind.isEmpty()) {
+                faults.addUnknown(line.number(), line.kindColumn(), "rule kind", line.kind(), RuleKind.words());
+                continue;
+            }
+            checkKeys(line, kind.get(), faults);
+            new RuleReader(line, faults).readInto(rules, kind.get());
+        }
+        new ReferenceChecker(lines, faults).check();
+        if (!faults.isEmpty()) {
+            return new ParsedRules.Faulty(faults.inOrder());
+        }
+        return new ParsedRules.Valid(rules.build(), lines);
+    }
+
+    private static void checkComment(RuleLine line, FaultCollector faults) {
+        if (line.author().isEmpty() || line.reason().isEmpty()) {
+            String problem = "no comment that names who asked for the rule and why";
+            faults.add(line.number(), line.commentColumn(), problem, "'# who: why' at the end of the line");
+        }
+    }
+
+    private static void checkKeys(RuleLine line, RuleKind kind, FaultCollector faults) {
+        Set<String> seen = new HashSet<>();
+        for (RuleWord word : line.words()) {
+            if (!kind.keys().contains(word.key())) {
+                faults.addUnknown(line.number(), word.column(), kind.word() + " key", word.key(), kind.keys());
+            } else if (word.value().isEmpty()) {
+                faults.add(line.number(), word.column(), "no value for " + word.key(), word.key() + "=<value>");
+            } else if (!seen.add(word.key())) {
+                faults.add(line.number(), word.column(), "second " + word.key(), "each key once in a rule");
+            }
+        }
+        for (String key : kind.requiredKeys()) {
+            if (line.word(key).isEmpty()) {
+                faults.add(line.number(), line.nameColumn(), "no " + key, key + "=<value>");
+            }
+        }
+    }
+}
