Add peer protocol over Netty with protobuf

Cause: instances have to tell each other configuration numbers, evidence, held bills and leaving, and the store's rates do not allow that to go through it. Frames are length-prefixed envelopes; both sides prove the shared key over both nonces and both names before a request is read, so a reflected proof or another instance at a reused address is refused; unknown protocol versions are told ours.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/peer/OpenerHandshake.java
@@ -0,0 +1,100 @@
+package baobabcroft.peer;
+
+import baobabcroft.peer.PeerAuthenticator.Side;
+import baobabcroft.peer.PeerAuthenticator.Transcript;
+import baobabcroft.peer.proto.Envelope;
+import baobabcroft.peer.proto.Hello;
+import baobabcroft.peer.proto.Proof;
+import com.google.protobuf.ByteString;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** Handshake of the side that opened the connection. Used by one event loop. */
+@SuppressWarnings("FutureReturnValueIgnored") // failed writes and closes end the channel, which is handled
+final class OpenerHandshake extends SimpleChannelInboundHandler<Envelope> {
+    private final PeerAuthenticator authenticator;
+    private final String self;
+    private final String peer;
+    private final Consumer<Optional<PeerFailure>> done;
+    private final ByteString nonce;
+    private boolean proved;
+    private boolean reported;
+
+    /**
+     * Creates a handshake.
+     *
+     * @param done told once how it ended: empty when both sides have proved that they know the key
+     */
+    OpenerHandshake(PeerAuthenticator authenticator, String self, String peer, Consumer<Optional<PeerFailure>> done) {
+        this.authenticator = authenticator;
+        this.self = self;
+        this.peer = peer;
+        this.done = done;
+        this.nonce = authenticator.nonce();
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext context) {
+        Hello hello = Hello.newBuilder().setNonce(nonce).build();
+        context.writeAndFlush(PeerCodec.envelope(self).setHello(hello).build());
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+        if (envelope.getProtocolVersion() != PeerCodec.PROTOCOL_VERSION) {
+            fail(context, PeerFailure.UNSUPPORTED_VERSION);
+            return;
+        }
+        if (envelope.hasChallenge() && !proved) {
+            answerChallenge(context, envelope);
+            return;
+        }
+        if (envelope.hasWelcome() && proved) {
+            report(Optional.empty());
+            return;
+        }
+        fail(context, PeerFailure.AUTHENTICATION_FAILED);
+    }
+
+    private void answerChallenge(ChannelHandlerContext context, Envelope envelope) {
+        Transcript transcript =
+                new Transcript(self, nonce, peer, envelope.getChallenge().getNonce());
+        boolean meantPeer = envelope.getSender().equals(peer);
+        if (!meantPeer
+                || !authenticator.verify(
+                        Side.LISTENER, transcript, envelope.getChallenge().getProof())) {
+            fail(context, PeerFailure.AUTHENTICATION_FAILED);
+            return;
+        }
+        proved = true;
+        Proof proof = Proof.newBuilder()
+                .setProof(authenticator.proof(Side.OPENER, transcript))
+                .build();
+        context.writeAndFlush(PeerCodec.envelope(self).setProof(proof).build());
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        report(Optional.of(proved ? PeerFailure.AUTHENTICATION_FAILED : PeerFailure.NOT_CONNECTED));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        fail(context, PeerFailure.NOT_CONNECTED);
+    }
+
+    private void fail(ChannelHandlerContext context, PeerFailure failure) {
+        report(Optional.of(failure));
+        context.close();
+    }
+
+    private void report(Optional<PeerFailure> outcome) {
+        if (reported) {
+            return;
+        }
+        reported = true;
+        done.accept(outcome);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/peer/PeerHandlers.java
@@ -0,0 +1,73 @@
+package baobabcroft.peer;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.peer.proto.PeerReply;
+import baobabcroft.peer.proto.PeerRequest;
+import baobabcroft.peer.proto.Refused;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Handlers of a transport by kind of request. Thread-safe. */
+public final class PeerHandlers {
+    private static final Logger LOG = LoggerFactory.getLogger(PeerHandlers.class);
+
+    private final ConcurrentMap<PeerRequest.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
+
+    private PeerHandlers() {}
+
+    /**
+     * Returns handlers with none registered.
+     *
+     * @return the handlers
+     */
+    public static PeerHandlers create() {
+        return new PeerHandlers();
+    }
+
+    /**
+     * Registers a handler.
+     *
+     * @param body the kind of request
+     * @param handler answers it
+     * @throws IllegalArgumentException if the kind has a handler
+     */
+    public void register(PeerRequest.BodyCase body, PeerHandler handler) {
+        checkArgument(handlers.putIfAbsent(body, checkNotNull(handler)) == null, "%s has a handler", body);
+    }
+
+    /**
+     * Answers a request.
+     *
+     * @param sender who asks
+     * @param request the request
+     * @return the reply, {@code Refused} if there is no handler or it failed; never completes exceptionally
+     */
+    public CompletionStage<PeerReply> dispatch(String sender, PeerRequest request) {
+        PeerHandler handler = handlers.get(request.getBodyCase());
+        if (handler == null) {
+            return CompletableFuture.completedFuture(refused("no handler for " + request.getBodyCase()));
+        }
+        try {
+            return handler.handle(sender, request).exceptionally(failure -> failed(request, failure));
+        } catch (RuntimeException e) {
+            return CompletableFuture.completedFuture(failed(request, e));
+        }
+    }
+
+    private static PeerReply failed(PeerRequest request, Throwable failure) {
+        LOG.warn("handler of {} failed", request.getBodyCase(), failure);
+        return refused("handler failed");
+    }
+
+    static PeerReply refused(String reason) {
+        return PeerReply.newBuilder()
+                .setRefused(Refused.newBuilder().setReason(reason))
+                .build();
+    }
+}
