--- /dev/null
+++ b/router/src/main/java/baobabcroft/limit/DemandLedger.java
@@ -0,0 +1,93 @@
+package baobabcroft.limit;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedSet;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Demand of all instances by time slot, and the shares that follow from it.
+ *
+ * <p>The shares of a slot follow from the reports of an earlier slot, which all instances have heard by then. They
+ * compute the same shares from the same reports, so the shares add up to the limit. Not thread-safe.
+ */
+final class DemandLedger {
+    static final long SLOT_MILLIS = 1_000;
+    static final long REPORT_LAG_SLOTS = 2;
+
+    private static final long KEPT_SLOTS = 4;
+    private static final double SMOOTHING = 0.5;
+    private static final double EVEN_SHARE = 0.2;
+    private static final double NEGLIGIBLE_DEMAND = 1e-3;
+
+    private final String self;
+    private final Map<String, Double> current = new HashMap<>();
+    private final TreeMap<Long, Map<String, DemandReport>> reports = new TreeMap<>();
+    private ImmutableMap<String, Double> smoothed = ImmutableMap.of();
+    private ImmutableSortedSet<String> live;
+    private long slot;
+
+    DemandLedger(String self) {
+        this.self = self;
+        this.live = ImmutableSortedSet.of(self);
+    }
+
+    void setLive(ImmutableSortedSet<String> instances) {
+        live = instances;
+    }
+
+    void count(String account) {
+        current.merge(account, 1.0, Double::sum);
+    }
+
+    void hear(DemandReport report) {
+        reports.computeIfAbsent(report.slot(), key -> new HashMap<>()).putIfAbsent(report.origin(), report);
+    }
+
+    Optional<DemandReport> ownReport(long reportedSlot) {
+        return Optional.ofNullable(reports.getOrDefault(reportedSlot, Map.of()).get(self));
+    }
+
+    /** Closes the slots that have ended. */
+    void advanceTo(long nowSlot) {
+        if (slot == 0) {
+            slot = nowSlot;
+        }
+        slot = Math.max(slot, nowSlot - KEPT_SLOTS);
+        while (slot < nowSlot) {
+            smooth();
+            hear(new DemandReport(self, slot, smoothed));
+            slot++;
+        }
+        reports.headMap(nowSlot - KEPT_SLOTS).clear();
+    }
+
+    private void smooth() {
+        Map<String, Double> next = new HashMap<>(current);
+        smoothed.forEach((account, demand) -> next.merge(account, 0.0, Double::sum));
+        next.replaceAll((account, seen) -> SMOOTHING * seen + (1 - SMOOTHING) * smoothed.getOrDefault(account, 0.0));
+        next.values().removeIf(demand -> demand < NEGLIGIBLE_DEMAND);
+        smoothed = ImmutableMap.copyOf(next);
+        current.clear();
+    }
+
+    /** Returns every live instance's part of an account's limits in the current slot; the parts add up to one. */
+    Map<String, Double> fractions(String account) {
+        Map<String, DemandReport> heard = reports.getOrDefault(slot - REPORT_LAG_SLOTS, Map.of());
+        Map<String, Double> demands = new TreeMap<>();
+        live.forEach(instance -> demands.put(instance, demand(heard.get(instance), account)));
+        double total =
+                demands.values().stream().mapToDouble(Double::doubleValue).sum();
+        boolean even = !heard.keySet().containsAll(live) || total == 0;
+        double evenPart = 1.0 / live.size();
+        demands.replaceAll(
+                (instance, demand) -> even ? evenPart : EVEN_SHARE * evenPart + (1 - EVEN_SHARE) * demand / total);
+        return demands;
+    }
+
+    private static double demand(DemandReport report, String account) {
+        return report == null ? 0 : report.demand(account);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/limit/TokenBucket.java
@@ -0,0 +1,43 @@
+package baobabcroft.limit;
+
+/** Token bucket whose rate may change. May go into debt by one charge. Not thread-safe. */
+final class TokenBucket {
+    private static final long MILLIS_PER_SECOND = 1_000;
+
+    private double ratePerSecond;
+    private double maxTokens;
+    private double tokens;
+    private long filledAtMillis;
+
+    TokenBucket(double ratePerSecond, double maxTokens, long nowMillis) {
+        this.ratePerSecond = ratePerSecond;
+        this.maxTokens = maxTokens;
+        this.tokens = maxTokens;
+        this.filledAtMillis = nowMillis;
+    }
+
+    void fill(double newRatePerSecond, double newMaxTokens, long nowMillis) {
+        long elapsedMillis = Math.max(0, nowMillis - filledAtMillis);
+        tokens += ratePerSecond * elapsedMillis / MILLIS_PER_SECOND;
+        ratePerSecond = newRatePerSecond;
+        maxTokens = newMaxTokens;
+        tokens = Math.min(maxTokens, tokens);
+        filledAtMillis = Math.max(filledAtMillis, nowMillis);
+    }
+
+    boolean holds(double needed) {
+        return tokens >= needed;
+    }
+
+    void take(double taken) {
+        tokens -= taken;
+    }
+
+    /** Returns when the bucket will hold an amount, in milliseconds from the last fill. */
+    long millisUntil(double needed) {
+        if (ratePerSecond <= 0) {
+            return Long.MAX_VALUE;
+        }
+        return (long) Math.ceil(Math.max(0, needed - tokens) / ratePerSecond * MILLIS_PER_SECOND);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/limit/WholeShares.java
@@ -0,0 +1,24 @@
+package baobabcroft.limit;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Splits a whole number by the method of largest remainders. */
+final class WholeShares {
+    private WholeShares() {}
+
+    /** Returns whole parts that add up to the total; equal remainders go by the order of the names. */
+    static Map<String, Long> split(long total, Map<String, Double> fractions) {
+        Map<String, Long> parts = new TreeMap<>();
+        fractions.forEach((name, fraction) -> parts.put(name, (long) Math.floor(total * fraction)));
+        long left = total - parts.values().stream().mapToLong(Long::longValue).sum();
+        List<String> byRemainder = fractions.keySet().stream()
+                .sorted(Comparator.comparingDouble((String name) -> parts.get(name) - total * fractions.get(name))
+                        .thenComparing(Comparator.naturalOrder()))
+                .toList();
+        byRemainder.stream().limit(Math.max(0, left)).forEach(name -> parts.merge(name, 1L, Long::sum));
+        return parts;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/retry/RetryBudget.java
@@ -0,0 +1,62 @@
+package baobabcroft.retry;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Token bucket that bounds retries and hedges to a share of first attempts.
+ *
+ * <p>Starts empty, so that the sum of all retries never exceeds the share of all requests. Thread-safe.
+ */
+public final class RetryBudget {
+    private static final double DEFAULT_SHARE = 0.1;
+    private static final double DEFAULT_MAX_TOKENS = 100;
+
+    private final double share;
+    private final double maxTokens;
+    private double tokens;
+
+    private RetryBudget(double share, double maxTokens) {
+        this.share = share;
+        this.maxTokens = maxTokens;
+    }
+
+    /**
+     * Returns a budget of a tenth of the requests.
+     *
+     * @return a new, empty budget
+     */
+    public static RetryBudget create() {
+        return of(DEFAULT_SHARE, DEFAULT_MAX_TOKENS);
+    }
+
+    /**
+     * Returns a budget of the given share.
+     *
+     * @param share retries allowed a request
+     * @param maxTokens retries that may be saved up
+     * @return a new, empty budget
+     */
+    public static RetryBudget of(double share, double maxTokens) {
+        checkArgument(share >= 0, "negative share: %s", share);
+        checkArgument(maxTokens >= 1, "maxTokens under one: %s", maxTokens);
+        return new RetryBudget(share, maxTokens);
+    }
+
+    /** Counts a first attempt. */
+    public synchronized void requestStarted() {
+        tokens = Math.min(maxTokens, tokens + share);
+    }
+
+    /**
+     * Takes one retry from the budget.
+     *
+     * @return whether there was one left
+     */
+    public synchronized boolean tryTake() {
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+}
