Add numbered log events with a catalogue

Each event declares the keys of its values, so that a call site passes values only. SLF4J's key-value pairs were ruled out: whether they are shown depends on the pattern of the backend.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -0,0 +1,131 @@
+package baobabcroft.log;
+
+import static org.slf4j.event.Level.ERROR;
+import static org.slf4j.event.Level.INFO;
+import static org.slf4j.event.Level.WARN;
+
+import com.google.common.collect.ImmutableList;
+import org.slf4j.event.Level;
+
+/**
+ * Catalogue of log events. A number is never used again for another event.
+ *
+ * <p>Thousands group the numbers: 1 the process, 2 configuration, 3 the platform's services, 4 other instances, 5
+ * endpoints and versions, 6 claims and bills.
+ */
+public enum LogEvent {
+    /** The instance takes requests. */
+    STARTED(1001, INFO, "instance started", "instance", "callers", "admin", "peers"),
+    /** The instance has stopped. */
+    STOPPED(1002, INFO, "instance stopped", "instance", "openRequests"),
+    /** A planned stop has begun. */
+    DRAIN_STARTED(1003, INFO, "drain started; readiness probe fails from now on", "openRequests"),
+    /** The drain timeout passed with requests still open. */
+    DRAIN_TIMED_OUT(1004, WARN, "drain timeout passed with requests still open", "openRequests"),
+    /** The settings have faults. */
+    SETTINGS_INVALID(1005, ERROR, "settings refused", "fault"),
+    /** A fault of the router itself. */
+    INTERNAL_FAULT(1006, ERROR, "unexpected fault", "component"),
+
+    /** The instance applies a configuration. */
+    CONFIG_APPLIED(2001, INFO, "configuration applied", "number", "changeId", "author", "source"),
+    /** A change of configuration was refused. */
+    CONFIG_REFUSED(2002, WARN, "change of configuration refused", "author", "reason"),
+    /** A change of configuration is in force everywhere. */
+    CONFIG_ACCEPTED(2003, INFO, "change of configuration accepted", "number", "author", "confirmedBy"),
+    /** A change of configuration is stored but not yet confirmed by all. */
+    CONFIG_UNCONFIRMED(2004, WARN, "change of configuration stored, not yet accepted", "number", "missing"),
+    /** The stored configuration cannot be read. */
+    CONFIG_UNREADABLE(2005, ERROR, "stored configuration cannot be parsed; not applied", "number", "fault"),
+    /** The instance's authority to take new work ran out. */
+    AUTHORITY_LOST(2006, WARN, "authority lost; new work refused", "number", "ageMillis"),
+    /** The instance has fresh authority again. */
+    AUTHORITY_REGAINED(2007, INFO, "authority regained", "number", "lostMillis"),
+
+    /** The key-value service does not answer. */
+    STORE_UNAVAILABLE(3001, WARN, "key-value service unavailable", "reason"),
+    /** The key-value service answers again. */
+    STORE_BACK(3002, INFO, "key-value service answers again", "outageMillis"),
+    /** The list of live instances and endpoints cannot be read. */
+    LIVE_LIST_UNAVAILABLE(3003, WARN, "live list unavailable; last one kept", "reason"),
+    /** The service that rates answers does not answer. */
+    RATING_UNAVAILABLE(3004, WARN, "rating service unavailable", "reason"),
+
+    /** A connection to another instance is up. */
+    PEER_CONNECTED(4001, INFO, "peer connected", "peer", "address"),
+    /** A connection to another instance is lost. */
+    PEER_LOST(4002, WARN, "peer lost", "peer", "reason"),
+
+    /** An endpoint gets no requests for a while. */
+    ENDPOINT_EJECTED(5001, WARN, "endpoint ejected", "endpoint", "reason", "ejectedMillis"),
+    /** An endpoint gets requests again. */
+    ENDPOINT_BACK(5002, INFO, "endpoint back in service", "endpoint"),
+    /** A version gets no new sessions because its figures turned bad. */
+    VERSION_STOPPED(5003, ERROR, "version stopped automatically", "version", "reason", "requests"),
+    /** A request that made several endpoints fail is not tried again. */
+    POISON_REQUEST_STOPPED(5004, ERROR, "poison request stopped", "account", "digest", "endpoints"),
+
+    /** A bill is held in memory until the key-value service is back. */
+    BILL_HELD(6001, WARN, "bills held in memory of several instances", "bills", "holders"),
+    /** Held bills are stored. */
+    BILL_WRITTEN(6002, INFO, "held bills written", "bills", "heldMillis"),
+    /** The reply to the write of a claim was lost and settled by reading back. */
+    CLAIM_REPLY_LOST(6003, WARN, "reply to a claim was lost; settled by reading back", "slot", "outcome");
+
+    private final int number;
+    private final Level level;
+    private final String message;
+    private final ImmutableList<String> keys;
+
+    LogEvent(int number, Level level, String message, String... keys) {
+        this.number = number;
+        this.level = level;
+        this.message = message;
+        this.keys = ImmutableList.copyOf(keys);
+    }
+
+    /**
+     * Returns the number that stands for the event in logs and in the catalogue.
+     *
+     * @return a number of four digits
+     */
+    public int number() {
+        return number;
+    }
+
+    /**
+     * Returns the number as logs show it.
+     *
+     * @return for example {@code BC1001}
+     */
+    public String code() {
+        return "BC" + number;
+    }
+
+    /**
+     * Returns the level that the event is logged at.
+     *
+     * @return the level
+     */
+    public Level level() {
+        return level;
+    }
+
+    /**
+     * Returns the fixed part of the message.
+     *
+     * @return the message without its values
+     */
+    public String message() {
+        return message;
+    }
+
+    /**
+     * Returns the keys of the values that follow the message.
+     *
+     * @return the keys in the order of the values
+     */
+    public ImmutableList<String> keys() {
+        return keys;
+    }
+}
