Add configuration spread, authority and acceptance

Cause: an accepted change has to be in force everywhere and never revert, with the store's replies lost, instances dead, cut off, frozen or restarted. The rule of DESIGN.md was checked by hand and had four holes: "all confirmed, so accepted at once" missed an instance not yet listed with a read from before the swap; a restarted instance counted for the old number after its former start had confirmed the new one; confirmations of starts that never were there together counted; "more than half" of lists that differ by two, or that shrank while the store was out, need not overlap. The text says how each is closed: starts count once they have had authority, the quorum must have held the number at one moment, the base only grows without the store, recent members add half a vote. Ruled out: keeping the member set in the store beside each number (exact overlap, but every replaced instance becomes a write that operators conflict with). A store that comes back older is written again and reverts nobody.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/config/ConfigState.java
@@ -0,0 +1,129 @@
+package baobabcroft.config;
+
+import baobabcroft.config.Confirmations.Progress;
+import baobabcroft.membership.Quorum;
+import baobabcroft.rules.ParsedRules;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * What one instance has applied and what it knows of others.
+ *
+ * <p>Changed by one thread at a time; {@link #grant} and {@link #current} may be read by any thread.
+ */
+final class ConfigState {
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigState.class);
+    private static final int MAX_KEPT_DOCUMENTS = 8;
+
+    private final ConfigContext context;
+    private final Authority authority;
+    private final Confirmations confirmations = new Confirmations();
+    private final TreeMap<Long, ConfigDocument> recent = new TreeMap<>();
+    private final TreeMap<Long, Long> appliedNanosByNumber = new TreeMap<>();
+    private final List<ConfigListener> listeners = new ArrayList<>();
+    private volatile Optional<AppliedConfig> current = Optional.empty();
+    private volatile Grant grant = Grant.NONE;
+    private long rejectedNumber;
+
+    /** Leave to take new work under one number until a moment. */
+    record Grant(long number, OptionalLong untilNanos) {
+        static final Grant NONE = new Grant(0, OptionalLong.empty());
+
+        boolean holdsAt(long nowNanos) {
+            return untilNanos.isPresent() && nowNanos < untilNanos.getAsLong();
+        }
+    }
+
+    ConfigState(ConfigContext context) {
+        this.context = context;
+        this.authority = new Authority(context.self(), context.timings().freshnessNanos(), context.members());
+    }
+
+    void addListener(ConfigListener listener) {
+        listeners.add(listener);
+        current.ifPresent(listener::onApplied);
+    }
+
+    Optional<AppliedConfig> current() {
+        return current;
+    }
+
+    Grant grant() {
+        return grant;
+    }
+
+    Authority authority() {
+        return authority;
+    }
+
+    Confirmations confirmations() {
+        return confirmations;
+    }
+
+    long number() {
+        return current.map(AppliedConfig::number).orElse(0L);
+    }
+
+    Optional<ConfigDocument> recentDocument(long number) {
+        return Optional.ofNullable(recent.get(number));
+    }
+
+    /** Returns the document of a change among the latest ones, wherever it was heard of. */
+    Optional<ConfigDocument> recentChange(String changeId) {
+        return recent.values().stream()
+                .filter(document -> document.changeId().equals(changeId))
+                .findFirst();
+    }
+
+    /** Applies a document if its number is greater than the applied one and its rules can be read. */
+    boolean apply(ConfigDocument document) {
+        if (document.number() <= number() || document.number() == rejectedNumber) {
+            return false;
+        }
+        if (!(context.parser().apply(document.rulesText()) instanceof ParsedRules.Valid valid)) {
+            LOG.error("cannot read the rules of configuration {}; keeping {}", document.number(), number());
+            rejectedNumber = document.number();
+            return false;
+        }
+        long nowNanos = context.ticker().read();
+        AppliedConfig applied = new AppliedConfig(document, valid.rules());
+        recent.put(document.number(), document);
+        appliedNanosByNumber.put(document.number(), nowNanos);
+        trim();
+        authority.applied(document.number());
+        current = Optional.of(applied);
+        refreshGrant();
+        listeners.forEach(listener -> listener.onApplied(applied));
+        return true;
+    }
+
+    /** Works out the authority again, after new evidence or a change of the applied number. */
+    void refreshGrant() {
+        long nowNanos = context.ticker().read();
+        grant = new Grant(number(), authority.freshUntilNanos(nowNanos));
+        if (authority.isEstablished()) {
+            confirmations.answered(context.self(), context.incarnation(), number(), nowNanos, nowNanos);
+        }
+    }
+
+    Progress progress(long number) {
+        long nowNanos = context.ticker().read();
+        Long appliedNanos = appliedNanosByNumber.ceilingKey(number) == null
+                ? Long.valueOf(nowNanos)
+                : appliedNanosByNumber.ceilingEntry(number).getValue();
+        Quorum quorum = context.members().acceptanceQuorum(appliedNanos);
+        return confirmations.progress(number, quorum, context.timings().acceptanceNanos(), nowNanos);
+    }
+
+    private void trim() {
+        while (recent.size() > MAX_KEPT_DOCUMENTS) {
+            recent.pollFirstEntry();
+            appliedNanosByNumber.pollFirstEntry();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/config/StorePoller.java
@@ -0,0 +1,110 @@
+package baobabcroft.config;
+
+import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.ReadResult;
+import baobabcroft.platform.Versioned;
+import baobabcroft.platform.WatchListener;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Hears of changes from the store: by a watch, and by reads that also renew authority. Confined to its executor. */
+final class StorePoller {
+    private static final Logger LOG = LoggerFactory.getLogger(StorePoller.class);
+    private static final int MAX_READS_UNDER_WAY = 4;
+
+    private final ConfigContext context;
+    private final ConfigState state;
+    private final Executor executor;
+    private final Consumer<ConfigDocument> heard;
+    private int readsUnderWay;
+    private boolean restoring;
+
+    /** What one answered read showed. */
+    private record Seen(long sentNanos, long appliedWhenSent, Optional<Versioned> entry) {}
+
+    StorePoller(ConfigContext context, ConfigState state, Executor executor, Consumer<ConfigDocument> heard) {
+        this.context = context;
+        this.state = state;
+        this.executor = executor;
+        this.heard = heard;
+    }
+
+    AutoCloseable watch() {
+        return context.store().watch(ConfigKeys.CURRENT, new WatchListener() {
+            @Override
+            public void onPut(Versioned entry) {
+                executor.execute(() -> document(entry).ifPresent(heard));
+            }
+
+            @Override
+            public void onDelete(String key, long revision) {
+                LOG.warn("{} was deleted; keeping what is applied", key);
+            }
+
+            @Override
+            public void onGap() {
+                executor.execute(StorePoller.this::read);
+            }
+
+            @Override
+            public void onDisconnected(String reason) {
+                LOG.warn("watch of the configuration is broken: {}", reason);
+            }
+        });
+    }
+
+    void read() {
+        if (readsUnderWay >= MAX_READS_UNDER_WAY) {
+            return;
+        }
+        readsUnderWay++;
+        long sentNanos = context.ticker().read();
+        long appliedWhenSent = state.number();
+        context.store()
+                .read(ConfigKeys.CURRENT)
+                .thenAcceptAsync(result -> answered(sentNanos, appliedWhenSent, result), executor);
+    }
+
+    private void answered(long sentNanos, long appliedWhenSent, ReadResult result) {
+        readsUnderWay--;
+        if (!(result instanceof ReadResult.Found found)) {
+            return;
+        }
+        Optional<Versioned> entry = found.entries().stream().findFirst();
+        Optional<ConfigDocument> document = entry.flatMap(StorePoller::document);
+        if (entry.isPresent() && document.isEmpty()) {
+            LOG.error("{} holds no configuration", ConfigKeys.CURRENT);
+            return;
+        }
+        document.ifPresent(heard);
+        long number = document.map(ConfigDocument::number).orElse(0L);
+        state.authority().storeAnswered(sentNanos, appliedWhenSent, number);
+        state.refreshGrant();
+        if (number < appliedWhenSent) {
+            restore(new Seen(sentNanos, appliedWhenSent, entry));
+        }
+    }
+
+    /** Writes the applied document to a store that has come back with an older one. */
+    private void restore(Seen seen) {
+        Optional<AppliedConfig> applied = state.current();
+        if (restoring || applied.isEmpty()) {
+            return;
+        }
+        restoring = true;
+        LOG.warn("the store has lost configuration {}; writing it again", seen.appliedWhenSent());
+        long revision = seen.entry().map(Versioned::revision).orElse(KeyValueStore.ABSENT);
+        context.store()
+                .compareAndSwap(
+                        ConfigKeys.CURRENT, revision, applied.get().document().toBytes(), OptionalLong.empty())
+                .thenAcceptAsync(result -> restoring = false, executor);
+    }
+
+    private static Optional<ConfigDocument> document(Versioned entry) {
+        return ConfigDocument.fromBytes(entry.value());
+    }
+}
--- a/router/src/main/java/baobabcroft/peer/proto/ConfigDeltaMessage.java
+++ b/router/src/main/java/baobabcroft/peer/proto/ConfigDeltaMessage.java
@@ -34,7 +34,6 @@
   private ConfigDeltaMessage() {
     baseSha256_ = com.google.protobuf.ByteString.EMPTY;
     resultSha256_ = com.google.protobuf.ByteString.EMPTY;
-    edits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -115,45 +114,30 @@
     return head_ == null ? baobabcroft.peer.proto.ConfigDocumentMessage.getDefaultInstance() : head_;
   }
 
-  public static final int EDITS_FIELD_NUMBER = 5;
-  @SuppressWarnings("serial")
-  private java.util.List<baobabcroft.peer.proto.LineEdit> edits_;
+  public static final int EDIT_FIELD_NUMBER = 5;
+  private baobabcroft.peer.proto.LineEdit edit_;
   /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+   * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
+   * @return Whether the edit field is set.
    */
   @java.lang.Override
-  public java.util.List<baobabcroft.peer.proto.LineEdit> getEditsList() {
-    return edits_;
+  public boolean hasEdit() {
+    return ((bitField0_ & 0x00000002) != 0);
   }
   /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+   * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
+   * @return The edit.
    */
   @java.lang.Override
-  public java.util.List<? extends baobabcroft.peer.proto.LineEditOrBuilder> 
-      getEditsOrBuilderList() {
-    return edits_;
+  public baobabcroft.peer.proto.LineEdit getEdit() {
+    return edit_ == null ? baobabcroft.peer.proto.LineEdit.getDefaultInstance() : edit_;
   }
   /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+   * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
    */
   @java.lang.Override
-  public int getEditsCount() {
-    return edits_.size();
-  }
-  /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-   */
-  @java.lang.Override
-  public baobabcroft.peer.proto.LineEdit getEdits(int index) {
-    return edits_.get(index);
-  }
-  /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-   */
-  @java.lang.Override
-  public baobabcroft.peer.proto.LineEditOrBuilder getEditsOrBuilder(
-      int index) {
-    return edits_.get(index);
+  public baobabcroft.peer.proto.LineEditOrBuilder getEditOrBuilder() {
+    return edit_ == null ? baobabcroft.peer.proto.LineEdit.getDefaultInstance() : edit_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -182,8 +166,8 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(4, getHead());
     }
-    for (int i = 0; i < edits_.size(); i++) {
-      output.writeMessage(5, edits_.get(i));
+    if (((bitField0_ & 0x00000002) != 0)) {
+      output.writeMessage(5, getEdit());
     }
     getUnknownFields().writeTo(output);
   }
@@ -210,15 +194,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(4, getHead());
     }
-
-        {
-          final int count = edits_.size();
-          for (int i = 0; i < count; i++) {
-            size += com.google.protobuf.CodedOutputStream
-              .computeMessageSizeNoTag(edits_.get(i));
-          }
-          size += 1 * count;
-        }
+    if (((bitField0_ & 0x00000002) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(5, getEdit());
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -245,8 +224,11 @@
       if (!getHead()
           .equals(other.getHead())) return false;
     }
-    if (!getEditsList()
-        .equals(other.getEditsList())) return false;
+    if (hasEdit() != other.hasEdit()) return false;
+    if (hasEdit()) {
+      if (!getEdit()
+          .equals(other.getEdit())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -269,9 +251,9 @@
       hash = (37 * hash) + HEAD_FIELD_NUMBER;
       hash = (53 * hash) + getHead().hashCode();
     }
-    if (getEditsCount() > 0) {
-      hash = (37 * hash) + EDITS_FIELD_NUMBER;
-      hash = (53 * hash) + getEditsList().hashCode();
+    if (hasEdit()) {
+      hash = (37 * hash) + EDIT_FIELD_NUMBER;
+      hash = (53 * hash) + getEdit().hashCode();
     }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
@@ -408,7 +390,7 @@
       if (com.google.protobuf.GeneratedMessage
               .alwaysUseFieldBuilders) {
         internalGetHeadFieldBuilder();
-        internalGetEditsFieldBuilder();
+        internalGetEditFieldBuilder();
       }
     }
     @java.lang.Override
@@ -423,13 +405,11 @@
         headBuilder_.dispose();
         headBuilder_ = null;
       }
-      if (editsBuilder_ == null) {
-        edits_ = java.util.Collections.emptyList();
-      } else {
-        edits_ = null;
-        editsBuilder_.clear();
+      edit_ = null;
+      if (editBuilder_ != null) {
+        editBuilder_.dispose();
+        editBuilder_ = null;
       }
-      bitField0_ = (bitField0_ & ~0x00000010);
       return this;
     }
 
@@ -456,24 +436,11 @@
     @java.lang.Override
     public baobabcroft.peer.proto.ConfigDeltaMessage buildPartial() {
       baobabcroft.peer.proto.ConfigDeltaMessage result = new baobabcroft.peer.proto.ConfigDeltaMessage(this);
-      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartialRepeatedFields(baobabcroft.peer.proto.ConfigDeltaMessage result) {
-      if (editsBuilder_ == null) {
-        if (((bitField0_ & 0x00000010) != 0)) {
-          edits_ = java.util.Collections.unmodifiableList(edits_);
-          bitField0_ = (bitField0_ & ~0x00000010);
-        }
-        result.edits_ = edits_;
-      } else {
-        result.edits_ = editsBuilder_.build();
-      }
-    }
-
     private void buildPartial0(baobabcroft.peer.proto.ConfigDeltaMessage result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -492,6 +459,12 @@
             : headBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.edit_ = editBuilder_ == null
+            ? edit_
+            : editBuilder_.build();
+        to_bitField0_ |= 0x00000002;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -519,31 +492,8 @@
       if (other.hasHead()) {
         mergeHead(other.getHead());
       }
-      if (editsBuilder_ == null) {
-        if (!other.edits_.isEmpty()) {
-          if (edits_.isEmpty()) {
-            edits_ = other.edits_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-          } else {
-            ensureEditsIsMutable();
-            edits_.addAll(other.edits_);
-          }
-          onChanged();
-        }
-      } else {
-        if (!other.edits_.isEmpty()) {
-          if (editsBuilder_.isEmpty()) {
-            editsBuilder_.dispose();
-            editsBuilder_ = null;
-            edits_ = other.edits_;
-            bitField0_ = (bitField0_ & ~0x00000010);
-            editsBuilder_ = 
-              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
-                 internalGetEditsFieldBuilder() : null;
-          } else {
-            editsBuilder_.addAllMessages(other.edits_);
-          }
-        }
+      if (other.hasEdit()) {
+        mergeEdit(other.getEdit());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -594,16 +544,10 @@
               break;
             } // case 34
             case 42: {
-              baobabcroft.peer.proto.LineEdit m =
-                  input.readMessage(
-                      baobabcroft.peer.proto.LineEdit.parser(),
-                      extensionRegistry);
-              if (editsBuilder_ == null) {
-                ensureEditsIsMutable();
-                edits_.add(m);
-              } else {
-                editsBuilder_.addMessage(m);
-              }
+              input.readMessage(
+                  internalGetEditFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000010;
               break;
             } // case 42
             default: {
@@ -840,244 +784,125 @@
       return headBuilder_;
     }
 
-    private java.util.List<baobabcroft.peer.proto.LineEdit> edits_ =
-      java.util.Collections.emptyList();
-    private void ensureEditsIsMutable() {
-      if (!((bitField0_ & 0x00000010) != 0)) {
-        edits_ = new java.util.ArrayList<baobabcroft.peer.proto.LineEdit>(edits_);
-        bitField0_ |= 0x00000010;
-       }
-    }
-
-    private com.google.protobuf.RepeatedFieldBuilder<
-        baobabcroft.peer.proto.LineEdit, baobabcroft.peer.proto.LineEdit.Builder, baobabcroft.peer.proto.LineEditOrBuilder> editsBuilder_;
-
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public java.util.List<baobabcroft.peer.proto.LineEdit> getEditsList() {
-      if (editsBuilder_ == null) {
-        return java.util.Collections.unmodifiableList(edits_);
-      } else {
-        return editsBuilder_.getMessageList();
-      }
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public int getEditsCount() {
-      if (editsBuilder_ == null) {
-        return edits_.size();
-      } else {
-        return editsBuilder_.getCount();
-      }
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public baobabcroft.peer.proto.LineEdit getEdits(int index) {
-      if (editsBuilder_ == null) {
-        return edits_.get(index);
-      } else {
-        return editsBuilder_.getMessage(index);
-      }
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public Builder setEdits(
-        int index, baobabcroft.peer.proto.LineEdit value) {
-      if (editsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureEditsIsMutable();
-        edits_.set(index, value);
-        onChanged();
-      } else {
-        editsBuilder_.setMessage(index, value);
-      }
-      return this;
-    }
+    private baobabcroft.peer.proto.LineEdit edit_;
+    private com.google.protobuf.SingleFieldBuilder<
+        baobabcroft.peer.proto.LineEdit, baobabcroft.peer.proto.LineEdit.Builder, baobabcroft.peer.proto.LineEditOrBuilder> editBuilder_;
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
+     * @return Whether the edit field is set.
      */
-    public Builder setEdits(
-        int index, baobabcroft.peer.proto.LineEdit.Builder builderForValue) {
-      if (editsBuilder_ == null) {
-        ensureEditsIsMutable();
-        edits_.set(index, builderForValue.build());
-        onChanged();
-      } else {
-        editsBuilder_.setMessage(index, builderForValue.build());
-      }
-      return this;
+    public boolean hasEdit() {
+      return ((bitField0_ & 0x00000010) != 0);
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
+     * @return The edit.
      */
-    public Builder addEdits(baobabcroft.peer.proto.LineEdit value) {
-      if (editsBuilder_ == null) {
-        if (value == null) {
-          throw new NullPointerException();
-        }
-        ensureEditsIsMutable();
-        edits_.add(value);
-        onChanged();
+    public baobabcroft.peer.proto.LineEdit getEdit() {
+      if (editBuilder_ == null) {
+        return edit_ == null ? baobabcroft.peer.proto.LineEdit.getDefaultInstance() : edit_;
       } else {
-        editsBuilder_.addMessage(value);
+        return editBuilder_.getMessage();
       }
-      return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public Builder addEdits(
-        int index, baobabcroft.peer.proto.LineEdit value) {
-      if (editsBuilder_ == null) {
+    public Builder setEdit(baobabcroft.peer.proto.LineEdit value) {
+      if (editBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
         }
-        ensureEditsIsMutable();
-        edits_.add(index, value);
-        onChanged();
+        edit_ = value;
       } else {
-        editsBuilder_.addMessage(index, value);
+        editBuilder_.setMessage(value);
       }
+      bitField0_ |= 0x00000010;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public Builder addEdits(
+    public Builder setEdit(
         baobabcroft.peer.proto.LineEdit.Builder builderForValue) {
-      if (editsBuilder_ == null) {
-        ensureEditsIsMutable();
-        edits_.add(builderForValue.build());
-        onChanged();
+      if (editBuilder_ == null) {
+        edit_ = builderForValue.build();
       } else {
-        editsBuilder_.addMessage(builderForValue.build());
-      }
-      return this;
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public Builder addEdits(
-        int index, baobabcroft.peer.proto.LineEdit.Builder builderForValue) {
-      if (editsBuilder_ == null) {
-        ensureEditsIsMutable();
-        edits_.add(index, builderForValue.build());
-        onChanged();
-      } else {
-        editsBuilder_.addMessage(index, builderForValue.build());
+        editBuilder_.setMessage(builderForValue.build());
       }
+      bitField0_ |= 0x00000010;
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public Builder addAllEdits(
-        java.lang.Iterable<? extends baobabcroft.peer.proto.LineEdit> values) {
-      if (editsBuilder_ == null) {
-        ensureEditsIsMutable();
-        com.google.protobuf.AbstractMessageLite.Builder.addAll(
-            values, edits_);
-        onChanged();
+    public Builder mergeEdit(baobabcroft.peer.proto.LineEdit value) {
+      if (editBuilder_ == null) {
+        if (((bitField0_ & 0x00000010) != 0) &&
+          edit_ != null &&
+          edit_ != baobabcroft.peer.proto.LineEdit.getDefaultInstance()) {
+          getEditBuilder().mergeFrom(value);
+        } else {
+          edit_ = value;
+        }
       } else {
-        editsBuilder_.addAllMessages(values);
+        editBuilder_.mergeFrom(value);
       }
-      return this;
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public Builder clearEdits() {
-      if (editsBuilder_ == null) {
-        edits_ = java.util.Collections.emptyList();
-        bitField0_ = (bitField0_ & ~0x00000010);
+      if (edit_ != null) {
+        bitField0_ |= 0x00000010;
         onChanged();
-      } else {
-        editsBuilder_.clear();
       }
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public Builder removeEdits(int index) {
-      if (editsBuilder_ == null) {
-        ensureEditsIsMutable();
-        edits_.remove(index);
-        onChanged();
-      } else {
-        editsBuilder_.remove(index);
+    public Builder clearEdit() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      edit_ = null;
+      if (editBuilder_ != null) {
+        editBuilder_.dispose();
+        editBuilder_ = null;
       }
+      onChanged();
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public baobabcroft.peer.proto.LineEdit.Builder getEditsBuilder(
-        int index) {
-      return internalGetEditsFieldBuilder().getBuilder(index);
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public baobabcroft.peer.proto.LineEditOrBuilder getEditsOrBuilder(
-        int index) {
-      if (editsBuilder_ == null) {
-        return edits_.get(index);  } else {
-        return editsBuilder_.getMessageOrBuilder(index);
-      }
+    public baobabcroft.peer.proto.LineEdit.Builder getEditBuilder() {
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return internalGetEditFieldBuilder().getBuilder();
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public java.util.List<? extends baobabcroft.peer.proto.LineEditOrBuilder> 
-         getEditsOrBuilderList() {
-      if (editsBuilder_ != null) {
-        return editsBuilder_.getMessageOrBuilderList();
+    public baobabcroft.peer.proto.LineEditOrBuilder getEditOrBuilder() {
+      if (editBuilder_ != null) {
+        return editBuilder_.getMessageOrBuilder();
       } else {
-        return java.util.Collections.unmodifiableList(edits_);
+        return edit_ == null ?
+            baobabcroft.peer.proto.LineEdit.getDefaultInstance() : edit_;
       }
     }
     /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public baobabcroft.peer.proto.LineEdit.Builder addEditsBuilder() {
-      return internalGetEditsFieldBuilder().addBuilder(
-          baobabcroft.peer.proto.LineEdit.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-     */
-    public baobabcroft.peer.proto.LineEdit.Builder addEditsBuilder(
-        int index) {
-      return internalGetEditsFieldBuilder().addBuilder(
-          index, baobabcroft.peer.proto.LineEdit.getDefaultInstance());
-    }
-    /**
-     * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+     * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
      */
-    public java.util.List<baobabcroft.peer.proto.LineEdit.Builder> 
-         getEditsBuilderList() {
-      return internalGetEditsFieldBuilder().getBuilderList();
-    }
-    private com.google.protobuf.RepeatedFieldBuilder<
+    private com.google.protobuf.SingleFieldBuilder<
         baobabcroft.peer.proto.LineEdit, baobabcroft.peer.proto.LineEdit.Builder, baobabcroft.peer.proto.LineEditOrBuilder> 
-        internalGetEditsFieldBuilder() {
-      if (editsBuilder_ == null) {
-        editsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+        internalGetEditFieldBuilder() {
+      if (editBuilder_ == null) {
+        editBuilder_ = new com.google.protobuf.SingleFieldBuilder<
             baobabcroft.peer.proto.LineEdit, baobabcroft.peer.proto.LineEdit.Builder, baobabcroft.peer.proto.LineEditOrBuilder>(
-                edits_,
-                ((bitField0_ & 0x00000010) != 0),
+                getEdit(),
                 getParentForChildren(),
                 isClean());
-        edits_ = null;
+        edit_ = null;
       }
-      return editsBuilder_;
+      return editBuilder_;
     }
 
     // @@protoc_insertion_point(builder_scope:baobabcroft.peer.ConfigDeltaMessage)
--- a/router/src/main/java/baobabcroft/peer/proto/ConfigDeltaMessageOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/ConfigDeltaMessageOrBuilder.java
@@ -44,26 +44,17 @@
   baobabcroft.peer.proto.ConfigDocumentMessageOrBuilder getHeadOrBuilder();
 
   /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+   * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
+   * @return Whether the edit field is set.
    */
-  java.util.List<baobabcroft.peer.proto.LineEdit> 
-      getEditsList();
+  boolean hasEdit();
   /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+   * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
+   * @return The edit.
    */
-  baobabcroft.peer.proto.LineEdit getEdits(int index);
+  baobabcroft.peer.proto.LineEdit getEdit();
   /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
+   * <code>.baobabcroft.peer.LineEdit edit = 5;</code>
    */
-  int getEditsCount();
-  /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-   */
-  java.util.List<? extends baobabcroft.peer.proto.LineEditOrBuilder> 
-      getEditsOrBuilderList();
-  /**
-   * <code>repeated .baobabcroft.peer.LineEdit edits = 5;</code>
-   */
-  baobabcroft.peer.proto.LineEditOrBuilder getEditsOrBuilder(
-      int index);
+  baobabcroft.peer.proto.LineEditOrBuilder getEditOrBuilder();
 }
--- a/router/src/main/java/baobabcroft/peer/proto/Heartbeat.java
+++ b/router/src/main/java/baobabcroft/peer/proto/Heartbeat.java
@@ -81,6 +81,21 @@
     return leaving_;
   }
 
+  public static final int WANTS_MEMBERS_FIELD_NUMBER = 4;
+  private boolean wantsMembers_ = false;
+  /**
+   * <pre>
+   * Whether the asker has not watched the platform's list long enough and takes over what others saw.
+   * </pre>
+   *
+   * <code>bool wants_members = 4;</code>
+   * @return The wantsMembers.
+   */
+  @java.lang.Override
+  public boolean getWantsMembers() {
+    return wantsMembers_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -104,6 +119,9 @@
     if (leaving_ != false) {
       output.writeBool(3, leaving_);
     }
+    if (wantsMembers_ != false) {
+      output.writeBool(4, wantsMembers_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -125,6 +143,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeBoolSize(3, leaving_);
     }
+    if (wantsMembers_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(4, wantsMembers_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -146,6 +168,8 @@
         != other.getConfigNumber()) return false;
     if (getLeaving()
         != other.getLeaving()) return false;
+    if (getWantsMembers()
+        != other.getWantsMembers()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -166,6 +190,9 @@
     hash = (37 * hash) + LEAVING_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
         getLeaving());
+    hash = (37 * hash) + WANTS_MEMBERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWantsMembers());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -300,6 +327,7 @@
       incarnation_ = 0L;
       configNumber_ = 0L;
       leaving_ = false;
+      wantsMembers_ = false;
       return this;
     }
 
@@ -342,6 +370,9 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.leaving_ = leaving_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.wantsMembers_ = wantsMembers_;
+      }
     }
 
     @java.lang.Override
@@ -365,6 +396,9 @@
       if (other.getLeaving() != false) {
         setLeaving(other.getLeaving());
       }
+      if (other.getWantsMembers() != false) {
+        setWantsMembers(other.getWantsMembers());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -406,6 +440,11 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              wantsMembers_ = input.readBool();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -519,6 +558,50 @@
       return this;
     }
 
+    private boolean wantsMembers_ ;
+    /**
+     * <pre>
+     * Whether the asker has not watched the platform's list long enough and takes over what others saw.
+     * </pre>
+     *
+     * <code>bool wants_members = 4;</code>
+     * @return The wantsMembers.
+     */
+    @java.lang.Override
+    public boolean getWantsMembers() {
+      return wantsMembers_;
+    }
+    /**
+     * <pre>
+     * Whether the asker has not watched the platform's list long enough and takes over what others saw.
+     * </pre>
+     *
+     * <code>bool wants_members = 4;</code>
+     * @param value The wantsMembers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWantsMembers(boolean value) {
+
+      wantsMembers_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the asker has not watched the platform's list long enough and takes over what others saw.
+     * </pre>
+     *
+     * <code>bool wants_members = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWantsMembers() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      wantsMembers_ = false;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.peer.Heartbeat)
   }
 
--- a/router/src/main/java/baobabcroft/peer/proto/HeartbeatOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/HeartbeatOrBuilder.java
@@ -27,4 +27,14 @@
    * @return The leaving.
    */
   boolean getLeaving();
+
+  /**
+   * <pre>
+   * Whether the asker has not watched the platform's list long enough and takes over what others saw.
+   * </pre>
+   *
+   * <code>bool wants_members = 4;</code>
+   * @return The wantsMembers.
+   */
+  boolean getWantsMembers();
 }
--- a/router/src/main/java/baobabcroft/peer/proto/KnownMember.java
+++ b/router/src/main/java/baobabcroft/peer/proto/KnownMember.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A member as the sender knows it from the platform's list.
+ * A member of the sender's base.
  * </pre>
  *
  * Protobuf type {@code baobabcroft.peer.KnownMember}
@@ -92,15 +92,19 @@
     }
   }
 
-  public static final int LISTED_FOR_MILLIS_FIELD_NUMBER = 2;
-  private long listedForMillis_ = 0L;
+  public static final int RECENT_FIELD_NUMBER = 2;
+  private boolean recent_ = false;
   /**
-   * <code>uint64 listed_for_millis = 2;</code>
-   * @return The listedForMillis.
+   * <pre>
+   * Whether others may not have seen it in the list yet.
+   * </pre>
+   *
+   * <code>bool recent = 2;</code>
+   * @return The recent.
    */
   @java.lang.Override
-  public long getListedForMillis() {
-    return listedForMillis_;
+  public boolean getRecent() {
+    return recent_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -120,8 +124,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, name_);
     }
-    if (listedForMillis_ != 0L) {
-      output.writeUInt64(2, listedForMillis_);
+    if (recent_ != false) {
+      output.writeBool(2, recent_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -135,9 +139,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(name_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, name_);
     }
-    if (listedForMillis_ != 0L) {
+    if (recent_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, listedForMillis_);
+        .computeBoolSize(2, recent_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -156,8 +160,8 @@
 
     if (!getName()
         .equals(other.getName())) return false;
-    if (getListedForMillis()
-        != other.getListedForMillis()) return false;
+    if (getRecent()
+        != other.getRecent()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -171,9 +175,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + NAME_FIELD_NUMBER;
     hash = (53 * hash) + getName().hashCode();
-    hash = (37 * hash) + LISTED_FOR_MILLIS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getListedForMillis());
+    hash = (37 * hash) + RECENT_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getRecent());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -273,7 +277,7 @@
   }
   /**
    * <pre>
-   * A member as the sender knows it from the platform's list.
+   * A member of the sender's base.
    * </pre>
    *
    * Protobuf type {@code baobabcroft.peer.KnownMember}
@@ -310,7 +314,7 @@
       super.clear();
       bitField0_ = 0;
       name_ = "";
-      listedForMillis_ = 0L;
+      recent_ = false;
       return this;
     }
 
@@ -348,7 +352,7 @@
         result.name_ = name_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.listedForMillis_ = listedForMillis_;
+        result.recent_ = recent_;
       }
     }
 
@@ -369,8 +373,8 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getListedForMillis() != 0L) {
-        setListedForMillis(other.getListedForMillis());
+      if (other.getRecent() != false) {
+        setRecent(other.getRecent());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -404,7 +408,7 @@
               break;
             } // case 10
             case 16: {
-              listedForMillis_ = input.readUInt64();
+              recent_ = input.readBool();
               bitField0_ |= 0x00000002;
               break;
             } // case 16
@@ -497,34 +501,46 @@
       return this;
     }
 
-    private long listedForMillis_ ;
+    private boolean recent_ ;
     /**
-     * <code>uint64 listed_for_millis = 2;</code>
-     * @return The listedForMillis.
+     * <pre>
+     * Whether others may not have seen it in the list yet.
+     * </pre>
+     *
+     * <code>bool recent = 2;</code>
+     * @return The recent.
      */
     @java.lang.Override
-    public long getListedForMillis() {
-      return listedForMillis_;
+    public boolean getRecent() {
+      return recent_;
     }
     /**
-     * <code>uint64 listed_for_millis = 2;</code>
-     * @param value The listedForMillis to set.
+     * <pre>
+     * Whether others may not have seen it in the list yet.
+     * </pre>
+     *
+     * <code>bool recent = 2;</code>
+     * @param value The recent to set.
      * @return This builder for chaining.
      */
-    public Builder setListedForMillis(long value) {
+    public Builder setRecent(boolean value) {
 
-      listedForMillis_ = value;
+      recent_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 listed_for_millis = 2;</code>
+     * <pre>
+     * Whether others may not have seen it in the list yet.
+     * </pre>
+     *
+     * <code>bool recent = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearListedForMillis() {
+    public Builder clearRecent() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      listedForMillis_ = 0L;
+      recent_ = false;
       onChanged();
       return this;
     }
--- a/router/src/main/java/baobabcroft/peer/proto/KnownMemberOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/KnownMemberOrBuilder.java
@@ -23,8 +23,12 @@
       getNameBytes();
 
   /**
-   * <code>uint64 listed_for_millis = 2;</code>
-   * @return The listedForMillis.
+   * <pre>
+   * Whether others may not have seen it in the list yet.
+   * </pre>
+   *
+   * <code>bool recent = 2;</code>
+   * @return The recent.
    */
-  long getListedForMillis();
+  boolean getRecent();
 }
--- a/router/src/main/java/baobabcroft/peer/proto/Peer.java
+++ b/router/src/main/java/baobabcroft/peer/proto/Peer.java
@@ -194,48 +194,48 @@
       "er.ConfigAnswerH\000\022$\n\003ack\030\003 \001(\0132\025.baobabc" +
       "roft.peer.AckH\000\022,\n\007refused\030\004 \001(\0132\031.baoba" +
       "bcroft.peer.RefusedH\000B\006\n\004body\"\005\n\003Ack\"\031\n\007" +
-      "Refused\022\016\n\006reason\030\001 \001(\t\"H\n\tHeartbeat\022\023\n\013" +
+      "Refused\022\016\n\006reason\030\001 \001(\t\"_\n\tHeartbeat\022\023\n\013" +
       "incarnation\030\001 \001(\006\022\025\n\rconfig_number\030\002 \001(\004" +
-      "\022\017\n\007leaving\030\003 \001(\010\"\223\001\n\017HeartbeatAnswer\022\023\n" +
-      "\013incarnation\030\001 \001(\006\022\025\n\rconfig_number\030\002 \001(" +
-      "\004\022\023\n\013established\030\003 \001(\010\022\017\n\007leaving\030\004 \001(\010\022" +
-      ".\n\007members\030\005 \003(\0132\035.baobabcroft.peer.Know" +
-      "nMember\"6\n\013KnownMember\022\014\n\004name\030\001 \001(\t\022\031\n\021" +
-      "listed_for_millis\030\002 \001(\004\"\"\n\013ConfigFetch\022\023" +
-      "\n\013from_number\030\001 \001(\004\"\240\001\n\014ConfigAnswer\022;\n\010" +
-      "document\030\001 \001(\0132\'.baobabcroft.peer.Config" +
-      "DocumentMessageH\000\0225\n\005delta\030\002 \001(\0132$.baoba" +
-      "bcroft.peer.ConfigDeltaMessageH\000\022\024\n\nup_t" +
-      "o_date\030\003 \001(\010H\000B\006\n\004body\"\210\001\n\025ConfigDocumen" +
-      "tMessage\022\016\n\006number\030\001 \001(\004\022\021\n\tchange_id\030\002 " +
-      "\001(\t\022\016\n\006author\030\003 \001(\t\022\017\n\007comment\030\004 \001(\t\022\027\n\017" +
-      "at_epoch_millis\030\005 \001(\004\022\022\n\nrules_text\030\006 \001(" +
-      "\t\"\267\001\n\022ConfigDeltaMessage\022\023\n\013base_number\030" +
-      "\001 \001(\004\022\023\n\013base_sha256\030\002 \001(\014\022\025\n\rresult_sha" +
-      "256\030\003 \001(\014\0225\n\004head\030\004 \001(\0132\'.baobabcroft.pe" +
-      "er.ConfigDocumentMessage\022)\n\005edits\030\005 \003(\0132" +
-      "\032.baobabcroft.peer.LineEdit\"C\n\010LineEdit\022" +
-      "\021\n\tfrom_line\030\001 \001(\r\022\025\n\rremoved_lines\030\002 \001(" +
-      "\r\022\r\n\005added\030\003 \003(\t\"\032\n\tHoldBills\022\r\n\005bills\030\001" +
-      " \003(\014\"!\n\014BillsWritten\022\021\n\tbill_keys\030\001 \003(\014\"" +
-      "?\n\010Evidence\0223\n\010versions\030\001 \003(\0132!.baobabcr" +
-      "oft.peer.VersionEvidence\"\350\001\n\017VersionEvid" +
-      "ence\022\r\n\005model\030\001 \001(\t\022\017\n\007version\030\002 \001(\t\022\016\n\006" +
-      "origin\030\003 \001(\t\022\032\n\022origin_incarnation\030\004 \001(\006" +
-      "\022\017\n\007answers\030\005 \001(\004\022\020\n\010failures\030\006 \001(\004\022\r\n\005r" +
-      "ated\030\007 \001(\004\022\022\n\nrating_sum\030\010 \001(\001\022\031\n\021rating" +
-      "_square_sum\030\t \001(\001\022\032\n\022latency_millis_sum\030" +
-      "\n \001(\004\022\014\n\004late\030\013 \001(\004\">\n\014CrashReports\022.\n\007r" +
-      "eports\030\001 \003(\0132\035.baobabcroft.peer.CrashRep" +
-      "ort\"K\n\013CrashReport\022\026\n\016request_digest\030\001 \001" +
-      "(\014\022\020\n\010endpoint\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\004" +
-      "\"e\n\005Usage\022\016\n\006origin\030\001 \001(\t\022\032\n\022origin_inca" +
-      "rnation\030\002 \001(\006\0220\n\010accounts\030\003 \003(\0132\036.baobab" +
-      "croft.peer.AccountUsage\"Y\n\014AccountUsage\022" +
-      "\017\n\007account\030\001 \001(\t\022\020\n\010requests\030\002 \001(\004\022\023\n\013co" +
-      "st_micros\030\003 \001(\004\022\021\n\tin_flight\030\004 \001(\004\"\"\n\013Le" +
-      "aveNotice\022\023\n\013incarnation\030\001 \001(\006B\032\n\026baobab" +
-      "croft.peer.protoP\001b\006proto3"
+      "\022\017\n\007leaving\030\003 \001(\010\022\025\n\rwants_members\030\004 \001(\010" +
+      "\"\223\001\n\017HeartbeatAnswer\022\023\n\013incarnation\030\001 \001(" +
+      "\006\022\025\n\rconfig_number\030\002 \001(\004\022\023\n\013established\030" +
+      "\003 \001(\010\022\017\n\007leaving\030\004 \001(\010\022.\n\007members\030\005 \003(\0132" +
+      "\035.baobabcroft.peer.KnownMember\"+\n\013KnownM" +
+      "ember\022\014\n\004name\030\001 \001(\t\022\016\n\006recent\030\002 \001(\010\"\"\n\013C" +
+      "onfigFetch\022\023\n\013from_number\030\001 \001(\004\"\240\001\n\014Conf" +
+      "igAnswer\022;\n\010document\030\001 \001(\0132\'.baobabcroft" +
+      ".peer.ConfigDocumentMessageH\000\0225\n\005delta\030\002" +
+      " \001(\0132$.baobabcroft.peer.ConfigDeltaMessa" +
+      "geH\000\022\024\n\nup_to_date\030\003 \001(\010H\000B\006\n\004body\"\210\001\n\025C" +
+      "onfigDocumentMessage\022\016\n\006number\030\001 \001(\004\022\021\n\t" +
+      "change_id\030\002 \001(\t\022\016\n\006author\030\003 \001(\t\022\017\n\007comme" +
+      "nt\030\004 \001(\t\022\027\n\017at_epoch_millis\030\005 \001(\004\022\022\n\nrul" +
+      "es_text\030\006 \001(\t\"\266\001\n\022ConfigDeltaMessage\022\023\n\013" +
+      "base_number\030\001 \001(\004\022\023\n\013base_sha256\030\002 \001(\014\022\025" +
+      "\n\rresult_sha256\030\003 \001(\014\0225\n\004head\030\004 \001(\0132\'.ba" +
+      "obabcroft.peer.ConfigDocumentMessage\022(\n\004" +
+      "edit\030\005 \001(\0132\032.baobabcroft.peer.LineEdit\"C" +
+      "\n\010LineEdit\022\021\n\tfrom_line\030\001 \001(\r\022\025\n\rremoved" +
+      "_lines\030\002 \001(\r\022\r\n\005added\030\003 \003(\t\"\032\n\tHoldBills" +
+      "\022\r\n\005bills\030\001 \003(\014\"!\n\014BillsWritten\022\021\n\tbill_" +
+      "keys\030\001 \003(\014\"?\n\010Evidence\0223\n\010versions\030\001 \003(\013" +
+      "2!.baobabcroft.peer.VersionEvidence\"\350\001\n\017" +
+      "VersionEvidence\022\r\n\005model\030\001 \001(\t\022\017\n\007versio" +
+      "n\030\002 \001(\t\022\016\n\006origin\030\003 \001(\t\022\032\n\022origin_incarn" +
+      "ation\030\004 \001(\006\022\017\n\007answers\030\005 \001(\004\022\020\n\010failures" +
+      "\030\006 \001(\004\022\r\n\005rated\030\007 \001(\004\022\022\n\nrating_sum\030\010 \001(" +
+      "\001\022\031\n\021rating_square_sum\030\t \001(\001\022\032\n\022latency_" +
+      "millis_sum\030\n \001(\004\022\014\n\004late\030\013 \001(\004\">\n\014CrashR" +
+      "eports\022.\n\007reports\030\001 \003(\0132\035.baobabcroft.pe" +
+      "er.CrashReport\"K\n\013CrashReport\022\026\n\016request" +
+      "_digest\030\001 \001(\014\022\020\n\010endpoint\030\002 \001(\t\022\022\n\nage_m" +
+      "illis\030\003 \001(\004\"e\n\005Usage\022\016\n\006origin\030\001 \001(\t\022\032\n\022" +
+      "origin_incarnation\030\002 \001(\006\0220\n\010accounts\030\003 \003" +
+      "(\0132\036.baobabcroft.peer.AccountUsage\"Y\n\014Ac" +
+      "countUsage\022\017\n\007account\030\001 \001(\t\022\020\n\010requests\030" +
+      "\002 \001(\004\022\023\n\013cost_micros\030\003 \001(\004\022\021\n\tin_flight\030" +
+      "\004 \001(\004\"\"\n\013LeaveNotice\022\023\n\013incarnation\030\001 \001(" +
+      "\006B\032\n\026baobabcroft.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -300,7 +300,7 @@
     internal_static_baobabcroft_peer_Heartbeat_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_Heartbeat_descriptor,
-        new java.lang.String[] { "Incarnation", "ConfigNumber", "Leaving", });
+        new java.lang.String[] { "Incarnation", "ConfigNumber", "Leaving", "WantsMembers", });
     internal_static_baobabcroft_peer_HeartbeatAnswer_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_baobabcroft_peer_HeartbeatAnswer_fieldAccessorTable = new
@@ -312,7 +312,7 @@
     internal_static_baobabcroft_peer_KnownMember_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_KnownMember_descriptor,
-        new java.lang.String[] { "Name", "ListedForMillis", });
+        new java.lang.String[] { "Name", "Recent", });
     internal_static_baobabcroft_peer_ConfigFetch_descriptor =
       getDescriptor().getMessageType(12);
     internal_static_baobabcroft_peer_ConfigFetch_fieldAccessorTable = new
@@ -336,7 +336,7 @@
     internal_static_baobabcroft_peer_ConfigDeltaMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_ConfigDeltaMessage_descriptor,
-        new java.lang.String[] { "BaseNumber", "BaseSha256", "ResultSha256", "Head", "Edits", });
+        new java.lang.String[] { "BaseNumber", "BaseSha256", "ResultSha256", "Head", "Edit", });
     internal_static_baobabcroft_peer_LineEdit_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_baobabcroft_peer_LineEdit_fieldAccessorTable = new
