--- /dev/null
+++ b/router/src/main/java/baobabcroft/cascade/RatingBudget.java
@@ -0,0 +1,59 @@
+package baobabcroft.cascade;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.base.Ticker;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Token bucket of ratings that this instance may ask for.
+ *
+ * <p>Thread-safe.
+ */
+public final class RatingBudget {
+    private final double perSecond;
+    private final double maxTokens;
+    private final Ticker ticker;
+    private double tokens;
+    private long filledAtNanos;
+
+    private RatingBudget(double perSecond, double maxTokens, Ticker ticker) {
+        this.perSecond = perSecond;
+        this.maxTokens = maxTokens;
+        this.ticker = ticker;
+        this.tokens = maxTokens;
+        this.filledAtNanos = ticker.read();
+    }
+
+    /**
+     * Returns a full budget.
+     *
+     * @param perSecond ratings a second
+     * @param maxTokens ratings that may be saved up
+     * @param ticker the monotonic clock
+     * @return the budget
+     */
+    public static RatingBudget create(double perSecond, double maxTokens, Ticker ticker) {
+        checkArgument(perSecond >= 0, "negative perSecond: %s", perSecond);
+        checkArgument(maxTokens >= 1, "maxTokens under one: %s", maxTokens);
+        return new RatingBudget(perSecond, maxTokens, checkNotNull(ticker));
+    }
+
+    /**
+     * Takes one rating from the budget.
+     *
+     * @return whether there was one left
+     */
+    public synchronized boolean tryTake() {
+        long nowNanos = ticker.read();
+        double elapsedSeconds = (double) (nowNanos - filledAtNanos) / TimeUnit.SECONDS.toNanos(1);
+        tokens = Math.min(maxTokens, tokens + perSecond * elapsedSeconds);
+        filledAtNanos = nowNanos;
+        if (tokens < 1) {
+            return false;
+        }
+        tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rollout/BadVersionDetector.java
@@ -0,0 +1,146 @@
+package baobabcroft.rollout;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.rollout.VersionStop.StopCause;
+import baobabcroft.rules.VersionId;
+import baobabcroft.rules.VersionRule;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Sequential test of a version on the evidence of all instances.
+ *
+ * <p>A version is bad when its rate of errors, slow answers or rating shortfall lies above the tolerated level and
+ * above that of the model's other open versions, so that a fault that all share stops none of them. Both must be shown
+ * by an e-value above {@code 1 / falseAlarmRate}. While the others have no evidence at all, the tolerated level alone
+ * counts. The test starts anew at each window start, so that a version that was good for long is found soon after it
+ * turned. The bound on false alarms holds for each window start.
+ *
+ * <p>Thread-safe; a check costs a few e-values a window.
+ */
+public final class BadVersionDetector {
+    private static final long MIN_TRIALS_ALONE = 50;
+    private static final double MAX_SHORTFALL_LEVEL = 0.99;
+
+    private final DetectorSettings settings;
+    private final EvidenceLedger ledger;
+    private final Deque<Map<VersionId, Evidence>> windowStarts = new ArrayDeque<>();
+    private final Set<VersionId> known = new HashSet<>();
+    private long windowStartedAtMillis = Long.MIN_VALUE;
+
+    private BadVersionDetector(DetectorSettings settings, EvidenceLedger ledger) {
+        this.settings = settings;
+        this.ledger = ledger;
+        this.windowStarts.add(Map.of());
+    }
+
+    /**
+     * Returns a detector.
+     *
+     * @param settings what counts as bad
+     * @param ledger the evidence
+     * @return the detector
+     */
+    public static BadVersionDetector create(DetectorSettings settings, EvidenceLedger ledger) {
+        return new BadVersionDetector(checkNotNull(settings), checkNotNull(ledger));
+    }
+
+    /**
+     * Tests a version.
+     *
+     * @param version the version
+     * @param otherOpen the other open versions of its model
+     * @param nowEpochMillis the wall clock, in milliseconds since the epoch
+     * @return the finding, if the version turned bad
+     */
+    public synchronized Optional<VersionStop> check(
+            VersionRule version, Collection<VersionRule> otherOpen, long nowEpochMillis) {
+        known.add(version.id());
+        otherOpen.forEach(other -> known.add(other.id()));
+        startWindow(nowEpochMillis);
+        return windowStarts.stream()
+                .flatMap(start -> checkWindow(version, otherOpen, start, nowEpochMillis).stream())
+                .findFirst();
+    }
+
+    private void startWindow(long nowEpochMillis) {
+        if (windowStartedAtMillis != Long.MIN_VALUE
+                && nowEpochMillis - windowStartedAtMillis < settings.windowMillis()) {
+            return;
+        }
+        Map<VersionId, Evidence> start = new HashMap<>();
+        known.forEach(version -> start.put(version, ledger.total(version)));
+        windowStarts.addFirst(start);
+        windowStartedAtMillis = nowEpochMillis;
+        if (windowStarts.size() > settings.maxWindows()) {
+            windowStarts.removeLast();
+        }
+    }
+
+    private Optional<VersionStop> checkWindow(
+            VersionRule version,
+            Collection<VersionRule> otherOpen,
+            Map<VersionId, Evidence> start,
+            long nowEpochMillis) {
+        Evidence own = since(start, version.id());
+        Evidence others = sum(otherOpen, start);
+        Evidence before = sum(otherOpen, windowStarts.getLast());
+        double shortfall = 1 - version.expectedQuality() + settings.qualityMargin();
+        double maxShortfall = Math.min(MAX_SHORTFALL_LEVEL, shortfall);
+        double maxErrors = settings.toleratedErrorRate();
+        double maxSlow = settings.toleratedSlowRate();
+        return List.of(
+                        new Trial(StopCause.ERRORS, errors(own), errors(others), errors(before), maxErrors),
+                        new Trial(StopCause.SLOWNESS, slow(own), slow(others), slow(before), maxSlow),
+                        new Trial(StopCause.QUALITY, quality(own), quality(others), quality(before), maxShortfall))
+                .stream()
+                .filter(this::isBad)
+                .map(trial -> new VersionStop(
+                        version.id(),
+                        trial.cause(),
+                        nowEpochMillis,
+                        (long) trial.own().trials(),
+                        trial.own().rate()))
+                .findFirst();
+    }
+
+    private record Trial(
+            StopCause cause, RateEvidence own, RateEvidence others, RateEvidence othersBefore, double level) {}
+
+    private boolean isBad(Trial trial) {
+        double threshold = -Math.log(settings.falseAlarmRate());
+        if (trial.own().logEvalueAbove(trial.level()) < threshold) {
+            return false;
+        }
+        boolean alone = trial.othersBefore().trials() == 0 && trial.own().trials() >= MIN_TRIALS_ALONE;
+        return alone || trial.own().logBayesFactorAgainst(trial.others()) >= threshold;
+    }
+
+    private Evidence sum(Collection<VersionRule> versions, Map<VersionId, Evidence> start) {
+        return versions.stream().map(version -> since(start, version.id())).reduce(Evidence.NONE, Evidence::plus);
+    }
+
+    private Evidence since(Map<VersionId, Evidence> start, VersionId version) {
+        return ledger.total(version).since(start.getOrDefault(version, Evidence.NONE));
+    }
+
+    private static RateEvidence errors(Evidence evidence) {
+        return new RateEvidence(evidence.answers(), evidence.errors());
+    }
+
+    private static RateEvidence slow(Evidence evidence) {
+        return new RateEvidence(evidence.answers(), evidence.slow());
+    }
+
+    private static RateEvidence quality(Evidence evidence) {
+        return new RateEvidence(evidence.ratings(), Math.min((double) evidence.ratings(), evidence.ratingShortfall()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rollout/Evidence.java
@@ -0,0 +1,83 @@
+package baobabcroft.rollout;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Counts of a version's outcomes. They only grow, so the later of two told by one origin includes the earlier.
+ *
+ * @param answers requests that it answered or failed
+ * @param errors those that failed
+ * @param slow those that took too long
+ * @param ratings answers that were rated
+ * @param ratingShortfall sum of one minus the rating
+ */
+public record Evidence(long answers, long errors, long slow, long ratings, double ratingShortfall) {
+    /** No evidence. */
+    public static final Evidence NONE = new Evidence(0, 0, 0, 0, 0);
+
+    /**
+     * Returns the evidence with one more answer.
+     *
+     * @param outcome what the version did
+     * @return the sum
+     */
+    public Evidence plus(AnswerOutcome outcome) {
+        return plus(new Evidence(1, outcome.failed() ? 1 : 0, outcome.slow() ? 1 : 0, 0, 0));
+    }
+
+    /**
+     * Returns the evidence with one more rating.
+     *
+     * @param rating the rating, from zero to one
+     * @return the sum
+     */
+    public Evidence plusRating(double rating) {
+        checkArgument(rating >= 0 && rating <= 1, "rating not in [0, 1]: %s", rating);
+        return plus(new Evidence(0, 0, 0, 1, 1 - rating));
+    }
+
+    /**
+     * Returns the sum with other evidence.
+     *
+     * @param other evidence on other answers
+     * @return the sum
+     */
+    public Evidence plus(Evidence other) {
+        return new Evidence(
+                answers + other.answers,
+                errors + other.errors,
+                slow + other.slow,
+                ratings + other.ratings,
+                ratingShortfall + other.ratingShortfall);
+    }
+
+    /**
+     * Returns what came after an earlier state.
+     *
+     * @param earlier the earlier state
+     * @return the difference
+     */
+    public Evidence since(Evidence earlier) {
+        return new Evidence(
+                answers - earlier.answers,
+                errors - earlier.errors,
+                slow - earlier.slow,
+                ratings - earlier.ratings,
+                Math.max(0, ratingShortfall - earlier.ratingShortfall));
+    }
+
+    /**
+     * Returns the later of two states of one origin's counts.
+     *
+     * @param other another state of the same counts
+     * @return the greater of each count
+     */
+    public Evidence latest(Evidence other) {
+        return new Evidence(
+                Math.max(answers, other.answers),
+                Math.max(errors, other.errors),
+                Math.max(slow, other.slow),
+                Math.max(ratings, other.ratings),
+                Math.max(ratingShortfall, other.ratingShortfall));
+    }
+}
