--- /dev/null
+++ b/router/src/main/java/baobabcroft/admin/AdminKeys.java
@@ -0,0 +1,56 @@
+package baobabcroft.admin;
+
+import baobabcroft.settings.Settings;
+import com.google.common.collect.ImmutableList;
+import com.google.common.hash.Hashing;
+import com.google.common.io.BaseEncoding;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.util.List;
+import java.util.Optional;
+
+/** Bearer keys of the operators, known by their hashes. Immutable and thread-safe. */
+public final class AdminKeys {
+    private static final String BEARER = "Bearer ";
+
+    private final ImmutableList<Entry> entries;
+
+    @SuppressWarnings("ArrayRecordComponent")
+    private record Entry(String name, byte[] sha256) {}
+
+    private AdminKeys(ImmutableList<Entry> entries) {
+        this.entries = entries;
+    }
+
+    /**
+     * Returns the keys that the settings name.
+     *
+     * @param keys the settings' keys
+     * @return the keys
+     */
+    public static AdminKeys of(List<Settings.AdminKey> keys) {
+        return new AdminKeys(keys.stream()
+                .map(key ->
+                        new Entry(key.name(), BaseEncoding.base16().lowerCase().decode(key.sha256())))
+                .collect(ImmutableList.toImmutableList()));
+    }
+
+    /**
+     * Returns who holds the key of an authorization header. Takes the same time whichever key it is.
+     *
+     * @param authorization value of the header
+     * @return the operator's name, if the key is known
+     */
+    Optional<String> operatorOf(String authorization) {
+        if (!authorization.regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+            return Optional.empty();
+        }
+        String key = authorization.substring(BEARER.length()).strip();
+        byte[] sha256 = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).asBytes();
+        List<String> matches = entries.stream()
+                .filter(entry -> MessageDigest.isEqual(entry.sha256(), sha256))
+                .map(Entry::name)
+                .toList();
+        return matches.stream().findFirst();
+    }
+}
--- a/router/src/main/java/baobabcroft/common/ErrorCode.java
+++ b/router/src/main/java/baobabcroft/common/ErrorCode.java
@@ -12,6 +12,8 @@
     IDEMPOTENCY_KEY_REQUIRED("idempotency_key_required", 400),
     /** The bearer key names no client account. */
     UNKNOWN_ACCOUNT("unknown_account", 401),
+    /** The bearer key names no operator. */
+    UNKNOWN_OPERATOR("unknown_operator", 401),
     /** The client account may not use the model, version, service or operation. */
     NOT_ALLOWED("not_allowed", 403),
     /** No model, cascade or version has this name. */
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -26,6 +26,8 @@
     SETTINGS_INVALID(1005, ERROR, "settings refused", "fault"),
     /** A fault of the router itself. */
     INTERNAL_FAULT(1006, ERROR, "unexpected fault", "component"),
+    /** An operator gave a command that changes something. */
+    OPERATOR_COMMAND(1007, INFO, "operator command", "operator", "command"),
 
     /** The instance applies a configuration. */
     CONFIG_APPLIED(2001, INFO, "configuration applied", "number", "changeId", "author", "source"),
