Add adapter to the etcd gateway and stand-in of the key-value service

Cause: the router needs the platform's store behind its port, and tests need one whose faults they can set. Ruled out: Pekko's pooled client, which queues requests behind connection attempts, so a write that was not sent cannot be told from one that may have been; java.net.http reports failed connections by exceptions of their own. A watch calls onGap each time it is established, so reading from there misses nothing. Conclusion: refused connection is unavailable, all that fails later is unknown for writes.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/platform/etcd/EtcdJson.java
@@ -0,0 +1,106 @@
+package baobabcroft.platform.etcd;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationContext;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonDeserializer;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.JsonSerializer;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.SerializerProvider;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.module.SimpleModule;
+import com.fasterxml.jackson.databind.ser.std.ToStringSerializer;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+
+/**
+ * Reads and writes the JSON form of the service's messages: snake case names, bytes in base64, 64-bit numbers as
+ * strings, default values left out.
+ *
+ * <p>Thread-safe.
+ */
+public final class EtcdJson {
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+            .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+            .defaultPropertyInclusion(
+                    JsonInclude.Value.construct(JsonInclude.Include.NON_DEFAULT, JsonInclude.Include.ALWAYS))
+            .addModule(wireModule())
+            .build();
+
+    private EtcdJson() {}
+
+    private static SimpleModule wireModule() {
+        return new SimpleModule()
+                .addSerializer(Long.class, ToStringSerializer.instance)
+                .addSerializer(Long.TYPE, ToStringSerializer.instance)
+                .addSerializer(ByteString.class, new Base64Writer())
+                .addDeserializer(ByteString.class, new Base64Reader());
+    }
+
+    /**
+     * Returns the JSON form of a message.
+     *
+     * @param message one of the records of {@link EtcdMessages}
+     * @return one line of JSON
+     */
+    public static String write(Object message) {
+        try {
+            return MAPPER.writeValueAsString(message);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot write " + message.getClass(), e);
+        }
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @param json the JSON form; what follows the first value is ignored
+     * @param type the message's type
+     * @param <T> the message's type
+     * @return the message
+     * @throws JsonProcessingException if the text is not JSON or not of this type
+     */
+    public static <T> T read(String json, Class<T> type) throws JsonProcessingException {
+        T message = MAPPER.readValue(json, type);
+        if (message == null) {
+            throw new JsonMappingException(null, "null in place of " + type);
+        }
+        return message;
+    }
+
+    private static final class Base64Writer extends JsonSerializer<ByteString> {
+        @Override
+        public void serialize(ByteString value, JsonGenerator generator, SerializerProvider provider)
+                throws IOException {
+            generator.writeBinary(value.toByteArray());
+        }
+
+        @Override
+        public boolean isEmpty(SerializerProvider provider, ByteString value) {
+            return value.isEmpty();
+        }
+    }
+
+    private static final class Base64Reader extends JsonDeserializer<ByteString> {
+        @Override
+        public ByteString deserialize(JsonParser parser, DeserializationContext context) throws IOException {
+            return ByteString.copyFrom(parser.getBinaryValue());
+        }
+
+        @Override
+        public ByteString getNullValue(DeserializationContext context) {
+            return ByteString.EMPTY;
+        }
+
+        @Override
+        public Object getAbsentValue(DeserializationContext context) {
+            return ByteString.EMPTY;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/platform/etcd/EtcdWatch.java
@@ -0,0 +1,209 @@
+package baobabcroft.platform.etcd;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.Scheduler;
+import baobabcroft.platform.WatchListener;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.util.concurrent.MoreExecutors;
+import com.google.protobuf.ByteString;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.Flow;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.DoubleSupplier;
+
+/**
+ * A watch that opens itself again after each failure, from the revision after the last one that it saw.
+ *
+ * <p>A watch without a message for a while is taken for a dead connection. All state is confined to a sequential
+ * executor, which also calls the listener.
+ */
+final class EtcdWatch implements AutoCloseable {
+    private static final long FIRST_DELAY_MILLIS = 100;
+    private static final long MAX_DELAY_MILLIS = 5_000;
+    private static final long IDLE_MILLIS = 60_000;
+    private static final int MAX_DOUBLINGS = 6;
+
+    private final EtcdClient client;
+    private final DoubleSupplier random;
+    private final ByteString key;
+    private final ByteString rangeEnd;
+    private final WatchListener listener;
+    private final Executor sequential;
+    private volatile boolean closed;
+
+    private Connection connection;
+    private long nextRevision;
+    private int failures;
+
+    EtcdWatch(EtcdClient client, DoubleSupplier random, ByteString key, ByteString rangeEnd, WatchListener listener) {
+        this.client = client;
+        this.random = random;
+        this.key = key;
+        this.rangeEnd = rangeEnd;
+        this.listener = checkNotNull(listener);
+        this.sequential = MoreExecutors.newSequentialExecutor(client.executor());
+    }
+
+    void open() {
+        execute(this::connect);
+    }
+
+    private void execute(Runnable step) {
+        try {
+            sequential.execute(() -> {
+                if (!closed) {
+                    step.run();
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            // The client was closed, and with it every watch.
+            closed = true;
+        }
+    }
+
+    private void connect() {
+        EtcdMessages.WatchRequest request =
+                new EtcdMessages.WatchRequest(new EtcdMessages.WatchCreateRequest(key, rangeEnd, nextRevision));
+        Connection opened = new Connection();
+        connection = opened;
+        opened.expectMessage();
+        opened.exchange = client.stream("/v3/watch", request, opened::subscriberFor);
+        var unused = opened.exchange.whenComplete(
+                (response, failure) -> execute(() -> disconnected(opened, reasonOf(response, failure))));
+    }
+
+    private static String reasonOf(HttpResponse<Void> response, Throwable failure) {
+        return failure == null ? "watch ended with HTTP " + response.statusCode() : String.valueOf(failure);
+    }
+
+    private void disconnected(Connection ended, String reason) {
+        if (ended != connection) {
+            return;
+        }
+        connection = null;
+        ended.close();
+        client.preferNext();
+        listener.onDisconnected(reason);
+        client.scheduler().schedule(delayMillis(), () -> execute(this::connect));
+        failures++;
+    }
+
+    private long delayMillis() {
+        long limitMillis = Math.min(MAX_DELAY_MILLIS, FIRST_DELAY_MILLIS << Math.min(failures, MAX_DOUBLINGS));
+        return (long) (random.getAsDouble() * limitMillis);
+    }
+
+    private void received(Connection source, String line) {
+        if (source != connection || line.isEmpty()) {
+            return;
+        }
+        source.expectMessage();
+        try {
+            EtcdMessages.WatchResponse message =
+                    EtcdJson.read(line, EtcdMessages.WatchLine.class).result();
+            if (message == null) {
+                disconnected(source, "watch refused: " + line);
+                return;
+            }
+            handle(source, message);
+        } catch (JsonProcessingException e) {
+            disconnected(source, "unreadable line: " + e.getOriginalMessage());
+        } catch (RuntimeException e) {
+            disconnected(source, "listener failed: " + e);
+        }
+    }
+
+    private void handle(Connection source, EtcdMessages.WatchResponse message) {
+        if (message.canceled()) {
+            nextRevision = 0;
+            disconnected(source, "watch canceled, compacted at " + message.compactRevision());
+            return;
+        }
+        if (message.created()) {
+            established(message.header().revision());
+        }
+        message.events().forEach(this::tell);
+        message.events().forEach(event -> nextRevision = event.kv().modRevision() + 1);
+    }
+
+    private void established(long storeRevision) {
+        failures = 0;
+        if (nextRevision == 0) {
+            nextRevision = storeRevision + 1;
+        }
+        listener.onGap();
+    }
+
+    private void tell(EtcdMessages.Event event) {
+        EtcdMessages.KeyValue entry = event.kv();
+        if (event.type() == EtcdMessages.EventType.DELETE) {
+            listener.onDelete(entry.key().toStringUtf8(), entry.modRevision());
+        } else {
+            listener.onPut(EtcdStore.versioned(entry));
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        try {
+            sequential.execute(() -> {
+                if (connection != null) {
+                    connection.close();
+                    connection = null;
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            // The client was closed before; its connections end with it.
+            return;
+        }
+    }
+
+    /** One connection of the watch. */
+    private final class Connection implements Flow.Subscriber<String> {
+        private CompletableFuture<HttpResponse<Void>> exchange;
+        private Scheduler.Cancellable idleTimer = () -> {};
+
+        HttpResponse.BodySubscriber<Void> subscriberFor(HttpResponse.ResponseInfo info) {
+            return info.statusCode() == 200
+                    ? HttpResponse.BodySubscribers.fromLineSubscriber(
+                            this, subscriber -> null, StandardCharsets.UTF_8, "\n")
+                    : HttpResponse.BodySubscribers.replacing(null);
+        }
+
+        void expectMessage() {
+            idleTimer.cancel();
+            idleTimer = client.scheduler()
+                    .schedule(IDLE_MILLIS, () -> execute(() -> disconnected(this, "no message for a while")));
+        }
+
+        void close() {
+            idleTimer.cancel();
+            exchange.cancel(true);
+        }
+
+        @Override
+        public void onSubscribe(Flow.Subscription subscription) {
+            subscription.request(Long.MAX_VALUE);
+        }
+
+        @Override
+        public void onNext(String line) {
+            execute(() -> received(this, line));
+        }
+
+        @Override
+        public void onError(Throwable failure) {
+            execute(() -> disconnected(this, String.valueOf(failure)));
+        }
+
+        @Override
+        public void onComplete() {
+            execute(() -> disconnected(this, "watch ended"));
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyRange.java
@@ -0,0 +1,22 @@
+package baobabcroft.standin.kv;
+
+import baobabcroft.platform.etcd.EtcdMessages;
+import com.google.protobuf.ByteString;
+import java.util.Comparator;
+
+/**
+ * Range of keys.
+ *
+ * @param first the first key
+ * @param end the first key after the range; empty for one key only
+ */
+record KeyRange(ByteString first, ByteString end) {
+    private static final Comparator<ByteString> ORDER = ByteString.unsignedLexicographicalComparator();
+
+    boolean contains(ByteString key) {
+        if (end.isEmpty()) {
+            return key.equals(first);
+        }
+        return ORDER.compare(key, first) >= 0 && (end.equals(EtcdMessages.OPEN_END) || ORDER.compare(key, end) < 0);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyValueRefusal.java
@@ -0,0 +1,33 @@
+package baobabcroft.standin.kv;
+
+/** Refusal of a call that the service understood. */
+final class KeyValueRefusal extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+    private static final int INVALID_ARGUMENT = 3;
+    private static final int NOT_FOUND = 5;
+
+    private final int httpStatus;
+    private final int grpcCode;
+
+    private KeyValueRefusal(int httpStatus, int grpcCode, String message) {
+        super(message, null, false, false);
+        this.httpStatus = httpStatus;
+        this.grpcCode = grpcCode;
+    }
+
+    static KeyValueRefusal tooLarge() {
+        return new KeyValueRefusal(400, INVALID_ARGUMENT, "etcdserver: request is too large");
+    }
+
+    static KeyValueRefusal unknownLease() {
+        return new KeyValueRefusal(404, NOT_FOUND, "etcdserver: requested lease not found");
+    }
+
+    int httpStatus() {
+        return httpStatus;
+    }
+
+    int grpcCode() {
+        return grpcCode;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
@@ -0,0 +1,310 @@
+package baobabcroft.standin.kv;
+
+import baobabcroft.platform.etcd.EtcdJson;
+import baobabcroft.platform.etcd.EtcdMessages;
+import baobabcroft.standin.http.Exchange;
+import baobabcroft.standin.http.HttpStandin;
+import baobabcroft.standin.http.Later;
+import baobabcroft.standin.http.Responses;
+import baobabcroft.standin.http.StandinSystem;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.util.concurrent.AtomicLongMap;
+import java.net.URI;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.OverflowStrategy;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.stream.javadsl.SourceQueueWithComplete;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Stand-in of the platform's key-value service, with faults that tests and operators of a trial set. Thread-safe.
+ *
+ * <p>Control paths: {@code POST /control/down}, {@code unavailable}, {@code up}, {@code refuse?millis=},
+ * {@code slow?millis=}, {@code lose-replies?count=}, {@code lapse-leases}, {@code cut-connections}, {@code compact},
+ * {@code reset}, and {@code GET /control/counters}.
+ */
+public final class KeyValueStandin implements AutoCloseable {
+    private static final long LEASE_CHECK_MILLIS = 50;
+    private static final int WATCH_BUFFER = 65_536;
+
+    private final KeyValueState state = new KeyValueState();
+    private final KeyValueFaults faults = new KeyValueFaults();
+    private final AtomicLongMap<CallKind> calls = AtomicLongMap.create();
+    private final HttpStandin http;
+    private volatile boolean closed;
+
+    private KeyValueStandin(int port) {
+        this.http = HttpStandin.start(port, this::handle);
+        Later.repeat(LEASE_CHECK_MILLIS, this::checkLeases);
+    }
+
+    /**
+     * Starts a store without keys.
+     *
+     * @param port the port, or zero for any free one
+     * @return the running stand-in
+     */
+    public static KeyValueStandin start(int port) {
+        return new KeyValueStandin(port);
+    }
+
+    private boolean checkLeases() {
+        state.expireLeases(nowMillis());
+        return !closed;
+    }
+
+    private static long nowMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private CompletionStage<HttpResponse> handle(Exchange exchange) {
+        if (exchange.path().startsWith("/control/")) {
+            return CompletableFuture.completedFuture(control(exchange));
+        }
+        CallKind kind = CallKind.ofPath(exchange.path()).orElse(null);
+        if (kind == null) {
+            return CompletableFuture.completedFuture(Responses.notFound());
+        }
+        calls.incrementAndGet(kind);
+        return switch (faults.mode()) {
+            case DOWN -> Responses.cut(exchange);
+            case UNAVAILABLE -> CompletableFuture.completedFuture(failure(503, 14, "etcdserver: no leader"));
+            case UP ->
+                Later.supply(faults.delayMillis(), () -> answer(kind, exchange)).thenCompose(response -> response);
+        };
+    }
+
+    private CompletionStage<HttpResponse> answer(CallKind kind, Exchange exchange) {
+        long before = state.revision();
+        HttpResponse response = answerOrRefuse(kind, exchange);
+        boolean wrote = state.revision() > before && (kind == CallKind.PUT || kind == CallKind.TXN);
+        if (wrote && faults.takeLostReply()) {
+            return Responses.cut(exchange);
+        }
+        return CompletableFuture.completedFuture(response);
+    }
+
+    private HttpResponse answerOrRefuse(CallKind kind, Exchange exchange) {
+        try {
+            return call(kind, exchange);
+        } catch (KeyValueRefusal e) {
+            return failure(e.httpStatus(), e.grpcCode(), e.getMessage());
+        } catch (JsonProcessingException e) {
+            return failure(400, 3, e.getOriginalMessage());
+        }
+    }
+
+    private HttpResponse call(CallKind kind, Exchange exchange) throws JsonProcessingException {
+        String body = exchange.body();
+        return switch (kind) {
+            case RANGE -> ok(state.range(EtcdJson.read(body, EtcdMessages.RangeRequest.class)));
+            case PUT -> ok(state.put(EtcdJson.read(body, EtcdMessages.PutRequest.class)));
+            case TXN -> ok(state.transact(EtcdJson.read(body, EtcdMessages.TxnRequest.class)));
+            case DELETE_RANGE -> ok(state.deleteRange(EtcdJson.read(body, EtcdMessages.DeleteRangeRequest.class)));
+            case LEASE_GRANT -> ok(state.grant(EtcdJson.read(body, EtcdMessages.LeaseGrantRequest.class), nowMillis()));
+            case LEASE_KEEP_ALIVE ->
+                ok(new EtcdMessages.LeaseKeepAliveResponse(
+                        state.renew(EtcdJson.read(body, EtcdMessages.LeaseRequest.class), nowMillis())));
+            case LEASE_REVOKE -> ok(state.revoke(EtcdJson.read(body, EtcdMessages.LeaseRequest.class)));
+            case WATCH ->
+                watch(EtcdJson.read(body, EtcdMessages.WatchRequest.class).createRequest(), exchange);
+        };
+    }
+
+    private HttpResponse watch(EtcdMessages.WatchCreateRequest request, Exchange exchange) {
+        Pair<SourceQueueWithComplete<ByteString>, Source<ByteString, NotUsed>> lines =
+                Source.<ByteString>queue(WATCH_BUFFER, OverflowStrategy.fail()).preMaterialize(StandinSystem.shared());
+        SourceQueueWithComplete<ByteString> queue = lines.first();
+        long id = state.watch(request, message -> {
+            String line = EtcdJson.write(new EtcdMessages.WatchLine(message)) + "\n";
+            var unused = queue.offer(ByteString.fromString(line));
+        });
+        var unused = exchange.connection().closed().thenRun(() -> state.unwatch(id));
+        return HttpResponse.create()
+                .withEntity(HttpEntities.createChunked(ContentTypes.APPLICATION_JSON, lines.second()));
+    }
+
+    private static HttpResponse ok(Object message) {
+        return Responses.json(200, EtcdJson.write(message));
+    }
+
+    private static HttpResponse failure(int status, int code, String message) {
+        return Responses.json(status, EtcdJson.write(new EtcdMessages.Failure(code, message)));
+    }
+
+    private HttpResponse control(Exchange exchange) {
+        String command = exchange.path().substring("/control/".length());
+        switch (command) {
+            case "down" -> down();
+            case "unavailable" -> unavailable();
+            case "up" -> up();
+            case "refuse" -> http.refuseConnectionsFor((long) exchange.number("millis", 1_000));
+            case "slow" -> slow((long) exchange.number("millis", 0));
+            case "lose-replies" -> loseReplies((int) exchange.number("count", 1));
+            case "lapse-leases" -> lapseLeases();
+            case "cut-connections" -> cutConnections();
+            case "compact" -> compact();
+            case "reset" -> reset();
+            case "counters" -> {
+                return Responses.json(200, countersJson());
+            }
+            default -> {
+                return Responses.notFound();
+            }
+        }
+        return Responses.done();
+    }
+
+    private String countersJson() {
+        StringBuilder json = new StringBuilder("{");
+        for (CallKind kind : CallKind.values()) {
+            json.append('"')
+                    .append(kind.counterName())
+                    .append("\":")
+                    .append(calls(kind))
+                    .append(',');
+        }
+        return json.append(String.format(
+                        Locale.ROOT, "\"open_watches\":%d,\"revision\":%d}", state.watchCount(), state.revision()))
+                .toString();
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return http.port();
+    }
+
+    /**
+     * Returns the address that clients use.
+     *
+     * @return the base of all paths
+     */
+    public URI uri() {
+        return URI.create("http://127.0.0.1:" + port());
+    }
+
+    /**
+     * Returns how many calls of a kind have come, whether or not they were answered.
+     *
+     * @param kind the kind
+     * @return the count
+     */
+    public long calls(CallKind kind) {
+        return calls.get(kind);
+    }
+
+    /**
+     * Returns all counts of calls.
+     *
+     * @return the counts by kind, without zeros
+     */
+    public ImmutableSortedMap<CallKind, Long> calls() {
+        return ImmutableSortedMap.copyOf(calls.asMap());
+    }
+
+    /**
+     * Returns how many watches are open.
+     *
+     * @return the count
+     */
+    public int openWatches() {
+        return state.watchCount();
+    }
+
+    /** Closes all connections, and each new one when its call has come, without an answer or effect. */
+    public void down() {
+        faults.setMode(KeyValueFaults.Mode.DOWN);
+        http.abortAll();
+    }
+
+    /** Answers each call with 503 and does nothing. */
+    public void unavailable() {
+        faults.setMode(KeyValueFaults.Mode.UNAVAILABLE);
+    }
+
+    /** Ends {@link #down} and {@link #unavailable}. */
+    public void up() {
+        faults.setMode(KeyValueFaults.Mode.UP);
+    }
+
+    /** Cuts all connections and refuses new ones until {@link #acceptConnections}. */
+    public void refuseConnections() {
+        http.refuseConnections();
+    }
+
+    /** Takes connections again. */
+    public void acceptConnections() {
+        http.acceptConnections();
+    }
+
+    /**
+     * Delays each call before it takes effect.
+     *
+     * @param millis the delay, in milliseconds
+     */
+    public void slow(long millis) {
+        faults.setDelayMillis(millis);
+    }
+
+    /**
+     * Lets the next writes take effect and cuts their connections in place of an answer.
+     *
+     * @param count how many writes
+     */
+    public void loseReplies(int count) {
+        faults.loseReplies(count);
+    }
+
+    /** Ends all leases at once. */
+    public void lapseLeases() {
+        state.expireAllLeases();
+    }
+
+    /** Cuts all connections once. */
+    public void cutConnections() {
+        http.abortAll();
+    }
+
+    /** Forgets all changes so far, so that no watch can resume from before now. */
+    public void compact() {
+        state.compact();
+    }
+
+    /**
+     * Writes a key whatever the present faults are.
+     *
+     * @param key the key
+     * @param value the value
+     */
+    public void putDirectly(String key, String value) {
+        state.put(new EtcdMessages.PutRequest(
+                com.google.protobuf.ByteString.copyFromUtf8(key),
+                com.google.protobuf.ByteString.copyFromUtf8(value),
+                0));
+    }
+
+    /** Ends all faults and sets the counts to zero; keys stay. */
+    public void reset() {
+        faults.reset();
+        calls.clear();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        http.close();
+    }
+}
