Add command line for serving and for operators

Operators need one program for checking, comparing and applying rules, for asking an instance why, and for a planned stop, with exit codes that scripts can tell apart: stored but not confirmed is not success. The base of a change must be the configuration that the operator started from. Reading the current number at apply time was ruled out, since it would overwrite a change of another operator unseen; so 'rules show' writes the number into the file and 'rules apply' refuses without one.

--- a/router/src/main/java/baobabcroft/admin/AdminOperations.java
+++ b/router/src/main/java/baobabcroft/admin/AdminOperations.java
@@ -45,7 +45,8 @@
     CompletionStage<Optional<ConfigDocument>> historyEntry(long number);
 
     /**
-     * Applies the rules of an earlier configuration as a new one.
+     * Applies the rules of an earlier configuration as a new one. The stage fails with {@link
+     * baobabcroft.common.ErrorCode#NOT_FOUND} if there is none of this number.
      *
      * @param number number of the earlier configuration
      * @param author the operator's name
--- /dev/null
+++ b/router/src/main/java/baobabcroft/cli/AdminReply.java
@@ -0,0 +1,45 @@
+package baobabcroft.cli;
+
+import baobabcroft.admin.AdminJson;
+import baobabcroft.admin.Problem;
+
+/**
+ * Answer of an instance's admin port.
+ *
+ * @param status the HTTP status
+ * @param body the body
+ */
+record AdminReply(int status, String body) {
+    private static final int FIRST_REDIRECT = 300;
+    private static final int FIRST_SERVER_ERROR = 500;
+    private static final int ACCEPTED = 202;
+    private static final int UNPROCESSABLE = 422;
+
+    boolean isSuccess() {
+        return status < FIRST_REDIRECT;
+    }
+
+    ExitCode exitCode() {
+        if (isSuccess()) {
+            return status == ACCEPTED ? ExitCode.NOT_YET_ACCEPTED : ExitCode.OK;
+        }
+        if (status == UNPROCESSABLE) {
+            return ExitCode.INPUT_FAULT;
+        }
+        return status < FIRST_SERVER_ERROR ? ExitCode.REFUSED : ExitCode.UNREACHABLE;
+    }
+
+    <T> T read(Class<T> type) {
+        try {
+            return AdminJson.read(body, type);
+        } catch (IllegalArgumentException e) {
+            throw new CommandException(
+                    ExitCode.UNREACHABLE,
+                    "the answer (HTTP " + status + ") is not one of an instance; is --admin its admin address?");
+        }
+    }
+
+    Problem problem() {
+        return read(Problem.class);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/cli/BaseLine.java
@@ -0,0 +1,28 @@
+package baobabcroft.cli;
+
+import java.util.Optional;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * First line of a rules file that an operator edits: a comment that holds the number of the configuration that the file
+ * was made from. Stateless.
+ */
+final class BaseLine {
+    private static final Pattern LINE = Pattern.compile("\\A# base: ([0-9]{1,18})\\R");
+
+    private BaseLine() {}
+
+    static Optional<Long> numberIn(String text) {
+        Matcher matcher = LINE.matcher(text);
+        return matcher.find() ? Optional.of(Long.valueOf(matcher.group(1))) : Optional.empty();
+    }
+
+    static String addTo(String text, long number) {
+        return "# base: " + number + "\n" + removeFrom(text);
+    }
+
+    static String removeFrom(String text) {
+        return LINE.matcher(text).replaceFirst("");
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/cli/InstanceCommands.java
@@ -0,0 +1,121 @@
+package baobabcroft.cli;
+
+import baobabcroft.admin.DrainReport;
+import baobabcroft.admin.Explanation;
+import baobabcroft.admin.Problem;
+import baobabcroft.admin.StatusReport;
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.UrlEscapers;
+import joptsimple.OptionParser;
+
+/** Commands on one instance: {@code explain}, {@code status} and {@code drain}. */
+final class InstanceCommands {
+    private static final String SESSION = "session";
+    private static final String FAILURE_DOMAIN = "failure-domain";
+
+    private InstanceCommands() {}
+
+    static ImmutableList<Command> all() {
+        return ImmutableList.of(explain(), status(), drain());
+    }
+
+    private static Command explain() {
+        return new Command(
+                "explain",
+                "ACCOUNT TARGET",
+                "show what the instance would do with a request, and why",
+                "TARGET is a model, a version as film-small@2, a cascade or an operation. Nothing is run.",
+                2,
+                2,
+                InstanceCommands::declareExplain,
+                InstanceCommands::runExplain);
+    }
+
+    private static void declareExplain(OptionParser parser) {
+        Invocation.declareAdmin(parser);
+        parser.accepts(SESSION, "session of the request").withRequiredArg().describedAs("NAME");
+        parser.accepts(FAILURE_DOMAIN, "failure domain that the request comes in at")
+                .withRequiredArg()
+                .describedAs("NAME");
+    }
+
+    private static int runExplain(Invocation invocation) {
+        StringBuilder path = new StringBuilder("explain?account=")
+                .append(escape(invocation.argument(0).orElseThrow()))
+                .append("&target=")
+                .append(escape(invocation.argument(1).orElseThrow()));
+        invocation.option(SESSION).ifPresent(name -> path.append("&session=").append(escape(name)));
+        invocation.option(FAILURE_DOMAIN).ifPresent(name -> path.append("&failureDomain=")
+                .append(escape(name)));
+        AdminReply reply = invocation.admin().get(path.toString());
+        if (!reply.isSuccess()) {
+            return printProblem(invocation, reply);
+        }
+        Explanation explanation = reply.read(Explanation.class);
+        invocation.print(explanation, Report.explanation(explanation));
+        return ExitCode.OK.status();
+    }
+
+    private static String escape(String text) {
+        return UrlEscapers.urlFormParameterEscaper().escape(text);
+    }
+
+    private static Command status() {
+        return new Command(
+                "status",
+                "",
+                "show the state of the instance, its peers, endpoints and versions",
+                "Also shows whether the configuration in force is accepted, and which instances have not confirmed it.",
+                0,
+                0,
+                Invocation::declareAdmin,
+                InstanceCommands::runStatus);
+    }
+
+    private static int runStatus(Invocation invocation) {
+        AdminReply reply = invocation.admin().get("status");
+        if (!reply.isSuccess()) {
+            return printProblem(invocation, reply);
+        }
+        StatusReport status = reply.read(StatusReport.class);
+        invocation.print(status, Report.status(status));
+        return ExitCode.OK.status();
+    }
+
+    private static Command drain() {
+        return new Command(
+                "drain",
+                "",
+                "start a planned stop of the instance at --admin",
+                """
+                The instance tells the balancer to send no more, finishes the requests that it has, and ends. Other
+                instances go on. A second drain changes nothing.""",
+                0,
+                0,
+                Invocation::declareAdmin,
+                InstanceCommands::runDrain);
+    }
+
+    private static int runDrain(Invocation invocation) {
+        AdminReply reply = invocation.admin().post("drain");
+        if (!reply.isSuccess()) {
+            return printProblem(invocation, reply);
+        }
+        DrainReport report = reply.read(DrainReport.class);
+        String text = "draining: %d open requests, the process ends within %d ms"
+                .formatted(report.openRequests(), report.remainingMillis());
+        invocation.print(report, text);
+        return ExitCode.OK.status();
+    }
+
+    /** Prints a refusal and returns the exit status that goes with it. */
+    static int printProblem(Invocation invocation, AdminReply reply) {
+        Problem problem = reply.problem();
+        if (invocation.json()) {
+            invocation.print(reply.body());
+        } else {
+            invocation.printError(Report.problem(problem));
+        }
+        return reply.exitCode().status();
+    }
+}
--- a/router/src/test/java/baobabcroft/admin/FakeAdminOperations.java
+++ b/router/src/test/java/baobabcroft/admin/FakeAdminOperations.java
@@ -84,6 +84,10 @@
 
     @Override
     public CompletionStage<ApplyOutcome> rollback(long number, String author, long baseNumber) {
+        if (number < 1 || number > documents.size()) {
+            return CompletableFuture.failedFuture(
+                    RouterException.notRun(ErrorCode.NOT_FOUND, "there is no configuration number " + number));
+        }
         return done(applyNow(text(number), author, baseNumber, "rollback to " + number));
     }
 
