Add the slot log and the claims of non-idempotent requests

An instance keeps nothing, so a request that must not run twice is claimed in the store before it is sent. A write whose reply is lost is repeated on the same revision, which is gone whichever way it ends, and the own record is recognised by its attempt number.

Ruled out: trying each claim on a cached slot value first (with several instances behind a balancer it mostly conflicts, and a failed write costs more than a read); removing withdrawn claims (an older sealed record of the same key would show through), so a withdrawal is a record of its own.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/claim/ClaimRules.java
@@ -0,0 +1,120 @@
+package baobabcroft.claim;
+
+import baobabcroft.slot.Decision;
+import baobabcroft.slot.Lookup;
+import baobabcroft.slot.RecordKey;
+import baobabcroft.slot.RecordKind;
+import baobabcroft.slot.SlotRecord;
+import baobabcroft.slot.Transition;
+import java.util.Optional;
+import java.util.function.Function;
+
+/** The rules of claims, as pure transitions of a slot. */
+final class ClaimRules {
+    private final ClaimSettings settings;
+
+    ClaimRules(ClaimSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Returns the key of a claim's record. */
+    static RecordKey keyOf(ClaimRequest request) {
+        return new RecordKey(RecordKind.CLAIM, request.account(), request.idempotencyKey());
+    }
+
+    /** Returns the transition that claims a request. Action {@code Claim} of the specification. */
+    Transition<ClaimResult> claim(ClaimTicket ticket) {
+        ClaimRequest request = ticket.request();
+        RecordKey key = keyOf(request);
+        return (view, nowEpochMillis) -> withClaim(view.find(key), found -> {
+            if (found.isEmpty() || found.get().state() == ClaimRecord.State.WITHDRAWN) {
+                ClaimRecord claim =
+                        ClaimRecord.open(request, ticket.claimingInstance(), ticket.attempt(), nowEpochMillis);
+                return new Decision.Put<>(openRecord(key, claim), new ClaimResult.Granted(ticket));
+            }
+            return new Decision.Keep<>(answerTo(ticket, found.get(), nowEpochMillis));
+        });
+    }
+
+    private static ClaimResult answerTo(ClaimTicket ticket, ClaimRecord claim, long nowEpochMillis) {
+        if (ticket.owns(claim)) {
+            return new ClaimResult.Granted(ticket);
+        }
+        if (!claim.bodyDigest().equals(ticket.request().bodyDigest())) {
+            return new ClaimResult.KeyReused();
+        }
+        return switch (claim.state()) {
+            case ANSWERED ->
+                claim.answer().<ClaimResult>map(ClaimResult.Recorded::new).orElseGet(ClaimResult.AnswerNotKept::new);
+            case OPEN ->
+                claim.deadlineEpochMillis() > nowEpochMillis
+                        ? new ClaimResult.Running(claim.claimingInstance(), claim.deadlineEpochMillis())
+                        : new ClaimResult.OutcomeUnknown();
+            case UNKNOWN, WITHDRAWN -> new ClaimResult.OutcomeUnknown();
+        };
+    }
+
+    /**
+     * Returns the transition that records an outcome. Actions {@code SettleAnswered}, {@code SettleUnknown} and
+     * {@code Withdraw} of the specification.
+     */
+    Transition<SettleResult> settle(ClaimTicket ticket, Outcome outcome) {
+        RecordKey key = keyOf(ticket.request());
+        return (view, nowEpochMillis) -> withClaim(view.find(key), found -> {
+            if (found.isEmpty() || !ticket.owns(found.get())) {
+                return new Decision.Keep<>(SettleResult.SUPERSEDED);
+            }
+            ClaimRecord next = settled(found.get(), outcome, nowEpochMillis);
+            if (found.get().state() == next.state()) {
+                return new Decision.Keep<>(SettleResult.DURABLE);
+            }
+            if (!mayFollow(found.get().state(), next.state())) {
+                return new Decision.Keep<>(SettleResult.SUPERSEDED);
+            }
+            return new Decision.Put<>(settledRecord(key, next), SettleResult.DURABLE);
+        });
+    }
+
+    private ClaimRecord settled(ClaimRecord claim, Outcome outcome, long nowEpochMillis) {
+        if (outcome instanceof Outcome.Answered answered) {
+            Optional<RecordedAnswer> kept = Optional.of(answered.answer())
+                    .filter(answer -> answer.body().size() <= settings.maxAnswerBytes());
+            return claim.settled(ClaimRecord.State.ANSWERED, kept, nowEpochMillis);
+        }
+        ClaimRecord.State state =
+                outcome instanceof Outcome.NotRun ? ClaimRecord.State.WITHDRAWN : ClaimRecord.State.UNKNOWN;
+        return claim.settled(state, Optional.empty(), nowEpochMillis);
+    }
+
+    /** An open claim takes any outcome; an unknown one may still be answered late; all others are final. */
+    private static boolean mayFollow(ClaimRecord.State from, ClaimRecord.State to) {
+        return from == ClaimRecord.State.OPEN
+                || (from == ClaimRecord.State.UNKNOWN && to == ClaimRecord.State.ANSWERED);
+    }
+
+    private SlotRecord openRecord(RecordKey key, ClaimRecord claim) {
+        return new SlotRecord(
+                key,
+                ClaimCodec.encode(claim),
+                claim.deadlineEpochMillis() + settings.openGraceMillis(),
+                claim.deadlineEpochMillis() + settings.retentionMillis());
+    }
+
+    private SlotRecord settledRecord(RecordKey key, ClaimRecord claim) {
+        return new SlotRecord(
+                key,
+                ClaimCodec.encode(claim),
+                claim.settledAtEpochMillis(),
+                claim.settledAtEpochMillis() + settings.retentionMillis());
+    }
+
+    private static <T> Decision<T> withClaim(Lookup lookup, Function<Optional<ClaimRecord>, Decision<T>> decide) {
+        if (lookup instanceof Lookup.NotLoaded missing) {
+            return new Decision.Load<>(missing.segment());
+        }
+        if (lookup instanceof Lookup.Present present) {
+            return decide.apply(Optional.of(ClaimCodec.decode(present.record().payload())));
+        }
+        return decide.apply(Optional.empty());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/slot/SegmentCache.java
@@ -0,0 +1,105 @@
+package baobabcroft.slot;
+
+import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.ReadResult;
+import com.google.common.cache.Cache;
+import com.google.common.cache.CacheBuilder;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.primitives.Longs;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Arrays;
+import java.util.concurrent.CompletionStage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Segments that were read: digests of the keys of many, and the records of a few. Thread-safe.
+ *
+ * <p>A segment never changes, so what was read stays true. A segment that is gone held nothing worth keeping.
+ */
+final class SegmentCache {
+    private static final Logger LOG = LoggerFactory.getLogger(SegmentCache.class);
+    private static final long MAX_DIGESTS = 4_000_000;
+    private static final long MAX_RECORD_BYTES = 16 << 20;
+    private static final int RECORD_OVERHEAD_BYTES = 256;
+
+    private final KeyValueStore store;
+    private final Cache<String, long[]> digests = CacheBuilder.newBuilder()
+            .maximumWeight(MAX_DIGESTS)
+            .weigher((String key, long[] values) -> values.length + 1)
+            .build();
+    private final Cache<String, ImmutableMap<RecordKey, SlotRecord>> records = CacheBuilder.newBuilder()
+            .maximumWeight(MAX_RECORD_BYTES)
+            .weigher((String key, ImmutableMap<RecordKey, SlotRecord> values) -> weigh(values))
+            .build();
+
+    SegmentCache(KeyValueStore store) {
+        this.store = store;
+    }
+
+    private static int weigh(ImmutableMap<RecordKey, SlotRecord> values) {
+        int bytes = RECORD_OVERHEAD_BYTES;
+        for (SlotRecord record : values.values()) {
+            bytes += record.payload().size() + RECORD_OVERHEAD_BYTES;
+        }
+        return bytes;
+    }
+
+    /** Returns the newest record of a key in a slot's segments. */
+    Lookup find(String slotName, ImmutableList<SegmentInfo> segments, RecordKey key) {
+        for (SegmentInfo segment : segments.reverse()) {
+            String segmentKey = SlotLog.segmentKey(slotName, segment.id());
+            long[] keys = digests.getIfPresent(segmentKey);
+            if (keys == null) {
+                return new Lookup.NotLoaded(segment);
+            }
+            if (Arrays.binarySearch(keys, key.digest()) < 0) {
+                continue;
+            }
+            ImmutableMap<RecordKey, SlotRecord> loaded = records.getIfPresent(segmentKey);
+            if (loaded == null) {
+                return new Lookup.NotLoaded(segment);
+            }
+            SlotRecord record = loaded.get(key);
+            if (record != null) {
+                return new Lookup.Present(record);
+            }
+        }
+        return new Lookup.Absent();
+    }
+
+    /** Reads a segment; the result says whether it could be read. */
+    CompletionStage<Boolean> load(String slotName, SegmentInfo segment) {
+        String segmentKey = SlotLog.segmentKey(slotName, segment.id());
+        return store.read(segmentKey).thenApply(result -> accept(segmentKey, result));
+    }
+
+    private boolean accept(String segmentKey, ReadResult result) {
+        if (!(result instanceof ReadResult.Found found)) {
+            return false;
+        }
+        if (found.entries().isEmpty()) {
+            put(segmentKey, ImmutableList.of());
+            return true;
+        }
+        try {
+            put(segmentKey, SlotCodec.decodeSegment(found.entries().get(0).value()));
+            return true;
+        } catch (InvalidProtocolBufferException e) {
+            LOG.error("segment {} is malformed", segmentKey, e);
+            return false;
+        }
+    }
+
+    /** Keeps the records of a segment. */
+    void put(String segmentKey, ImmutableList<SlotRecord> sealed) {
+        ImmutableMap.Builder<RecordKey, SlotRecord> byKey = ImmutableMap.builder();
+        sealed.forEach(record -> byKey.put(record.key(), record));
+        records.put(segmentKey, byKey.buildOrThrow());
+        long[] sorted = Longs.toArray(
+                sealed.stream().map(record -> record.key().digest()).toList());
+        Arrays.sort(sorted);
+        digests.put(segmentKey, sorted);
+    }
+}
