Report fewer follow-on faults in rules and say "failed" for outages

A trial of the command line on a rules file with a misspelt state showed a second fault, shares that add up to 95, which was only a consequence. Shares are not added up now while a state of the model is unreadable. One IPv6 address in two spellings passed as two endpoints' addresses; addresses are compared in their canonical form now. 'refused' was shown for a store that is out, though the change may have been stored; it says 'failed' there. A group word alone lists its commands.

--- a/router/src/main/java/baobabcroft/cli/CommandLine.java
+++ b/router/src/main/java/baobabcroft/cli/CommandLine.java
@@ -95,6 +95,12 @@
             return usage("the command comes before its options");
         }
         List<String> known = commands.stream().map(Command::words).toList();
+        List<String> group = known.stream()
+                .filter(words -> words.startsWith(args.get(0) + " "))
+                .toList();
+        if (args.size() == 1 && !group.isEmpty()) {
+            return usage("'" + args.get(0) + "' is one of " + String.join(", ", group));
+        }
         String oneWord = args.get(0);
         String twoWords = args.size() > 1 ? oneWord + " " + args.get(1) : oneWord;
         Optional<String> nearest = NearestWord.to(twoWords, known).or(() -> NearestWord.to(oneWord, known));
--- a/router/src/main/java/baobabcroft/cli/Report.java
+++ b/router/src/main/java/baobabcroft/cli/Report.java
@@ -17,6 +17,8 @@
     private static final Joiner LINES = Joiner.on('\n');
     private static final Joiner NAMES = Joiner.on(", ");
 
+    private static final int FIRST_SERVER_ERROR = 500;
+
     private Report() {}
 
     static String faults(String file, List<RuleFault> faults) {
@@ -35,7 +37,8 @@
     static String problem(Problem problem) {
         List<String> lines = new ArrayList<>();
         String verdict = problem.execution().replace('_', ' ');
-        lines.add("refused: " + problem.detail() + " [" + problem.code() + ", " + verdict + "]");
+        String result = problem.status() < FIRST_SERVER_ERROR ? "refused: " : "failed: ";
+        lines.add(result + problem.detail() + " [" + problem.code() + ", " + verdict + "]");
         if (!problem.diff().isEmpty()) {
             lines.add("what others changed since your base:");
             problem.diff().forEach(line -> lines.add("  " + line));
--- a/router/src/main/java/baobabcroft/rules/ReferenceChecker.java
+++ b/router/src/main/java/baobabcroft/rules/ReferenceChecker.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ListMultimap;
 import com.google.common.collect.MultimapBuilder;
 import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -110,18 +111,31 @@
     }
 
     private void checkShares() {
-        ListMultimap<String, RuleLine> openByModel =
+        ListMultimap<String, RuleLine> byModel =
                 MultimapBuilder.treeKeys().arrayListValues().build();
-        linesOf(RuleKind.VERSION)
-                .filter(line -> line.word("state")
-                        .map(RuleWord::value)
-                        .filter("open"::equals)
-                        .isPresent())
-                .forEach(line -> openByModel.put(modelOf(line.name()), line));
-        openByModel.asMap().forEach((model, open) -> checkSharesOf(model, ImmutableList.copyOf(open)));
+        linesOf(RuleKind.VERSION).forEach(line -> byModel.put(modelOf(line.name()), line));
+        byModel.asMap().forEach((model, versionLines) -> {
+            if (versionLines.stream().allMatch(line -> stateOf(line).isPresent())) {
+                checkSharesOf(
+                        model,
+                        versionLines.stream().filter(ReferenceChecker::isOpen).toList());
+            }
+        });
+    }
+
+    private static Optional<VersionState> stateOf(RuleLine line) {
+        FaultCollector reportedElsewhere = new FaultCollector();
+        return new WordReader(line, reportedElsewhere).state("state");
+    }
+
+    private static boolean isOpen(RuleLine line) {
+        return stateOf(line).filter(state -> state == VersionState.OPEN).isPresent();
     }
 
     private void checkSharesOf(String model, List<RuleLine> open) {
+        if (open.isEmpty()) {
+            return;
+        }
         FaultCollector reportedElsewhere = new FaultCollector();
         int sum = 0;
         for (RuleLine line : open) {
@@ -154,7 +168,8 @@
 
     private static String normalizedAddress(String text) {
         try {
-            return HostAndPort.fromString(text).toString();
+            HostAndPort address = HostAndPort.fromString(text);
+            return InetAddresses.forString(address.getHost()) + ":" + address.getPortOrDefault(0);
         } catch (IllegalArgumentException e) {
             return text;
         }
--- a/router/src/test/java/baobabcroft/cli/CommandLineTest.java
+++ b/router/src/test/java/baobabcroft/cli/CommandLineTest.java
@@ -70,6 +70,7 @@
                         """
                 ruls check             | did you mean 'rules check'?
                 rules chekc            | did you mean 'rules check'?
+                rules                  | 'rules' is one of rules check, rules diff
                 statsu                 | did you mean 'status'?
                 --json status          | the command comes before its options
                 rules check            | wrong number of arguments
@@ -239,7 +240,7 @@
         void warnsThatAChangeMayBeStoredWhenTheStoreIsOut() throws IOException {
             server.operations().setStoreUnavailable(true);
             assertEquals(4, apply(file("first.rules", RULES), "--base", "0"));
-            assertTrue(err().contains("[store_unavailable, may have run]"), err());
+            assertTrue(err().contains("failed: no answer [store_unavailable, may have run]"), err());
         }
 
         @Test
--- a/router/src/test/java/baobabcroft/rules/RulesParserTest.java
+++ b/router/src/test/java/baobabcroft/rules/RulesParserTest.java
@@ -147,6 +147,23 @@
                     "same key-sha256 as account shop on line 7", faults.get(0).problem());
         }
 
+        @Test
+        void refusesOneAddressInTwoSpellings() {
+            String first = "endpoint e-3 address=[::1]:1 failure-domain=fd-1 service=ledger max-concurrent=1 # a: b";
+            String second = first.replace("e-3", "e-4").replace("[::1]", "[0:0::1]");
+            assertEquals(
+                    "same address as endpoint e-3 on line 10",
+                    faults(base(first, second)).get(0).problem());
+        }
+
+        @Test
+        void doesNotAddUpSharesOfAModelWithAFaultyState() {
+            List<RuleFault> faults = faults(base("version small@3 state=opne share=5 price=1 quality=1 # a: b"));
+            assertEquals(
+                    List.of("unknown state 'opne'"),
+                    faults.stream().map(RuleFault::problem).toList());
+        }
+
         @Test
         void namesTheNearestKnownWord() {
             List<RuleFault> faults = faults(base("account other key-sha256=" + KEY_B + " allow=smal # a: b"));
