Add experiment tool that drives the decisions in virtual time

The decisions have to be measured against baselines before any is kept. Small engine models (continuous batching, prefix cache, lagging reports) and several instances with state of their own run the router's classes in an event loop.

--- /dev/null
+++ b/standins/src/main/java/baobabcroft/experiment/RequestRun.java
@@ -0,0 +1,370 @@
+package baobabcroft.experiment;
+
+import baobabcroft.admission.AdmissionDecision;
+import baobabcroft.admission.AdmissionDecision.Queued;
+import baobabcroft.admission.AdmissionDecision.Refused;
+import baobabcroft.admission.AdmissionDecision.Started;
+import baobabcroft.admission.AdmissionRequest;
+import baobabcroft.admission.AdmissionTicket;
+import baobabcroft.admission.Attempt;
+import baobabcroft.balance.EndpointLease;
+import baobabcroft.balance.FailureKind;
+import baobabcroft.balance.Locality;
+import baobabcroft.balance.RequestFacts;
+import baobabcroft.cascade.CascadeChoice;
+import baobabcroft.cascade.CascadeStep;
+import baobabcroft.cascade.RequestKind;
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.Execution;
+import baobabcroft.limit.AccountUsage;
+import baobabcroft.limit.LimitDecision;
+import baobabcroft.limit.LimitDecision.Admitted;
+import baobabcroft.poison.Crash;
+import baobabcroft.retry.RetryDecision;
+import baobabcroft.retry.RetryDecision.Retry;
+import baobabcroft.retry.RetryDecision.Stop;
+import baobabcroft.retry.RetryFacts;
+import baobabcroft.retry.RetryPolicy;
+import baobabcroft.rollout.AnswerOutcome;
+import baobabcroft.rollout.VersionAssignment;
+import baobabcroft.rules.AccountRule;
+import baobabcroft.rules.VersionId;
+import baobabcroft.rules.VersionRule;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/** One request on its way through an instance, from arrival to answer or refusal. */
+final class RequestRun implements Attempt {
+    private static final double QUALITY_TARGET = CostOracle.QUALITY_TARGET;
+    private static final double POISON_DELAY_MILLIS = 200;
+    private static final double ERROR_DELAY_MILLIS = 100;
+    private static final double RATING_MILLIS = 500;
+
+    private final SimRequest request;
+    private final Instance instance;
+    private final Recorder recorder;
+    private final EventLoop loop;
+    private final double dueMillis;
+    private final RequestKind kind;
+    private final Set<String> excluded = new HashSet<>();
+    private List<CascadeStep> steps = List.of();
+    private CascadeChoice choice;
+    private int step;
+    private int attempt = 1;
+    private Optional<String> avoidedDomain = Optional.empty();
+    private AccountUsage usage;
+    private AdmissionTicket ticket;
+    private EndpointLease lease;
+    private Engine.Job job;
+    private double sentMillis;
+    private double firstTokenMillis = -1;
+    private Optional<Double> answerQuality = Optional.empty();
+    private boolean started;
+    private boolean done;
+
+    RequestRun(SimRequest request, Instance instance, Recorder recorder) {
+        this.request = request;
+        this.instance = instance;
+        this.recorder = recorder;
+        this.loop = instance.fleet().loop();
+        double clientMillis = instance.fleet().deployment().clientMillis();
+        this.dueMillis = request.arrivalMillis() + request.deadlineMillis() - clientMillis;
+        this.kind = RequestKind.of("account-" + request.account(), "film", request.promptTokens());
+    }
+
+    String model() {
+        return steps.get(step).version().model();
+    }
+
+    private double remainingMillis() {
+        return dueMillis - loop.nowMillis();
+    }
+
+    void begin() {
+        recorder.offered(request);
+        if (isPoison()) {
+            refused(ErrorCode.POISON_REQUEST);
+            return;
+        }
+        AccountRule account = instance.fleet().rules().account(kind.account()).orElseThrow();
+        LimitDecision limit = instance.limits().admit(account, request.maxTokens(), loop.epochMillis());
+        if (!(limit instanceof Admitted admitted)) {
+            refused(ErrorCode.ACCOUNT_LIMIT);
+            return;
+        }
+        usage = admitted.usage();
+        steps = steps();
+        if (steps.isEmpty()) {
+            refused(ErrorCode.POOL_EXHAUSTED);
+            return;
+        }
+        instance.retries().requestStarted();
+        choice = instance.policy().cascade().choose(steps, QUALITY_TARGET, instance.random());
+        step = choice.step();
+        loop.at(dueMillis, this::deadlinePassed);
+        offer();
+    }
+
+    private boolean isPoison() {
+        return instance.policy().crashLedger() && instance.crashes().isPoison(request.digest(), loop.epochMillis());
+    }
+
+    private List<CascadeStep> steps() {
+        List<CascadeStep> found = new ArrayList<>();
+        for (String model : Fleet.MODELS) {
+            List<VersionRule> versions = instance.fleet().rules().versionsOf(model);
+            VersionAssignment.assign("request-" + request.id(), versions, instance.stops()::isStopped)
+                    .flatMap(instance.fleet().rules()::version)
+                    .ifPresent(rule -> found.add(new CascadeStep(
+                            rule.id(),
+                            rule.priceMicrosPerThousandTokens(),
+                            rule.expectedQuality(),
+                            instance.quality().total(rule.id(), kind))));
+        }
+        return found;
+    }
+
+    private void offer() {
+        if (done) {
+            return;
+        }
+        long remaining = (long) remainingMillis();
+        AdmissionRequest offered = new AdmissionRequest(kind.account(), request.priority(), remaining, serviceMillis());
+        AdmissionDecision decision = instance.queue(this).offer(offered, this);
+        if (decision instanceof Started running) {
+            ticket = running.ticket();
+        } else if (decision instanceof Queued queued) {
+            ticket = queued.ticket();
+        } else if (decision instanceof Refused refused) {
+            refuse(refused);
+        }
+    }
+
+    private double serviceMillis() {
+        return instance.load(model()).serviceMillis();
+    }
+
+    @Override
+    public boolean tryStart() {
+        RequestFacts facts = new RequestFacts(
+                OptionalLong.of(request.prefixDigest()), (long) remainingMillis(), excluded, avoidedDomain);
+        Optional<EndpointLease> acquired = instance.acquire(model(), facts);
+        if (acquired.isEmpty()) {
+            return false;
+        }
+        lease = acquired.get();
+        started = true;
+        sentMillis = loop.nowMillis();
+        Engine engine = instance.fleet().engine(lease.rule().name());
+        instance.fleet().sent(engine.name());
+        if (lease.locality() == Locality.ELSEWHERE) {
+            recorder.crossRegion(request.bytes());
+        }
+        int sentAttempt = attempt;
+        int sentStep = step;
+        loop.after(oneWayMillis(), () -> arriveAt(engine, sentAttempt, sentStep));
+        return true;
+    }
+
+    private double oneWayMillis() {
+        return instance.fleet()
+                .latencyMillis(instance.failureDomain(), lease.rule().failureDomain());
+    }
+
+    private void arriveAt(Engine engine, int sentAttempt, int sentStep) {
+        if (done || sentAttempt != attempt || sentStep != step) {
+            return;
+        }
+        if (!engine.isAlive()) {
+            loop.after(oneWayMillis(), () -> failed(FailureKind.CONNECT, Execution.NOT_RUN));
+            return;
+        }
+        VersionBehavior behavior =
+                VersionBehavior.of(version(), instance.fleet().scenario(), loop.nowMillis());
+        if (request.uniform(sentAttempt) < behavior.errorRate()) {
+            loop.after(ERROR_DELAY_MILLIS, () -> failed(FailureKind.SERVER_ERROR, Execution.MAY_HAVE_RUN));
+            return;
+        }
+        job = new Engine.Job(
+                request,
+                behavior.slowness(),
+                this::firstToken,
+                () -> loop.after(oneWayMillis(), this::answered),
+                () -> loop.after(oneWayMillis(), this::lost));
+        engine.submit(job);
+        if (request.poison()) {
+            loop.after(POISON_DELAY_MILLIS, () -> instance.fleet().crashByPoison(engine));
+        }
+    }
+
+    private VersionId version() {
+        return steps.get(step).version();
+    }
+
+    private void firstToken() {
+        firstTokenMillis = loop.nowMillis() + oneWayMillis();
+    }
+
+    private void lost() {
+        if (!done) {
+            instance.crashes().add(new Crash(request.digest(), lease.rule().name(), loop.epochMillis()));
+            failed(FailureKind.CONNECTION_LOST, Execution.MAY_HAVE_RUN);
+        }
+    }
+
+    private void release() {
+        job = null;
+        instance.fleet().ended(lease.rule().name());
+        ticket.close();
+    }
+
+    private void failed(FailureKind failure, Execution execution) {
+        if (done) {
+            return;
+        }
+        lease.failed(failure);
+        release();
+        if (execution != Execution.NOT_RUN) {
+            outcome(new AnswerOutcome(true, false));
+        }
+        excluded.add(lease.rule().name());
+        avoidedDomain = Optional.of(lease.rule().failureDomain());
+        if (isPoison()) {
+            refused(ErrorCode.POISON_REQUEST);
+            return;
+        }
+        RetryFacts facts = new RetryFacts(execution, true, attempt, (long) remainingMillis(), (long) serviceMillis());
+        RetryDecision decision = RetryPolicy.defaults().decide(facts, instance.retries(), instance.random());
+        if (decision instanceof Retry retry) {
+            attempt++;
+            recorder.retried();
+            loop.after((double) retry.delayMillis(), this::offer);
+        } else if (decision instanceof Stop stop) {
+            recorder.retryStopped(stop.reason());
+            finish("endpoint_failed");
+        }
+    }
+
+    private void outcome(AnswerOutcome outcome) {
+        instance.evidence().answered(version(), outcome);
+        recorder.versionAnswered(version(), sentMillis, outcome);
+    }
+
+    private void answered() {
+        if (done) {
+            return;
+        }
+        double tookMillis = loop.nowMillis() - sentMillis;
+        lease.succeeded((long) tookMillis);
+        release();
+        Engine engine = instance.fleet().engine(lease.rule().name());
+        outcome(new AnswerOutcome(false, isSlow(tookMillis, engine.model())));
+        recorder.cost(steps.get(step).priceMicrosPerThousandTokens() * request.outputTokens() / 1_000.0);
+        double quality = quality();
+        answerQuality = Optional.of(quality);
+        boolean rated = choice.rate() && instance.ratings().tryTake();
+        boolean mayEscalate = rated && choice.escalateBelow() > 0 && step + 1 < steps.size();
+        if (rated) {
+            recorder.ratingAsked();
+            VersionId ratedVersion = version();
+            double ratedSentMillis = sentMillis;
+            loop.after(RATING_MILLIS, () -> rated(ratedVersion, ratedSentMillis, quality, mayEscalate));
+        }
+        if (!mayEscalate) {
+            deliver();
+        }
+        instance.drain();
+    }
+
+    /** Returns whether a step took more than twice the time of a full batch's step. */
+    private boolean isSlow(double tookMillis, EngineModel model) {
+        double steps = request.outputTokens() + request.promptTokens() / model.prefillTokensPerStep();
+        return tookMillis / steps > 2 * model.stepMillis(model.maxBatch());
+    }
+
+    private double quality() {
+        int index = Fleet.MODELS.indexOf(model());
+        double loss = VersionBehavior.of(version(), instance.fleet().scenario(), loop.nowMillis())
+                .qualityLoss();
+        return Math.max(0, request.qualities().get(index) - loss);
+    }
+
+    private void rated(VersionId version, double ratedSentMillis, double rating, boolean mayEscalate) {
+        instance.evidence().rated(version, rating);
+        instance.quality().rated(version, kind, rating, QUALITY_TARGET);
+        recorder.versionRated(version, ratedSentMillis, rating);
+        if (!mayEscalate || done) {
+            return;
+        }
+        OptionalInt next = choice.escalate(step, steps.size(), rating, (long) remainingMillis(), nextServiceMillis());
+        if (next.isEmpty()) {
+            deliver();
+            return;
+        }
+        recorder.escalated();
+        step = next.getAsInt();
+        excluded.clear();
+        offer();
+    }
+
+    private double nextServiceMillis() {
+        return instance.load(steps.get(step + 1).version().model()).serviceMillis();
+    }
+
+    private void deliver() {
+        double clientMillis = instance.fleet().deployment().clientMillis();
+        double endMillis = loop.nowMillis() + clientMillis - request.arrivalMillis();
+        double first = Math.min(endMillis, firstTokenMillis + clientMillis - request.arrivalMillis());
+        recorder.delivered(request, first, endMillis, answerQuality.orElseThrow());
+        finish("answered");
+    }
+
+    @Override
+    public void refuse(Refused refused) {
+        if (answerQuality.isPresent()) {
+            deliver();
+            return;
+        }
+        refused(refused.code());
+    }
+
+    private void refused(ErrorCode code) {
+        finish(code.code());
+    }
+
+    private void deadlinePassed() {
+        if (done) {
+            return;
+        }
+        boolean running = lease != null && lease.cancelled();
+        if (running) {
+            if (job != null) {
+                instance.fleet().engine(lease.rule().name()).cancel(job);
+            }
+            release();
+        } else if (ticket != null) {
+            ticket.close();
+        }
+        if (answerQuality.isPresent()) {
+            deliver();
+            return;
+        }
+        finish(running || started ? "deadline_exceeded" : "deadline_unreachable");
+    }
+
+    private void finish(String result) {
+        if (done) {
+            return;
+        }
+        done = true;
+        if (usage != null) {
+            usage.ended(request.outputTokens());
+        }
+        recorder.finished(request, result, started);
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/experiment/Scenario.java
@@ -0,0 +1,123 @@
+package baobabcroft.experiment;
+
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * What happens in an experiment.
+ *
+ * @param name the scenario's name
+ * @param family which policies are compared
+ * @param durationMillis length of the arrivals, in milliseconds
+ * @param loadFactor arrivals as a part of the capacity
+ * @param floodFactor additional arrivals of the largest account as a part of the capacity
+ * @param limitFactor every account's limit of requests as a part of the capacity
+ * @param newVersionSharePercent share of a second version; zero if there is one version only
+ * @param badness how the second version turns bad at half time, if it does
+ * @param loss what is lost at half time
+ * @param poison whether a poison request is resent
+ */
+record Scenario(
+        String name,
+        Family family,
+        double durationMillis,
+        double loadFactor,
+        double floodFactor,
+        double limitFactor,
+        int newVersionSharePercent,
+        Optional<Badness> badness,
+        Loss loss,
+        boolean poison) {
+    private static final double MINUTE_MILLIS = 60_000;
+
+    /** Sets of policies that are compared with each other. */
+    enum Family {
+        COST,
+        LOAD,
+        ROLLOUT,
+        POISON
+    }
+
+    /** How a version turns bad. */
+    enum Badness {
+        ERRORS,
+        QUALITY,
+        SLOWNESS
+    }
+
+    /** What is lost for a minute. */
+    enum Loss {
+        NONE,
+        ENDPOINT,
+        FAILURE_DOMAIN
+    }
+
+    static List<Scenario> all() {
+        return List.of(
+                load("ordinary-load", 0.5, 0, Loss.NONE),
+                load("overload", 2, 0, Loss.NONE),
+                load("flood", 0.5, 2, Loss.NONE),
+                load("endpoint-lost", 0.6, 0, Loss.ENDPOINT),
+                load("domain-lost", 0.6, 0, Loss.FAILURE_DOMAIN),
+                rollout("bad-errors-5", 5, Badness.ERRORS),
+                rollout("bad-errors-50", 50, Badness.ERRORS),
+                rollout("bad-quality-5", 5, Badness.QUALITY),
+                rollout("bad-quality-50", 50, Badness.QUALITY),
+                rollout("bad-slowness-5", 5, Badness.SLOWNESS),
+                rollout("bad-slowness-50", 50, Badness.SLOWNESS),
+                new Scenario(
+                        "poison", Family.POISON, 10 * MINUTE_MILLIS, 0.5, 0, 10, 0, Optional.empty(), Loss.NONE, true),
+                new Scenario(
+                        "ordinary-cost",
+                        Family.COST,
+                        60 * MINUTE_MILLIS,
+                        0.5,
+                        0,
+                        10,
+                        0,
+                        Optional.empty(),
+                        Loss.NONE,
+                        false));
+    }
+
+    static Optional<Scenario> named(String name) {
+        return all().stream().filter(scenario -> scenario.name().equals(name)).findFirst();
+    }
+
+    private static Scenario load(String name, double loadFactor, double floodFactor, Loss loss) {
+        double limitFactor = floodFactor > 0 ? 1 : 10;
+        return new Scenario(
+                name,
+                Family.LOAD,
+                10 * MINUTE_MILLIS,
+                loadFactor,
+                floodFactor,
+                limitFactor,
+                0,
+                Optional.empty(),
+                loss,
+                false);
+    }
+
+    private static Scenario rollout(String name, int sharePercent, Badness badness) {
+        return new Scenario(
+                name,
+                Family.ROLLOUT,
+                30 * MINUTE_MILLIS,
+                0.5,
+                0,
+                10,
+                sharePercent,
+                Optional.of(badness),
+                Loss.NONE,
+                false);
+    }
+
+    double halfTimeMillis() {
+        return durationMillis / 2;
+    }
+
+    boolean isCascade() {
+        return family == Family.COST;
+    }
+}
