Add stand-ins of engines, services, live list and rating service

Cause: tests, samples and measurements need the systems around the router, with faults that can be set. Ruled out: one model of an engine for HTTP and another for experiments; EngineModel is pure and serves both. A crash is shown as a machine shows it: connections cut below HTTP, and new ones refused until the port is bound again. No load was run. Conclusion: the rating stand-in reads each answer's own score, so that a version that turns bad shows in ratings.

--- a/standins/src/main/java/baobabcroft/standin/StandinMain.java
+++ b/standins/src/main/java/baobabcroft/standin/StandinMain.java
@@ -1,15 +1,42 @@
 package baobabcroft.standin;
 
+import com.google.common.collect.ImmutableSortedMap;
+import java.util.Arrays;
+import joptsimple.OptionException;
+
 /** The stand-ins executable. */
 public final class StandinMain {
+    private static final int USAGE_STATUS = 2;
+    private static final ImmutableSortedMap<String, Command> COMMANDS =
+            ImmutableSortedMap.<String, Command>naturalOrder()
+                    .put("all", ServeCommands::all)
+                    .put("engine", ServeCommands::engine)
+                    .put("kv", ServeCommands::keyValue)
+                    .put("live-list", ServeCommands::liveList)
+                    .put("rating", ServeCommands::rating)
+                    .put("service", ServeCommands::service)
+                    .build();
+
     private StandinMain() {}
 
     /**
-     * Runs the command that the arguments name.
+     * Runs the command that the first argument names.
      *
-     * @param args command-line arguments
+     * @param args the command's name and its options
+     * @throws Exception if the command fails
      */
-    public static void main(String[] args) {
-        System.out.println("baobabcroft");
+    public static void main(String[] args) throws Exception {
+        Command command = args.length == 0 ? null : COMMANDS.get(args[0]);
+        if (command == null) {
+            System.err.println("usage: baobabcroft-standins COMMAND [OPTION]...\ncommands: " + COMMANDS.keySet());
+            System.exit(USAGE_STATUS);
+            return;
+        }
+        try {
+            command.run(Arrays.copyOfRange(args, 1, args.length), System.out);
+        } catch (OptionException | IllegalArgumentException e) {
+            System.err.println(args[0] + ": " + e.getMessage());
+            System.exit(USAGE_STATUS);
+        }
     }
 }
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/engine/EngineDriver.java
@@ -0,0 +1,85 @@
+package baobabcroft.standin.engine;
+
+import baobabcroft.standin.http.Later;
+import com.google.common.util.concurrent.Futures;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.concurrent.Future;
+import java.util.function.Consumer;
+
+/** Runs an engine model in real time. Thread-safe; listeners are called under the lock and must not block. */
+final class EngineDriver {
+    private static final double NANOS_PER_MILLI = 1e6;
+    private static final double MICROS_PER_MILLI = 1e3;
+
+    private final EngineModel model;
+    private final long startNanos = System.nanoTime();
+    private final Map<Long, Consumer<EngineEvent>> listeners = new HashMap<>();
+    private Future<?> tick = Futures.immediateVoidFuture();
+
+    EngineDriver(EngineSettings settings) {
+        this.model = EngineModel.create(settings);
+    }
+
+    private double nowMillis() {
+        return (System.nanoTime() - startNanos) / NANOS_PER_MILLI;
+    }
+
+    synchronized void submit(EngineRequest request, Consumer<EngineEvent> listener) {
+        listeners.put(request.id(), listener);
+        dispatch(model.submit(request, nowMillis()));
+    }
+
+    synchronized void cancel(long requestId) {
+        if (listeners.remove(requestId) != null) {
+            dispatch(model.cancel(requestId, nowMillis()));
+        }
+    }
+
+    synchronized void setSlowFactor(double factor) {
+        dispatch(model.setSlowFactor(factor, nowMillis()));
+    }
+
+    synchronized EngineLoad reportedLoad() {
+        return model.reportedLoad(nowMillis());
+    }
+
+    synchronized EngineLoad load() {
+        return model.load();
+    }
+
+    synchronized long cancelledCount() {
+        return model.cancelledCount();
+    }
+
+    synchronized long cachedTokenCount() {
+        return model.cachedTokenCount();
+    }
+
+    private synchronized void advance() {
+        dispatch(model.advance(nowMillis()));
+    }
+
+    private void dispatch(List<EngineEvent> events) {
+        for (EngineEvent event : events) {
+            Consumer<EngineEvent> listener = event.kind() == EngineEvent.Kind.FINISHED
+                    ? listeners.remove(event.requestId())
+                    : listeners.get(event.requestId());
+            if (listener != null) {
+                listener.accept(event);
+            }
+        }
+        scheduleTick();
+    }
+
+    private void scheduleTick() {
+        tick.cancel(false);
+        OptionalDouble next = model.nextEventMillis();
+        if (next.isPresent()) {
+            double delayMicros = (next.getAsDouble() - nowMillis()) * MICROS_PER_MILLI;
+            tick = Later.runMicros(Math.max(0, (long) Math.ceil(delayMicros)), this::advance);
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/engine/EngineModel.java
@@ -0,0 +1,302 @@
+package baobabcroft.standin.engine;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.TreeSet;
+
+/**
+ * Continuous batching with a prefix cache, as a function of the time that is passed in.
+ *
+ * <p>All running requests advance together, each the slower the more there are. A request first reads the part of its
+ * prompt that is not cached, then makes its answer token by token. Not thread-safe.
+ */
+public final class EngineModel {
+    private static final double EPSILON_MILLIS = 1e-6;
+
+    private final EngineSettings settings;
+    private final PrefixCache cache;
+    private final Map<Long, Running> running = new LinkedHashMap<>();
+    private final TreeSet<Waiting> waiting = new TreeSet<>(
+            Comparator.comparingInt((Waiting entry) -> -entry.request().priority())
+                    .thenComparingLong(Waiting::sequence));
+    private final Deque<EngineLoad> loads = new ArrayDeque<>();
+    private double nowMillis;
+    private double slowFactor = 1;
+    private long sequence;
+    private long kvTokens;
+    private long cancelled;
+    private long cachedTokens;
+
+    private EngineModel(EngineSettings settings) {
+        this.settings = checkNotNull(settings);
+        this.cache = new PrefixCache(settings.prefixCacheBlocks());
+        loads.add(new EngineLoad(0, 0, 0, 0));
+    }
+
+    /**
+     * Returns an idle engine at time zero.
+     *
+     * @param settings what it can do
+     * @return the engine
+     */
+    public static EngineModel create(EngineSettings settings) {
+        return new EngineModel(settings);
+    }
+
+    private record Waiting(EngineRequest request, long sequence) {}
+
+    private static final class Running {
+        private final EngineRequest request;
+        private double prefillMillis;
+        private double decodeMillis;
+        private int tokens;
+
+        private Running(EngineRequest request, double prefillMillis, double tokenMillis) {
+            this.request = request;
+            this.prefillMillis = prefillMillis + tokenMillis;
+            this.decodeMillis = tokenMillis * (request.answerTokens() - 1);
+        }
+
+        private double workToNextEvent(double tokenMillis) {
+            if (tokens == 0) {
+                return prefillMillis;
+            }
+            if (!request.tokenEvents()) {
+                return decodeMillis;
+            }
+            return decodeMillis - tokenMillis * (request.answerTokens() - 1 - tokens);
+        }
+
+        private void work(double millis) {
+            if (tokens == 0) {
+                prefillMillis -= millis;
+            } else {
+                decodeMillis -= millis;
+            }
+        }
+    }
+
+    /**
+     * Moves the time and takes a request.
+     *
+     * @param request the request
+     * @param atMillis the time now, in milliseconds; not before the last one given
+     * @return what has happened up to and at that time
+     */
+    public List<EngineEvent> submit(EngineRequest request, double atMillis) {
+        checkArgument(request.answerTokens() > 0, "answerTokens must be positive: %s", request);
+        List<EngineEvent> events = new ArrayList<>(advance(atMillis));
+        waiting.add(new Waiting(request, sequence++));
+        fillBatch(events);
+        recordLoad();
+        return events;
+    }
+
+    /**
+     * Moves the time and forgets a request, wherever it is; its place is free at once.
+     *
+     * @param requestId the request
+     * @param atMillis the time now, in milliseconds
+     * @return what has happened up to and at that time
+     */
+    public List<EngineEvent> cancel(long requestId, double atMillis) {
+        List<EngineEvent> events = new ArrayList<>(advance(atMillis));
+        Running stopped = running.remove(requestId);
+        if (stopped != null) {
+            kvTokens -= memoryOf(stopped.request);
+        }
+        if (stopped != null || waiting.removeIf(entry -> entry.request().id() == requestId)) {
+            cancelled++;
+        }
+        fillBatch(events);
+        recordLoad();
+        return events;
+    }
+
+    /**
+     * Moves the time.
+     *
+     * @param atMillis the time now, in milliseconds; not before the last one given
+     * @return what has happened up to and at that time, in order
+     */
+    public List<EngineEvent> advance(double atMillis) {
+        checkArgument(atMillis >= nowMillis, "time went back from %s to %s", nowMillis, atMillis);
+        List<EngineEvent> events = new ArrayList<>();
+        OptionalDouble next = nextEventMillis();
+        while (next.isPresent() && next.getAsDouble() <= atMillis) {
+            workUntil(next.getAsDouble());
+            collect(events);
+            next = nextEventMillis();
+        }
+        workUntil(atMillis);
+        return ImmutableList.copyOf(events);
+    }
+
+    /**
+     * Returns when something happens next if nothing is submitted or cancelled before.
+     *
+     * @return the time in milliseconds, or empty if nothing runs
+     */
+    public OptionalDouble nextEventMillis() {
+        double factor = slowdown();
+        OptionalDouble work = running.values().stream()
+                .mapToDouble(entry -> entry.workToNextEvent(settings.tokenMillis()))
+                .min();
+        return work.isPresent()
+                ? OptionalDouble.of(nowMillis + Math.max(0, work.getAsDouble()) * factor)
+                : OptionalDouble.empty();
+    }
+
+    private double slowdown() {
+        return slowFactor * (1 + settings.batchSlowdown() * Math.max(0, running.size() - 1));
+    }
+
+    private void workUntil(double atMillis) {
+        double work = (atMillis - nowMillis) / slowdown();
+        running.values().forEach(entry -> entry.work(work));
+        nowMillis = Math.max(nowMillis, atMillis);
+    }
+
+    private void collect(List<EngineEvent> events) {
+        List<Running> finished = new ArrayList<>();
+        for (Running entry : running.values()) {
+            if (entry.workToNextEvent(settings.tokenMillis()) <= EPSILON_MILLIS) {
+                step(entry, events, finished);
+            }
+        }
+        finished.forEach(this::release);
+        if (!finished.isEmpty()) {
+            fillBatch(events);
+            recordLoad();
+        }
+    }
+
+    private void step(Running entry, List<EngineEvent> events, List<Running> finished) {
+        EngineRequest request = entry.request;
+        boolean first = entry.tokens == 0;
+        entry.tokens = first || request.tokenEvents() ? entry.tokens + 1 : request.answerTokens();
+        if (first) {
+            events.add(event(EngineEvent.Kind.FIRST_TOKEN, entry));
+        } else if (request.tokenEvents()) {
+            events.add(event(EngineEvent.Kind.TOKEN, entry));
+        }
+        if (entry.tokens == request.answerTokens()) {
+            events.add(event(EngineEvent.Kind.FINISHED, entry));
+            finished.add(entry);
+        }
+    }
+
+    private EngineEvent event(EngineEvent.Kind kind, Running entry) {
+        return new EngineEvent(kind, entry.request.id(), nowMillis, entry.tokens);
+    }
+
+    private void release(Running entry) {
+        running.remove(entry.request.id());
+        kvTokens -= memoryOf(entry.request);
+    }
+
+    private static int memoryOf(EngineRequest request) {
+        return request.promptTokens() + request.answerTokens();
+    }
+
+    private void fillBatch(List<EngineEvent> events) {
+        while (!waiting.isEmpty() && fits(waiting.first().request())) {
+            start(waiting.pollFirst().request(), events);
+        }
+    }
+
+    private boolean fits(EngineRequest request) {
+        boolean memory = running.isEmpty() || kvTokens + memoryOf(request) <= settings.kvCacheTokens();
+        return running.size() < settings.maxBatch() && memory;
+    }
+
+    private void start(EngineRequest request, List<EngineEvent> events) {
+        int hits = Math.min(request.promptTokens(), cache.use(request.blocks()) * settings.blockTokens());
+        cachedTokens += hits;
+        double prefillMillis = (request.promptTokens() - hits) * settings.prefillMillisPerToken();
+        Running entry = new Running(request, prefillMillis, settings.tokenMillis());
+        running.put(request.id(), entry);
+        kvTokens += memoryOf(request);
+        events.add(event(EngineEvent.Kind.STARTED, entry));
+    }
+
+    private void recordLoad() {
+        double use = Math.min(1, (double) kvTokens / settings.kvCacheTokens());
+        loads.addLast(new EngineLoad(nowMillis, running.size(), waiting.size(), use));
+        forgetLoadsBefore(nowMillis - settings.reportLagMillis());
+    }
+
+    private void forgetLoadsBefore(double millis) {
+        while (loads.size() > 1 && secondLoadMillis() <= millis) {
+            loads.removeFirst();
+        }
+    }
+
+    private double secondLoadMillis() {
+        var first = loads.iterator();
+        first.next();
+        return first.next().atMillis();
+    }
+
+    /**
+     * Returns the load as the engine reports it, which is that of a while ago.
+     *
+     * @param atMillis the time now, in milliseconds
+     * @return the load
+     */
+    public EngineLoad reportedLoad(double atMillis) {
+        forgetLoadsBefore(atMillis - settings.reportLagMillis());
+        return loads.getFirst();
+    }
+
+    /**
+     * Returns the load as it is.
+     *
+     * @return the load
+     */
+    public EngineLoad load() {
+        return loads.getLast();
+    }
+
+    /**
+     * Moves the time and makes all work take longer from then on.
+     *
+     * @param factor one for the usual speed, two for half of it
+     * @param atMillis the time now, in milliseconds
+     * @return what has happened up to that time
+     */
+    public List<EngineEvent> setSlowFactor(double factor, double atMillis) {
+        checkArgument(factor > 0, "factor must be positive, was %s", factor);
+        List<EngineEvent> events = advance(atMillis);
+        slowFactor = factor;
+        return events;
+    }
+
+    /**
+     * Returns how many requests were cancelled while they waited or ran.
+     *
+     * @return the count
+     */
+    public long cancelledCount() {
+        return cancelled;
+    }
+
+    /**
+     * Returns how many prompt tokens were found in the prefix cache.
+     *
+     * @return the count
+     */
+    public long cachedTokenCount() {
+        return cachedTokens;
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/engine/EngineStandin.java
@@ -0,0 +1,253 @@
+package baobabcroft.standin.engine;
+
+import baobabcroft.standin.fault.BrokenAnswers;
+import baobabcroft.standin.fault.FaultKind;
+import baobabcroft.standin.fault.FaultPlan;
+import baobabcroft.standin.http.EndpointHeaders;
+import baobabcroft.standin.http.Exchange;
+import baobabcroft.standin.http.HttpStandin;
+import baobabcroft.standin.http.Later;
+import baobabcroft.standin.http.Responses;
+import baobabcroft.standin.http.StandinJson;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSortedSet;
+import com.google.common.util.concurrent.AtomicLongMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * Stand-in of a model engine that speaks the chat completions API, whole and streamed. Thread-safe.
+ *
+ * <p>Other paths: {@code GET /v1/models} and {@code GET /load}, which lags. Control paths: those of
+ * {@link FaultPlan#control}, {@code slow?factor=}, {@code quality?version=&value=}, {@code refuse?millis=}, and
+ * {@code GET /control/counters} and {@code GET /control/runs}.
+ */
+public final class EngineStandin implements AutoCloseable {
+    private static final double DEFAULT_QUALITY = 0.9;
+
+    private final HttpStandin http;
+    private final FaultPlan faults;
+    private final EngineDriver driver;
+    private final EngineSettings settings;
+    private final ImmutableSortedSet<String> versions;
+    private final long seed;
+    private final Map<String, Double> qualities = new ConcurrentHashMap<>();
+    private final AtomicLongMap<String> runsByRequest = AtomicLongMap.create();
+    private final AtomicLongMap<String> runsByVersion = AtomicLongMap.create();
+
+    private EngineStandin(int port, long seed, EngineSettings settings, Set<String> versions) {
+        this.seed = seed;
+        this.settings = settings;
+        this.versions = ImmutableSortedSet.copyOf(versions);
+        this.faults = FaultPlan.create(seed);
+        this.driver = new EngineDriver(settings);
+        this.http = HttpStandin.start(port, this::handle);
+    }
+
+    /**
+     * Starts an idle engine.
+     *
+     * @param port the port, or zero for any free one
+     * @param seed seed of the faults' draws and of the answers
+     * @param settings what the engine can do
+     * @param versions the versions that it serves, as {@code model@version}; any version if empty
+     * @return the running stand-in
+     */
+    public static EngineStandin start(int port, long seed, EngineSettings settings, Set<String> versions) {
+        return new EngineStandin(port, seed, settings, versions);
+    }
+
+    /**
+     * Counts of what has come.
+     *
+     * @param runs requests that reached the engine's scheduler or a fault, by version
+     * @param running requests in the batch now
+     * @param waiting requests waiting now
+     * @param cancelled requests given up because their caller closed the connection, or broken off by a fault
+     * @param cachedTokens prompt tokens found in the prefix cache
+     * @param faults requests struck by each fault
+     */
+    public record Counters(
+            ImmutableMap<String, Long> runs,
+            int running,
+            int waiting,
+            long cancelled,
+            long cachedTokens,
+            ImmutableMap<FaultKind, Long> faults) {}
+
+    private CompletionStage<HttpResponse> handle(Exchange exchange) {
+        String path = exchange.path();
+        if (path.startsWith("/control/")) {
+            return completed(control(path.substring("/control/".length()), exchange));
+        }
+        return switch (path) {
+            case "/v1/chat/completions" -> chat(exchange);
+            case "/v1/models" -> completed(Responses.json(200, StandinJson.write(ChatMessages.models(versions))));
+            case "/load" -> completed(Responses.json(200, StandinJson.write(driver.reportedLoad())));
+            default -> completed(Responses.notFound());
+        };
+    }
+
+    private CompletionStage<HttpResponse> chat(Exchange exchange) {
+        ChatMessages.Request request;
+        try {
+            request = StandinJson.read(exchange.body(), ChatMessages.Request.class);
+        } catch (JsonProcessingException e) {
+            return completed(refusal(400, "unreadable body"));
+        }
+        if (request.model() == null || (!versions.isEmpty() && !versions.contains(request.model()))) {
+            return completed(refusal(404, "no such model"));
+        }
+        runsByVersion.incrementAndGet(request.model());
+        exchange.header(EndpointHeaders.REQUEST_ID).ifPresent(runsByRequest::incrementAndGet);
+        return run(exchange, request, faults.draw(exchange.body()));
+    }
+
+    private CompletionStage<HttpResponse> run(
+            Exchange exchange, ChatMessages.Request request, Optional<FaultKind> fault) {
+        if (fault.isPresent()) {
+            switch (fault.get()) {
+                case CRASH -> {
+                    http.refuseConnectionsFor(faults.outageMillis());
+                    return Responses.cut(exchange);
+                }
+                case HANG -> {
+                    return Responses.never();
+                }
+                case ERROR -> {
+                    return completed(BrokenAnswers.error());
+                }
+                default -> {
+                    // The others strike when the answer is made.
+                }
+            }
+        }
+        ChatExchange chat = new ChatExchange(exchange, request, answerTo(request), fault);
+        long lateMillis = fault.filter(FaultKind.LATE::equals).isPresent() ? faults.lateMillis() : 0;
+        return Later.supply(lateMillis, () -> chat.run(driver, settings)).thenCompose(response -> response);
+    }
+
+    private AnswerText answerTo(ChatMessages.Request request) {
+        double quality = qualities.getOrDefault(request.model(), DEFAULT_QUALITY);
+        return AnswerText.of(seed, request.model(), request.prompt(), quality, ChatMessages.maxTokens(request));
+    }
+
+    private static CompletionStage<HttpResponse> completed(HttpResponse response) {
+        return CompletableFuture.completedFuture(response);
+    }
+
+    private static HttpResponse refusal(int status, String message) {
+        return Responses.json(
+                status, "{\"error\":{\"message\":\"" + message + "\",\"type\":\"invalid_request_error\"}}");
+    }
+
+    private HttpResponse control(String command, Exchange exchange) {
+        if (command.equals("reset")) {
+            runsByRequest.clear();
+            runsByVersion.clear();
+            setSlowFactor(1);
+        }
+        if (faults.control(command, exchange)) {
+            return Responses.done();
+        }
+        switch (command) {
+            case "counters" -> {
+                return Responses.json(200, StandinJson.write(counters()));
+            }
+            case "runs" -> {
+                return Responses.json(200, StandinJson.write(runsByRequest.asMap()));
+            }
+            case "slow" -> setSlowFactor(exchange.number("factor", 1));
+            case "quality" ->
+                setQuality(exchange.parameter("version").orElse(""), exchange.number("value", DEFAULT_QUALITY));
+            case "refuse" -> http.refuseConnectionsFor(exchange.wholeNumber("millis", faults.outageMillis()));
+            default -> {
+                return Responses.notFound();
+            }
+        }
+        return Responses.done();
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return http.port();
+    }
+
+    /**
+     * Returns the faults, to be set.
+     *
+     * @return the plan in force
+     */
+    public FaultPlan faults() {
+        return faults;
+    }
+
+    /**
+     * Returns the server, whose connections can be cut and refused.
+     *
+     * @return the server
+     */
+    public HttpStandin http() {
+        return http;
+    }
+
+    /**
+     * Makes all work take longer.
+     *
+     * @param factor one for the usual speed, two for half of it
+     */
+    public void setSlowFactor(double factor) {
+        driver.setSlowFactor(factor);
+    }
+
+    /**
+     * Sets how good a version's answers are.
+     *
+     * @param version the version, as {@code model@version}
+     * @param quality mean of its answers' scores, from 0 to 1
+     */
+    public void setQuality(String version, double quality) {
+        qualities.put(version, quality);
+    }
+
+    /**
+     * Returns how often a request ran.
+     *
+     * @param requestId the request
+     * @return the count
+     */
+    public long runsOf(String requestId) {
+        return runsByRequest.get(requestId);
+    }
+
+    /**
+     * Returns the sums of what has come.
+     *
+     * @return the counts
+     */
+    public Counters counters() {
+        EngineLoad load = driver.load();
+        return new Counters(
+                ImmutableMap.copyOf(runsByVersion.asMap()),
+                load.running(),
+                load.waiting(),
+                driver.cancelledCount(),
+                driver.cachedTokenCount(),
+                faults.struck());
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/fault/FaultPlan.java
@@ -0,0 +1,175 @@
+package baobabcroft.standin.fault;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import baobabcroft.standin.http.Exchange;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.util.concurrent.AtomicLongMap;
+import java.util.EnumMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+
+/** Decides which fault, if any, strikes a request. Deterministic for a seed and an order of requests. Thread-safe. */
+public final class FaultPlan {
+    private static final long DEFAULT_OUTAGE_MILLIS = 2_000;
+    private static final long DEFAULT_LATE_MILLIS = 1_000;
+
+    private final long seed;
+    private final Map<FaultKind, Double> rates = new EnumMap<>(FaultKind.class);
+    private final AtomicLongMap<FaultKind> struck = AtomicLongMap.create();
+    private SplittableRandom random;
+    private Optional<String> crashText = Optional.empty();
+    private long outageMillis = DEFAULT_OUTAGE_MILLIS;
+    private long lateMillis = DEFAULT_LATE_MILLIS;
+
+    private FaultPlan(long seed) {
+        this.seed = seed;
+        this.random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Returns a plan without faults.
+     *
+     * @param seed seed of the draws
+     * @return the plan
+     */
+    public static FaultPlan create(long seed) {
+        return new FaultPlan(seed);
+    }
+
+    /**
+     * Draws the fault of one request.
+     *
+     * @param body the request's body
+     * @return the fault, if one strikes
+     */
+    public synchronized Optional<FaultKind> draw(String body) {
+        Optional<FaultKind> fault =
+                crashText.filter(body::contains).isPresent() ? Optional.of(FaultKind.CRASH) : drawByRate();
+        fault.ifPresent(struck::incrementAndGet);
+        return fault;
+    }
+
+    private Optional<FaultKind> drawByRate() {
+        if (rates.isEmpty()) {
+            return Optional.empty();
+        }
+        double drawn = random.nextDouble();
+        for (Map.Entry<FaultKind, Double> rate : rates.entrySet()) {
+            drawn -= rate.getValue();
+            if (drawn < 0) {
+                return Optional.of(rate.getKey());
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Sets the share of requests that a fault strikes.
+     *
+     * @param kind the fault
+     * @param rate the share, from 0 to 1
+     */
+    public synchronized void setRate(FaultKind kind, double rate) {
+        checkArgument(rate >= 0 && rate <= 1, "rate must be from 0 to 1, was %s", rate);
+        if (rate == 0) {
+            rates.remove(kind);
+        } else {
+            rates.put(kind, rate);
+        }
+    }
+
+    /**
+     * Makes each request crash whose body contains a text.
+     *
+     * @param text the text
+     */
+    public synchronized void crashOn(String text) {
+        checkArgument(!text.isEmpty(), "the text must not be empty");
+        crashText = Optional.of(text);
+    }
+
+    /**
+     * Sets how long connections are refused after a crash.
+     *
+     * @param millis the time, in milliseconds
+     */
+    public synchronized void setOutageMillis(long millis) {
+        outageMillis = millis;
+    }
+
+    /**
+     * Returns how long connections are refused after a crash.
+     *
+     * @return the time, in milliseconds
+     */
+    public synchronized long outageMillis() {
+        return outageMillis;
+    }
+
+    /**
+     * Sets the delay of late answers.
+     *
+     * @param millis the delay, in milliseconds
+     */
+    public synchronized void setLateMillis(long millis) {
+        lateMillis = millis;
+    }
+
+    /**
+     * Returns the delay of late answers.
+     *
+     * @return the delay, in milliseconds
+     */
+    public synchronized long lateMillis() {
+        return lateMillis;
+    }
+
+    /**
+     * Returns how many requests each fault has struck.
+     *
+     * @return the counts, without zeros
+     */
+    public ImmutableMap<FaultKind, Long> struck() {
+        return ImmutableMap.copyOf(struck.asMap());
+    }
+
+    /** Ends all faults, zeroes the counts and begins the draws again. */
+    public synchronized void reset() {
+        rates.clear();
+        struck.clear();
+        crashText = Optional.empty();
+        outageMillis = DEFAULT_OUTAGE_MILLIS;
+        lateMillis = DEFAULT_LATE_MILLIS;
+        random = new SplittableRandom(seed);
+    }
+
+    /**
+     * Carries out a control request: {@code fault?kind=&rate=}, {@code crash-on?text=}, {@code outage?millis=},
+     * {@code late?millis=} or {@code reset}.
+     *
+     * @param command the last part of the path
+     * @param exchange the request
+     * @return whether the command is one of these
+     */
+    public boolean control(String command, Exchange exchange) {
+        switch (command) {
+            case "fault" -> setRate(kindOf(exchange), exchange.number("rate", 1));
+            case "crash-on" -> crashOn(exchange.parameter("text").orElse(""));
+            case "outage" -> setOutageMillis(exchange.wholeNumber("millis", DEFAULT_OUTAGE_MILLIS));
+            case "late" -> setLateMillis(exchange.wholeNumber("millis", DEFAULT_LATE_MILLIS));
+            case "reset" -> reset();
+            default -> {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private static FaultKind kindOf(Exchange exchange) {
+        String name = exchange.parameter("kind").orElse("");
+        return FaultKind.valueOf(name.replace('-', '_').toUpperCase(Locale.ROOT));
+    }
+}
--- a/standins/src/main/java/baobabcroft/standin/http/Exchange.java
+++ b/standins/src/main/java/baobabcroft/standin/http/Exchange.java
@@ -84,4 +84,15 @@
     public double number(String name, double absent) {
         return parameter(name).map(Double::valueOf).orElse(absent);
     }
+
+    /**
+     * Returns a parameter of the query as a whole number.
+     *
+     * @param name the parameter's name
+     * @param absent the number to return if there is none
+     * @return the number
+     */
+    public long wholeNumber(String name, long absent) {
+        return parameter(name).map(Long::valueOf).orElse(absent);
+    }
 }
--- a/standins/src/main/java/baobabcroft/standin/http/Later.java
+++ b/standins/src/main/java/baobabcroft/standin/http/Later.java
@@ -3,6 +3,7 @@
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -35,6 +36,17 @@
         var unused = EXECUTOR.schedule(task, millis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Runs a task after a delay that may be shorter than a millisecond.
+     *
+     * @param micros the delay, in microseconds
+     * @param task the task
+     * @return a handle that cancels it
+     */
+    public static Future<?> runMicros(long micros, Runnable task) {
+        return EXECUTOR.schedule(task, micros, TimeUnit.MICROSECONDS);
+    }
+
     /**
      * Runs a task again and again until it returns false.
      *
--- a/standins/src/main/java/baobabcroft/standin/http/StandinSystem.java
+++ b/standins/src/main/java/baobabcroft/standin/http/StandinSystem.java
@@ -9,8 +9,8 @@
     private static final String SETTINGS =
             """
             pekko.daemonic = on
-            pekko.loglevel = "ERROR"
-            pekko.stdout-loglevel = "ERROR"
+            pekko.loglevel = "OFF"
+            pekko.stdout-loglevel = "OFF"
             pekko.jvm-shutdown-hooks = off
             pekko.coordinated-shutdown.run-by-jvm-shutdown-hook = off
             pekko.http.server.request-timeout = infinite
--- a/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
@@ -147,9 +147,9 @@
             case "down" -> down();
             case "unavailable" -> unavailable();
             case "up" -> up();
-            case "refuse" -> http.refuseConnectionsFor((long) exchange.number("millis", 1_000));
-            case "slow" -> slow((long) exchange.number("millis", 0));
-            case "lose-replies" -> loseReplies((int) exchange.number("count", 1));
+            case "refuse" -> http.refuseConnectionsFor(exchange.wholeNumber("millis", 1_000));
+            case "slow" -> slow(exchange.wholeNumber("millis", 0));
+            case "lose-replies" -> loseReplies((int) exchange.wholeNumber("count", 1));
             case "lapse-leases" -> lapseLeases();
             case "cut-connections" -> cutConnections();
             case "compact" -> compact();
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/live/LiveListStandin.java
@@ -0,0 +1,170 @@
+package baobabcroft.standin.live;
+
+import baobabcroft.platform.LiveEntry;
+import baobabcroft.standin.http.Exchange;
+import baobabcroft.standin.http.HttpStandin;
+import baobabcroft.standin.http.Later;
+import baobabcroft.standin.http.Responses;
+import baobabcroft.standin.http.StandinJson;
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.net.URI;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * Stand-in of the live list, in the format of Prometheus HTTP service discovery. Changes show after a lag. Thread-safe.
+ *
+ * <p>Control paths: {@code POST /control/put?name=&role=&state=&failure_domain=&address=},
+ * {@code /control/remove?name=}, {@code /control/lag?millis=}, {@code /control/unavailable} and {@code /control/up}.
+ */
+public final class LiveListStandin implements AutoCloseable {
+    private final HttpStandin http;
+    private final Map<String, LiveEntry> shown = new TreeMap<>();
+    private boolean available = true;
+    private long lagMillis;
+
+    private LiveListStandin(int port) {
+        this.http = HttpStandin.start(port, this::handle);
+    }
+
+    /**
+     * Starts an empty list without lag.
+     *
+     * @param port the port, or zero for any free one
+     * @return the running stand-in
+     */
+    public static LiveListStandin start(int port) {
+        return new LiveListStandin(port);
+    }
+
+    private record Labels(String name, String role, String state, String failureDomain) {}
+
+    private record TargetGroup(List<String> targets, Labels labels) {
+        static TargetGroup of(LiveEntry entry) {
+            Labels labels = new Labels(entry.name(), lower(entry.role()), lower(entry.state()), entry.failureDomain());
+            return new TargetGroup(ImmutableList.of(entry.address().toString()), labels);
+        }
+
+        private static String lower(Enum<?> value) {
+            return value.name().toLowerCase(Locale.ROOT);
+        }
+    }
+
+    private CompletionStage<HttpResponse> handle(Exchange exchange) {
+        return CompletableFuture.completedFuture(
+                exchange.path().startsWith("/control/")
+                        ? control(exchange.path().substring("/control/".length()), exchange)
+                        : list());
+    }
+
+    private synchronized HttpResponse list() {
+        return available
+                ? Responses.json(
+                        200,
+                        StandinJson.write(
+                                shown.values().stream().map(TargetGroup::of).toList()))
+                : Responses.json(503, "{}");
+    }
+
+    private HttpResponse control(String command, Exchange exchange) {
+        switch (command) {
+            case "put" -> put(entryOf(exchange));
+            case "remove" -> remove(exchange.parameter("name").orElseThrow());
+            case "lag" -> setLagMillis(exchange.wholeNumber("millis", 0));
+            case "unavailable" -> setAvailable(false);
+            case "up" -> setAvailable(true);
+            default -> {
+                return Responses.notFound();
+            }
+        }
+        return Responses.done();
+    }
+
+    private static LiveEntry entryOf(Exchange exchange) {
+        return new LiveEntry(
+                exchange.parameter("name").orElseThrow(),
+                LiveEntry.Role.valueOf(
+                        exchange.parameter("role").orElse("instance").toUpperCase(Locale.ROOT)),
+                LiveEntry.State.valueOf(
+                        exchange.parameter("state").orElse("live").toUpperCase(Locale.ROOT)),
+                exchange.parameter("failure_domain").orElseThrow(),
+                HostAndPort.fromString(exchange.parameter("address").orElseThrow()));
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return http.port();
+    }
+
+    /**
+     * Returns the list's address.
+     *
+     * @return the URL to read
+     */
+    public URI uri() {
+        return URI.create("http://127.0.0.1:" + port() + "/");
+    }
+
+    /**
+     * Adds or replaces an entry, which shows after the lag.
+     *
+     * @param entry the entry
+     */
+    public void put(LiveEntry entry) {
+        afterLag(() -> shown.put(entry.name(), entry));
+    }
+
+    /**
+     * Removes an entry, which vanishes after the lag.
+     *
+     * @param name the entry's name
+     */
+    public void remove(String name) {
+        afterLag(() -> shown.remove(name));
+    }
+
+    private synchronized void afterLag(Runnable change) {
+        if (lagMillis == 0) {
+            change.run();
+            return;
+        }
+        Later.run(lagMillis, () -> runLocked(change));
+    }
+
+    private synchronized void runLocked(Runnable change) {
+        change.run();
+    }
+
+    /**
+     * Sets after which time changes show.
+     *
+     * @param millis the lag, in milliseconds
+     */
+    public synchronized void setLagMillis(long millis) {
+        lagMillis = millis;
+    }
+
+    /**
+     * Sets whether the list is answered, or 503.
+     *
+     * @param isAvailable whether it is answered
+     */
+    public synchronized void setAvailable(boolean isAvailable) {
+        available = isAvailable;
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/rating/RatingStandin.java
@@ -0,0 +1,173 @@
+package baobabcroft.standin.rating;
+
+import baobabcroft.platform.RatingRequest;
+import baobabcroft.standin.engine.AnswerText;
+import baobabcroft.standin.http.Exchange;
+import baobabcroft.standin.http.HttpStandin;
+import baobabcroft.standin.http.Responses;
+import baobabcroft.standin.http.StandinJson;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.util.concurrent.RateLimiter;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * Stand-in of the rating service. It reads the score that an engine's stand-in hides in its answer; an answer without
+ * one is as good as its version. Thread-safe.
+ *
+ * <p>Control paths: {@code POST /control/quality?version=&value=}, {@code /control/rate?per_second=},
+ * {@code /control/unavailable}, {@code /control/up} and {@code GET /control/counters}.
+ */
+public final class RatingStandin implements AutoCloseable {
+    private static final double DEFAULT_QUALITY = 0.9;
+    private static final double DEFAULT_PER_SECOND = 50;
+
+    private final HttpStandin http;
+    private final RateLimiter limiter = RateLimiter.create(DEFAULT_PER_SECOND);
+    private final Map<String, Double> qualities = new ConcurrentHashMap<>();
+    private final AtomicLong rated = new AtomicLong();
+    private final AtomicLong limited = new AtomicLong();
+    private volatile boolean available = true;
+
+    private RatingStandin(int port) {
+        this.http = HttpStandin.start(port, this::handle);
+    }
+
+    /**
+     * Starts a service that rates up to 50 answers a second.
+     *
+     * @param port the port, or zero for any free one
+     * @return the running stand-in
+     */
+    public static RatingStandin start(int port) {
+        return new RatingStandin(port);
+    }
+
+    private record Rating(double score) {}
+
+    /**
+     * Counts of what has come.
+     *
+     * @param rated answers rated
+     * @param limited requests refused by the limit
+     */
+    public record Counters(long rated, long limited) {}
+
+    private CompletionStage<HttpResponse> handle(Exchange exchange) {
+        return CompletableFuture.completedFuture(respond(exchange));
+    }
+
+    private HttpResponse respond(Exchange exchange) {
+        if (exchange.path().startsWith("/control/")) {
+            return control(exchange.path().substring("/control/".length()), exchange);
+        }
+        if (!exchange.path().equals("/v1/ratings")) {
+            return Responses.notFound();
+        }
+        if (!available) {
+            return Responses.json(503, "{}");
+        }
+        if (!limiter.tryAcquire()) {
+            limited.incrementAndGet();
+            return Responses.json(429, "{}");
+        }
+        return rate(exchange.body());
+    }
+
+    private HttpResponse rate(String body) {
+        try {
+            RatingRequest request = StandinJson.read(body, RatingRequest.class);
+            rated.incrementAndGet();
+            return Responses.json(200, StandinJson.write(new Rating(scoreOf(request))));
+        } catch (JsonProcessingException e) {
+            return Responses.json(400, "{\"error\":\"unreadable body\"}");
+        }
+    }
+
+    private double scoreOf(RatingRequest request) {
+        return AnswerText.scoreOf(request.answer())
+                .orElseGet(() -> qualities.getOrDefault(request.version(), DEFAULT_QUALITY));
+    }
+
+    private HttpResponse control(String command, Exchange exchange) {
+        switch (command) {
+            case "quality" ->
+                setQuality(exchange.parameter("version").orElseThrow(), exchange.number("value", DEFAULT_QUALITY));
+            case "rate" -> setPerSecond(exchange.number("per_second", DEFAULT_PER_SECOND));
+            case "unavailable" -> setAvailable(false);
+            case "up" -> setAvailable(true);
+            case "counters" -> {
+                return Responses.json(200, StandinJson.write(counters()));
+            }
+            default -> {
+                return Responses.notFound();
+            }
+        }
+        return Responses.done();
+    }
+
+    /**
+     * Returns the port.
+     *
+     * @return the port
+     */
+    public int port() {
+        return http.port();
+    }
+
+    /**
+     * Returns the service's address.
+     *
+     * @return the base of its paths
+     */
+    public URI uri() {
+        return URI.create("http://127.0.0.1:" + port());
+    }
+
+    /**
+     * Sets how good answers of a version are that tell no score of their own.
+     *
+     * @param version the version, as {@code model@version}
+     * @param quality their score, from 0 to 1
+     */
+    public void setQuality(String version, double quality) {
+        qualities.put(version, quality);
+    }
+
+    /**
+     * Sets how many answers are rated a second.
+     *
+     * @param perSecond the limit
+     */
+    public void setPerSecond(double perSecond) {
+        limiter.setRate(perSecond);
+    }
+
+    /**
+     * Sets whether requests are answered, or 503.
+     *
+     * @param isAvailable whether they are answered
+     */
+    public void setAvailable(boolean isAvailable) {
+        available = isAvailable;
+    }
+
+    /**
+     * Returns the sums of what has come.
+     *
+     * @return the counts
+     */
+    public Counters counters() {
+        return new Counters(rated.get(), limited.get());
+    }
+
+    @Override
+    public void close() {
+        http.close();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/standin/rating/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-in of the service that rates answers. */
+package baobabcroft.standin.rating;
--- /dev/null
+++ b/standins/src/test/java/baobabcroft/standin/rating/RatingStandinTest.java
@@ -0,0 +1,57 @@
+package baobabcroft.standin.rating;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import baobabcroft.platform.HttpRatingService;
+import baobabcroft.platform.RatingRequest;
+import baobabcroft.platform.RatingResult;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class RatingStandinTest {
+    private static final long LIMIT_SECONDS = 20;
+
+    private final RatingStandin standin = RatingStandin.start(0);
+    private final HttpRatingService service =
+            HttpRatingService.create(standin.uri(), TimeUnit.SECONDS.toMillis(LIMIT_SECONDS));
+
+    @AfterEach
+    void stop() {
+        standin.close();
+    }
+
+    private RatingResult rate(String answer) throws Exception {
+        return service.rate(new RatingRequest("film@1", "short", "digest", answer))
+                .toCompletableFuture()
+                .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void ratesByTheScoreInTheAnswer() throws Exception {
+        assertEquals(new RatingResult.Rated(0.25), rate("score=0.250 w1"));
+    }
+
+    @Test
+    void ratesByTheVersionOtherwise() throws Exception {
+        standin.setQuality("film@1", 0.5);
+        assertEquals(new RatingResult.Rated(0.5), rate("no score"));
+    }
+
+    @Test
+    void limitsRatings() throws Exception {
+        standin.setPerSecond(0.001);
+        RatingResult last = rate("a");
+        for (int i = 0; i < 100 && last instanceof RatingResult.Rated; i++) {
+            last = rate("a");
+        }
+        assertEquals(new RatingResult.Limited(), last);
+    }
+
+    @Test
+    void isUnavailableWhenTheServiceIs() throws Exception {
+        standin.setAvailable(false);
+        assertInstanceOf(RatingResult.Unavailable.class, rate("a"));
+    }
+}
