--- /dev/null
+++ b/router/src/main/java/baobabcroft/chat/ChatBody.java
@@ -0,0 +1,147 @@
+package baobabcroft.chat;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.RouterException;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+
+/** A chat completion request as its caller sent it. Immutable and thread-safe. */
+public final class ChatBody {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int PREFIX_LENGTH_CHARS = 512;
+
+    private final ObjectNode root;
+    private final String model;
+    private final String digest;
+
+    private ChatBody(ObjectNode root, String model, String digest) {
+        this.root = root;
+        this.model = model;
+        this.digest = digest;
+    }
+
+    /**
+     * Returns the request that a body holds.
+     *
+     * @param bytes the body
+     * @return the request
+     * @throws RouterException with {@code malformed_body} if the body is not a JSON object with a {@code model} and
+     *     {@code messages}
+     */
+    public static ChatBody parse(byte[] bytes) {
+        JsonNode node = readTree(checkNotNull(bytes));
+        if (!(node instanceof ObjectNode object)) {
+            throw malformed("the body must be a JSON object");
+        }
+        if (!object.path("model").isTextual() || object.path("model").asText().isEmpty()) {
+            throw malformed("the body must have a text member 'model'");
+        }
+        if (!object.path("messages").isArray() || object.path("messages").isEmpty()) {
+            throw malformed("the body must have a non-empty array member 'messages'");
+        }
+        if (object.has("stream") && !object.get("stream").isBoolean()) {
+            throw malformed("the member 'stream' must be true or false");
+        }
+        if (object.has("n") && !(object.get("n").isInt() && object.get("n").asInt() > 0)) {
+            throw malformed("the member 'n' must be a positive whole number");
+        }
+        String digest = Hashing.sha256().hashBytes(bytes).toString();
+        return new ChatBody(object, object.get("model").asText(), digest);
+    }
+
+    private static JsonNode readTree(byte[] bytes) {
+        try {
+            return JSON.readTree(bytes);
+        } catch (JsonProcessingException malformed) {
+            throw malformed("the body is not valid JSON: " + malformed.getOriginalMessage());
+        } catch (IOException unreadable) {
+            throw malformed("the body could not be read: " + unreadable.getMessage());
+        }
+    }
+
+    private static RouterException malformed(String message) {
+        return RouterException.notRun(ErrorCode.MALFORMED_BODY, message);
+    }
+
+    /**
+     * Returns the model, cascade or version that the caller names.
+     *
+     * @return the name as sent
+     */
+    public String model() {
+        return model;
+    }
+
+    /**
+     * Returns whether the caller wants the answer streamed.
+     *
+     * @return the member {@code stream}
+     */
+    public boolean stream() {
+        return root.path("stream").asBoolean(false);
+    }
+
+    /**
+     * Returns how many alternative answers the caller wants.
+     *
+     * @return the member {@code n}, 1 if absent
+     */
+    public int choices() {
+        return root.path("n").asInt(1);
+    }
+
+    /**
+     * Returns whether the caller wants a usage event at the end of a stream.
+     *
+     * @return the member {@code stream_options.include_usage}
+     */
+    public boolean wantsUsage() {
+        return root.path("stream_options").path("include_usage").asBoolean(false);
+    }
+
+    /**
+     * Returns the SHA-256 of the body as sent.
+     *
+     * @return lower-case hexadecimal
+     */
+    public String digest() {
+        return digest;
+    }
+
+    /**
+     * Returns a digest of the beginning of the conversation, which engines cache.
+     *
+     * @return a 64-bit digest
+     */
+    public long prefixDigest() {
+        String first = root.get("messages").get(0).toString();
+        String prefix = first.substring(0, Math.min(first.length(), PREFIX_LENGTH_CHARS));
+        return Hashing.murmur3_128().hashString(prefix, StandardCharsets.UTF_8).asLong();
+    }
+
+    /**
+     * Returns the body for an engine: the caller's, with the version as its model and, in a stream, usage asked for.
+     *
+     * @param version the version's full name
+     * @return JSON in UTF-8
+     */
+    public byte[] forEngine(String version) {
+        ObjectNode copy = root.deepCopy();
+        copy.put("model", version);
+        if (stream()) {
+            copy.withObject("/stream_options").put("include_usage", true);
+        }
+        try {
+            return JSON.writeValueAsBytes(copy);
+        } catch (JsonProcessingException impossible) {
+            throw new IllegalStateException(impossible);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/chat/SseRelay.java
@@ -0,0 +1,246 @@
+package baobabcroft.chat;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Optional;
+import java.util.Queue;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.Attributes;
+import org.apache.pekko.stream.FlowShape;
+import org.apache.pekko.stream.Inlet;
+import org.apache.pekko.stream.Outlet;
+import org.apache.pekko.stream.stage.AbstractInHandler;
+import org.apache.pekko.stream.stage.AbstractOutHandler;
+import org.apache.pekko.stream.stage.AsyncCallback;
+import org.apache.pekko.stream.stage.GraphStage;
+import org.apache.pekko.stream.stage.GraphStageLogic;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Relays a streamed chat answer event by event, and holds its end until the observer releases it.
+ *
+ * <p>Every event must be of one answer and of the expected version. An answer is whole when all choices have finished and
+ * the end mark was seen. What is held is at most the last events, never the answer. Immutable; each materialization has
+ * its own state.
+ */
+public final class SseRelay extends GraphStage<FlowShape<ByteString, ByteString>> {
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+    private static final ByteString LF_LF = ByteString.fromString("\n\n");
+
+    private final Inlet<ByteString> in = Inlet.create("SseRelay.in");
+    private final Outlet<ByteString> out = Outlet.create("SseRelay.out");
+    private final FlowShape<ByteString, ByteString> shape = FlowShape.of(in, out);
+    private final String expectedVersion;
+    private final int choices;
+    private final boolean passUsage;
+    private final StreamObserver observer;
+
+    private SseRelay(String expectedVersion, int choices, boolean passUsage, StreamObserver observer) {
+        this.expectedVersion = expectedVersion;
+        this.choices = choices;
+        this.passUsage = passUsage;
+        this.observer = observer;
+    }
+
+    /**
+     * Returns a relay for one answer.
+     *
+     * @param expectedVersion the version that was asked for
+     * @param choices how many alternatives were asked for
+     * @param passUsage whether the caller wants the usage event
+     * @param observer is told how the stream ends
+     * @return the relay
+     */
+    public static SseRelay create(
+            String expectedVersion, int choices, boolean passUsage, StreamObserver observer) {
+        checkArgument(choices > 0, "choices must be positive, was %s", choices);
+        return new SseRelay(checkNotNull(expectedVersion), choices, passUsage, checkNotNull(observer));
+    }
+
+    @Override
+    public FlowShape<ByteString, ByteString> shape() {
+        return shape;
+    }
+
+    @Override
+    public GraphStageLogic createLogic(Attributes attributes) {
+        return new Logic();
+    }
+
+    private final class Logic extends GraphStageLogic {
+        private final Queue<ByteString> ready = new ArrayDeque<>();
+        private final AsyncCallback<Pair<Optional<String>, Throwable>> released =
+                createAsyncCallback(result -> release(result.first(), result.second()));
+        private ByteString pending = ByteString.emptyByteString();
+        private ByteString held = ByteString.emptyByteString();
+        private String answerId = "";
+        private int finished;
+        private long contentEvents;
+        private long countedTokens = -1;
+        private boolean done;
+        private boolean ended;
+
+        Logic() {
+            super(shape);
+            setHandler(in, new AbstractInHandler() {
+                @Override
+                public void onPush() {
+                    accept(grab(in));
+                }
+
+                @Override
+                public void onUpstreamFinish() {
+                    finish("the stream ended early");
+                }
+
+                @Override
+                public void onUpstreamFailure(Throwable failure) {
+                    finish(String.valueOf(failure.getMessage()));
+                }
+            });
+            setHandler(out, new AbstractOutHandler() {
+                @Override
+                public void onPull() {
+                    deliver();
+                }
+
+                @Override
+                public void onDownstreamFinish(Throwable cause) throws Exception {
+                    if (!ended) {
+                        ended = true;
+                        observer.onCallerLeft(tokens());
+                    }
+                    super.onDownstreamFinish(cause);
+                }
+            });
+        }
+
+        private long tokens() {
+            return countedTokens >= 0 ? countedTokens : contentEvents;
+        }
+
+        private void accept(ByteString bytes) {
+            pending = pending.concat(bytes);
+            int end = pending.indexOfSlice(LF_LF, 0);
+            while (end >= 0 && !ended) {
+                ByteString block = pending.take(end + LF_LF.length());
+                pending = pending.drop(end + LF_LF.length());
+                acceptEvent(block);
+                end = pending.indexOfSlice(LF_LF, 0);
+            }
+            if (ended) {
+                return;
+            }
+            if (pending.length() > MAX_EVENT_BYTES) {
+                breakOff("an event is longer than " + MAX_EVENT_BYTES + " bytes");
+                return;
+            }
+            deliver();
+        }
+
+        private void acceptEvent(ByteString block) {
+            if (done) {
+                return;
+            }
+            Optional<SseEvent> parsed = SseEvent.parse(block.decodeString(StandardCharsets.UTF_8));
+            if (parsed.isEmpty()) {
+                breakOff("an event is not part of a chat answer");
+                return;
+            }
+            SseEvent event = parsed.get();
+            if (event.isComment()) {
+                return;
+            }
+            if (event.isDone()) {
+                done = true;
+                held = held.concat(block);
+                return;
+            }
+            acceptChunk(event, block);
+        }
+
+        private void acceptChunk(SseEvent event, ByteString block) {
+            if (!isExpected(event)) {
+                breakOff("an event belongs to another answer or version");
+                return;
+            }
+            contentEvents += event.hasContent() ? 1 : 0;
+            countedTokens = Math.max(countedTokens, event.completionTokens());
+            finished += event.finishedChoices();
+            if (event.isUsageOnly() && !passUsage) {
+                return;
+            }
+            if (finished >= choices) {
+                held = held.concat(block);
+            } else {
+                ready.add(block);
+            }
+        }
+
+        private boolean isExpected(SseEvent event) {
+            if (!event.model().isEmpty() && !event.model().equals(expectedVersion)) {
+                return false;
+            }
+            if (answerId.isEmpty()) {
+                answerId = event.id();
+            }
+            return event.id().equals(answerId);
+        }
+
+        private void deliver() {
+            if (isAvailable(out) && !ready.isEmpty()) {
+                push(out, ready.poll());
+            }
+            if (!ended && !isClosed(in) && !hasBeenPulled(in) && isAvailable(out)) {
+                pull(in);
+            }
+        }
+
+        private void finish(String reasonIfBroken) {
+            if (ended) {
+                return;
+            }
+            if (!done || finished < choices) {
+                breakOff(reasonIfBroken);
+                return;
+            }
+            ended = true;
+            setKeepGoing(true);
+            observer.onWhole(tokens())
+                    .whenComplete((error, failure) -> released.invoke(
+                            Pair.create(error == null ? Optional.empty() : error, failure)));
+        }
+
+        private void release(Optional<String> error, Throwable failure) {
+            setKeepGoing(false);
+            if (failure != null) {
+                emitLast(errorEvent("{\"error\":{\"code\":\"internal\"}}"));
+                return;
+            }
+            emitLast(error.map(this::errorEvent).orElse(held));
+        }
+
+        private void breakOff(String reason) {
+            ended = true;
+            String error = observer.onBroken(tokens(), reason);
+            if (!isClosed(in)) {
+                cancel(in);
+            }
+            emitLast(errorEvent(error));
+        }
+
+        private ByteString errorEvent(String json) {
+            return ByteString.fromString("data: " + json + "\n\n");
+        }
+
+        private void emitLast(ByteString last) {
+            while (!ready.isEmpty()) {
+                emit(out, ready.poll());
+            }
+            emit(out, last, this::completeStage);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/endpoint/PekkoEndpointClient.java
@@ -0,0 +1,132 @@
+package baobabcroft.endpoint;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.Scheduler;
+import baobabcroft.endpoint.EndpointReply.Answered;
+import baobabcroft.endpoint.EndpointReply.Failed;
+import baobabcroft.endpoint.EndpointReply.Kind;
+import java.net.ConnectException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.ConnectHttp;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.OutgoingConnection;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.Uri;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.KillSwitches;
+import org.apache.pekko.stream.StreamTcpException;
+import org.apache.pekko.stream.UniqueKillSwitch;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+
+/**
+ * Calls endpoints over HTTP/1.1.
+ *
+ * <p>Repeatable calls share pooled connections. Others open a connection each: only then is it certain that a failure to
+ * connect wrote nothing, and that no request goes out on a connection that the endpoint is closing. Thread-safe.
+ */
+public final class PekkoEndpointClient implements EndpointClient {
+    private final ActorSystem<?> system;
+    private final Http http;
+    private final Scheduler scheduler;
+
+    private PekkoEndpointClient(ActorSystem<?> system, Scheduler scheduler) {
+        this.system = checkNotNull(system);
+        this.http = Http.get(system);
+        this.scheduler = checkNotNull(scheduler);
+    }
+
+    /**
+     * Returns a client that runs on an actor system.
+     *
+     * @param system runs the connections
+     * @param scheduler runs the timeouts
+     * @return the client
+     */
+    public static PekkoEndpointClient create(ActorSystem<?> system, Scheduler scheduler) {
+        return new PekkoEndpointClient(system, scheduler);
+    }
+
+    @Override
+    public CompletionStage<EndpointReply> send(EndpointCall call) {
+        return call.repeatable() ? sendPooled(call) : sendAlone(call);
+    }
+
+    private CompletionStage<EndpointReply> sendPooled(EndpointCall call) {
+        Uri relative = call.request().getUri();
+        Uri absolute = relative.scheme("http")
+                .host(call.address().getHost())
+                .port(call.address().getPort());
+        CompletionStage<HttpResponse> response = http.singleRequest(call.request().withUri(absolute));
+        Runnable abandon = () -> response.thenAccept(late -> late.discardEntityBytes(system));
+        return withTimeout(response.handle((answer, failure) -> reply(answer, failure)), call.timeoutMillis(), abandon);
+    }
+
+    private CompletionStage<EndpointReply> sendAlone(EndpointCall call) {
+        ConnectHttp target = ConnectHttp.toHost(
+                call.address().getHost(), call.address().getPort());
+        HttpRequest request = call.request();
+        Pair<Pair<UniqueKillSwitch, CompletionStage<OutgoingConnection>>, CompletionStage<HttpResponse>> run =
+                Source.single(request)
+                        .viaMat(KillSwitches.single(), Keep.right())
+                        .viaMat(http.outgoingConnection(target), Keep.both())
+                        .toMat(Sink.head(), Keep.both())
+                        .run(system);
+        CompletionStage<Boolean> connected = run.first().second().handle((connection, failure) -> failure == null);
+        CompletionStage<EndpointReply> reply = run.second()
+                .handle((answer, failure) -> reply(answer, failure))
+                .thenCombine(connected, PekkoEndpointClient::withConnection);
+        UniqueKillSwitch killSwitch = run.first().first();
+        return withTimeout(
+                reply,
+                call.timeoutMillis(),
+                () -> killSwitch.abort(new IllegalStateException("no answer in " + call.timeoutMillis() + " ms")));
+    }
+
+    private static EndpointReply withConnection(EndpointReply reply, boolean connected) {
+        if (reply instanceof Failed failed && !connected) {
+            return new Failed(Kind.NOT_CONNECTED, failed.reason());
+        }
+        return reply;
+    }
+
+    private static EndpointReply reply(HttpResponse answer, Throwable failure) {
+        if (failure == null) {
+            return new Answered(answer);
+        }
+        Kind kind = isConnectFailure(failure) ? Kind.NOT_CONNECTED : Kind.CONNECTION_LOST;
+        return new Failed(kind, String.valueOf(failure.getMessage()));
+    }
+
+    private static boolean isConnectFailure(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof ConnectException) {
+                return true;
+            }
+            if (cause instanceof StreamTcpException && cause.getCause() instanceof ConnectException) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private CompletionStage<EndpointReply> withTimeout(
+            CompletionStage<EndpointReply> reply, long timeoutMillis, Runnable abandon) {
+        CompletableFuture<EndpointReply> result = new CompletableFuture<>();
+        Scheduler.Cancellable timer = scheduler.schedule(timeoutMillis, () -> {
+            if (result.complete(new Failed(Kind.TIMED_OUT, "no answer in " + timeoutMillis + " ms"))) {
+                abandon.run();
+            }
+        });
+        reply.thenAccept(value -> {
+            timer.cancel();
+            result.complete(value);
+        });
+        return result;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/BodyReader.java
@@ -0,0 +1,60 @@
+package baobabcroft.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.RouterException;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+
+/** Reads request bodies within limits of length and time. Thread-safe. */
+final class BodyReader {
+    private final ActorSystem<?> system;
+    private final long maxBodyBytes;
+    private final long readTimeoutMillis;
+
+    BodyReader(ActorSystem<?> system, long maxBodyBytes, long readTimeoutMillis) {
+        this.system = checkNotNull(system);
+        this.maxBodyBytes = maxBodyBytes;
+        this.readTimeoutMillis = readTimeoutMillis;
+    }
+
+    /** Returns the body, or fails with the refusal that it earns. */
+    CompletionStage<byte[]> read(HttpRequest request) {
+        OptionalLong declaredBytes = request.entity().getContentLengthOption();
+        if (declaredBytes.isPresent() && declaredBytes.getAsLong() > maxBodyBytes) {
+            throw tooLarge();
+        }
+        return request.entity()
+                .withSizeLimit(maxBodyBytes)
+                .toStrict(readTimeoutMillis, system)
+                .handle((strict, failure) -> {
+                    if (failure != null) {
+                        throw refusal(failure);
+                    }
+                    return strict.getData().toArray();
+                });
+    }
+
+    private RouterException refusal(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof EntityStreamSizeException) {
+            return tooLarge();
+        }
+        if (cause instanceof TimeoutException) {
+            return RouterException.notRun(
+                    ErrorCode.SLOW_SENDER, "the body did not arrive within " + readTimeoutMillis + " ms");
+        }
+        return RouterException.notRun(ErrorCode.BAD_REQUEST, "the body could not be read: " + cause.getMessage());
+    }
+
+    private RouterException tooLarge() {
+        return RouterException.notRun(
+                ErrorCode.BODY_TOO_LARGE, "the body is longer than the limit of " + maxBodyBytes + " bytes");
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/CallerReader.java
@@ -0,0 +1,99 @@
+package baobabcroft.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.RouterException;
+import baobabcroft.rules.AccountRule;
+import baobabcroft.rules.RuleSet;
+import com.google.common.base.Ticker;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.time.InstantSource;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+
+/** Reads who calls, under which name and until when from a request's headers. Thread-safe. */
+final class CallerReader {
+    private static final String BEARER = "Bearer ";
+    private static final int MAX_NAME_CHARS = 256;
+    private static final long MAX_DEADLINE_MILLIS = TimeUnit.HOURS.toMillis(1);
+
+    private final Ticker ticker;
+    private final InstantSource wallClock;
+    private final Supplier<String> requestIds;
+    private final long defaultDeadlineMillis;
+
+    CallerReader(Ticker ticker, InstantSource wallClock, Supplier<String> requestIds, long defaultDeadlineMillis) {
+        this.ticker = checkNotNull(ticker);
+        this.wallClock = checkNotNull(wallClock);
+        this.requestIds = checkNotNull(requestIds);
+        this.defaultDeadlineMillis = defaultDeadlineMillis;
+    }
+
+    /** Returns the caller's request, or throws the refusal that its headers earn. */
+    CallerRequest read(HttpRequest request, RuleSet rules) {
+        AccountRule account = authenticate(request, rules);
+        long deadlineMillis = header(request, Headers.DEADLINE_MILLIS)
+                .map(CallerReader::parseDeadline)
+                .orElse(defaultDeadlineMillis);
+        long nowNanos = ticker.read();
+        return new CallerRequest(
+                account,
+                requestIds.get(),
+                name(request, Headers.IDEMPOTENCY_KEY),
+                name(request, Headers.SESSION),
+                nowNanos,
+                nowNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis),
+                wallClock.millis() + deadlineMillis);
+    }
+
+    private static AccountRule authenticate(HttpRequest request, RuleSet rules) {
+        String key = header(request, "Authorization")
+                .filter(value -> value.regionMatches(true, 0, BEARER, 0, BEARER.length()))
+                .map(value -> value.substring(BEARER.length()).strip())
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.UNKNOWN_ACCOUNT, "send the account's key as 'Authorization: Bearer <key>'"));
+        String hash = Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+        return rules.accountByKeySha256(hash)
+                .orElseThrow(() ->
+                        RouterException.notRun(ErrorCode.UNKNOWN_ACCOUNT, "the key belongs to no client account"));
+    }
+
+    private static Optional<String> name(HttpRequest request, String header) {
+        Optional<String> value = header(request, header);
+        value.filter(text -> text.isBlank() || text.length() > MAX_NAME_CHARS).ifPresent(text -> {
+            throw RouterException.notRun(
+                    ErrorCode.BAD_REQUEST,
+                    "header " + header + " must have 1 to " + MAX_NAME_CHARS + " characters, has " + text.length());
+        });
+        return value;
+    }
+
+    private static long parseDeadline(String text) {
+        long millis;
+        try {
+            millis = Long.parseLong(text.strip());
+        } catch (NumberFormatException notANumber) {
+            throw badDeadline(text);
+        }
+        if (millis <= 0 || millis > MAX_DEADLINE_MILLIS) {
+            throw badDeadline(text);
+        }
+        return millis;
+    }
+
+    private static RouterException badDeadline(String text) {
+        return RouterException.notRun(
+                ErrorCode.BAD_DEADLINE,
+                "header " + Headers.DEADLINE_MILLIS + " must be a whole number of milliseconds from 1 to "
+                        + MAX_DEADLINE_MILLIS + ", was '" + text + "'");
+    }
+
+    private static Optional<String> header(HttpRequest request, String name) {
+        return request.getHeader(name).map(HttpHeader::value);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/ChatStreamEnd.java
@@ -0,0 +1,53 @@
+package baobabcroft.gateway;
+
+import baobabcroft.balance.FailureKind;
+import baobabcroft.chat.StreamObserver;
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.Execution;
+import baobabcroft.common.RouterException;
+import com.google.common.base.Ticker;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BiFunction;
+
+/** Records the charge of a streamed answer before its end is released, and tells the pool how it went. */
+final class ChatStreamEnd implements StreamObserver {
+    private final Delivery delivery;
+    private final Charges charges;
+    private final BiFunction<Long, Boolean, Charge> chargeOf;
+    private final Ticker ticker;
+
+    ChatStreamEnd(
+            Delivery delivery, Charges charges, BiFunction<Long, Boolean, Charge> chargeOf, Ticker ticker) {
+        this.delivery = delivery;
+        this.charges = charges;
+        this.chargeOf = chargeOf;
+        this.ticker = ticker;
+    }
+
+    @Override
+    public CompletionStage<Optional<String>> onWhole(long completionTokens) {
+        delivery.succeeded(ticker);
+        return charges.record(chargeOf.apply(completionTokens, true))
+                .handle((unused, failure) -> Optional.ofNullable(failure)
+                        .map(Problems::toRefusal)
+                        .map(Problems::streamErrorJson));
+    }
+
+    @Override
+    public String onBroken(long completionTokens, String reason) {
+        delivery.failed(FailureKind.INVALID_ANSWER);
+        return Problems.streamErrorJson(RouterException.of(
+                ErrorCode.ENDPOINT_ANSWER_INVALID,
+                Execution.MAY_HAVE_RUN,
+                "the answer is not complete: " + reason));
+    }
+
+    @Override
+    public void onCallerLeft(long completionTokens) {
+        delivery.lease().cancelled();
+        if (completionTokens > 0) {
+            charges.record(chargeOf.apply(completionTokens, false));
+        }
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -0,0 +1,282 @@
+package baobabcroft.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.balance.EndpointLease;
+import baobabcroft.balance.EndpointPicker;
+import baobabcroft.balance.EndpointPool;
+import baobabcroft.balance.FailureKind;
+import baobabcroft.balance.RequestFacts;
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.Execution;
+import baobabcroft.common.RouterException;
+import baobabcroft.common.Scheduler;
+import baobabcroft.endpoint.EndpointCall;
+import baobabcroft.endpoint.EndpointClient;
+import baobabcroft.endpoint.EndpointReply;
+import baobabcroft.endpoint.EndpointReply.Answered;
+import baobabcroft.endpoint.EndpointReply.Failed;
+import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.retry.RetryBudget;
+import baobabcroft.retry.RetryDecision;
+import baobabcroft.retry.RetryDecision.Retry;
+import baobabcroft.retry.RetryDecision.Stop;
+import baobabcroft.retry.RetryFacts;
+import baobabcroft.retry.RetryPolicy;
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/**
+ * Sends requests to endpoints and retries those that may be sent again.
+ *
+ * <p>Right before every send it asks again for the rules in force and finds the target under them, so that an instance
+ * that was frozen, or a version that was withdrawn meanwhile, sends nothing. Thread-safe.
+ */
+final class Dispatcher {
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final int STATUS_PRECONDITION_FAILED = 412;
+    private static final int STATUS_TOO_MANY_REQUESTS = 429;
+    private static final int STATUS_SERVER_ERROR = 500;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    private final RulesInForce rulesInForce;
+    private final EndpointPool pool;
+    private final EndpointPicker picker;
+    private final EndpointClient client;
+    private final CrashWatch crashWatch;
+    private final RetryPolicy retryPolicy;
+    private final RetryBudget retryBudget;
+    private final Supplier<UniformRandomProvider> random;
+    private final Scheduler scheduler;
+    private final Ticker ticker;
+    private final RouterMetrics metrics;
+    private final Consumer<HttpResponse> discard;
+
+    Dispatcher(
+            RulesInForce rulesInForce,
+            EndpointPool pool,
+            EndpointPicker picker,
+            EndpointClient client,
+            CrashWatch crashWatch,
+            RetryPolicy retryPolicy,
+            RetryBudget retryBudget,
+            Supplier<UniformRandomProvider> random,
+            Scheduler scheduler,
+            Ticker ticker,
+            RouterMetrics metrics,
+            Consumer<HttpResponse> discard) {
+        this.rulesInForce = checkNotNull(rulesInForce);
+        this.pool = checkNotNull(pool);
+        this.picker = checkNotNull(picker);
+        this.client = checkNotNull(client);
+        this.crashWatch = checkNotNull(crashWatch);
+        this.retryPolicy = checkNotNull(retryPolicy);
+        this.retryBudget = checkNotNull(retryBudget);
+        this.random = checkNotNull(random);
+        this.scheduler = checkNotNull(scheduler);
+        this.ticker = checkNotNull(ticker);
+        this.metrics = checkNotNull(metrics);
+        this.discard = checkNotNull(discard);
+    }
+
+    /** Returns the answer of the endpoint that took the request, or fails with the refusal and its verdict. */
+    CompletionStage<Delivery> dispatch(Order order) {
+        retryBudget.requestStarted();
+        return attempt(order, Progress.start());
+    }
+
+    /** What earlier attempts of a request have left behind. */
+    private record Progress(
+            int attempts, Execution execution, ImmutableSet<String> tried, Optional<String> avoidedFailureDomain) {
+        static Progress start() {
+            return new Progress(0, Execution.NOT_RUN, ImmutableSet.of(), Optional.empty());
+        }
+
+        Progress after(EndpointLease lease, Execution verdict) {
+            ImmutableSet<String> allTried = ImmutableSet.<String>builder()
+                    .addAll(tried)
+                    .add(lease.rule().name())
+                    .build();
+            return new Progress(
+                    attempts + 1,
+                    execution.and(verdict),
+                    allTried,
+                    Optional.of(lease.rule().failureDomain()));
+        }
+    }
+
+    private CompletionStage<Delivery> attempt(Order order, Progress progress) {
+        try {
+            return attemptOnce(order, progress);
+        } catch (RouterException refusal) {
+            return CompletableFuture.failedFuture(withVerdict(refusal, progress));
+        }
+    }
+
+    private static RouterException withVerdict(RouterException refusal, Progress progress) {
+        Execution verdict = progress.execution().and(refusal.execution());
+        return verdict == refusal.execution()
+                ? refusal
+                : RouterException.of(refusal.code(), verdict, refusal.getMessage());
+    }
+
+    private CompletionStage<Delivery> attemptOnce(Order order, Progress progress) {
+        crashWatch.refusePoison(order.bodyDigest());
+        RulesSnapshot snapshot = rulesInForce
+                .forNewWork()
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.CONFIG_STALE,
+                        "this instance is not certain of the configuration in force",
+                        RETRY_AFTER_MILLIS));
+        Target target = order.target().apply(snapshot);
+        long remainingMillis = remainingMillis(order);
+        EndpointLease lease = acquire(order, progress, target, remainingMillis);
+        if (!order.maySend().getAsBoolean()) {
+            lease.cancelled();
+            throw RouterException.notRun(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before the send");
+        }
+        HttpRequest request = target.request()
+                .apply(lease.rule())
+                .addHeader(RawHeader.create(Headers.REQUEST_ID, order.caller().requestId()))
+                .addHeader(RawHeader.create(Headers.FENCING, Long.toString(snapshot.number())));
+        long timeoutMillis = Math.min(remainingMillis, order.maxAttemptMillis());
+        long sentNanos = ticker.read();
+        return client.send(new EndpointCall(lease.rule().address(), request, order.repeatable(), timeoutMillis))
+                .thenCompose(reply -> evaluate(
+                        order,
+                        progress,
+                        reply,
+                        response -> new Delivery(response, lease, target, snapshot.number(), sentNanos),
+                        lease));
+    }
+
+    private long remainingMillis(Order order) {
+        long remainingMillis = order.caller().remainingMillis(ticker.read());
+        if (remainingMillis <= 0) {
+            throw RouterException.notRun(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before the send");
+        }
+        return remainingMillis;
+    }
+
+    private EndpointLease acquire(Order order, Progress progress, Target target, long remainingMillis) {
+        RequestFacts facts = new RequestFacts(
+                order.prefixDigest(), remainingMillis, progress.tried(), progress.avoidedFailureDomain());
+        return pool.tryAcquire(target.endpoints(), facts, picker, random.get())
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.POOL_EXHAUSTED, "no endpoint of " + target.name() + " has room", RETRY_AFTER_MILLIS));
+    }
+
+    private CompletionStage<Delivery> evaluate(
+            Order order,
+            Progress progress,
+            EndpointReply reply,
+            Function<HttpResponse, Delivery> delivery,
+            EndpointLease lease) {
+        if (reply instanceof Failed failed) {
+            return failed(order, progress, failed, lease);
+        }
+        HttpResponse response = ((Answered) reply).response();
+        Optional<RouterException> refusal = refusalOf(order, response, lease);
+        if (refusal.isEmpty()) {
+            return CompletableFuture.completedFuture(delivery.apply(response));
+        }
+        discard.accept(response);
+        boolean busy = refusal.get().execution() == Execution.NOT_RUN;
+        lease.failed(busy ? FailureKind.BUSY : FailureKind.SERVER_ERROR);
+        return retryOrFail(order, progress.after(lease, refusal.get().execution()), refusal.get());
+    }
+
+    private Optional<RouterException> refusalOf(Order order, HttpResponse response, EndpointLease lease) {
+        int status = response.status().intValue();
+        String name = lease.rule().name();
+        if (!isOwnAnswer(order, response)) {
+            return Optional.of(RouterException.of(
+                    ErrorCode.ENDPOINT_ANSWER_INVALID,
+                    Execution.MAY_HAVE_RUN,
+                    "endpoint " + name + " returned the answer to another request"));
+        }
+        if (status == STATUS_PRECONDITION_FAILED && lease.rule().checksFencing()) {
+            return Optional.of(RouterException.notRun(
+                    ErrorCode.CONFIG_STALE,
+                    "endpoint " + name + " has seen a later configuration",
+                    RETRY_AFTER_MILLIS));
+        }
+        if (status == STATUS_TOO_MANY_REQUESTS || (status == STATUS_UNAVAILABLE && order.repeatable())) {
+            return Optional.of(RouterException.notRun(
+                    ErrorCode.POOL_EXHAUSTED, "endpoint " + name + " is full", RETRY_AFTER_MILLIS));
+        }
+        if (status >= STATUS_SERVER_ERROR) {
+            return Optional.of(RouterException.of(
+                    ErrorCode.ENDPOINT_FAILED,
+                    Execution.MAY_HAVE_RUN,
+                    "endpoint " + name + " answered with status " + status));
+        }
+        return Optional.empty();
+    }
+
+    private static boolean isOwnAnswer(Order order, HttpResponse response) {
+        return response.getHeader(Headers.REQUEST_ID)
+                .map(header -> header.value().equals(order.caller().requestId()))
+                .orElse(true);
+    }
+
+    private CompletionStage<Delivery> failed(Order order, Progress progress, Failed failed, EndpointLease lease) {
+        lease.failed(failureKind(failed.kind()));
+        Progress after = progress.after(lease, failed.execution());
+        ErrorCode code = failed.kind() == EndpointReply.Kind.TIMED_OUT
+                ? ErrorCode.DEADLINE_EXCEEDED
+                : ErrorCode.ENDPOINT_FAILED;
+        RouterException refusal = RouterException.of(
+                code, failed.execution(), "endpoint " + lease.rule().name() + ": " + failed.reason());
+        if (failed.kind() != EndpointReply.Kind.CONNECTION_LOST) {
+            return retryOrFail(order, after, refusal);
+        }
+        return crashWatch
+                .connectionLost(order.bodyDigest(), lease.rule())
+                .thenCompose(unused -> retryOrFail(order, after, refusal));
+    }
+
+    private static FailureKind failureKind(EndpointReply.Kind kind) {
+        return switch (kind) {
+            case NOT_CONNECTED -> FailureKind.CONNECT;
+            case CONNECTION_LOST -> FailureKind.CONNECTION_LOST;
+            case TIMED_OUT -> FailureKind.TIMEOUT;
+        };
+    }
+
+    private CompletionStage<Delivery> retryOrFail(Order order, Progress progress, RouterException refusal) {
+        RetryFacts facts = new RetryFacts(
+                progress.execution(),
+                order.repeatable(),
+                progress.attempts(),
+                order.caller().remainingMillis(ticker.read()),
+                0);
+        RetryDecision decision = retryPolicy.decide(facts, retryBudget, random.get());
+        if (decision instanceof Stop stop) {
+            metrics.count("retry_stopped." + stop.reason().name().toLowerCase(Locale.ROOT));
+            return CompletableFuture.failedFuture(withVerdict(refusal, progress));
+        }
+        metrics.retried(refusal.code().code());
+        CompletableFuture<Delivery> result = new CompletableFuture<>();
+        scheduler.schedule(((Retry) decision).delayMillis(), () -> attempt(order, progress)
+                .whenComplete((delivery, failure) -> {
+                    if (failure == null) {
+                        result.complete(delivery);
+                    } else {
+                        result.completeExceptionally(failure);
+                    }
+                }));
+        return result;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/Order.java
@@ -0,0 +1,35 @@
+package baobabcroft.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
+import java.util.function.Function;
+
+/**
+ * What the dispatcher needs to send a request to an endpoint.
+ *
+ * @param caller the caller's request
+ * @param bodyDigest digest of the request's body, by which crashes are counted
+ * @param repeatable whether running it twice does no harm
+ * @param prefixDigest digest of the prompt's beginning, if requests with the same one profit from the same endpoint
+ * @param target finds the target under the rules in force; called again before every send, may refuse
+ * @param maySend asked right before every send; false gives up
+ * @param maxAttemptMillis longest time to wait for one endpoint's answer, in milliseconds
+ */
+record Order(
+        CallerRequest caller,
+        String bodyDigest,
+        boolean repeatable,
+        OptionalLong prefixDigest,
+        Function<RulesSnapshot, Target> target,
+        BooleanSupplier maySend,
+        long maxAttemptMillis) {
+    Order {
+        checkNotNull(caller);
+        checkNotNull(bodyDigest);
+        checkNotNull(prefixDigest);
+        checkNotNull(target);
+        checkNotNull(maySend);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -0,0 +1,181 @@
+package baobabcroft.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.balance.FailureKind;
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.Execution;
+import baobabcroft.common.RouterException;
+import baobabcroft.rules.OperationRule;
+import baobabcroft.rules.RuleSet;
+import com.google.common.base.Ticker;
+import com.google.common.hash.Hasher;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionStage;
+import java.util.function.BooleanSupplier;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.Uri;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/**
+ * Takes a call of a plain service's operation to an endpoint and its answer back.
+ *
+ * <p>An operation that may not be repeated goes through {@link ClaimedCalls}. Thread-safe.
+ */
+final class ServiceFlow {
+    private static final long MAX_ANSWER_BYTES = 4L << 20;
+
+    private final RulesInForce rulesInForce;
+    private final Dispatcher dispatcher;
+    private final Charges charges;
+    private final ClaimedCalls claimedCalls;
+    private final Ticker ticker;
+    private final ActorSystem<?> system;
+
+    ServiceFlow(
+            RulesInForce rulesInForce,
+            Dispatcher dispatcher,
+            Charges charges,
+            ClaimedCalls claimedCalls,
+            Ticker ticker,
+            ActorSystem<?> system) {
+        this.rulesInForce = checkNotNull(rulesInForce);
+        this.dispatcher = checkNotNull(dispatcher);
+        this.charges = checkNotNull(charges);
+        this.claimedCalls = checkNotNull(claimedCalls);
+        this.ticker = checkNotNull(ticker);
+        this.system = checkNotNull(system);
+    }
+
+    /** Returns the answer, or fails with the refusal. */
+    CompletionStage<CallerAnswer> run(
+            CallerRequest caller, String service, String operation, HttpRequest request, byte[] body) {
+        RuleSet rules = rulesInForce
+                .forNewWork()
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.CONFIG_STALE, "this instance is not certain of the configuration in force"))
+                .rules();
+        OperationRule rule = allowedOperation(caller, service, operation, rules);
+        String digest = digest(request, rule, body);
+        if (rule.idempotent()) {
+            charges.requireAvailable();
+            return call(caller, rule, digest, request, body, () -> true)
+                    .thenCompose(answer -> charges.record(charge(caller, rule, digest, answer))
+                            .thenApply(unused -> new CallerAnswer(answer.response(), false)));
+        }
+        return claimedCalls.run(caller, rule, digest, maySend -> call(caller, rule, digest, request, body, maySend));
+    }
+
+    private static OperationRule allowedOperation(
+            CallerRequest caller, String service, String operation, RuleSet rules) {
+        OperationRule rule = rules.operation(service, operation)
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.UNKNOWN_OPERATION, "no operation is named '" + service + "/" + operation + "'"));
+        if (!caller.account().allows(rule)) {
+            throw RouterException.notRun(
+                    ErrorCode.NOT_ALLOWED,
+                    "account " + caller.account().name() + " may not use " + rule.fullName());
+        }
+        return rule;
+    }
+
+    private static String digest(HttpRequest request, OperationRule rule, byte[] body) {
+        Hasher hasher = Hashing.sha256().newHasher();
+        hasher.putUnencodedChars(request.method().value()).putChar('\n');
+        hasher.putUnencodedChars(rule.fullName()).putChar('\n');
+        hasher.putUnencodedChars(request.getUri().rawQueryString().orElse("")).putChar('\n');
+        return hasher.putBytes(body).hash().toString();
+    }
+
+    private CompletionStage<OperationAnswer> call(
+            CallerRequest caller,
+            OperationRule rule,
+            String digest,
+            HttpRequest request,
+            byte[] body,
+            BooleanSupplier maySend) {
+        HttpRequest forEndpoint = forEndpoint(caller, rule, request, body);
+        Order order = new Order(
+                caller,
+                digest,
+                rule.idempotent(),
+                OptionalLong.empty(),
+                snapshot -> target(caller, rule, forEndpoint, snapshot),
+                maySend,
+                rule.timeoutMillis());
+        return dispatcher.dispatch(order).thenCompose(delivery -> read(caller, rule, delivery));
+    }
+
+    private static HttpRequest forEndpoint(
+            CallerRequest caller, OperationRule rule, HttpRequest request, byte[] body) {
+        String query = request.getUri().rawQueryString().map(text -> "?" + text).orElse("");
+        HttpRequest copy = HttpRequest.create()
+                .withMethod(request.method())
+                .withUri(Uri.create("/" + rule.name() + query))
+                .withEntity(HttpEntities.create(request.entity().getContentType(), body));
+        return caller.idempotencyKey()
+                .map(key -> copy.addHeader(RawHeader.create(
+                        Headers.IDEMPOTENCY_KEY, caller.account().name() + ":" + key)))
+                .orElse(copy);
+    }
+
+    private static Target target(
+            CallerRequest caller, OperationRule planned, HttpRequest forEndpoint, RulesSnapshot snapshot) {
+        OperationRule rule = allowedOperation(caller, planned.service(), planned.name(), snapshot.rules());
+        if (rule.idempotent() != planned.idempotent()) {
+            throw RouterException.notRun(
+                    ErrorCode.CONFIG_STALE, "the rule of " + rule.fullName() + " has just changed; send again", 0);
+        }
+        return new Target(
+                rule.fullName(),
+                rule.priceMicros(),
+                snapshot.rules().endpointsFor(rule.service()),
+                endpoint -> forEndpoint);
+    }
+
+    private CompletionStage<OperationAnswer> read(CallerRequest caller, OperationRule rule, Delivery delivery) {
+        long remainingMillis =
+                Math.max(1, Math.min(rule.timeoutMillis(), caller.remainingMillis(ticker.read())));
+        return delivery.response()
+                .entity()
+                .withSizeLimit(MAX_ANSWER_BYTES)
+                .toStrict(remainingMillis, system)
+                .handle((strict, failure) -> {
+                    if (failure == null) {
+                        return answer(delivery, strict);
+                    }
+                    delivery.failed(FailureKind.INVALID_ANSWER);
+                    throw RouterException.of(
+                            ErrorCode.ENDPOINT_ANSWER_INVALID,
+                            Execution.MAY_HAVE_RUN,
+                            "the endpoint's answer broke off: " + failure.getMessage());
+                });
+    }
+
+    private OperationAnswer answer(Delivery delivery, HttpEntity.Strict strict) {
+        delivery.succeeded(ticker);
+        HttpResponse response = HttpResponse.create()
+                .withStatus(delivery.response().status())
+                .withEntity(strict)
+                .addHeader(RawHeader.create(
+                        Headers.ENDPOINT, delivery.lease().rule().name()))
+                .addHeader(RawHeader.create(Headers.CONFIG_VERSION, Long.toString(delivery.configNumber())));
+        return new OperationAnswer(response, strict, delivery.target().priceMicros());
+    }
+
+    private static Charge charge(CallerRequest caller, OperationRule rule, String digest, OperationAnswer answer) {
+        return new Charge(
+                caller.account().name(),
+                caller.billingId(digest),
+                rule.fullName(),
+                0,
+                answer.isSuccess() ? answer.priceMicros() : 0,
+                true);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/WorkGate.java
@@ -0,0 +1,90 @@
+package baobabcroft.gateway;
+
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.RouterException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+
+/**
+ * Counts the requests that an instance is running and closes when it stops.
+ *
+ * <p>Thread-safe. Every {@link #enter} that returns is followed by one {@link #exit}.
+ */
+public final class WorkGate {
+    private final int maxConcurrent;
+    private final CompletableFuture<Void> idleAfterClose = new CompletableFuture<>();
+    private int running;
+    private boolean closed;
+
+    private WorkGate(int maxConcurrent) {
+        this.maxConcurrent = maxConcurrent;
+    }
+
+    /**
+     * Returns an open gate.
+     *
+     * @param maxConcurrent requests that may run at once
+     * @return the gate
+     */
+    public static WorkGate create(int maxConcurrent) {
+        return new WorkGate(maxConcurrent);
+    }
+
+    /**
+     * Lets a request in.
+     *
+     * @param retryAfterMillis when a refused caller is told to come back
+     * @throws RouterException with {@code draining} or {@code overloaded}, not run
+     */
+    public synchronized void enter(long retryAfterMillis) {
+        if (closed) {
+            throw RouterException.notRun(ErrorCode.DRAINING, "this instance is stopping", retryAfterMillis);
+        }
+        if (running >= maxConcurrent) {
+            throw RouterException.notRun(
+                    ErrorCode.OVERLOADED, "this instance runs " + running + " requests already", retryAfterMillis);
+        }
+        running++;
+    }
+
+    /** Lets a request out. */
+    public synchronized void exit() {
+        running--;
+        completeIfIdle();
+    }
+
+    /**
+     * Returns how many requests are running.
+     *
+     * @return the number
+     */
+    public synchronized int running() {
+        return running;
+    }
+
+    /**
+     * Returns whether the gate is closed.
+     *
+     * @return whether new requests are refused
+     */
+    public synchronized boolean isClosed() {
+        return closed;
+    }
+
+    /**
+     * Closes the gate for good.
+     *
+     * @return a stage that completes when the last running request is out
+     */
+    public synchronized CompletionStage<Void> close() {
+        closed = true;
+        completeIfIdle();
+        return idleAfterClose;
+    }
+
+    private void completeIfIdle() {
+        if (closed && running == 0) {
+            idleAfterClose.complete(null);
+        }
+    }
+}
