--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -117,7 +117,7 @@
                 true,
                 OptionalLong.of(body.prefixDigest()),
                 snapshot -> target(caller, body, model, explicit, kept, snapshot),
-                () -> true,
+                SendPermit.ALWAYS,
                 Long.MAX_VALUE);
     }
 
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -142,7 +142,7 @@
         Target target = order.target().apply(snapshot);
         long remainingMillis = remainingMillis(order);
         EndpointLease lease = acquire(order, progress, target, remainingMillis);
-        if (!order.maySend().getAsBoolean()) {
+        if (!order.permit().take()) {
             lease.cancelled();
             throw RouterException.notRun(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before the send");
         }
@@ -256,6 +256,9 @@
     }
 
     private CompletionStage<Delivery> retryOrFail(Order order, Progress progress, RouterException refusal) {
+        if (refusal.execution() == Execution.NOT_RUN) {
+            order.permit().giveBack();
+        }
         RetryFacts facts = new RetryFacts(
                 progress.execution(),
                 order.repeatable(),
--- a/router/src/main/java/baobabcroft/gateway/Order.java
+++ b/router/src/main/java/baobabcroft/gateway/Order.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.OptionalLong;
-import java.util.function.BooleanSupplier;
 import java.util.function.Function;
 
 /**
@@ -14,7 +13,7 @@
  * @param repeatable whether running it twice does no harm
  * @param prefixDigest digest of the prompt's beginning, if requests with the same one profit from the same endpoint
  * @param target finds the target under the rules in force; called again before every send, may refuse
- * @param maySend asked right before every send; false gives up
+ * @param permit asked right before every send
  * @param maxAttemptMillis longest time to wait for one endpoint's answer, in milliseconds
  */
 record Order(
@@ -23,13 +22,13 @@
         boolean repeatable,
         OptionalLong prefixDigest,
         Function<RulesSnapshot, Target> target,
-        BooleanSupplier maySend,
+        SendPermit permit,
         long maxAttemptMillis) {
     Order {
         checkNotNull(caller);
         checkNotNull(bodyDigest);
         checkNotNull(prefixDigest);
         checkNotNull(target);
-        checkNotNull(maySend);
+        checkNotNull(permit);
     }
 }
--- a/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -14,7 +14,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
-import java.util.function.BooleanSupplier;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
 import org.apache.pekko.http.javadsl.model.HttpEntity;
@@ -65,11 +64,11 @@
         String digest = digest(request, rule, body);
         if (rule.idempotent()) {
             charges.requireAvailable();
-            return call(caller, rule, digest, request, body, () -> true)
+            return call(caller, rule, digest, request, body, SendPermit.ALWAYS)
                     .thenCompose(answer -> charges.record(charge(caller, rule, digest, answer))
                             .thenApply(unused -> new CallerAnswer(answer.response(), false)));
         }
-        return claimedCalls.run(caller, rule, digest, maySend -> call(caller, rule, digest, request, body, maySend));
+        return claimedCalls.run(caller, rule, digest, permit -> call(caller, rule, digest, request, body, permit));
     }
 
     private static OperationRule allowedOperation(
@@ -99,7 +98,7 @@
             String digest,
             HttpRequest request,
             byte[] body,
-            BooleanSupplier maySend) {
+            SendPermit permit) {
         HttpRequest forEndpoint = forEndpoint(caller, rule, request, body);
         Order order = new Order(
                 caller,
@@ -107,7 +106,7 @@
                 rule.idempotent(),
                 OptionalLong.empty(),
                 snapshot -> target(caller, rule, forEndpoint, snapshot),
-                maySend,
+                permit,
                 rule.timeoutMillis());
         return dispatcher.dispatch(order).thenCompose(delivery -> read(caller, rule, delivery));
     }
