Admit chat and service calls by account limits and deadline

Cause: pools run out; a request that cannot start in time must be refused at once. Ruled out: refusing whenever no endpoint has room, since a short wait often meets the deadline.

--- a/router/src/main/java/baobabcroft/chat/ChatAnswer.java
+++ b/router/src/main/java/baobabcroft/chat/ChatAnswer.java
@@ -31,14 +31,17 @@
         } catch (IOException garbage) {
             return Optional.empty();
         }
-        if (root == null || !root.path("choices").isArray() || root.path("choices").size() != choices) {
+        if (root == null
+                || !root.path("choices").isArray()
+                || root.path("choices").size() != choices) {
             return Optional.empty();
         }
         if (root.has("model") && !root.get("model").asText().equals(expectedVersion)) {
             return Optional.empty();
         }
         for (JsonNode choice : root.get("choices")) {
-            if (!choice.path("finish_reason").isTextual() || !choice.path("message").isObject()) {
+            if (!choice.path("finish_reason").isTextual()
+                    || !choice.path("message").isObject()) {
                 return Optional.empty();
             }
         }
--- a/router/src/main/java/baobabcroft/chat/ChatBody.java
+++ b/router/src/main/java/baobabcroft/chat/ChatBody.java
@@ -97,6 +97,18 @@
         return root.path("n").asInt(1);
     }
 
+    /**
+     * Returns how many tokens the answer may have, by the caller's own bound.
+     *
+     * @param defaultTokens what to return if the caller gives no bound
+     * @return the member {@code max_completion_tokens} or {@code max_tokens}, if positive
+     */
+    public long expectedTokens(long defaultTokens) {
+        long bound = root.path("max_completion_tokens")
+                .asLong(root.path("max_tokens").asLong(defaultTokens));
+        return bound > 0 ? bound : defaultTokens;
+    }
+
     /**
      * Returns whether the caller wants a usage event at the end of a stream.
      *
--- a/router/src/main/java/baobabcroft/chat/SseRelay.java
+++ b/router/src/main/java/baobabcroft/chat/SseRelay.java
@@ -54,8 +54,7 @@
      * @param observer is told how the stream ends
      * @return the relay
      */
-    public static SseRelay create(
-            String expectedVersion, int choices, boolean passUsage, StreamObserver observer) {
+    public static SseRelay create(String expectedVersion, int choices, boolean passUsage, StreamObserver observer) {
         checkArgument(choices > 0, "choices must be positive, was %s", choices);
         return new SseRelay(checkNotNull(expectedVersion), choices, passUsage, checkNotNull(observer));
     }
@@ -210,8 +209,8 @@
             ended = true;
             setKeepGoing(true);
             observer.onWhole(tokens())
-                    .whenComplete((error, failure) -> released.invoke(
-                            Pair.create(error == null ? Optional.empty() : error, failure)));
+                    .whenComplete((error, failure) ->
+                            released.invoke(Pair.create(error == null ? Optional.empty() : error, failure)));
         }
 
         private void release(Optional<String> error, Throwable failure) {
--- a/router/src/main/java/baobabcroft/endpoint/PekkoEndpointClient.java
+++ b/router/src/main/java/baobabcroft/endpoint/PekkoEndpointClient.java
@@ -62,14 +62,15 @@
         Uri absolute = relative.scheme("http")
                 .host(call.address().getHost())
                 .port(call.address().getPort());
-        CompletionStage<HttpResponse> response = http.singleRequest(call.request().withUri(absolute));
+        CompletionStage<HttpResponse> response =
+                http.singleRequest(call.request().withUri(absolute));
         Runnable abandon = () -> response.thenAccept(late -> late.discardEntityBytes(system));
         return withTimeout(response.handle((answer, failure) -> reply(answer, failure)), call.timeoutMillis(), abandon);
     }
 
     private CompletionStage<EndpointReply> sendAlone(EndpointCall call) {
-        ConnectHttp target = ConnectHttp.toHost(
-                call.address().getHost(), call.address().getPort());
+        ConnectHttp target =
+                ConnectHttp.toHost(call.address().getHost(), call.address().getPort());
         HttpRequest request = call.request();
         Pair<Pair<UniqueKillSwitch, CompletionStage<OutgoingConnection>>, CompletionStage<HttpResponse>> run =
                 Source.single(request)
--- a/router/src/main/java/baobabcroft/gateway/BodyReader.java
+++ b/router/src/main/java/baobabcroft/gateway/BodyReader.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeoutException;
 import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.scaladsl.model.EntityStreamSizeException;
 
 /** Reads request bodies within limits of length and time. Thread-safe. */
 final class BodyReader {
--- a/router/src/main/java/baobabcroft/gateway/Charge.java
+++ b/router/src/main/java/baobabcroft/gateway/Charge.java
@@ -13,8 +13,7 @@
  * @param amountMicros the price, in millionths of the currency unit
  * @param whole whether the caller got the whole answer, or left before its end
  */
-public record Charge(
-        String account, String billingId, String item, long tokens, long amountMicros, boolean whole) {
+public record Charge(String account, String billingId, String item, long tokens, long amountMicros, boolean whole) {
     private static final long TOKENS_PER_PRICE_UNIT = 1_000;
 
     /** Checks the parts. */
--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -9,6 +9,7 @@
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
+import baobabcroft.limit.AccountUsage;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.VersionId;
 import baobabcroft.rules.VersionRule;
@@ -33,6 +34,7 @@
 final class ChatFlow {
     private static final String ENGINE_PATH = "/v1/chat/completions";
     private static final long MAX_ANSWER_BYTES = 8L << 20;
+    private static final long DEFAULT_TOKENS = 256;
     private static final int STATUS_OK = 200;
 
     private final RulesInForce rulesInForce;
@@ -40,6 +42,7 @@
     private final SessionVersions sessions;
     private final Dispatcher dispatcher;
     private final Charges charges;
+    private final AccountGate accountGate;
     private final Ticker ticker;
     private final ActorSystem<?> system;
 
@@ -49,6 +52,7 @@
             SessionVersions sessions,
             Dispatcher dispatcher,
             Charges charges,
+            AccountGate accountGate,
             Ticker ticker,
             ActorSystem<?> system) {
         this.rulesInForce = checkNotNull(rulesInForce);
@@ -56,6 +60,7 @@
         this.sessions = checkNotNull(sessions);
         this.dispatcher = checkNotNull(dispatcher);
         this.charges = checkNotNull(charges);
+        this.accountGate = checkNotNull(accountGate);
         this.ticker = checkNotNull(ticker);
         this.system = checkNotNull(system);
     }
@@ -70,14 +75,20 @@
                         ErrorCode.CONFIG_STALE, "this instance is not certain of the configuration in force"))
                 .rules();
         ImmutableList<String> models = targets.models(body.model(), caller.account(), rules);
-        return runOn(caller, body, models.get(0), rules);
+        AccountUsage usage = accountGate.enter(caller, body.expectedTokens(DEFAULT_TOKENS));
+        ChatRun run = new ChatRun(caller, body, usage);
+        return runOn(run, models.get(0), rules).whenComplete((answer, failure) -> {
+            if (failure != null) {
+                usage.ended(0);
+            }
+        });
     }
 
-    private CompletionStage<CallerAnswer> runOn(CallerRequest caller, ChatBody body, String model, RuleSet rules) {
-        Optional<VersionId> explicit = VersionId.parse(body.model());
-        return keptVersion(caller, model, explicit, rules)
-                .thenCompose(kept -> dispatcher.dispatch(order(caller, body, model, explicit, kept)))
-                .thenCompose(delivery -> answer(caller, body, delivery));
+    private CompletionStage<CallerAnswer> runOn(ChatRun run, String model, RuleSet rules) {
+        Optional<VersionId> explicit = VersionId.parse(run.body().model());
+        return keptVersion(run.caller(), model, explicit, rules)
+                .thenCompose(kept -> dispatcher.dispatch(order(run, model, explicit, kept)))
+                .thenCompose(delivery -> answer(run, delivery));
     }
 
     private CompletionStage<Optional<VersionId>> keptVersion(
@@ -91,8 +102,8 @@
                         model,
                         () -> explicit.map(id -> targets.explicit(id, caller.account(), rules)
                                         .id())
-                                .orElseGet(() -> targets.choose(
-                                        model, caller.assignmentKey(), caller.account(), rules)),
+                                .orElseGet(
+                                        () -> targets.choose(model, caller.assignmentKey(), caller.account(), rules)),
                         rules.versionsOf(model).size() == 1)
                 .thenApply(kept -> Optional.of(requireSame(kept, explicit)));
     }
@@ -100,93 +111,87 @@
     private static VersionId requireSame(VersionId kept, Optional<VersionId> explicit) {
         if (explicit.isPresent() && !explicit.get().equals(kept)) {
             throw RouterException.notRun(
-                    ErrorCode.NOT_ALLOWED, "the session keeps version " + kept + " and cannot run on " + explicit.get());
+                    ErrorCode.NOT_ALLOWED,
+                    "the session keeps version " + kept + " and cannot run on " + explicit.get());
         }
         return kept;
     }
 
-    private Order order(
-            CallerRequest caller,
-            ChatBody body,
-            String model,
-            Optional<VersionId> explicit,
-            Optional<VersionId> kept) {
+    private Order order(ChatRun run, String model, Optional<VersionId> explicit, Optional<VersionId> kept) {
         return new Order(
-                caller,
-                body.digest(),
+                run.caller(),
+                run.body().digest(),
                 true,
-                OptionalLong.of(body.prefixDigest()),
-                snapshot -> target(caller, body, model, explicit, kept, snapshot),
+                OptionalLong.of(run.body().prefixDigest()),
+                snapshot -> target(run, model, explicit, kept, snapshot),
                 SendPermit.ALWAYS,
                 Long.MAX_VALUE);
     }
 
     private Target target(
-            CallerRequest caller,
-            ChatBody body,
-            String model,
-            Optional<VersionId> explicit,
-            Optional<VersionId> kept,
-            RulesSnapshot snapshot) {
+            ChatRun run, String model, Optional<VersionId> explicit, Optional<VersionId> kept, RulesSnapshot snapshot) {
         RuleSet rules = snapshot.rules();
         VersionRule version;
         if (kept.isPresent()) {
-            version = targets.usable(kept.get(), caller.account(), rules);
+            version = targets.usable(kept.get(), run.caller().account(), rules);
         } else if (explicit.isPresent()) {
-            version = targets.explicit(explicit.get(), caller.account(), rules);
+            version = targets.explicit(explicit.get(), run.caller().account(), rules);
         } else {
-            VersionId chosen = targets.choose(model, caller.assignmentKey(), caller.account(), rules);
-            version = targets.usable(chosen, caller.account(), rules);
+            VersionId chosen = targets.choose(
+                    model, run.caller().assignmentKey(), run.caller().account(), rules);
+            version = targets.usable(chosen, run.caller().account(), rules);
         }
         String name = version.id().toString();
         HttpRequest request = HttpRequest.POST(ENGINE_PATH)
                 .withEntity(HttpEntities.create(
-                        ContentTypes.APPLICATION_JSON, ByteString.fromArray(body.forEngine(name))));
-        return new Target(name, version.priceMicrosPerThousandTokens(), rules.endpointsFor(version.id()), endpoint -> request);
+                        ContentTypes.APPLICATION_JSON,
+                        ByteString.fromArray(run.body().forEngine(name))));
+        return new Target(
+                name, version.priceMicrosPerThousandTokens(), rules.endpointsFor(version.id()), endpoint -> request);
     }
 
-    private CompletionStage<CallerAnswer> answer(CallerRequest caller, ChatBody body, Delivery delivery) {
+    private CompletionStage<CallerAnswer> answer(ChatRun run, Delivery delivery) {
         if (delivery.response().status().intValue() != STATUS_OK) {
-            return relayRefusalOfEngine(caller, delivery);
+            return relayRefusalOfEngine(run, delivery);
         }
-        return body.stream()
-                ? CompletableFuture.completedFuture(streamed(caller, body, delivery))
-                : whole(caller, body, delivery);
+        return run.body().stream() ? CompletableFuture.completedFuture(streamed(run, delivery)) : whole(run, delivery);
     }
 
-    private CompletionStage<CallerAnswer> relayRefusalOfEngine(CallerRequest caller, Delivery delivery) {
-        return read(caller, delivery).thenApply(bytes -> {
+    private CompletionStage<CallerAnswer> relayRefusalOfEngine(ChatRun run, Delivery delivery) {
+        return read(run, delivery).thenApply(bytes -> {
             delivery.succeeded(ticker);
+            run.usage().ended(0);
             HttpResponse response = HttpResponse.create()
                     .withStatus(delivery.response().status())
-                    .withEntity(HttpEntities.create(
-                            delivery.response().entity().getContentType(), bytes));
+                    .withEntity(HttpEntities.create(delivery.response().entity().getContentType(), bytes));
             return new CallerAnswer(withProvenance(response, delivery), false);
         });
     }
 
-    private CompletionStage<CallerAnswer> whole(CallerRequest caller, ChatBody body, Delivery delivery) {
-        return read(caller, delivery).thenCompose(bytes -> {
-            Optional<ChatAnswer> parsed =
-                    ChatAnswer.parse(bytes.toArray(), delivery.target().name(), body.choices());
+    private CompletionStage<CallerAnswer> whole(ChatRun run, Delivery delivery) {
+        return read(run, delivery).thenCompose(bytes -> {
+            Optional<ChatAnswer> parsed = ChatAnswer.parse(
+                    bytes.toArray(), delivery.target().name(), run.body().choices());
             if (parsed.isEmpty()) {
                 delivery.failed(FailureKind.INVALID_ANSWER);
                 throw RouterException.of(
                         ErrorCode.ENDPOINT_ANSWER_INVALID,
                         Execution.MAY_HAVE_RUN,
-                        "the endpoint's answer was not a whole chat answer of " + delivery.target().name());
+                        "the endpoint's answer was not a whole chat answer of "
+                                + delivery.target().name());
             }
             delivery.succeeded(ticker);
+            run.usage().ended(parsed.get().completionTokens());
             HttpResponse response = HttpResponse.create()
                     .withStatus(StatusCodes.OK)
                     .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, bytes));
-            return charges.record(charge(caller, body, delivery, parsed.get().completionTokens(), true))
+            return charges.record(charge(run, delivery, parsed.get().completionTokens(), true))
                     .thenApply(unused -> new CallerAnswer(withProvenance(response, delivery), false));
         });
     }
 
-    private CompletionStage<ByteString> read(CallerRequest caller, Delivery delivery) {
-        long remainingMillis = Math.max(1, caller.remainingMillis(ticker.read()));
+    private CompletionStage<ByteString> read(ChatRun run, Delivery delivery) {
+        long remainingMillis = Math.max(1, run.caller().remainingMillis(ticker.read()));
         return delivery.response()
                 .entity()
                 .withSizeLimit(MAX_ANSWER_BYTES)
@@ -203,25 +208,29 @@
                 });
     }
 
-    private CallerAnswer streamed(CallerRequest caller, ChatBody body, Delivery delivery) {
-        long remainingMillis = Math.max(1, caller.remainingMillis(ticker.read()));
+    private CallerAnswer streamed(ChatRun run, Delivery delivery) {
+        long remainingMillis = Math.max(1, run.caller().remainingMillis(ticker.read()));
         ChatStreamEnd end = new ChatStreamEnd(
-                delivery, charges, (tokens, whole) -> charge(caller, body, delivery, tokens, whole), ticker);
+                delivery, charges, run.usage(), (tokens, whole) -> charge(run, delivery, tokens, whole), ticker);
         Source<ByteString, ?> relayed = delivery.response()
                 .entity()
                 .getDataBytes()
                 .completionTimeout(Duration.ofMillis(remainingMillis))
-                .via(SseRelay.create(delivery.target().name(), body.choices(), body.wantsUsage(), end));
+                .via(SseRelay.create(
+                        delivery.target().name(),
+                        run.body().choices(),
+                        run.body().wantsUsage(),
+                        end));
         HttpResponse response = HttpResponse.create()
                 .withStatus(StatusCodes.OK)
                 .withEntity(HttpEntities.create(delivery.response().entity().getContentType(), relayed));
         return new CallerAnswer(withProvenance(response, delivery), true);
     }
 
-    private Charge charge(CallerRequest caller, ChatBody body, Delivery delivery, long tokens, boolean whole) {
+    private Charge charge(ChatRun run, Delivery delivery, long tokens, boolean whole) {
         return new Charge(
-                caller.account().name(),
-                caller.billingId(body.digest()),
+                run.caller().account().name(),
+                run.caller().billingId(run.body().digest()),
                 delivery.target().name(),
                 tokens,
                 Charge.priceMicros(tokens, delivery.target().priceMicros()),
@@ -234,7 +243,7 @@
         return response.addHeader(RawHeader.create(Headers.MODEL, model))
                 .addHeader(RawHeader.create(Headers.VERSION, name))
                 .addHeader(RawHeader.create(
-                        Headers.ENDPOINT, delivery.lease().rule().name()))
+                        Headers.ENDPOINT, delivery.room().endpoint().name()))
                 .addHeader(RawHeader.create(Headers.CONFIG_VERSION, Long.toString(delivery.configNumber())));
     }
 }
--- a/router/src/main/java/baobabcroft/gateway/ChatStreamEnd.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatStreamEnd.java
@@ -5,6 +5,7 @@
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
+import baobabcroft.limit.AccountUsage;
 import com.google.common.base.Ticker;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
@@ -14,13 +15,19 @@
 final class ChatStreamEnd implements StreamObserver {
     private final Delivery delivery;
     private final Charges charges;
+    private final AccountUsage usage;
     private final BiFunction<Long, Boolean, Charge> chargeOf;
     private final Ticker ticker;
 
     ChatStreamEnd(
-            Delivery delivery, Charges charges, BiFunction<Long, Boolean, Charge> chargeOf, Ticker ticker) {
+            Delivery delivery,
+            Charges charges,
+            AccountUsage usage,
+            BiFunction<Long, Boolean, Charge> chargeOf,
+            Ticker ticker) {
         this.delivery = delivery;
         this.charges = charges;
+        this.usage = usage;
         this.chargeOf = chargeOf;
         this.ticker = ticker;
     }
@@ -28,24 +35,24 @@
     @Override
     public CompletionStage<Optional<String>> onWhole(long completionTokens) {
         delivery.succeeded(ticker);
+        usage.ended(completionTokens);
         return charges.record(chargeOf.apply(completionTokens, true))
-                .handle((unused, failure) -> Optional.ofNullable(failure)
-                        .map(Problems::toRefusal)
-                        .map(Problems::streamErrorJson));
+                .handle((unused, failure) ->
+                        Optional.ofNullable(failure).map(Problems::toRefusal).map(Problems::streamErrorJson));
     }
 
     @Override
     public String onBroken(long completionTokens, String reason) {
         delivery.failed(FailureKind.INVALID_ANSWER);
+        usage.ended(completionTokens);
         return Problems.streamErrorJson(RouterException.of(
-                ErrorCode.ENDPOINT_ANSWER_INVALID,
-                Execution.MAY_HAVE_RUN,
-                "the answer is not complete: " + reason));
+                ErrorCode.ENDPOINT_ANSWER_INVALID, Execution.MAY_HAVE_RUN, "the answer is not complete: " + reason));
     }
 
     @Override
     public void onCallerLeft(long completionTokens) {
-        delivery.lease().cancelled();
+        delivery.room().cancelled();
+        usage.ended(completionTokens);
         if (completionTokens > 0) {
             charges.record(chargeOf.apply(completionTokens, false));
         }
--- a/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
+++ b/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
@@ -142,8 +142,7 @@
 
     private CompletionStage<CallerAnswer> failed(ClaimTicket ticket, Throwable failure) {
         RouterException refusal = Problems.toRefusal(failure);
-        Outcome outcome =
-                refusal.execution() == Execution.NOT_RUN ? new Outcome.NotRun() : new Outcome.Unknown();
+        Outcome outcome = refusal.execution() == Execution.NOT_RUN ? new Outcome.NotRun() : new Outcome.Unknown();
         return claims.settle(ticket, outcome).thenCompose(result -> CompletableFuture.failedFuture(refusal));
     }
 
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -2,9 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.balance.EndpointLease;
-import baobabcroft.balance.EndpointPicker;
-import baobabcroft.balance.EndpointPool;
 import baobabcroft.balance.FailureKind;
 import baobabcroft.balance.RequestFacts;
 import baobabcroft.common.ErrorCode;
@@ -51,8 +48,7 @@
     private static final int STATUS_UNAVAILABLE = 503;
 
     private final RulesInForce rulesInForce;
-    private final EndpointPool pool;
-    private final EndpointPicker picker;
+    private final Rooms rooms;
     private final EndpointClient client;
     private final CrashWatch crashWatch;
     private final RetryPolicy retryPolicy;
@@ -65,8 +61,7 @@
 
     Dispatcher(
             RulesInForce rulesInForce,
-            EndpointPool pool,
-            EndpointPicker picker,
+            Rooms rooms,
             EndpointClient client,
             CrashWatch crashWatch,
             RetryPolicy retryPolicy,
@@ -77,8 +72,7 @@
             RouterMetrics metrics,
             Consumer<HttpResponse> discard) {
         this.rulesInForce = checkNotNull(rulesInForce);
-        this.pool = checkNotNull(pool);
-        this.picker = checkNotNull(picker);
+        this.rooms = checkNotNull(rooms);
         this.client = checkNotNull(client);
         this.crashWatch = checkNotNull(crashWatch);
         this.retryPolicy = checkNotNull(retryPolicy);
@@ -103,16 +97,16 @@
             return new Progress(0, Execution.NOT_RUN, ImmutableSet.of(), Optional.empty());
         }
 
-        Progress after(EndpointLease lease, Execution verdict) {
+        Progress after(Room room, Execution verdict) {
             ImmutableSet<String> allTried = ImmutableSet.<String>builder()
                     .addAll(tried)
-                    .add(lease.rule().name())
+                    .add(room.endpoint().name())
                     .build();
             return new Progress(
                     attempts + 1,
                     execution.and(verdict),
                     allTried,
-                    Optional.of(lease.rule().failureDomain()));
+                    Optional.of(room.endpoint().failureDomain()));
         }
     }
 
@@ -133,80 +127,103 @@
 
     private CompletionStage<Delivery> attemptOnce(Order order, Progress progress) {
         crashWatch.refusePoison(order.bodyDigest());
-        RulesSnapshot snapshot = rulesInForce
+        RulesSnapshot planned = freshRules();
+        Target target = order.target().apply(planned);
+        RequestFacts facts = new RequestFacts(
+                order.prefixDigest(), remainingMillis(order), progress.tried(), progress.avoidedFailureDomain());
+        return rooms.enter(order.caller(), target, facts)
+                .handle((room, failure) -> failure == null
+                        ? send(order, progress, planned, target, room)
+                        : CompletableFuture.<Delivery>failedFuture(withVerdict(Problems.toRefusal(failure), progress)))
+                .thenCompose(Function.identity());
+    }
+
+    private RulesSnapshot freshRules() {
+        return rulesInForce
                 .forNewWork()
                 .orElseThrow(() -> RouterException.notRun(
                         ErrorCode.CONFIG_STALE,
                         "this instance is not certain of the configuration in force",
                         RETRY_AFTER_MILLIS));
-        Target target = order.target().apply(snapshot);
-        long remainingMillis = remainingMillis(order);
-        EndpointLease lease = acquire(order, progress, target, remainingMillis);
-        if (!order.permit().take()) {
-            lease.cancelled();
+    }
+
+    private long remainingMillis(Order order) {
+        long remainingMillis = order.caller().remainingMillis(ticker.read());
+        if (remainingMillis <= 0) {
             throw RouterException.notRun(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before the send");
         }
-        HttpRequest request = target.request()
-                .apply(lease.rule())
-                .addHeader(RawHeader.create(Headers.REQUEST_ID, order.caller().requestId()))
-                .addHeader(RawHeader.create(Headers.FENCING, Long.toString(snapshot.number())));
-        long timeoutMillis = Math.min(remainingMillis, order.maxAttemptMillis());
+        return remainingMillis;
+    }
+
+    private CompletionStage<Delivery> send(
+            Order order, Progress progress, RulesSnapshot planned, Target target, Room room) {
+        EndpointCall call;
+        try {
+            if (freshRules().number() != planned.number()) {
+                room.cancelled();
+                return attempt(order, progress);
+            }
+            call = call(order, planned, target, room, remainingMillis(order));
+            takePermit(order);
+        } catch (RouterException refusal) {
+            room.cancelled();
+            return CompletableFuture.failedFuture(withVerdict(refusal, progress));
+        }
         long sentNanos = ticker.read();
-        return client.send(new EndpointCall(lease.rule().address(), request, order.repeatable(), timeoutMillis))
+        return client.send(call)
                 .thenCompose(reply -> evaluate(
                         order,
                         progress,
                         reply,
-                        response -> new Delivery(response, lease, target, snapshot.number(), sentNanos),
-                        lease));
+                        response -> new Delivery(response, room, target, planned.number(), sentNanos),
+                        room));
     }
 
-    private long remainingMillis(Order order) {
-        long remainingMillis = order.caller().remainingMillis(ticker.read());
-        if (remainingMillis <= 0) {
-            throw RouterException.notRun(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before the send");
-        }
-        return remainingMillis;
+    private static EndpointCall call(
+            Order order, RulesSnapshot planned, Target target, Room room, long remainingMillis) {
+        HttpRequest request = target.request()
+                .apply(room.endpoint())
+                .addHeader(RawHeader.create(Headers.REQUEST_ID, order.caller().requestId()))
+                .addHeader(RawHeader.create(Headers.FENCING, Long.toString(planned.number())));
+        return new EndpointCall(
+                room.endpoint().address(),
+                request,
+                order.repeatable(),
+                Math.min(remainingMillis, order.maxAttemptMillis()));
     }
 
-    private EndpointLease acquire(Order order, Progress progress, Target target, long remainingMillis) {
-        RequestFacts facts = new RequestFacts(
-                order.prefixDigest(), remainingMillis, progress.tried(), progress.avoidedFailureDomain());
-        return pool.tryAcquire(target.endpoints(), facts, picker, random.get())
-                .orElseThrow(() -> RouterException.notRun(
-                        ErrorCode.POOL_EXHAUSTED, "no endpoint of " + target.name() + " has room", RETRY_AFTER_MILLIS));
+    private static void takePermit(Order order) {
+        if (!order.permit().take()) {
+            throw RouterException.notRun(ErrorCode.DEADLINE_UNREACHABLE, "the deadline passed before the send");
+        }
     }
 
     private CompletionStage<Delivery> evaluate(
-            Order order,
-            Progress progress,
-            EndpointReply reply,
-            Function<HttpResponse, Delivery> delivery,
-            EndpointLease lease) {
+            Order order, Progress progress, EndpointReply reply, Function<HttpResponse, Delivery> delivery, Room room) {
         if (reply instanceof Failed failed) {
-            return failed(order, progress, failed, lease);
+            return failed(order, progress, failed, room);
         }
         HttpResponse response = ((Answered) reply).response();
-        Optional<RouterException> refusal = refusalOf(order, response, lease);
+        Optional<RouterException> refusal = refusalOf(order, response, room);
         if (refusal.isEmpty()) {
             return CompletableFuture.completedFuture(delivery.apply(response));
         }
         discard.accept(response);
         boolean busy = refusal.get().execution() == Execution.NOT_RUN;
-        lease.failed(busy ? FailureKind.BUSY : FailureKind.SERVER_ERROR);
-        return retryOrFail(order, progress.after(lease, refusal.get().execution()), refusal.get());
+        room.failed(busy ? FailureKind.BUSY : FailureKind.SERVER_ERROR);
+        return retryOrFail(order, progress.after(room, refusal.get().execution()), refusal.get());
     }
 
-    private Optional<RouterException> refusalOf(Order order, HttpResponse response, EndpointLease lease) {
+    private Optional<RouterException> refusalOf(Order order, HttpResponse response, Room room) {
         int status = response.status().intValue();
-        String name = lease.rule().name();
+        String name = room.endpoint().name();
         if (!isOwnAnswer(order, response)) {
             return Optional.of(RouterException.of(
                     ErrorCode.ENDPOINT_ANSWER_INVALID,
                     Execution.MAY_HAVE_RUN,
                     "endpoint " + name + " returned the answer to another request"));
         }
-        if (status == STATUS_PRECONDITION_FAILED && lease.rule().checksFencing()) {
+        if (status == STATUS_PRECONDITION_FAILED && room.endpoint().checksFencing()) {
             return Optional.of(RouterException.notRun(
                     ErrorCode.CONFIG_STALE,
                     "endpoint " + name + " has seen a later configuration",
@@ -231,19 +248,18 @@
                 .orElse(true);
     }
 
-    private CompletionStage<Delivery> failed(Order order, Progress progress, Failed failed, EndpointLease lease) {
-        lease.failed(failureKind(failed.kind()));
-        Progress after = progress.after(lease, failed.execution());
-        ErrorCode code = failed.kind() == EndpointReply.Kind.TIMED_OUT
-                ? ErrorCode.DEADLINE_EXCEEDED
-                : ErrorCode.ENDPOINT_FAILED;
+    private CompletionStage<Delivery> failed(Order order, Progress progress, Failed failed, Room room) {
+        room.failed(failureKind(failed.kind()));
+        Progress after = progress.after(room, failed.execution());
+        ErrorCode code =
+                failed.kind() == EndpointReply.Kind.TIMED_OUT ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.ENDPOINT_FAILED;
         RouterException refusal = RouterException.of(
-                code, failed.execution(), "endpoint " + lease.rule().name() + ": " + failed.reason());
+                code, failed.execution(), "endpoint " + room.endpoint().name() + ": " + failed.reason());
         if (failed.kind() != EndpointReply.Kind.CONNECTION_LOST) {
             return retryOrFail(order, after, refusal);
         }
         return crashWatch
-                .connectionLost(order.bodyDigest(), lease.rule())
+                .connectionLost(order.bodyDigest(), room.endpoint())
                 .thenCompose(unused -> retryOrFail(order, after, refusal));
     }
 
@@ -272,8 +288,8 @@
         }
         metrics.retried(refusal.code().code());
         CompletableFuture<Delivery> result = new CompletableFuture<>();
-        scheduler.schedule(((Retry) decision).delayMillis(), () -> attempt(order, progress)
-                .whenComplete((delivery, failure) -> {
+        scheduler.schedule(
+                ((Retry) decision).delayMillis(), () -> attempt(order, progress).whenComplete((delivery, failure) -> {
                     if (failure == null) {
                         result.complete(delivery);
                     } else {
--- a/router/src/main/java/baobabcroft/gateway/GatewayServer.java
+++ b/router/src/main/java/baobabcroft/gateway/GatewayServer.java
@@ -158,8 +158,7 @@
     private HttpResponse exitAtEnd(HttpResponse response) {
         ResponseEntity entity = response.entity();
         return response.withEntity(HttpEntities.create(
-                entity.getContentType(),
-                entity.getDataBytes().watchTermination((unused, end) -> {
+                entity.getContentType(), entity.getDataBytes().watchTermination((unused, end) -> {
                     end.whenComplete((done, failure) -> gate.exit());
                     return unused;
                 })));
--- a/router/src/main/java/baobabcroft/gateway/ModelTargets.java
+++ b/router/src/main/java/baobabcroft/gateway/ModelTargets.java
@@ -74,8 +74,7 @@
 
     private static void requireAllowed(boolean allowed, AccountRule account, String name) {
         if (!allowed) {
-            throw RouterException.notRun(
-                    ErrorCode.NOT_ALLOWED, "account " + account.name() + " may not use " + name);
+            throw RouterException.notRun(ErrorCode.NOT_ALLOWED, "account " + account.name() + " may not use " + name);
         }
     }
 }
--- a/router/src/main/java/baobabcroft/gateway/Problems.java
+++ b/router/src/main/java/baobabcroft/gateway/Problems.java
@@ -35,8 +35,7 @@
     public static HttpResponse response(RouterException refusal) {
         HttpResponse response = HttpResponse.create()
                 .withStatus(StatusCodes.get(refusal.code().httpStatus()))
-                .withEntity(HttpEntities.create(
-                        PROBLEM_JSON, ByteString.fromString(json(refusal))));
+                .withEntity(HttpEntities.create(PROBLEM_JSON, ByteString.fromString(json(refusal))));
         OptionalLong retryAfterMillis = refusal.retryAfterMillis();
         if (retryAfterMillis.isEmpty()) {
             return response;
--- a/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -6,12 +6,12 @@
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
+import baobabcroft.limit.AccountUsage;
 import baobabcroft.rules.OperationRule;
 import baobabcroft.rules.RuleSet;
 import com.google.common.base.Ticker;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.typed.ActorSystem;
@@ -34,6 +34,7 @@
     private final Dispatcher dispatcher;
     private final Charges charges;
     private final ClaimedCalls claimedCalls;
+    private final AccountGate accountGate;
     private final Ticker ticker;
     private final ActorSystem<?> system;
 
@@ -42,12 +43,14 @@
             Dispatcher dispatcher,
             Charges charges,
             ClaimedCalls claimedCalls,
+            AccountGate accountGate,
             Ticker ticker,
             ActorSystem<?> system) {
         this.rulesInForce = checkNotNull(rulesInForce);
         this.dispatcher = checkNotNull(dispatcher);
         this.charges = checkNotNull(charges);
         this.claimedCalls = checkNotNull(claimedCalls);
+        this.accountGate = checkNotNull(accountGate);
         this.ticker = checkNotNull(ticker);
         this.system = checkNotNull(system);
     }
@@ -61,6 +64,19 @@
                         ErrorCode.CONFIG_STALE, "this instance is not certain of the configuration in force"))
                 .rules();
         OperationRule rule = allowedOperation(caller, service, operation, rules);
+        AccountUsage usage = accountGate.enter(caller, 0);
+        CompletionStage<CallerAnswer> answer;
+        try {
+            answer = start(caller, rule, request, body);
+        } catch (RouterException refusal) {
+            usage.ended(0);
+            throw refusal;
+        }
+        return answer.whenComplete((unused, failure) -> usage.ended(0));
+    }
+
+    private CompletionStage<CallerAnswer> start(
+            CallerRequest caller, OperationRule rule, HttpRequest request, byte[] body) {
         String digest = digest(request, rule, body);
         if (rule.idempotent()) {
             charges.requireAvailable();
@@ -78,8 +94,7 @@
                         ErrorCode.UNKNOWN_OPERATION, "no operation is named '" + service + "/" + operation + "'"));
         if (!caller.account().allows(rule)) {
             throw RouterException.notRun(
-                    ErrorCode.NOT_ALLOWED,
-                    "account " + caller.account().name() + " may not use " + rule.fullName());
+                    ErrorCode.NOT_ALLOWED, "account " + caller.account().name() + " may not use " + rule.fullName());
         }
         return rule;
     }
@@ -111,8 +126,7 @@
         return dispatcher.dispatch(order).thenCompose(delivery -> read(caller, rule, delivery));
     }
 
-    private static HttpRequest forEndpoint(
-            CallerRequest caller, OperationRule rule, HttpRequest request, byte[] body) {
+    private static HttpRequest forEndpoint(CallerRequest caller, OperationRule rule, HttpRequest request, byte[] body) {
         String query = request.getUri().rawQueryString().map(text -> "?" + text).orElse("");
         HttpRequest copy = HttpRequest.create()
                 .withMethod(request.method())
@@ -139,8 +153,7 @@
     }
 
     private CompletionStage<OperationAnswer> read(CallerRequest caller, OperationRule rule, Delivery delivery) {
-        long remainingMillis =
-                Math.max(1, Math.min(rule.timeoutMillis(), caller.remainingMillis(ticker.read())));
+        long remainingMillis = Math.max(1, Math.min(rule.timeoutMillis(), caller.remainingMillis(ticker.read())));
         return delivery.response()
                 .entity()
                 .withSizeLimit(MAX_ANSWER_BYTES)
@@ -163,7 +176,7 @@
                 .withStatus(delivery.response().status())
                 .withEntity(strict)
                 .addHeader(RawHeader.create(
-                        Headers.ENDPOINT, delivery.lease().rule().name()))
+                        Headers.ENDPOINT, delivery.room().endpoint().name()))
                 .addHeader(RawHeader.create(Headers.CONFIG_VERSION, Long.toString(delivery.configNumber())));
         return new OperationAnswer(response, strict, delivery.target().priceMicros());
     }
--- a/router/src/main/java/baobabcroft/gateway/Target.java
+++ b/router/src/main/java/baobabcroft/gateway/Target.java
@@ -13,4 +13,8 @@
  * @param endpoints the endpoints that serve it
  * @param request makes the request for one of them
  */
-record Target(String name, long priceMicros, ImmutableList<EndpointRule> endpoints, Function<EndpointRule, HttpRequest> request) {}
+record Target(
+        String name,
+        long priceMicros,
+        ImmutableList<EndpointRule> endpoints,
+        Function<EndpointRule, HttpRequest> request) {}
