--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -46,23 +46,20 @@
     private final Ticker ticker;
     private final ActorSystem<?> system;
 
-    ChatFlow(
-            RulesInForce rulesInForce,
-            ModelTargets targets,
-            SessionVersions sessions,
-            Dispatcher dispatcher,
-            Charges charges,
-            AccountGate accountGate,
-            Ticker ticker,
-            ActorSystem<?> system) {
-        this.rulesInForce = checkNotNull(rulesInForce);
-        this.targets = checkNotNull(targets);
-        this.sessions = checkNotNull(sessions);
+    private ChatFlow(GatewayParts parts, Dispatcher dispatcher, AccountGate accountGate) {
+        this.rulesInForce = parts.rulesInForce();
+        this.targets = new ModelTargets(parts.versionChooser());
+        this.sessions = parts.sessions();
         this.dispatcher = checkNotNull(dispatcher);
-        this.charges = checkNotNull(charges);
+        this.charges = parts.charges();
         this.accountGate = checkNotNull(accountGate);
-        this.ticker = checkNotNull(ticker);
-        this.system = checkNotNull(system);
+        this.ticker = parts.ticker();
+        this.system = parts.system();
+    }
+
+    /** Returns a flow that sends through the given dispatcher. */
+    static ChatFlow create(GatewayParts parts, Dispatcher dispatcher, AccountGate accountGate) {
+        return new ChatFlow(parts, dispatcher, accountGate);
     }
 
     /** Returns the answer, or fails with the refusal. */
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -59,29 +59,24 @@
     private final RouterMetrics metrics;
     private final Consumer<HttpResponse> discard;
 
-    Dispatcher(
-            RulesInForce rulesInForce,
-            Rooms rooms,
-            EndpointClient client,
-            CrashWatch crashWatch,
-            RetryPolicy retryPolicy,
-            RetryBudget retryBudget,
-            Supplier<UniformRandomProvider> random,
-            Scheduler scheduler,
-            Ticker ticker,
-            RouterMetrics metrics,
-            Consumer<HttpResponse> discard) {
-        this.rulesInForce = checkNotNull(rulesInForce);
+    private Dispatcher(GatewayParts parts, Rooms rooms) {
+        this.rulesInForce = parts.rulesInForce();
         this.rooms = checkNotNull(rooms);
-        this.client = checkNotNull(client);
-        this.crashWatch = checkNotNull(crashWatch);
-        this.retryPolicy = checkNotNull(retryPolicy);
-        this.retryBudget = checkNotNull(retryBudget);
-        this.random = checkNotNull(random);
-        this.scheduler = checkNotNull(scheduler);
-        this.ticker = checkNotNull(ticker);
-        this.metrics = checkNotNull(metrics);
-        this.discard = checkNotNull(discard);
+        this.client = parts.endpointClient();
+        this.crashWatch =
+                new CrashWatch(parts.crashes(), parts.endpointClient(), parts.wallClock(), parts.announceCrash());
+        this.retryPolicy = RetryPolicy.defaults();
+        this.retryBudget = RetryBudget.create();
+        this.random = parts.random();
+        this.scheduler = parts.scheduler();
+        this.ticker = parts.ticker();
+        this.metrics = parts.metrics();
+        this.discard = response -> response.discardEntityBytes(parts.system());
+    }
+
+    /** Returns a dispatcher that finds room through the given rooms. */
+    static Dispatcher create(GatewayParts parts, Rooms rooms) {
+        return new Dispatcher(parts, rooms);
     }
 
     /** Returns the answer of the endpoint that took the request, or fails with the refusal and its verdict. */
--- a/router/src/main/java/baobabcroft/gateway/GatewayServer.java
+++ b/router/src/main/java/baobabcroft/gateway/GatewayServer.java
@@ -1,9 +1,9 @@
 package baobabcroft.gateway;
 
-import static com.google.common.base.Preconditions.checkNotNull;
-
+import baobabcroft.admission.AdmissionSettings;
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.RouterException;
+import baobabcroft.common.Scheduler;
 import baobabcroft.metrics.RouterMetrics;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -29,6 +29,7 @@
     private static final String MODELS_PATH = "/v1/models";
     private static final String SERVICES_PREFIX = "/v1/services/";
     private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final long DRAIN_INTERVAL_MILLIS = 20;
 
     private final RulesInForce rulesInForce;
     private final CallerReader callerReader;
@@ -39,23 +40,51 @@
     private final RouterMetrics metrics;
     private final Ticker ticker;
 
-    GatewayServer(
-            RulesInForce rulesInForce,
-            CallerReader callerReader,
-            BodyReader bodyReader,
-            ChatFlow chatFlow,
-            ServiceFlow serviceFlow,
-            WorkGate gate,
-            RouterMetrics metrics,
-            Ticker ticker) {
-        this.rulesInForce = checkNotNull(rulesInForce);
-        this.callerReader = checkNotNull(callerReader);
-        this.bodyReader = checkNotNull(bodyReader);
-        this.chatFlow = checkNotNull(chatFlow);
-        this.serviceFlow = checkNotNull(serviceFlow);
-        this.gate = checkNotNull(gate);
-        this.metrics = checkNotNull(metrics);
-        this.ticker = checkNotNull(ticker);
+    private GatewayServer(GatewayParts parts, ChatFlow chatFlow, ServiceFlow serviceFlow) {
+        this.rulesInForce = parts.rulesInForce();
+        this.callerReader = new CallerReader(
+                parts.ticker(),
+                parts.wallClock(),
+                parts.requestIds(),
+                parts.bounds().defaultDeadlineMillis());
+        this.bodyReader = new BodyReader(
+                parts.system(), parts.bounds().maxBodyBytes(), parts.bounds().bodyReadTimeoutMillis());
+        this.chatFlow = chatFlow;
+        this.serviceFlow = serviceFlow;
+        this.gate = parts.gate();
+        this.metrics = parts.metrics();
+        this.ticker = parts.ticker();
+    }
+
+    /**
+     * Returns a server made of the given parts.
+     *
+     * @param parts what it works with
+     * @return the server
+     */
+    public static GatewayServer create(GatewayParts parts) {
+        Rooms rooms = new Rooms(
+                parts.pool(),
+                parts.picker(),
+                AdmissionSettings.defaults(),
+                parts.random(),
+                parts.scheduler(),
+                parts.ticker());
+        drainForever(rooms, parts.scheduler());
+        parts.metrics().gauge("admission.waiting", rooms::waiting);
+        Dispatcher dispatcher = Dispatcher.create(parts, rooms);
+        AccountGate accountGate = new AccountGate(parts.limits(), parts.wallClock(), parts.metrics());
+        ChatFlow chat = ChatFlow.create(parts, dispatcher, accountGate);
+        ClaimedCalls claimedCalls = new ClaimedCalls(parts.claims(), parts.presence(), parts.wallClock());
+        ServiceFlow services = ServiceFlow.create(parts, dispatcher, claimedCalls, accountGate);
+        return new GatewayServer(parts, chat, services);
+    }
+
+    private static void drainForever(Rooms rooms, Scheduler scheduler) {
+        scheduler.schedule(DRAIN_INTERVAL_MILLIS, () -> {
+            rooms.drain();
+            drainForever(rooms, scheduler);
+        });
     }
 
     /**
--- a/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -38,21 +38,20 @@
     private final Ticker ticker;
     private final ActorSystem<?> system;
 
-    ServiceFlow(
-            RulesInForce rulesInForce,
-            Dispatcher dispatcher,
-            Charges charges,
-            ClaimedCalls claimedCalls,
-            AccountGate accountGate,
-            Ticker ticker,
-            ActorSystem<?> system) {
-        this.rulesInForce = checkNotNull(rulesInForce);
+    private ServiceFlow(GatewayParts parts, Dispatcher dispatcher, ClaimedCalls claimedCalls, AccountGate accountGate) {
+        this.rulesInForce = parts.rulesInForce();
         this.dispatcher = checkNotNull(dispatcher);
-        this.charges = checkNotNull(charges);
+        this.charges = parts.charges();
         this.claimedCalls = checkNotNull(claimedCalls);
         this.accountGate = checkNotNull(accountGate);
-        this.ticker = checkNotNull(ticker);
-        this.system = checkNotNull(system);
+        this.ticker = parts.ticker();
+        this.system = parts.system();
+    }
+
+    /** Returns a flow that sends through the given dispatcher. */
+    static ServiceFlow create(
+            GatewayParts parts, Dispatcher dispatcher, ClaimedCalls claimedCalls, AccountGate accountGate) {
+        return new ServiceFlow(parts, dispatcher, claimedCalls, accountGate);
     }
 
     /** Returns the answer, or fails with the refusal. */
