Draft the instance as a process

Cause: the whole path needs a composition root. Ruled out: a dependency injection library, since one constructor shows the whole wiring.

--- a/router/src/main/java/baobabcroft/config/ConfigKeys.java
+++ b/router/src/main/java/baobabcroft/config/ConfigKeys.java
@@ -5,7 +5,8 @@
     /** Holds the document in force. */
     public static final String CURRENT = "config/current";
 
-    private static final String HISTORY = "config/history/";
+    /** Start of the keys that hold superseded documents. */
+    public static final String HISTORY_PREFIX = "config/history/";
 
     private ConfigKeys() {}
 
@@ -16,6 +17,6 @@
      * @return the key, which sorts by number
      */
     public static String history(long number) {
-        return HISTORY + String.format("%019d", number);
+        return HISTORY_PREFIX + String.format("%019d", number);
     }
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/gateway/Explainer.java
@@ -0,0 +1,146 @@
+package baobabcroft.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.admin.ExplainQuery;
+import baobabcroft.admin.Explanation;
+import baobabcroft.admin.Explanation.Step;
+import baobabcroft.balance.Candidate;
+import baobabcroft.balance.EndpointHealth;
+import baobabcroft.balance.EndpointPool;
+import baobabcroft.balance.EndpointStatus;
+import baobabcroft.balance.RequestFacts;
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.RouterException;
+import baobabcroft.rules.AccountRule;
+import baobabcroft.rules.EndpointRule;
+import baobabcroft.rules.OperationRule;
+import baobabcroft.rules.RuleSet;
+import baobabcroft.rules.VersionId;
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+
+/** Tells where a request would go and why not elsewhere. Runs nothing. Thread-safe. */
+public final class Explainer {
+    private static final String SAMPLE_REQUEST = "explain";
+
+    private final ModelTargets targets;
+    private final EndpointPool pool;
+    private final long defaultDeadlineMillis;
+
+    private Explainer(VersionChooser versionChooser, EndpointPool pool, long defaultDeadlineMillis) {
+        this.targets = new ModelTargets(versionChooser);
+        this.pool = checkNotNull(pool);
+        this.defaultDeadlineMillis = defaultDeadlineMillis;
+    }
+
+    /**
+     * Returns an explainer that decides as the gateway of the same parts does.
+     *
+     * @param parts what the gateway works with
+     * @return the explainer
+     */
+    public static Explainer create(GatewayParts parts) {
+        return new Explainer(
+                parts.versionChooser(), parts.pool(), parts.bounds().defaultDeadlineMillis());
+    }
+
+    /**
+     * Explains a request under the given rules.
+     *
+     * @param query the request
+     * @param snapshot the rules
+     * @return the decision with its steps
+     */
+    public Explanation explain(ExplainQuery query, RulesSnapshot snapshot) {
+        List<Step> steps = new ArrayList<>();
+        steps.add(new Step("config", "number " + snapshot.number()));
+        try {
+            return decide(query, snapshot.rules(), steps);
+        } catch (RouterException refusal) {
+            steps.add(new Step("refusal", refusal.getMessage()));
+            return new Explanation(Optional.of(refusal.code()), Optional.empty(), Optional.empty(), steps);
+        }
+    }
+
+    private Explanation decide(ExplainQuery query, RuleSet rules, List<Step> steps) {
+        AccountRule account = rules.account(query.account())
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.UNKNOWN_ACCOUNT, "no account is named '" + query.account() + "'"));
+        steps.add(new Step("account", account.name() + " may use " + account.allowed()));
+        if (query.target().indexOf('/') >= 0) {
+            return decideOperation(query, account, rules, steps);
+        }
+        return decideModel(query, account, rules, steps);
+    }
+
+    private Explanation decideOperation(
+            ExplainQuery query, AccountRule account, RuleSet rules, List<Step> steps) {
+        OperationRule operation = Optional.ofNullable(rules.operations().get(query.target()))
+                .orElseThrow(() -> RouterException.notRun(
+                        ErrorCode.UNKNOWN_OPERATION, "no operation is named '" + query.target() + "'"));
+        if (!account.allows(operation)) {
+            throw RouterException.notRun(ErrorCode.NOT_ALLOWED, "the account may not use " + operation.fullName());
+        }
+        steps.add(new Step(
+                "access",
+                operation.fullName() + (operation.idempotent() ? " is idempotent" : " is claimed before it is sent")));
+        return withEndpoint(Optional.empty(), rules.endpointsFor(operation.service()), steps);
+    }
+
+    private Explanation decideModel(ExplainQuery query, AccountRule account, RuleSet rules, List<Step> steps) {
+        ImmutableList<String> models = targets.models(query.target(), account, rules);
+        steps.add(new Step("access", query.target() + " stands for " + models));
+        Optional<VersionId> explicit = VersionId.parse(query.target());
+        VersionId version = explicit.isPresent()
+                ? targets.explicit(explicit.get(), account, rules).id()
+                : targets.choose(models.get(0), query.session().orElse(SAMPLE_REQUEST), account, rules);
+        query.session()
+                .ifPresent(session -> steps.add(new Step(
+                        "session", "a session that was here before keeps its version, whatever is said below")));
+        rules.versionsOf(version.model())
+                .forEach(rule -> steps.add(new Step(
+                        "version",
+                        rule.id() + " is " + rule.state() + " with share " + rule.sharePercent() + " %"
+                                + (rule.id().equals(version) ? ", chosen" : ""))));
+        return withEndpoint(Optional.of(version.toString()), rules.endpointsFor(version), steps);
+    }
+
+    private Explanation withEndpoint(
+            Optional<String> version, ImmutableList<EndpointRule> endpoints, List<Step> steps) {
+        RequestFacts facts = RequestFacts.of(OptionalLong.empty(), defaultDeadlineMillis);
+        ImmutableList<Candidate> candidates = pool.candidates(endpoints, facts);
+        Map<String, EndpointStatus> statuses =
+                pool.statuses().stream().collect(Collectors.toMap(EndpointStatus::name, Function.identity()));
+        for (EndpointRule endpoint : endpoints) {
+            steps.add(new Step("endpoint", describe(endpoint, candidates, statuses.get(endpoint.name()))));
+        }
+        Optional<Candidate> likely = candidates.stream()
+                .min(Comparator.comparing(Candidate::locality).thenComparingDouble(Candidate::relativeLoad));
+        Optional<ErrorCode> refusal = likely.isPresent() ? Optional.empty() : Optional.of(ErrorCode.POOL_EXHAUSTED);
+        return new Explanation(
+                refusal, version, likely.map(candidate -> candidate.rule().name()), steps);
+    }
+
+    private static String describe(
+            EndpointRule endpoint, ImmutableList<Candidate> candidates, EndpointStatus status) {
+        Optional<Candidate> candidate = candidates.stream()
+                .filter(found -> found.rule().name().equals(endpoint.name()))
+                .findFirst();
+        if (candidate.isPresent()) {
+            return endpoint.name() + ": " + candidate.get().locality() + ", " + candidate.get().inFlight() + " of "
+                    + candidate.get().capacity() + " in use";
+        }
+        if (status != null && status.health() == EndpointHealth.READY) {
+            return endpoint.name() + ": full, " + status.inFlight() + " in use";
+        }
+        return endpoint.name() + ": " + (status == null ? "not known yet" : status.health().toString());
+    }
+}
--- a/router/src/main/java/baobabcroft/gateway/GatewayServer.java
+++ b/router/src/main/java/baobabcroft/gateway/GatewayServer.java
@@ -200,7 +200,7 @@
     }
 
     private HttpResponse readiness() {
-        boolean ready = !gate.isClosed() && rulesInForce.forNewWork().isPresent();
+        boolean ready = !gate.isClosing() && rulesInForce.forNewWork().isPresent();
         return ready
                 ? text(StatusCodes.OK.intValue(), "ready")
                 : text(StatusCodes.SERVICE_UNAVAILABLE.intValue(), "not ready");
--- a/router/src/main/java/baobabcroft/gateway/WorkGate.java
+++ b/router/src/main/java/baobabcroft/gateway/WorkGate.java
@@ -14,6 +14,7 @@
     private final int maxConcurrent;
     private final CompletableFuture<Void> idleAfterClose = new CompletableFuture<>();
     private int running;
+    private boolean closing;
     private boolean closed;
 
     private WorkGate(int maxConcurrent) {
@@ -63,12 +64,17 @@
     }
 
     /**
-     * Returns whether the gate is closed.
+     * Returns whether the gate is closed or about to be.
      *
-     * @return whether new requests are refused
+     * @return whether the balancer should send no more requests
      */
-    public synchronized boolean isClosed() {
-        return closed;
+    public synchronized boolean isClosing() {
+        return closing;
+    }
+
+    /** Announces that the gate will be closed; requests are still let in. */
+    public synchronized void announceClose() {
+        closing = true;
     }
 
     /**
@@ -77,6 +83,7 @@
      * @return a stage that completes when the last running request is out
      */
     public synchronized CompletionStage<Void> close() {
+        closing = true;
         closed = true;
         completeIfIdle();
         return idleAfterClose;
--- /dev/null
+++ b/router/src/main/java/baobabcroft/serve/ConfigRules.java
@@ -0,0 +1,30 @@
+package baobabcroft.serve;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.config.AppliedConfig;
+import baobabcroft.config.ConfigNode;
+import baobabcroft.gateway.RulesInForce;
+import baobabcroft.gateway.RulesSnapshot;
+import com.google.common.base.Ticker;
+import java.util.Optional;
+
+/** The rules that this instance may take new work under, by its copy of the configuration. Thread-safe. */
+final class ConfigRules implements RulesInForce {
+    private final ConfigNode node;
+    private final Ticker ticker;
+
+    ConfigRules(ConfigNode node, Ticker ticker) {
+        this.node = checkNotNull(node);
+        this.ticker = checkNotNull(ticker);
+    }
+
+    @Override
+    public Optional<RulesSnapshot> forNewWork() {
+        Optional<AppliedConfig> current = node.current();
+        if (current.isEmpty() || !node.mayTakeNewWork(current.get().number(), ticker.read())) {
+            return Optional.empty();
+        }
+        return Optional.of(new RulesSnapshot(current.get().number(), current.get().rules()));
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -0,0 +1,300 @@
+package baobabcroft.serve;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.admin.AdminKeys;
+import baobabcroft.admin.AdminRoutes;
+import baobabcroft.admin.DrainReport;
+import baobabcroft.balance.BreakerSettings;
+import baobabcroft.balance.EndpointPickers;
+import baobabcroft.balance.EndpointPool;
+import baobabcroft.claim.ClaimService;
+import baobabcroft.claim.ClaimSettings;
+import baobabcroft.common.Scheduler;
+import baobabcroft.config.ConfigContext;
+import baobabcroft.config.ConfigNode;
+import baobabcroft.config.ConfigTimings;
+import baobabcroft.endpoint.PekkoEndpointClient;
+import baobabcroft.gateway.Explainer;
+import baobabcroft.gateway.GatewayParts;
+import baobabcroft.gateway.GatewayServer;
+import baobabcroft.gateway.WorkGate;
+import baobabcroft.limit.AccountLimits;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.membership.Members;
+import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.peer.NettyPeerTransport;
+import baobabcroft.peer.PeerSettings;
+import baobabcroft.platform.HttpLiveList;
+import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.etcd.EtcdStore;
+import baobabcroft.poison.CrashLedger;
+import baobabcroft.rules.RulesParser;
+import baobabcroft.settings.Settings;
+import baobabcroft.slot.SlotLog;
+import baobabcroft.slot.SlotLogContext;
+import baobabcroft.slot.SlotLogSettings;
+import com.google.common.base.Ticker;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.security.SecureRandom;
+import java.time.InstantSource;
+import java.util.HexFormat;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.simple.ThreadLocalRandomSource;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Behaviors;
+
+/**
+ * One entry instance: starts all its parts, and stops them in the order that loses nothing.
+ *
+ * <p>Thread-safe.
+ */
+public final class InstanceServer {
+    private static final long CRASH_RETENTION_MILLIS = TimeUnit.HOURS.toMillis(1);
+    private static final int MAX_CRASH_REQUESTS = 10_000;
+    private static final long LIST_LAG_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final int REQUEST_ID_BYTES = 16;
+
+    private final EventLog log = EventLog.of(InstanceServer.class);
+    private final Settings settings;
+    private final SecureRandom secureRandom = new SecureRandom();
+    private final Ticker ticker = Ticker.systemTicker();
+    private final InstantSource wallClock = InstantSource.system();
+    private final InstanceThreads threads = new InstanceThreads();
+    private final Scheduler scheduler = threads.scheduler();
+    private final RouterMetrics metrics = RouterMetrics.create();
+    private final ActorSystem<Void> system;
+    private final KeyValueStore store;
+    private final Members members;
+    private final EndpointPool pool;
+    private final LiveListPoller liveList;
+    private final NettyPeerTransport transport;
+    private final ConfigNode node;
+    private final ClaimService claims;
+    private final WorkGate gate;
+    private final GatewayServer gateway;
+    private final AdminService admin;
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private HttpBinding callersBinding;
+    private HttpBinding adminBinding;
+
+    private InstanceServer(Settings settings) {
+        this.settings = checkNotNull(settings);
+        long incarnation = secureRandom.nextLong() >>> 1;
+        String self = settings.instance().name();
+        String incarnationName = self + "#" + Long.toHexString(incarnation);
+        this.system = ActorSystem.create(Behaviors.empty(), "baobabcroft");
+        this.store = EtcdStore.create(
+                settings.platform().storeUrls(),
+                settings.platform().timeoutMillis(),
+                scheduler,
+                () -> ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP).nextDouble());
+        this.members = Members.create(LIST_LAG_NANOS, ticker.read());
+        this.pool = EndpointPool.create(
+                settings.instance().failureDomain(),
+                BreakerSettings.defaults(),
+                ticker,
+                RandomSource.XO_RO_SHI_RO_128_PP.create(secureRandom.nextLong()));
+        this.liveList = new LiveListPoller(
+                HttpLiveList.create(settings.platform().liveListUrl(), settings.platform().timeoutMillis()),
+                members,
+                pool,
+                scheduler,
+                ticker,
+                settings.timing().liveListPollMillis());
+        this.transport = NettyPeerTransport.start(
+                self,
+                new InetSocketAddress(
+                        InetAddresses.forString(settings.listen().peers().getHost()),
+                        settings.listen().peers().getPort()),
+                settings.peers().sharedKey().reveal().getBytes(StandardCharsets.UTF_8),
+                PeerSettings.defaults(),
+                liveList::addressOf,
+                secureRandom);
+        this.node = ConfigNode.start(configContext(self, incarnation));
+        this.claims = claimService(incarnationName);
+        this.gate = WorkGate.create(settings.limits().maxConcurrentRequests());
+        GatewayParts parts = gatewayParts(self, incarnationName);
+        this.gateway = GatewayServer.create(parts);
+        StatusReporter reporter = new StatusReporter(
+                settings.instance(),
+                node,
+                members,
+                pool,
+                gate,
+                () -> 0,
+                ticker,
+                settings.timing().authorityMillis());
+        this.admin = new AdminService(
+                node, store, Explainer.create(parts), reporter::report, this::startDrain, this::randomName);
+    }
+
+    private ConfigContext configContext(String self, long incarnation) {
+        ConfigTimings timings = new ConfigTimings(
+                settings.timing().authorityMillis(),
+                settings.timing().heartbeatMillis(),
+                settings.timing().authorityMillis() / 4);
+        return new ConfigContext(
+                self,
+                incarnation,
+                store,
+                transport,
+                members,
+                scheduler,
+                ticker,
+                wallClock,
+                timings,
+                RulesParser::parse);
+    }
+
+    private ClaimService claimService(String incarnationName) {
+        SlotLogContext context = new SlotLogContext(store, scheduler, wallClock, randomProvider()::nextDouble);
+        SlotLog slotLog = SlotLog.create(context, SlotLogSettings.defaults());
+        return ClaimService.create(
+                slotLog, incarnationName, ClaimSettings.defaults(), scheduler, wallClock, secureRandom::nextLong);
+    }
+
+    private GatewayParts gatewayParts(String self, String incarnationName) {
+        CrashLedger crashes = CrashLedger.create(CRASH_RETENTION_MILLIS, MAX_CRASH_REQUESTS);
+        PeerNames peers = new PeerNames(self, members, node);
+        PeerGossip gossip = new PeerGossip(transport, peers, crashes, wallClock);
+        gossip.register();
+        ClaimantPresence presence = new ClaimantPresence(incarnationName, node.presence(), ticker);
+        return new GatewayParts(
+                new ConfigRules(node, ticker),
+                new ShareChooser(),
+                new StoreSessions(store),
+                new StoreCharges(store),
+                claims,
+                presence,
+                AccountLimits.create(incarnationName),
+                pool,
+                EndpointPickers.tiered(),
+                PekkoEndpointClient.create(system, scheduler),
+                crashes,
+                gossip::announce,
+                gate,
+                metrics,
+                new GatewayParts.Bounds(
+                        settings.limits().maxBodyBytes(),
+                        settings.limits().bodyReadTimeoutMillis(),
+                        settings.timing().defaultDeadlineMillis()),
+                InstanceServer::randomProvider,
+                this::randomName,
+                scheduler,
+                ticker,
+                wallClock,
+                system);
+    }
+
+    private static UniformRandomProvider randomProvider() {
+        return ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP);
+    }
+
+    private String randomName() {
+        byte[] bytes = new byte[REQUEST_ID_BYTES];
+        secureRandom.nextBytes(bytes);
+        return HexFormat.of().formatHex(bytes);
+    }
+
+    /**
+     * Starts an instance.
+     *
+     * @param settings its settings
+     * @return the instance once it listens; fails if an address cannot be bound
+     */
+    public static CompletionStage<InstanceServer> start(Settings settings) {
+        return new InstanceServer(settings).bind();
+    }
+
+    private CompletionStage<InstanceServer> bind() {
+        node.addListener(applied -> pool.replace(applied.rules()));
+        node.addListener(applied -> log.log(
+                LogEvent.CONFIG_APPLIED,
+                applied.number(),
+                applied.document().changeId(),
+                applied.document().author(),
+                ""));
+        liveList.start();
+        AdminServer adminServer = new AdminServer(
+                AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
+        return HttpBinding.bind(settings.listen().callers(), gateway::handle, system)
+                .thenCompose(bound -> {
+                    callersBinding = bound;
+                    return HttpBinding.bind(settings.listen().admin(), adminServer::handle, system);
+                })
+                .thenApply(bound -> {
+                    adminBinding = bound;
+                    log.log(
+                            LogEvent.STARTED,
+                            settings.instance().name(),
+                            callersBinding.address(),
+                            adminBinding.address(),
+                            transport.listenAddress());
+                    return this;
+                });
+    }
+
+    /**
+     * Returns a stage that completes when the instance has stopped.
+     *
+     * @return the stage
+     */
+    public CompletionStage<Void> whenStopped() {
+        return stopped;
+    }
+
+    /** Starts a planned stop, once. */
+    public void stop() {
+        startDrain();
+    }
+
+    private DrainReport startDrain() {
+        if (draining.compareAndSet(false, true)) {
+            log.log(LogEvent.DRAIN_STARTED, gate.running());
+            gate.announceClose();
+            node.setLeaving();
+            scheduler.schedule(settings.drain().balancerNoticeMillis(), this::closeGate);
+        }
+        return new DrainReport(gate.running(), settings.drain().drainTimeoutMillis());
+    }
+
+    private void closeGate() {
+        CompletableFuture<Void> idle = gate.close().toCompletableFuture();
+        idle.orTimeout(settings.drain().drainTimeoutMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((done, late) -> {
+                    if (late != null) {
+                        log.log(LogEvent.DRAIN_TIMED_OUT, gate.running());
+                    }
+                    stopBindings();
+                });
+    }
+
+    private void stopBindings() {
+        long timeoutMillis = settings.drain().drainTimeoutMillis();
+        callersBinding
+                .stop(timeoutMillis)
+                .thenCompose(done -> adminBinding.stop(timeoutMillis))
+                .whenComplete((done, failure) -> stopParts());
+    }
+
+    private void stopParts() {
+        liveList.close();
+        node.close();
+        transport.close();
+        store.close();
+        log.log(LogEvent.STOPPED, settings.instance().name(), gate.running());
+        system.terminate();
+        threads.close();
+        stopped.complete(null);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/serve/LiveListPoller.java
@@ -0,0 +1,104 @@
+package baobabcroft.serve;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.balance.EndpointPool;
+import baobabcroft.common.Scheduler;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.membership.Members;
+import baobabcroft.platform.LiveEntry;
+import baobabcroft.platform.LiveList;
+import baobabcroft.platform.LiveListResult;
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.InetAddresses;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.Optional;
+import java.util.function.Predicate;
+
+/** Reads the platform's live list at intervals and tells members and endpoints of it. Thread-safe. */
+final class LiveListPoller {
+    private final EventLog log = EventLog.of(LiveListPoller.class);
+    private final LiveList liveList;
+    private final Members members;
+    private final EndpointPool pool;
+    private final Scheduler scheduler;
+    private final Ticker ticker;
+    private final long intervalMillis;
+    private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
+    private volatile boolean available = true;
+    private volatile boolean closed;
+
+    LiveListPoller(
+            LiveList liveList,
+            Members members,
+            EndpointPool pool,
+            Scheduler scheduler,
+            Ticker ticker,
+            long intervalMillis) {
+        this.liveList = checkNotNull(liveList);
+        this.members = checkNotNull(members);
+        this.pool = checkNotNull(pool);
+        this.scheduler = checkNotNull(scheduler);
+        this.ticker = checkNotNull(ticker);
+        this.intervalMillis = intervalMillis;
+    }
+
+    /** Starts polling. */
+    void start() {
+        poll();
+    }
+
+    /** Stops polling. */
+    void close() {
+        closed = true;
+    }
+
+    /** Returns where an instance listens for the others. */
+    Optional<InetSocketAddress> addressOf(String instance) {
+        return Optional.ofNullable(peerAddresses.get(instance));
+    }
+
+    private void poll() {
+        if (closed) {
+            return;
+        }
+        liveList.fetch().thenAccept(this::take).whenComplete((done, failure) ->
+                scheduler.schedule(intervalMillis, this::poll));
+    }
+
+    private void take(LiveListResult result) {
+        if (result instanceof LiveListResult.Unavailable unavailable) {
+            if (available) {
+                log.log(LogEvent.LIVE_LIST_UNAVAILABLE, unavailable.reason());
+            }
+            available = false;
+            members.listed(members.listed(), ticker.read());
+            return;
+        }
+        available = true;
+        LiveListResult.Listed listed = (LiveListResult.Listed) result;
+        ImmutableMap.Builder<String, InetSocketAddress> addresses = ImmutableMap.builder();
+        listed.entries().stream()
+                .filter(entry -> entry.role() == LiveEntry.Role.INSTANCE)
+                .forEach(entry -> addresses.put(entry.name(), address(entry)));
+        peerAddresses = addresses.buildKeepingLast();
+        members.listed(names(listed, entry -> entry.role() == LiveEntry.Role.INSTANCE), ticker.read());
+        pool.markLeaving(names(
+                listed,
+                entry -> entry.role() == LiveEntry.Role.ENDPOINT && entry.state() == LiveEntry.State.LEAVING));
+    }
+
+    private static InetSocketAddress address(LiveEntry entry) {
+        InetAddress host = InetAddresses.forString(
+                entry.address().getHost());
+        return new InetSocketAddress(host, entry.address().getPort());
+    }
+
+    private static ImmutableSet<String> names(LiveListResult.Listed listed, Predicate<LiveEntry> wanted) {
+        return listed.entries().stream().filter(wanted).map(LiveEntry::name).collect(ImmutableSet.toImmutableSet());
+    }
+}
