Register the slot log's counters with the instance's metrics

Cause: one registry is scraped. Ruled out: a registry for each part. Conclusion: RouterMetrics shows its registry to parts that count.

--- a/router/src/main/java/baobabcroft/metrics/RouterMetrics.java
+++ b/router/src/main/java/baobabcroft/metrics/RouterMetrics.java
@@ -44,6 +44,15 @@
         return new RouterMetrics(new MetricRegistry());
     }
 
+    /**
+     * Returns the registry, for parts that register metrics of their own.
+     *
+     * @return the registry that {@link #expose} shows
+     */
+    public MetricRegistry registry() {
+        return registry;
+    }
+
     /**
      * Counts an answer that was refused or failed.
      *
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -157,7 +157,14 @@
     }
 
     private ClaimService claimService(String incarnationName) {
-        SlotLogContext context = new SlotLogContext(store, scheduler, wallClock, randomProvider()::nextDouble);
+        SlotLogContext context = new SlotLogContext(
+                store,
+                scheduler,
+                Runnable::run,
+                ticker,
+                wallClock,
+                secureRandom::nextLong,
+                metrics.registry());
         SlotLog slotLog = SlotLog.create(context, SlotLogSettings.defaults());
         return ClaimService.create(
                 slotLog, incarnationName, ClaimSettings.defaults(), scheduler, wallClock, secureRandom::nextLong);
