Run an instance until a signal, and stop it in order

Cause: a planned stop must cut off no request and end with status 0. Ruled out: Pekko's coordinated shutdown, since it ends streams before the drain time. Conclusion: readiness fails first, then the gate closes, then the bindings, then the parts.

--- a/router/src/main/java/baobabcroft/Main.java
+++ b/router/src/main/java/baobabcroft/Main.java
@@ -1,5 +1,8 @@
 package baobabcroft;
 
+import baobabcroft.serve.ServeCommand;
+import java.nio.file.Path;
+
 /** The router's single executable. */
 public final class Main {
     private Main() {}
@@ -10,6 +13,6 @@
      * @param args command-line arguments
      */
     public static void main(String[] args) {
-        System.out.println("baobabcroft");
+        System.exit(ServeCommand.run(Path.of(args[2]), System.err));
     }
 }
--- a/router/src/main/java/baobabcroft/gateway/Explainer.java
+++ b/router/src/main/java/baobabcroft/gateway/Explainer.java
@@ -81,8 +81,7 @@
         return decideModel(query, account, rules, steps);
     }
 
-    private Explanation decideOperation(
-            ExplainQuery query, AccountRule account, RuleSet rules, List<Step> steps) {
+    private Explanation decideOperation(ExplainQuery query, AccountRule account, RuleSet rules, List<Step> steps) {
         OperationRule operation = Optional.ofNullable(rules.operations().get(query.target()))
                 .orElseThrow(() -> RouterException.notRun(
                         ErrorCode.UNKNOWN_OPERATION, "no operation is named '" + query.target() + "'"));
@@ -129,18 +128,18 @@
                 refusal, version, likely.map(candidate -> candidate.rule().name()), steps);
     }
 
-    private static String describe(
-            EndpointRule endpoint, ImmutableList<Candidate> candidates, EndpointStatus status) {
+    private static String describe(EndpointRule endpoint, ImmutableList<Candidate> candidates, EndpointStatus status) {
         Optional<Candidate> candidate = candidates.stream()
                 .filter(found -> found.rule().name().equals(endpoint.name()))
                 .findFirst();
         if (candidate.isPresent()) {
-            return endpoint.name() + ": " + candidate.get().locality() + ", " + candidate.get().inFlight() + " of "
-                    + candidate.get().capacity() + " in use";
+            return endpoint.name() + ": " + candidate.get().locality() + ", "
+                    + candidate.get().inFlight() + " of " + candidate.get().capacity() + " in use";
         }
         if (status != null && status.health() == EndpointHealth.READY) {
             return endpoint.name() + ": full, " + status.inFlight() + " in use";
         }
-        return endpoint.name() + ": " + (status == null ? "not known yet" : status.health().toString());
+        return endpoint.name() + ": "
+                + (status == null ? "not known yet" : status.health().toString());
     }
 }
--- a/router/src/main/java/baobabcroft/serve/AdminService.java
+++ b/router/src/main/java/baobabcroft/serve/AdminService.java
@@ -98,8 +98,8 @@
             return completed(new ApplyOutcome.Invalid(invalid.faults()));
         }
         if (result instanceof ProposalResult.UnknownNumber unknown) {
-            return CompletableFuture.failedFuture(RouterException.notRun(
-                    ErrorCode.NOT_FOUND, "there is no configuration " + unknown.number()));
+            return CompletableFuture.failedFuture(
+                    RouterException.notRun(ErrorCode.NOT_FOUND, "there is no configuration " + unknown.number()));
         }
         ProposalResult.Unavailable unavailable = (ProposalResult.Unavailable) result;
         Execution execution = unavailable.mayBeWritten() ? Execution.MAY_HAVE_RUN : Execution.NOT_RUN;
@@ -125,8 +125,7 @@
 
     @Override
     public CompletionStage<Optional<ConfigDocument>> current() {
-        return CompletableFuture.completedFuture(
-                node.current().map(applied -> document(applied.document())));
+        return CompletableFuture.completedFuture(node.current().map(applied -> document(applied.document())));
     }
 
     @Override
--- a/router/src/main/java/baobabcroft/serve/ConfigRules.java
+++ b/router/src/main/java/baobabcroft/serve/ConfigRules.java
@@ -25,6 +25,7 @@
         if (current.isEmpty() || !node.mayTakeNewWork(current.get().number(), ticker.read())) {
             return Optional.empty();
         }
-        return Optional.of(new RulesSnapshot(current.get().number(), current.get().rules()));
+        return Optional.of(
+                new RulesSnapshot(current.get().number(), current.get().rules()));
     }
 }
--- a/router/src/main/java/baobabcroft/serve/HttpBinding.java
+++ b/router/src/main/java/baobabcroft/serve/HttpBinding.java
@@ -21,9 +21,7 @@
 
     /** Returns a binding once it listens; fails if the address cannot be bound. */
     static CompletionStage<HttpBinding> bind(
-            HostAndPort address,
-            Function<HttpRequest, CompletionStage<HttpResponse>> handler,
-            ActorSystem<?> system) {
+            HostAndPort address, Function<HttpRequest, CompletionStage<HttpResponse>> handler, ActorSystem<?> system) {
         return Http.get(system)
                 .newServerAt(address.getHost(), address.getPort())
                 .bind(handler)
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -97,7 +97,8 @@
                 settings.platform().storeUrls(),
                 settings.platform().timeoutMillis(),
                 scheduler,
-                () -> ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP).nextDouble());
+                () -> ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP)
+                        .nextDouble());
         this.members = Members.create(LIST_LAG_NANOS, ticker.read());
         this.pool = EndpointPool.create(
                 settings.instance().failureDomain(),
@@ -105,7 +106,8 @@
                 ticker,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(secureRandom.nextLong()));
         this.liveList = new LiveListPoller(
-                HttpLiveList.create(settings.platform().liveListUrl(), settings.platform().timeoutMillis()),
+                HttpLiveList.create(
+                        settings.platform().liveListUrl(), settings.platform().timeoutMillis()),
                 members,
                 pool,
                 scheduler,
@@ -158,13 +160,7 @@
 
     private ClaimService claimService(String incarnationName) {
         SlotLogContext context = new SlotLogContext(
-                store,
-                scheduler,
-                Runnable::run,
-                ticker,
-                wallClock,
-                secureRandom::nextLong,
-                metrics.registry());
+                store, scheduler, Runnable::run, ticker, wallClock, secureRandom::nextLong, metrics.registry());
         SlotLog slotLog = SlotLog.create(context, SlotLogSettings.defaults());
         return ClaimService.create(
                 slotLog, incarnationName, ClaimSettings.defaults(), scheduler, wallClock, secureRandom::nextLong);
@@ -232,8 +228,8 @@
                 applied.document().author(),
                 ""));
         liveList.start();
-        AdminServer adminServer = new AdminServer(
-                AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
+        AdminServer adminServer =
+                new AdminServer(AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
         return HttpBinding.bind(settings.listen().callers(), gateway::handle, system)
                 .thenCompose(bound -> {
                     callersBinding = bound;
@@ -276,14 +272,20 @@
     }
 
     private void closeGate() {
-        CompletableFuture<Void> idle = gate.close().toCompletableFuture();
-        idle.orTimeout(settings.drain().drainTimeoutMillis(), TimeUnit.MILLISECONDS)
-                .whenComplete((done, late) -> {
-                    if (late != null) {
-                        log.log(LogEvent.DRAIN_TIMED_OUT, gate.running());
-                    }
-                    stopBindings();
-                });
+        long timeoutMillis = settings.drain().drainTimeoutMillis();
+        AtomicBoolean over = new AtomicBoolean();
+        Scheduler.Cancellable timer = scheduler.schedule(timeoutMillis, () -> {
+            if (over.compareAndSet(false, true)) {
+                log.log(LogEvent.DRAIN_TIMED_OUT, gate.running());
+                stopBindings();
+            }
+        });
+        gate.close().thenRun(() -> {
+            if (over.compareAndSet(false, true)) {
+                timer.cancel();
+                stopBindings();
+            }
+        });
     }
 
     private void stopBindings() {
--- a/router/src/main/java/baobabcroft/serve/LiveListPoller.java
+++ b/router/src/main/java/baobabcroft/serve/LiveListPoller.java
@@ -66,8 +66,9 @@
         if (closed) {
             return;
         }
-        liveList.fetch().thenAccept(this::take).whenComplete((done, failure) ->
-                scheduler.schedule(intervalMillis, this::poll));
+        liveList.fetch()
+                .thenAccept(this::take)
+                .whenComplete((done, failure) -> scheduler.schedule(intervalMillis, this::poll));
     }
 
     private void take(LiveListResult result) {
@@ -88,13 +89,11 @@
         peerAddresses = addresses.buildKeepingLast();
         members.listed(names(listed, entry -> entry.role() == LiveEntry.Role.INSTANCE), ticker.read());
         pool.markLeaving(names(
-                listed,
-                entry -> entry.role() == LiveEntry.Role.ENDPOINT && entry.state() == LiveEntry.State.LEAVING));
+                listed, entry -> entry.role() == LiveEntry.Role.ENDPOINT && entry.state() == LiveEntry.State.LEAVING));
     }
 
     private static InetSocketAddress address(LiveEntry entry) {
-        InetAddress host = InetAddresses.forString(
-                entry.address().getHost());
+        InetAddress host = InetAddresses.forString(entry.address().getHost());
         return new InetSocketAddress(host, entry.address().getPort());
     }
 
--- a/router/src/main/java/baobabcroft/serve/PeerGossip.java
+++ b/router/src/main/java/baobabcroft/serve/PeerGossip.java
@@ -60,7 +60,9 @@
         long nowMillis = wallClock.millis();
         crashes.merge(reports.getReportsList().stream()
                 .map(report -> new Crash(
-                        report.getRequestDigest().toStringUtf8(), report.getEndpoint(), nowMillis - report.getAgeMillis()))
+                        report.getRequestDigest().toStringUtf8(),
+                        report.getEndpoint(),
+                        nowMillis - report.getAgeMillis()))
                 .collect(ImmutableList.toImmutableList()));
     }
 
--- /dev/null
+++ b/router/src/main/java/baobabcroft/serve/ServeCommand.java
@@ -0,0 +1,81 @@
+package baobabcroft.serve;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.settings.Settings;
+import baobabcroft.settings.SettingsException;
+import java.io.PrintStream;
+import java.net.BindException;
+import java.nio.file.Path;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** Runs an instance until it is told to stop. */
+public final class ServeCommand {
+    private static final int EXIT_OK = 0;
+    private static final int EXIT_FAULT = 1;
+    private static final long STOP_MARGIN_MILLIS = 5_000;
+
+    private ServeCommand() {}
+
+    /**
+     * Runs an instance; returns when it has stopped after SIGTERM, SIGINT or the drain command.
+     *
+     * @param settingsFile the settings
+     * @param errors receives one line for each fault of the settings or the addresses
+     * @return the exit status: 0 after a planned stop, 1 if the instance could not start
+     */
+    public static int run(Path settingsFile, PrintStream errors) {
+        checkNotNull(errors);
+        Settings settings;
+        try {
+            settings = Settings.load(settingsFile);
+        } catch (SettingsException faulty) {
+            faulty.faults().forEach(fault -> errors.println(fault));
+            return faulty.exitStatus();
+        }
+        InstanceServer server;
+        try {
+            server = InstanceServer.start(settings).toCompletableFuture().join();
+        } catch (RuntimeException failure) {
+            errors.println("cannot start: " + reason(failure));
+            return EXIT_FAULT;
+        }
+        stopOnSignal(server, settings);
+        server.whenStopped().toCompletableFuture().join();
+        return EXIT_OK;
+    }
+
+    private static String reason(Throwable failure) {
+        for (Throwable cause = failure; cause != null; cause = cause.getCause()) {
+            if (cause instanceof BindException) {
+                return "an address is in use or not of this machine: " + cause.getMessage();
+            }
+        }
+        return String.valueOf(failure instanceof CompletionException ? failure.getCause() : failure);
+    }
+
+    /** Stops on a signal and ends the process with status 0, which a shutdown hook can only do by halting. */
+    private static void stopOnSignal(InstanceServer server, Settings settings) {
+        long waitMillis = settings.drain().balancerNoticeMillis()
+                + 3 * settings.drain().drainTimeoutMillis()
+                + STOP_MARGIN_MILLIS;
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(() -> Runtime.getRuntime().halt(stop(server, waitMillis))));
+    }
+
+    private static int stop(InstanceServer server, long waitMillis) {
+        server.stop();
+        try {
+            server.whenStopped().toCompletableFuture().get(waitMillis, TimeUnit.MILLISECONDS);
+            return EXIT_OK;
+        } catch (InterruptedException | ExecutionException | TimeoutException unfinished) {
+            EventLog.of(ServeCommand.class).logFailure(LogEvent.INTERNAL_FAULT, unfinished, "stop");
+            return EXIT_FAULT;
+        }
+    }
+}
--- a/router/src/main/java/baobabcroft/serve/StoreSessions.java
+++ b/router/src/main/java/baobabcroft/serve/StoreSessions.java
@@ -42,7 +42,10 @@
 
     private static Optional<VersionId> kept(WriteResult result) {
         if (result instanceof WriteResult.Conflict conflict) {
-            return conflict.current().map(Versioned::value).map(ByteString::toStringUtf8).flatMap(VersionId::parse);
+            return conflict.current()
+                    .map(Versioned::value)
+                    .map(ByteString::toStringUtf8)
+                    .flatMap(VersionId::parse);
         }
         return Optional.empty();
     }
