Choose versions by weighted hash, watch them and stop the bad ones

Cause: shares must hold over the fleet, and a version that turns bad must be stopped on all instances' evidence.

--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -58,6 +58,7 @@
     private final Ticker ticker;
     private final RouterMetrics metrics;
     private final Consumer<HttpResponse> discard;
+    private final VersionOutcomes outcomes;
 
     private Dispatcher(GatewayParts parts, Rooms rooms) {
         this.rulesInForce = parts.rulesInForce();
@@ -71,6 +72,7 @@
         this.scheduler = parts.scheduler();
         this.ticker = parts.ticker();
         this.metrics = parts.metrics();
+        this.outcomes = new VersionOutcomes(parts.observeAnswer());
         this.discard = response -> response.discardEntityBytes(parts.system());
     }
 
@@ -170,8 +172,15 @@
                         order,
                         progress,
                         reply,
-                        response -> new Delivery(response, room, target, planned.number(), sentNanos),
-                        room));
+                        response -> new Delivery(
+                                response,
+                                room,
+                                target,
+                                planned.number(),
+                                sentNanos,
+                                order.caller().deadlineNanos(),
+                                outcomes),
+                        new Attempted(room, target)));
     }
 
     private static EndpointCall call(
@@ -193,20 +202,30 @@
         }
     }
 
+    /** Where an attempt went. */
+    private record Attempted(Room room, Target target) {}
+
     private CompletionStage<Delivery> evaluate(
-            Order order, Progress progress, EndpointReply reply, Function<HttpResponse, Delivery> delivery, Room room) {
+            Order order,
+            Progress progress,
+            EndpointReply reply,
+            Function<HttpResponse, Delivery> delivery,
+            Attempted attempted) {
         if (reply instanceof Failed failed) {
-            return failed(order, progress, failed, room);
+            return failed(order, progress, failed, attempted);
         }
         HttpResponse response = ((Answered) reply).response();
-        Optional<RouterException> refusal = refusalOf(order, response, room);
+        Optional<RouterException> refusal = refusalOf(order, response, attempted.room());
         if (refusal.isEmpty()) {
             return CompletableFuture.completedFuture(delivery.apply(response));
         }
         discard.accept(response);
         boolean busy = refusal.get().execution() == Execution.NOT_RUN;
-        room.failed(busy ? FailureKind.BUSY : FailureKind.SERVER_ERROR);
-        return retryOrFail(order, progress.after(room, refusal.get().execution()), refusal.get());
+        attempted.room().failed(busy ? FailureKind.BUSY : FailureKind.SERVER_ERROR);
+        if (!busy) {
+            outcomes.failed(attempted.target());
+        }
+        return retryOrFail(order, progress.after(attempted.room(), refusal.get().execution()), refusal.get());
     }
 
     private Optional<RouterException> refusalOf(Order order, HttpResponse response, Room room) {
@@ -243,8 +262,12 @@
                 .orElse(true);
     }
 
-    private CompletionStage<Delivery> failed(Order order, Progress progress, Failed failed, Room room) {
+    private CompletionStage<Delivery> failed(Order order, Progress progress, Failed failed, Attempted attempted) {
+        Room room = attempted.room();
         room.failed(failureKind(failed.kind()));
+        if (failed.execution() != Execution.NOT_RUN) {
+            outcomes.failed(attempted.target());
+        }
         Progress after = progress.after(room, failed.execution());
         ErrorCode code =
                 failed.kind() == EndpointReply.Kind.TIMED_OUT ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.ENDPOINT_FAILED;
--- a/router/src/main/java/baobabcroft/gateway/GatewayParts.java
+++ b/router/src/main/java/baobabcroft/gateway/GatewayParts.java
@@ -10,8 +10,11 @@
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.poison.Crash;
 import baobabcroft.poison.CrashLedger;
+import baobabcroft.rollout.AnswerOutcome;
+import baobabcroft.rules.VersionId;
 import com.google.common.base.Ticker;
 import java.time.InstantSource;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -21,6 +24,7 @@
  * What the callers' side of an instance works with.
  *
  * @param rulesInForce the rules for new work
+ * @param observeAnswer told how versions answer
  * @param versionChooser chooses versions for new sessions
  * @param sessions versions that sessions keep
  * @param charges records what requests cost
@@ -44,6 +48,7 @@
  */
 public record GatewayParts(
         RulesInForce rulesInForce,
+        BiConsumer<VersionId, AnswerOutcome> observeAnswer,
         VersionChooser versionChooser,
         SessionVersions sessions,
         Charges charges,
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -30,6 +30,8 @@
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.etcd.EtcdStore;
 import baobabcroft.poison.CrashLedger;
+import baobabcroft.rollout.AutomaticStop;
+import baobabcroft.rollout.EvidenceLedger;
 import baobabcroft.rules.RulesParser;
 import baobabcroft.settings.Settings;
 import baobabcroft.slot.SlotLog;
@@ -79,6 +81,9 @@
     private final NettyPeerTransport transport;
     private final ConfigNode node;
     private final ClaimService claims;
+    private final EvidenceLedger evidence;
+    private final AutomaticStop stops = AutomaticStop.create();
+    private final VersionWatch versionWatch;
     private final WorkGate gate;
     private final GatewayServer gateway;
     private final AdminService admin;
@@ -124,6 +129,8 @@
                 secureRandom);
         this.node = ConfigNode.start(configContext(self, incarnation));
         this.claims = claimService(incarnationName);
+        this.evidence = EvidenceLedger.create(incarnationName);
+        this.versionWatch = new VersionWatch(evidence, stops, node, metrics, scheduler, wallClock);
         this.gate = WorkGate.create(settings.limits().maxConcurrentRequests());
         GatewayParts parts = gatewayParts(self, incarnationName);
         this.gateway = GatewayServer.create(parts);
@@ -174,7 +181,8 @@
         ClaimantPresence presence = new ClaimantPresence(incarnationName, node.presence(), ticker);
         return new GatewayParts(
                 new ConfigRules(node, ticker),
-                new ShareChooser(),
+                evidence::answered,
+                versionWatch::choose,
                 new StoreSessions(store),
                 new StoreCharges(store),
                 claims,
@@ -228,6 +236,7 @@
                 applied.document().author(),
                 ""));
         liveList.start();
+        versionWatch.start();
         AdminServer adminServer =
                 new AdminServer(AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
         return HttpBinding.bind(settings.listen().callers(), gateway::handle, system)
--- /dev/null
+++ b/router/src/main/java/baobabcroft/serve/VersionWatch.java
@@ -0,0 +1,94 @@
+package baobabcroft.serve;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.Scheduler;
+import baobabcroft.config.AppliedConfig;
+import baobabcroft.config.ConfigNode;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.rollout.AutomaticStop;
+import baobabcroft.rollout.BadVersionDetector;
+import baobabcroft.rollout.DetectorSettings;
+import baobabcroft.rollout.EvidenceLedger;
+import baobabcroft.rollout.VersionAssignment;
+import baobabcroft.rollout.VersionStop;
+import baobabcroft.rules.RuleSet;
+import baobabcroft.rules.VersionId;
+import baobabcroft.rules.VersionRule;
+import baobabcroft.rules.VersionState;
+import java.time.InstantSource;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+
+/** Checks the open versions against the evidence of all instances and stops the bad ones. Thread-safe. */
+final class VersionWatch {
+    private static final long CHECK_INTERVAL_MILLIS = 500;
+
+    private final EventLog log = EventLog.of(VersionWatch.class);
+    private final EvidenceLedger ledger;
+    private final AutomaticStop stops;
+    private final BadVersionDetector detector;
+    private final ConfigNode node;
+    private final RouterMetrics metrics;
+    private final Scheduler scheduler;
+    private final InstantSource wallClock;
+
+    VersionWatch(
+            EvidenceLedger ledger,
+            AutomaticStop stops,
+            ConfigNode node,
+            RouterMetrics metrics,
+            Scheduler scheduler,
+            InstantSource wallClock) {
+        this.ledger = checkNotNull(ledger);
+        this.stops = checkNotNull(stops);
+        this.detector = BadVersionDetector.create(DetectorSettings.defaults(), ledger);
+        this.node = checkNotNull(node);
+        this.metrics = checkNotNull(metrics);
+        this.scheduler = checkNotNull(scheduler);
+        this.wallClock = checkNotNull(wallClock);
+    }
+
+    /** Starts checking at intervals. */
+    void start() {
+        node.addListener(applied -> ledger.retain(applied.rules().versions().keySet()));
+        check();
+    }
+
+    /** Returns the version for a new session or a request without one. */
+    Optional<VersionId> choose(List<VersionRule> open, String assignmentKey) {
+        return VersionAssignment.assign(assignmentKey, open, stops::isStopped);
+    }
+
+    /** Takes in a stop that another instance told. */
+    void hear(VersionStop stop) {
+        stopped(stop);
+    }
+
+    private void check() {
+        node.current().map(AppliedConfig::rules).ifPresent(this::check);
+        scheduler.schedule(CHECK_INTERVAL_MILLIS, this::check);
+    }
+
+    private void check(RuleSet rules) {
+        for (VersionRule version : rules.versions().values()) {
+            if (version.state() == VersionState.OPEN && stops.stop(version.id()).isEmpty()) {
+                List<VersionRule> others = rules.versionsOf(version.id().model()).stream()
+                        .filter(other -> other.state() == VersionState.OPEN)
+                        .filter(other -> !other.id().equals(version.id()))
+                        .toList();
+                detector.check(version, others, wallClock.millis()).ifPresent(this::stopped);
+            }
+        }
+    }
+
+    private void stopped(VersionStop stop) {
+        if (stops.add(stop)) {
+            metrics.count("version_stopped." + stop.cause().name().toLowerCase(Locale.ROOT));
+            log.log(LogEvent.VERSION_STOPPED, stop.version(), stop.cause(), stop.trials());
+        }
+    }
+}
