--- a/examples/local.sh
+++ b/examples/local.sh
@@ -59,14 +59,22 @@
 pids+=($!)
 wait_for http://127.0.0.1:7302/targets "the stand-ins"
 
+targets=''
+for n in 1 2 3; do
+  domain=$(sed -n 's/.*"failureDomain": "\([^"]*\)".*/\1/p' "$sample/instance-$n.json")
+  labels="{\"name\":\"$deployment-$n\",\"role\":\"instance\",\"state\":\"live\",\"failure_domain\":\"$domain\"}"
+  targets="$targets${targets:+,}{\"targets\":[\"127.0.0.1:702$n\"],\"labels\":$labels}"
+done
+curl -fsS -o "$run/probe" -H 'Content-Type: application/json' -d "[$targets]" http://127.0.0.1:7302/control/targets
+
 for n in 1 2 3; do
   "$router" serve --settings "$sample/instance-$n.json" >"$run/instance-$n.log" 2>&1 &
   pids+=($!)
 done
 for n in 1 2 3; do wait_for "http://127.0.0.1:700$n/healthz" "instance $n"; done
 
-"$router" rules apply "$sample/$deployment.rules" --author local.sh --comment "sample rules" \
-  --admin http://127.0.0.1:7011 --admin-key-file "$sample/admin.key"
+"$router" rules apply "$sample/$deployment.rules" --base 0 --comment "sample rules" \
+  --admin http://127.0.0.1:7011 --admin-key-file "$sample/operator-key"
 for n in 1 2 3; do wait_for "http://127.0.0.1:700$n/readyz" "instance $n"; done
 
 key="$account-key"
@@ -101,12 +109,12 @@
 check "the same operation sent again through instance 2" "$first" "http://127.0.0.1:7002/$order_url" -H "$json" \
   -H 'Idempotency-Key: local-order-1' -d '{"item":42}'
 
-"$router" status --admin http://127.0.0.1:7011 --admin-key-file "$sample/admin.key"
+"$router" status --admin http://127.0.0.1:7011 --admin-key-file "$sample/operator-key"
 
 if [ "$keep" = yes ] && [ "$failed" = 0 ]; then
   trap - EXIT
   printf '{"callers":["http://127.0.0.1:7001","http://127.0.0.1:7002","http://127.0.0.1:7003"],'
-  printf '"admin":"http://127.0.0.1:7011","adminKeyFile":"%s","accountKey":"%s",' "$sample/admin.key" "$key"
+  printf '"admin":"http://127.0.0.1:7011","adminKeyFile":"%s","accountKey":"%s",' "$sample/operator-key" "$key"
   printf '"logs":"%s","stop":"kill %s"}\n' "$run" "${pids[*]}"
   exit 0
 fi
--- a/router/src/main/java/baobabcroft/Main.java
+++ b/router/src/main/java/baobabcroft/Main.java
@@ -1,10 +1,14 @@
 package baobabcroft;
 
-import baobabcroft.serve.ServeCommand;
-import java.nio.file.Path;
+import baobabcroft.cli.CommandLine;
+import baobabcroft.cli.Streams;
+import baobabcroft.serve.InstanceProcess;
+import java.util.Optional;
 
 /** The router's single executable. */
 public final class Main {
+    private static final String DEVELOPMENT = "development";
+
     private Main() {}
 
     /**
@@ -13,6 +17,10 @@
      * @param args command-line arguments
      */
     public static void main(String[] args) {
-        System.exit(ServeCommand.run(Path.of(args[2]), System.err));
+        String version = Optional.ofNullable(Main.class.getPackage().getImplementationVersion())
+                .orElse(DEVELOPMENT);
+        CommandLine commandLine =
+                CommandLine.create(settings -> InstanceProcess.run(settings, System.err), version);
+        System.exit(commandLine.run(args, new Streams(System.out, System.err)));
     }
 }
--- a/router/src/main/java/baobabcroft/serve/ServeCommand.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceProcess.java
@@ -5,39 +5,31 @@
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.settings.Settings;
-import baobabcroft.settings.SettingsException;
 import java.io.PrintStream;
 import java.net.BindException;
-import java.nio.file.Path;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 /** Runs an instance until it is told to stop. */
-public final class ServeCommand {
+public final class InstanceProcess {
     private static final int EXIT_OK = 0;
     private static final int EXIT_FAULT = 1;
     private static final long STOP_MARGIN_MILLIS = 5_000;
 
-    private ServeCommand() {}
+    private InstanceProcess() {}
 
     /**
      * Runs an instance; returns when it has stopped after SIGTERM, SIGINT or the drain command.
      *
-     * @param settingsFile the settings
-     * @param errors receives one line for each fault of the settings or the addresses
+     * @param settings the settings
+     * @param errors receives one line if the instance cannot start
      * @return the exit status: 0 after a planned stop, 1 if the instance could not start
      */
-    public static int run(Path settingsFile, PrintStream errors) {
+    public static int run(Settings settings, PrintStream errors) {
+        checkNotNull(settings);
         checkNotNull(errors);
-        Settings settings;
-        try {
-            settings = Settings.load(settingsFile);
-        } catch (SettingsException faulty) {
-            faulty.faults().forEach(fault -> errors.println(fault));
-            return faulty.exitStatus();
-        }
         InstanceServer server;
         try {
             server = InstanceServer.start(settings).toCompletableFuture().join();
@@ -74,7 +66,7 @@
             server.whenStopped().toCompletableFuture().get(waitMillis, TimeUnit.MILLISECONDS);
             return EXIT_OK;
         } catch (InterruptedException | ExecutionException | TimeoutException unfinished) {
-            EventLog.of(ServeCommand.class).logFailure(LogEvent.INTERNAL_FAULT, unfinished, "stop");
+            EventLog.of(InstanceProcess.class).logFailure(LogEvent.INTERNAL_FAULT, unfinished, "stop");
             return EXIT_FAULT;
         }
     }
--- /dev/null
+++ b/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
@@ -0,0 +1,221 @@
+package baobabcroft.gateway;
+
+import baobabcroft.balance.BreakerSettings;
+import baobabcroft.balance.EndpointPickers;
+import baobabcroft.balance.EndpointPool;
+import baobabcroft.claim.ClaimService;
+import baobabcroft.claim.ClaimSettings;
+import baobabcroft.endpoint.EndpointCall;
+import baobabcroft.endpoint.EndpointReply;
+import baobabcroft.fake.FakeStore;
+import baobabcroft.fake.FakeStoreClient;
+import baobabcroft.fake.VirtualTime;
+import baobabcroft.limit.AccountLimits;
+import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.poison.CrashLedger;
+import baobabcroft.rollout.VersionAssignment;
+import baobabcroft.rules.ParsedRules;
+import baobabcroft.rules.RuleSet;
+import baobabcroft.rules.RulesParser;
+import baobabcroft.rules.VersionId;
+import baobabcroft.slot.SlotLog;
+import baobabcroft.slot.SlotLogContext;
+import baobabcroft.slot.SlotLogSettings;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.Function;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+
+/** A gateway over scripted endpoints, a fake store and virtual time. */
+final class GatewayFixture {
+    static final String VERSION = "film@1";
+
+    final VirtualTime time = new VirtualTime();
+    final FakeStore store = new FakeStore(time);
+    final FakeStoreClient storeClient = store.connect();
+    final List<EndpointCall> sent = new ArrayList<>();
+    final Deque<Function<EndpointCall, EndpointReply>> script = new ArrayDeque<>();
+    final List<Charge> charges = new ArrayList<>();
+    final WorkGate gate = WorkGate.create(100);
+    final RouterMetrics metrics = RouterMetrics.create();
+    Optional<RulesSnapshot> inForce;
+    Runnable beforeEachLook = () -> {};
+
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7L);
+    private final EndpointPool pool = EndpointPool.create("a1", BreakerSettings.defaults(), time.ticker(), random);
+    private final GatewayServer gateway;
+    private long requests;
+
+    GatewayFixture(ActorSystem<?> system) {
+        apply(1, "open");
+        gateway = GatewayServer.create(parts(system));
+    }
+
+    /** Puts rules in force in which the model's only version has the given state. */
+    void apply(long number, String versionState) {
+        RuleSet rules = rules(versionState);
+        pool.replace(rules);
+        inForce = Optional.of(new RulesSnapshot(number, rules));
+    }
+
+    private static RuleSet rules(String versionState) {
+        String share = versionState.equals("open") ? "share=100 " : "";
+        String text = String.join(
+                "\n",
+                "failure-domain a1 region=a # ana: test",
+                "account shop key-sha256=" + sha256("shop-key") + " allow=film,ledger # ana: test",
+                "account guest key-sha256=" + sha256("guest-key") + " allow=ledger/stock # ana: test",
+                "version film@1 state=" + versionState + " " + share + "price=0.002 quality=0.9 # ana: test",
+                "operation ledger/order idempotent=no price=1 timeout=5s # ana: test",
+                "operation ledger/stock idempotent=yes price=0 timeout=5s # ana: test",
+                "endpoint e1 address=127.0.0.1:1 failure-domain=a1 versions=film@1 max-concurrent=4 # ana: test",
+                "endpoint e2 address=127.0.0.1:2 failure-domain=a1 versions=film@1 max-concurrent=4 # ana: test",
+                "endpoint l1 address=127.0.0.1:3 failure-domain=a1 service=ledger max-concurrent=4 # ana: test",
+                "endpoint l2 address=127.0.0.1:4 failure-domain=a1 service=ledger max-concurrent=4 # ana: test",
+                "");
+        ParsedRules parsed = RulesParser.parse(text);
+        if (parsed instanceof ParsedRules.Valid valid) {
+            return valid.rules();
+        }
+        throw new IllegalStateException(parsed.toString());
+    }
+
+    private static String sha256(String key) {
+        return Hashing.sha256().hashString(key, StandardCharsets.UTF_8).toString();
+    }
+
+    private GatewayParts parts(ActorSystem<?> system) {
+        return new GatewayParts(
+                () -> {
+                    beforeEachLook.run();
+                    return inForce;
+                },
+                (version, outcome) -> {},
+                (open, key) -> VersionAssignment.assign(key, open, version -> false),
+                (account, session, model, choice, only) -> CompletableFuture.completedFuture(choice.get()),
+                recorder(),
+                claims(),
+                instance -> false,
+                AccountLimits.create("self"),
+                pool,
+                EndpointPickers.roundRobin(),
+                this::send,
+                CrashLedger.create(60_000, 100),
+                crash -> {},
+                gate,
+                metrics,
+                new GatewayParts.Bounds(10_000, 1_000, 10_000),
+                () -> random,
+                () -> "request-" + ++requests,
+                time.scheduler(),
+                time.ticker(),
+                time.wallClock(),
+                system);
+    }
+
+    private Charges recorder() {
+        return new Charges() {
+            @Override
+            public void requireAvailable() {}
+
+            @Override
+            public CompletionStage<Void> record(Charge charge) {
+                charges.add(charge);
+                return CompletableFuture.completedFuture(null);
+            }
+        };
+    }
+
+    private ClaimService claims() {
+        SlotLogContext context = new SlotLogContext(
+                storeClient,
+                time.scheduler(),
+                Runnable::run,
+                time.ticker(),
+                time.wallClock(),
+                random::nextLong,
+                new MetricRegistry());
+        return ClaimService.create(
+                SlotLog.create(context, SlotLogSettings.defaults()),
+                "self",
+                ClaimSettings.defaults(),
+                time.scheduler(),
+                time.wallClock(),
+                random::nextLong);
+    }
+
+    private CompletionStage<EndpointReply> send(EndpointCall call) {
+        if (call.request().getUri().path().equals("/healthz")) {
+            return CompletableFuture.completedFuture(new EndpointReply.Answered(HttpResponse.create()));
+        }
+        sent.add(call);
+        return CompletableFuture.completedFuture(script.remove().apply(call));
+    }
+
+    /** Lets the next call be answered with a status and body. */
+    void answer(int status, String body) {
+        script.add(call -> new EndpointReply.Answered(
+                HttpResponse.create().withStatus(status).withEntity(ContentTypes.APPLICATION_JSON, body)));
+    }
+
+    /** Lets the next call be answered with a whole chat answer of the given version. */
+    void answerChat(String version) {
+        answer(
+                200,
+                "{\"id\":\"c\",\"model\":\"" + version + "\",\"choices\":[{\"message\":{\"content\":\"5 min\"},"
+                        + "\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1000}}");
+    }
+
+    /** Lets the next call fail. */
+    void fail(EndpointReply.Kind kind) {
+        script.add(call -> new EndpointReply.Failed(kind, "test"));
+    }
+
+    /** Sends a request and returns its answer, letting time pass until it is there. */
+    HttpResponse call(HttpRequest request) {
+        CompletableFuture<HttpResponse> answer =
+                gateway.handle(request).toCompletableFuture();
+        for (int step = 0; step < 200 && !answer.isDone(); step++) {
+            time.advance(100);
+        }
+        return answer.getNow(null);
+    }
+
+    HttpRequest chat(String key, String model) {
+        return HttpRequest.POST("/v1/chat/completions")
+                .addHeader(header("Authorization", "Bearer " + key))
+                .withEntity(
+                        ContentTypes.APPLICATION_JSON,
+                        "{\"model\":\"" + model + "\",\"messages\":[{\"role\":\"user\",\"content\":\"hi\"}]}");
+    }
+
+    HttpRequest order(String idempotencyKey, String body) {
+        return HttpRequest.POST("/v1/services/ledger/order")
+                .addHeader(header("Authorization", "Bearer shop-key"))
+                .addHeader(header("Idempotency-Key", idempotencyKey))
+                .withEntity(ContentTypes.APPLICATION_JSON, body);
+    }
+
+    static HttpHeader header(String name, String value) {
+        return RawHeader.create(name, value);
+    }
+
+    static VersionId version() {
+        return VersionId.parse(VERSION).orElseThrow();
+    }
+}
