--- a/router/src/main/java/baobabcroft/Main.java
+++ b/router/src/main/java/baobabcroft/Main.java
@@ -19,8 +19,7 @@
     public static void main(String[] args) {
         String version = Optional.ofNullable(Main.class.getPackage().getImplementationVersion())
                 .orElse(DEVELOPMENT);
-        CommandLine commandLine =
-                CommandLine.create(settings -> InstanceProcess.run(settings, System.err), version);
+        CommandLine commandLine = CommandLine.create(settings -> InstanceProcess.run(settings, System.err), version);
         System.exit(commandLine.run(args, new Streams(System.out, System.err)));
     }
 }
--- a/router/src/main/java/baobabcroft/chat/SseRelay.java
+++ b/router/src/main/java/baobabcroft/chat/SseRelay.java
@@ -22,9 +22,9 @@
 /**
  * Relays a streamed chat answer event by event, and holds its end until the observer releases it.
  *
- * <p>Every event must be of one answer and of the expected version. An answer is whole when all choices have finished and
- * the end mark was seen. What is held is at most the last events, never the answer. Immutable; each materialization has
- * its own state.
+ * <p>Every event must be of one answer and of the expected version. An answer is whole when all choices have finished
+ * and the end mark was seen. What is held is at most the last events, never the answer. Immutable; each
+ * materialization has its own state.
  */
 public final class SseRelay extends GraphStage<FlowShape<ByteString, ByteString>> {
     private static final int MAX_EVENT_BYTES = 1 << 20;
--- a/router/src/main/java/baobabcroft/endpoint/EndpointCall.java
+++ b/router/src/main/java/baobabcroft/endpoint/EndpointCall.java
@@ -11,8 +11,8 @@
  *
  * @param address the endpoint's address
  * @param request the request, its URI relative to the address
- * @param repeatable whether running it twice does no harm; if not, it gets a connection of its own so that a stale pooled
- *     connection cannot leave its fate unknown
+ * @param repeatable whether running it twice does no harm; if not, it gets a connection of its own so that a stale
+ *     pooled connection cannot leave its fate unknown
  * @param timeoutMillis how long to wait for the answer's head, in milliseconds
  */
 public record EndpointCall(HostAndPort address, HttpRequest request, boolean repeatable, long timeoutMillis) {
--- a/router/src/main/java/baobabcroft/endpoint/PekkoEndpointClient.java
+++ b/router/src/main/java/baobabcroft/endpoint/PekkoEndpointClient.java
@@ -27,8 +27,8 @@
 /**
  * Calls endpoints over HTTP/1.1.
  *
- * <p>Repeatable calls share pooled connections. Others open a connection each: only then is it certain that a failure to
- * connect wrote nothing, and that no request goes out on a connection that the endpoint is closing. Thread-safe.
+ * <p>Repeatable calls share pooled connections. Others open a connection each: only then is it certain that a failure
+ * to connect wrote nothing, and that no request goes out on a connection that the endpoint is closing. Thread-safe.
  */
 public final class PekkoEndpointClient implements EndpointClient {
     private final ActorSystem<?> system;
--- a/router/src/main/java/baobabcroft/gateway/BodyReader.java
+++ b/router/src/main/java/baobabcroft/gateway/BodyReader.java
@@ -30,14 +30,12 @@
         if (declaredBytes.isPresent() && declaredBytes.getAsLong() > maxBodyBytes) {
             throw tooLarge();
         }
-        return request.entity()
-                .withSizeLimit(maxBodyBytes)
-                .toStrict(readTimeoutMillis, system)
-                .handle((strict, failure) -> {
+        return Entities.read(request.entity(), maxBodyBytes, readTimeoutMillis, system)
+                .handle((bytes, failure) -> {
                     if (failure != null) {
                         throw refusal(failure);
                     }
-                    return strict.getData().toArray();
+                    return bytes.toArray();
                 });
     }
 
--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -189,13 +189,10 @@
 
     private CompletionStage<ByteString> read(ChatRun run, Delivery delivery) {
         long remainingMillis = Math.max(1, run.caller().remainingMillis(ticker.read()));
-        return delivery.response()
-                .entity()
-                .withSizeLimit(MAX_ANSWER_BYTES)
-                .toStrict(remainingMillis, system)
-                .handle((strict, failure) -> {
+        return Entities.read(delivery.response().entity(), MAX_ANSWER_BYTES, remainingMillis, system)
+                .handle((bytes, failure) -> {
                     if (failure == null) {
-                        return strict.getData();
+                        return bytes;
                     }
                     delivery.failed(FailureKind.INVALID_ANSWER);
                     throw RouterException.of(
--- a/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
+++ b/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
@@ -127,8 +127,8 @@
     private CompletionStage<CallerAnswer> settled(ClaimTicket ticket, OperationAnswer answer) {
         RecordedAnswer record = new RecordedAnswer(
                 answer.response().status().intValue(),
-                answer.entity().getContentType().toString(),
-                ByteString.copyFrom(answer.entity().getData().toArray()));
+                answer.response().entity().getContentType().toString(),
+                ByteString.copyFrom(answer.body().toArray()));
         return claims.settle(ticket, new Outcome.Answered(record)).thenApply(result -> {
             if (result == SettleResult.DURABLE) {
                 return new CallerAnswer(answer.response(), false);
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -38,10 +38,13 @@
  * Sends requests to endpoints and retries those that may be sent again.
  *
  * <p>Right before every send it asks again for the rules in force and finds the target under them, so that an instance
- * that was frozen, or a version that was withdrawn meanwhile, sends nothing. Thread-safe.
+ * that was frozen, or a version that was withdrawn meanwhile, sends nothing. A request whose connection was refused
+ * goes to another endpoint on a budget of its own, since it has cost no endpoint anything. Thread-safe.
  */
 final class Dispatcher {
     private static final long RETRY_AFTER_MILLIS = 1_000;
+    private static final double REROUTE_SHARE = 1.0;
+    private static final double MAX_SAVED_REROUTES = 100;
     private static final int STATUS_PRECONDITION_FAILED = 412;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_SERVER_ERROR = 500;
@@ -53,6 +56,7 @@
     private final CrashWatch crashWatch;
     private final RetryPolicy retryPolicy;
     private final RetryBudget retryBudget;
+    private final RetryBudget rerouteBudget;
     private final Supplier<UniformRandomProvider> random;
     private final Scheduler scheduler;
     private final Ticker ticker;
@@ -68,6 +72,7 @@
                 new CrashWatch(parts.crashes(), parts.endpointClient(), parts.wallClock(), parts.announceCrash());
         this.retryPolicy = RetryPolicy.defaults();
         this.retryBudget = RetryBudget.create();
+        this.rerouteBudget = RetryBudget.of(REROUTE_SHARE, MAX_SAVED_REROUTES);
         this.random = parts.random();
         this.scheduler = parts.scheduler();
         this.ticker = parts.ticker();
@@ -84,6 +89,7 @@
     /** Returns the answer of the endpoint that took the request, or fails with the refusal and its verdict. */
     CompletionStage<Delivery> dispatch(Order order) {
         retryBudget.requestStarted();
+        rerouteBudget.requestStarted();
         return attempt(order, Progress.start());
     }
 
@@ -225,7 +231,8 @@
         if (!busy) {
             outcomes.failed(attempted.target());
         }
-        return retryOrFail(order, progress.after(attempted.room(), refusal.get().execution()), refusal.get());
+        return retryOrFail(
+                order, progress.after(attempted.room(), refusal.get().execution()), refusal.get(), retryBudget);
     }
 
     private Optional<RouterException> refusalOf(Order order, HttpResponse response, Room room) {
@@ -273,12 +280,15 @@
                 failed.kind() == EndpointReply.Kind.TIMED_OUT ? ErrorCode.DEADLINE_EXCEEDED : ErrorCode.ENDPOINT_FAILED;
         RouterException refusal = RouterException.of(
                 code, failed.execution(), "endpoint " + room.endpoint().name() + ": " + failed.reason());
-        if (failed.kind() != EndpointReply.Kind.CONNECTION_LOST) {
-            return retryOrFail(order, after, refusal);
+        if (failed.kind() == EndpointReply.Kind.NOT_CONNECTED) {
+            return retryOrFail(order, after, refusal, rerouteBudget);
+        }
+        if (failed.kind() == EndpointReply.Kind.TIMED_OUT) {
+            return retryOrFail(order, after, refusal, retryBudget);
         }
         return crashWatch
                 .connectionLost(order.bodyDigest(), room.endpoint())
-                .thenCompose(unused -> retryOrFail(order, after, refusal));
+                .thenCompose(unused -> retryOrFail(order, after, refusal, retryBudget));
     }
 
     private static FailureKind failureKind(EndpointReply.Kind kind) {
@@ -289,7 +299,8 @@
         };
     }
 
-    private CompletionStage<Delivery> retryOrFail(Order order, Progress progress, RouterException refusal) {
+    private CompletionStage<Delivery> retryOrFail(
+            Order order, Progress progress, RouterException refusal, RetryBudget budget) {
         if (refusal.execution() == Execution.NOT_RUN) {
             order.permit().giveBack();
         }
@@ -299,7 +310,7 @@
                 progress.attempts(),
                 order.caller().remainingMillis(ticker.read()),
                 0);
-        RetryDecision decision = retryPolicy.decide(facts, retryBudget, random.get());
+        RetryDecision decision = retryPolicy.decide(facts, budget, random.get());
         if (decision instanceof Stop stop) {
             metrics.count("retry_stopped." + stop.reason().name().toLowerCase(Locale.ROOT));
             return CompletableFuture.failedFuture(withVerdict(refusal, progress));
--- a/router/src/main/java/baobabcroft/gateway/Problems.java
+++ b/router/src/main/java/baobabcroft/gateway/Problems.java
@@ -30,7 +30,8 @@
      * Returns the answer that tells a caller of a refusal.
      *
      * @param refusal the refusal
-     * @return a response of type {@code application/problem+json}, with {@code Retry-After} where coming back makes sense
+     * @return a response of type {@code application/problem+json}, with {@code Retry-After} where coming back makes
+     *     sense
      */
     public static HttpResponse response(RouterException refusal) {
         HttpResponse response = HttpResponse.create()
--- a/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -15,12 +15,13 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentType;
 import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpEntity;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.Uri;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.util.ByteString;
 
 /**
  * Takes a call of a plain service's operation to an endpoint and its answer back.
@@ -153,13 +154,10 @@
 
     private CompletionStage<OperationAnswer> read(CallerRequest caller, OperationRule rule, Delivery delivery) {
         long remainingMillis = Math.max(1, Math.min(rule.timeoutMillis(), caller.remainingMillis(ticker.read())));
-        return delivery.response()
-                .entity()
-                .withSizeLimit(MAX_ANSWER_BYTES)
-                .toStrict(remainingMillis, system)
-                .handle((strict, failure) -> {
+        return Entities.read(delivery.response().entity(), MAX_ANSWER_BYTES, remainingMillis, system)
+                .handle((bytes, failure) -> {
                     if (failure == null) {
-                        return answer(delivery, strict);
+                        return answer(delivery, bytes);
                     }
                     delivery.failed(FailureKind.INVALID_ANSWER);
                     throw RouterException.of(
@@ -169,15 +167,16 @@
                 });
     }
 
-    private OperationAnswer answer(Delivery delivery, HttpEntity.Strict strict) {
+    private OperationAnswer answer(Delivery delivery, ByteString bytes) {
         delivery.succeeded(ticker);
+        ContentType type = delivery.response().entity().getContentType();
         HttpResponse response = HttpResponse.create()
                 .withStatus(delivery.response().status())
-                .withEntity(strict)
+                .withEntity(HttpEntities.create(type, bytes))
                 .addHeader(RawHeader.create(
                         Headers.ENDPOINT, delivery.room().endpoint().name()))
                 .addHeader(RawHeader.create(Headers.CONFIG_VERSION, Long.toString(delivery.configNumber())));
-        return new OperationAnswer(response, strict, delivery.target().priceMicros());
+        return new OperationAnswer(response, bytes, delivery.target().priceMicros());
     }
 
     private static Charge charge(CallerRequest caller, OperationRule rule, String digest, OperationAnswer answer) {
--- a/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
@@ -188,8 +188,7 @@
 
     /** Sends a request and returns its answer, letting time pass until it is there. */
     HttpResponse call(HttpRequest request) {
-        CompletableFuture<HttpResponse> answer =
-                gateway.handle(request).toCompletableFuture();
+        CompletableFuture<HttpResponse> answer = gateway.handle(request).toCompletableFuture();
         for (int step = 0; step < 200 && !answer.isDone(); step++) {
             time.advance(100);
         }
--- a/router/src/test/java/baobabcroft/gateway/GatewayServerTest.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayServerTest.java
@@ -73,8 +73,8 @@
 
         @Test
         void overTheLimitIsRefused() {
-            HttpRequest request = gateway.chat("shop-key", "film")
-                    .withEntity(ContentTypes.APPLICATION_JSON, "x".repeat(10_001));
+            HttpRequest request =
+                    gateway.chat("shop-key", "film").withEntity(ContentTypes.APPLICATION_JSON, "x".repeat(10_001));
             assertRefused(413, "body_too_large", "not_run", gateway.call(request));
         }
 
@@ -129,10 +129,17 @@
 
         @Test
         void isSentToAnotherEndpointWhenAConnectionIsLost() {
+            for (int filled = 0; filled < 10; filled++) {
+                gateway.answerChat(GatewayFixture.VERSION);
+                gateway.call(gateway.chat("shop-key", "film"));
+            }
+            gateway.sent.clear();
             gateway.fail(Kind.CONNECTION_LOST);
             gateway.answerChat(GatewayFixture.VERSION);
 
-            assertEquals(200, gateway.call(gateway.chat("shop-key", "film")).status().intValue());
+            HttpResponse response = gateway.call(gateway.chat("shop-key", "film"));
+
+            assertEquals(200, response.status().intValue(), () -> body(response));
             assertEquals(2, gateway.sent.size());
             assertTrue(!gateway.sent.get(0).address().equals(gateway.sent.get(1).address()));
         }
@@ -265,8 +272,7 @@
             gateway.gate.announceClose();
             gateway.answerChat(GatewayFixture.VERSION);
 
-            assertEquals(
-                    503, gateway.call(HttpRequest.GET("/readyz")).status().intValue());
+            assertEquals(503, gateway.call(HttpRequest.GET("/readyz")).status().intValue());
             assertEquals(
                     200, gateway.call(gateway.chat("shop-key", "film")).status().intValue());
         }
