--- a/examples/local.sh
+++ b/examples/local.sh
@@ -59,13 +59,11 @@
 pids+=($!)
 wait_for http://127.0.0.1:7302/targets "the stand-ins"
 
-targets=''
 for n in 1 2 3; do
   domain=$(sed -n 's/.*"failureDomain": "\([^"]*\)".*/\1/p' "$sample/instance-$n.json")
-  labels="{\"name\":\"$deployment-$n\",\"role\":\"instance\",\"state\":\"live\",\"failure_domain\":\"$domain\"}"
-  targets="$targets${targets:+,}{\"targets\":[\"127.0.0.1:702$n\"],\"labels\":$labels}"
+  entry="name=$deployment-$n&role=instance&state=live&failure_domain=$domain&address=127.0.0.1:702$n"
+  curl -fsS -o "$run/probe" -X POST "http://127.0.0.1:7302/control/put?$entry"
 done
-curl -fsS -o "$run/probe" -H 'Content-Type: application/json' -d "[$targets]" http://127.0.0.1:7302/control/targets
 
 for n in 1 2 3; do
   "$router" serve --settings "$sample/instance-$n.json" >"$run/instance-$n.log" 2>&1 &
