--- /dev/null
+++ b/router/src/main/java/baobabcroft/billing/BillReader.java
@@ -0,0 +1,68 @@
+package baobabcroft.billing;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.ReadResult;
+import baobabcroft.platform.Versioned;
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletionStage;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Reads the bills of all instances, each request once. Thread-safe. */
+public final class BillReader {
+    private static final Logger LOG = LoggerFactory.getLogger(BillReader.class);
+
+    private final KeyValueStore store;
+    private final BillSource claims;
+
+    private BillReader(KeyValueStore store, BillSource claims) {
+        this.store = checkNotNull(store);
+        this.claims = checkNotNull(claims);
+    }
+
+    /**
+     * Returns a reader of the journals and of the claims.
+     *
+     * @param store the platform's store
+     * @param claims bills that claims stand for
+     * @return the reader
+     */
+    public static BillReader create(KeyValueStore store, BillSource claims) {
+        return new BillReader(store, claims);
+    }
+
+    /**
+     * Reads all bills.
+     *
+     * @return the bills, or empty if the store did not answer
+     */
+    public CompletionStage<Optional<BillReport>> read() {
+        return claims.read().thenCombine(store.list(BillJournal.PREFIX), BillReader::report);
+    }
+
+    private static Optional<BillReport> report(Optional<ImmutableList<Bill>> claimed, ReadResult journals) {
+        if (claimed.isEmpty() || !(journals instanceof ReadResult.Found found)) {
+            return Optional.empty();
+        }
+        ImmutableList.Builder<Bill> all = ImmutableList.builder();
+        all.addAll(claimed.get());
+        List<Versioned> earliestFirst = found.entries().stream()
+                .sorted(Comparator.comparingLong(Versioned::revision))
+                .toList();
+        for (Versioned segment : earliestFirst) {
+            try {
+                all.addAll(BillCodec.decode(segment.value()));
+            } catch (InvalidProtocolBufferException e) {
+                LOG.error("{} is malformed", segment.key(), e);
+                return Optional.empty();
+            }
+        }
+        return Optional.of(BillReport.of(all.build()));
+    }
+}
--- a/router/src/main/java/baobabcroft/claim/ClaimCodec.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimCodec.java
@@ -68,6 +68,7 @@
             case ANSWERED -> ClaimState.CLAIM_STATE_ANSWERED;
             case UNKNOWN -> ClaimState.CLAIM_STATE_UNKNOWN;
             case WITHDRAWN -> ClaimState.CLAIM_STATE_WITHDRAWN;
+            case REJECTED -> ClaimState.CLAIM_STATE_REJECTED;
         };
     }
 
@@ -77,6 +78,7 @@
             case CLAIM_STATE_ANSWERED -> ClaimRecord.State.ANSWERED;
             case CLAIM_STATE_UNKNOWN -> ClaimRecord.State.UNKNOWN;
             case CLAIM_STATE_WITHDRAWN -> ClaimRecord.State.WITHDRAWN;
+            case CLAIM_STATE_REJECTED -> ClaimRecord.State.REJECTED;
             default -> throw new IllegalStateException("unknown state of claim: " + state);
         };
     }
--- a/router/src/main/java/baobabcroft/claim/ClaimRecord.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimRecord.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.billing.Bill;
 import com.google.protobuf.ByteString;
 import java.util.Optional;
 
@@ -34,8 +35,10 @@
     public enum State {
         /** Claimed: its attempt may send, or has sent, or has died. */
         OPEN,
-        /** The endpoint answered. */
+        /** The endpoint answered, and the request is charged. */
         ANSWERED,
+        /** The endpoint answered with an error status; nothing is charged. */
+        REJECTED,
         /** It was sent, or may have been, and the outcome will not be known. */
         UNKNOWN,
         /** It was never sent and never will be by this attempt; the key is free. */
@@ -80,4 +83,24 @@
                 nowEpochMillis,
                 kept);
     }
+
+    /** Returns the bill that this claim stands for, if it stands for one by now. */
+    Optional<Bill> bill(String account, String idempotencyKey, long nowEpochMillis) {
+        return switch (state) {
+            case ANSWERED ->
+                Optional.of(bill(account, idempotencyKey, priceMicros, Bill.Outcome.ANSWERED, settledAtEpochMillis));
+            case UNKNOWN -> Optional.of(bill(account, idempotencyKey, 0, Bill.Outcome.UNKNOWN, settledAtEpochMillis));
+            case OPEN ->
+                deadlineEpochMillis > nowEpochMillis
+                        ? Optional.empty()
+                        : Optional.of(bill(account, idempotencyKey, 0, Bill.Outcome.UNKNOWN, deadlineEpochMillis));
+            case REJECTED, WITHDRAWN -> Optional.empty();
+        };
+    }
+
+    private Bill bill(
+            String account, String idempotencyKey, long amountMicros, Bill.Outcome outcome, long atEpochMillis) {
+        String requestId = idempotencyKey + "/%016x".formatted(attempt);
+        return new Bill(account, requestId, Bill.Kind.OPERATION, operation, 0, amountMicros, outcome, atEpochMillis);
+    }
 }
--- a/router/src/main/java/baobabcroft/claim/ClaimRules.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimRules.java
@@ -11,6 +11,8 @@
 
 /** The rules of claims, as pure transitions of a slot. */
 final class ClaimRules {
+    private static final int FIRST_ERROR_STATUS = 400;
+
     private final ClaimSettings settings;
 
     ClaimRules(ClaimSettings settings) {
@@ -44,7 +46,7 @@
             return new ClaimResult.KeyReused();
         }
         return switch (claim.state()) {
-            case ANSWERED ->
+            case ANSWERED, REJECTED ->
                 claim.answer().<ClaimResult>map(ClaimResult.Recorded::new).orElseGet(ClaimResult.AnswerNotKept::new);
             case OPEN ->
                 claim.deadlineEpochMillis() > nowEpochMillis
@@ -76,20 +78,27 @@
     }
 
     private ClaimRecord settled(ClaimRecord claim, Outcome outcome, long nowEpochMillis) {
+        Optional<RecordedAnswer> kept = outcome instanceof Outcome.Answered answered
+                ? Optional.of(answered.answer()).filter(answer -> answer.body().size() <= settings.maxAnswerBytes())
+                : Optional.empty();
+        return claim.settled(stateAfter(outcome), kept, nowEpochMillis);
+    }
+
+    /** Returns the state of a claim that has an outcome. */
+    static ClaimRecord.State stateAfter(Outcome outcome) {
         if (outcome instanceof Outcome.Answered answered) {
-            Optional<RecordedAnswer> kept = Optional.of(answered.answer())
-                    .filter(answer -> answer.body().size() <= settings.maxAnswerBytes());
-            return claim.settled(ClaimRecord.State.ANSWERED, kept, nowEpochMillis);
+            return answered.answer().status() < FIRST_ERROR_STATUS
+                    ? ClaimRecord.State.ANSWERED
+                    : ClaimRecord.State.REJECTED;
         }
-        ClaimRecord.State state =
-                outcome instanceof Outcome.NotRun ? ClaimRecord.State.WITHDRAWN : ClaimRecord.State.UNKNOWN;
-        return claim.settled(state, Optional.empty(), nowEpochMillis);
+        return outcome instanceof Outcome.NotRun ? ClaimRecord.State.WITHDRAWN : ClaimRecord.State.UNKNOWN;
     }
 
     /** An open claim takes any outcome; an unknown one may still be answered late; all others are final. */
     private static boolean mayFollow(ClaimRecord.State from, ClaimRecord.State to) {
         return from == ClaimRecord.State.OPEN
-                || (from == ClaimRecord.State.UNKNOWN && to == ClaimRecord.State.ANSWERED);
+                || (from == ClaimRecord.State.UNKNOWN
+                        && (to == ClaimRecord.State.ANSWERED || to == ClaimRecord.State.REJECTED));
     }
 
     private SlotRecord openRecord(RecordKey key, ClaimRecord claim) {
--- a/router/src/main/java/baobabcroft/claim/ClaimService.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimService.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.billing.Bill;
 import baobabcroft.common.Scheduler;
 import baobabcroft.slot.CommitResult;
 import baobabcroft.slot.RecordKey;
@@ -165,6 +166,27 @@
         return log.recentRecords().thenApply(records -> records.map(ClaimService::openClaimsAmong));
     }
 
+    /**
+     * Reads the bills that claims stand for.
+     *
+     * @return the bills, or empty if the store did not answer
+     */
+    public CompletionStage<Optional<ImmutableList<Bill>>> bills() {
+        return log.allRecords().thenApply(records -> records.map(this::billsAmong));
+    }
+
+    private ImmutableList<Bill> billsAmong(ImmutableList<SlotRecord> records) {
+        ImmutableList.Builder<Bill> bills = ImmutableList.builder();
+        for (SlotRecord record : records) {
+            if (record.key().kind() == RecordKind.CLAIM) {
+                ClaimCodec.decode(record.payload())
+                        .bill(record.key().account(), record.key().name(), clock.millis())
+                        .ifPresent(bills::add);
+            }
+        }
+        return bills.build();
+    }
+
     private static ImmutableList<OpenClaim> openClaimsAmong(ImmutableList<SlotRecord> records) {
         ImmutableList.Builder<OpenClaim> open = ImmutableList.builder();
         for (SlotRecord record : records) {
--- a/router/src/main/java/baobabcroft/claim/ClaimTicket.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimTicket.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.billing.Bill;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
@@ -59,6 +61,20 @@
         return request;
     }
 
+    /**
+     * Returns the bill that the claim stands for once an outcome is recorded. While {@link SettleResult#PENDING}, it
+     * may be held elsewhere too: it counts once.
+     *
+     * @param outcome the outcome
+     * @param nowEpochMillis the time, in milliseconds since the epoch
+     * @return the bill, if the outcome calls for one
+     */
+    public Optional<Bill> bill(Outcome outcome, long nowEpochMillis) {
+        return ClaimRecord.open(request, claimingInstance, attempt, nowEpochMillis)
+                .settled(ClaimRules.stateAfter(outcome), Optional.empty(), nowEpochMillis)
+                .bill(request.account(), request.idempotencyKey(), nowEpochMillis);
+    }
+
     /** Ends the right to send for good. */
     void close() {
         state.set(State.CLOSED);
--- a/router/src/main/java/baobabcroft/claim/proto/Claim.java
+++ b/router/src/main/java/baobabcroft/claim/proto/Claim.java
@@ -55,11 +55,12 @@
       "epoch_millis\030\t \001(\003\0220\n\006answer\030\n \001(\0132 .bao" +
       "babcroft.claim.AnswerPayload\"C\n\rAnswerPa" +
       "yload\022\016\n\006status\030\001 \001(\005\022\024\n\014content_type\030\002 " +
-      "\001(\t\022\014\n\004body\030\003 \001(\014*\215\001\n\nClaimState\022\033\n\027CLAI" +
+      "\001(\t\022\014\n\004body\030\003 \001(\014*\247\001\n\nClaimState\022\033\n\027CLAI" +
       "M_STATE_UNSPECIFIED\020\000\022\024\n\020CLAIM_STATE_OPE" +
       "N\020\001\022\030\n\024CLAIM_STATE_ANSWERED\020\002\022\027\n\023CLAIM_S" +
       "TATE_UNKNOWN\020\003\022\031\n\025CLAIM_STATE_WITHDRAWN\020" +
-      "\004B\033\n\027baobabcroft.claim.protoP\001b\006proto3"
+      "\004\022\030\n\024CLAIM_STATE_REJECTED\020\005B\033\n\027baobabcro" +
+      "ft.claim.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
--- a/router/src/main/java/baobabcroft/claim/proto/ClaimState.java
+++ b/router/src/main/java/baobabcroft/claim/proto/ClaimState.java
@@ -31,6 +31,10 @@
    * <code>CLAIM_STATE_WITHDRAWN = 4;</code>
    */
   CLAIM_STATE_WITHDRAWN(4),
+  /**
+   * <code>CLAIM_STATE_REJECTED = 5;</code>
+   */
+  CLAIM_STATE_REJECTED(5),
   UNRECOGNIZED(-1),
   ;
 
@@ -63,6 +67,10 @@
    * <code>CLAIM_STATE_WITHDRAWN = 4;</code>
    */
   public static final int CLAIM_STATE_WITHDRAWN_VALUE = 4;
+  /**
+   * <code>CLAIM_STATE_REJECTED = 5;</code>
+   */
+  public static final int CLAIM_STATE_REJECTED_VALUE = 5;
 
 
   public final int getNumber() {
@@ -94,6 +102,7 @@
       case 2: return CLAIM_STATE_ANSWERED;
       case 3: return CLAIM_STATE_UNKNOWN;
       case 4: return CLAIM_STATE_WITHDRAWN;
+      case 5: return CLAIM_STATE_REJECTED;
       default: return null;
     }
   }
--- a/router/src/main/java/baobabcroft/slot/Backoff.java
+++ b/router/src/main/java/baobabcroft/platform/Backoff.java
@@ -1,26 +1,38 @@
-package baobabcroft.slot;
+package baobabcroft.platform;
 
 import java.util.function.DoubleSupplier;
 
 /** Exponential delays with jitter after calls that failed in a row. Not thread-safe. */
-final class Backoff {
+public final class Backoff {
     private final long minMillis;
     private final long maxMillis;
     private final DoubleSupplier random;
     private int failures;
 
-    Backoff(long minMillis, long maxMillis, DoubleSupplier random) {
+    /**
+     * Creates a backoff without failures.
+     *
+     * @param minMillis first delay, in milliseconds
+     * @param maxMillis longest delay, in milliseconds
+     * @param random numbers from zero to one
+     */
+    public Backoff(long minMillis, long maxMillis, DoubleSupplier random) {
         this.minMillis = minMillis;
         this.maxMillis = maxMillis;
         this.random = random;
     }
 
-    void succeeded() {
+    /** Starts again from the first delay. */
+    public void succeeded() {
         failures = 0;
     }
 
-    /** Counts a failure and returns how long to wait: half of the exponential delay, and up to as much again. */
-    long failed() {
+    /**
+     * Counts a failure.
+     *
+     * @return how long to wait, in milliseconds: half of the exponential delay, and up to as much again
+     */
+    public long failed() {
         long ceilingMillis = maxMillis;
         if (failures < Long.SIZE - Long.numberOfLeadingZeros(maxMillis / minMillis)) {
             ceilingMillis = Math.min(maxMillis, minMillis << failures);
--- a/router/src/main/java/baobabcroft/slot/OutageDetector.java
+++ b/router/src/main/java/baobabcroft/platform/OutageDetector.java
@@ -1,4 +1,4 @@
-package baobabcroft.slot;
+package baobabcroft.platform;
 
 import com.google.common.base.Ticker;
 import java.util.concurrent.TimeUnit;
@@ -8,7 +8,7 @@
  *
  * <p>Now and then it lets a caller through, whose call shows whether the store is back. Thread-safe.
  */
-final class OutageDetector {
+public final class OutageDetector {
     private static final int FAILURES_OF_OUTAGE = 2;
 
     private final Ticker ticker;
@@ -16,29 +16,45 @@
     private int failures;
     private long probeAtNanos;
 
-    OutageDetector(Ticker ticker, long probeIntervalMillis) {
+    /**
+     * Creates a detector that has seen no call.
+     *
+     * @param ticker monotonic clock
+     * @param probeIntervalMillis how often a caller is let through during an outage, in milliseconds
+     */
+    public OutageDetector(Ticker ticker, long probeIntervalMillis) {
         this.ticker = ticker;
         this.probeIntervalNanos = TimeUnit.MILLISECONDS.toNanos(probeIntervalMillis);
     }
 
-    synchronized void succeeded() {
+    /** Notes that the store answered. */
+    public synchronized void succeeded() {
         failures = 0;
     }
 
-    synchronized void failed() {
+    /** Notes that a call failed. */
+    public synchronized void failed() {
         failures++;
         if (failures == FAILURES_OF_OUTAGE) {
             probeAtNanos = ticker.read() + probeIntervalNanos;
         }
     }
 
-    /** Returns whether the last calls failed. */
-    synchronized boolean isOut() {
+    /**
+     * Returns whether the last calls failed.
+     *
+     * @return true during an outage
+     */
+    public synchronized boolean isOut() {
         return failures >= FAILURES_OF_OUTAGE;
     }
 
-    /** Returns whether to refuse a caller at once; false lets it through as a probe. */
-    synchronized boolean refuses() {
+    /**
+     * Returns whether to refuse a caller at once.
+     *
+     * @return false if the store is thought to answer, or if this caller is to find out
+     */
+    public synchronized boolean refuses() {
         if (!isOut()) {
             return false;
         }
--- a/router/src/main/java/baobabcroft/slot/SlotCommitter.java
+++ b/router/src/main/java/baobabcroft/slot/SlotCommitter.java
@@ -1,6 +1,8 @@
 package baobabcroft.slot;
 
+import baobabcroft.platform.Backoff;
 import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.OutageDetector;
 import baobabcroft.platform.ReadResult;
 import baobabcroft.platform.Versioned;
 import baobabcroft.platform.WriteResult;
--- a/router/src/main/java/baobabcroft/slot/SlotLog.java
+++ b/router/src/main/java/baobabcroft/slot/SlotLog.java
@@ -2,12 +2,15 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.platform.OutageDetector;
 import baobabcroft.platform.ReadResult;
 import baobabcroft.platform.Versioned;
 import baobabcroft.platform.WatchListener;
 import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
 import org.slf4j.Logger;
@@ -133,14 +136,50 @@
         return context.store().list(SLOT_PREFIX).thenApply(SlotLog::recordsOf);
     }
 
+    /**
+     * Reads all records that are kept, sealed ones too. A key may be listed several times, at different states.
+     *
+     * @return the records, or empty if the store did not answer
+     */
+    public CompletionStage<Optional<ImmutableList<SlotRecord>>> allRecords() {
+        CompletionStage<Optional<ImmutableList<SlotRecord>>> all = recentRecords();
+        for (int number = 0; number < settings.slots(); number++) {
+            String prefix = segmentKey(slotName(number), "");
+            all = all.thenCompose(soFar -> soFar.isEmpty()
+                    ? CompletableFuture.completedFuture(soFar)
+                    : context.store().list(prefix).thenApply(result -> join(soFar.get(), sealedRecordsOf(result))));
+        }
+        return all;
+    }
+
+    private static Optional<ImmutableList<SlotRecord>> join(
+            ImmutableList<SlotRecord> soFar, Optional<ImmutableList<SlotRecord>> more) {
+        return more.map(records -> ImmutableList.<SlotRecord>builder()
+                .addAll(soFar)
+                .addAll(records)
+                .build());
+    }
+
+    private static Optional<ImmutableList<SlotRecord>> sealedRecordsOf(ReadResult result) {
+        return decodeEach(result, SlotCodec::decodeSegment);
+    }
+
     private static Optional<ImmutableList<SlotRecord>> recordsOf(ReadResult result) {
+        return decodeEach(result, value -> Slot.decode(value).records());
+    }
+
+    private interface Decoder {
+        ImmutableList<SlotRecord> decode(ByteString value) throws InvalidProtocolBufferException;
+    }
+
+    private static Optional<ImmutableList<SlotRecord>> decodeEach(ReadResult result, Decoder decoder) {
         if (!(result instanceof ReadResult.Found found)) {
             return Optional.empty();
         }
         ImmutableList.Builder<SlotRecord> records = ImmutableList.builder();
         for (Versioned entry : found.entries()) {
             try {
-                records.addAll(Slot.decode(entry.value()).records());
+                records.addAll(decoder.decode(entry.value()));
             } catch (InvalidProtocolBufferException e) {
                 LOG.error("{} is malformed", entry.key(), e);
                 return Optional.empty();
--- a/router/src/test/java/baobabcroft/claim/ClaimServiceTest.java
+++ b/router/src/test/java/baobabcroft/claim/ClaimServiceTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import baobabcroft.billing.Bill;
 import baobabcroft.slot.SlotLogSettings;
+import com.google.common.collect.ImmutableList;
+import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -182,6 +185,41 @@
         }
     }
 
+    @Nested
+    class Bills {
+        private ImmutableList<Bill> bills() {
+            return fleet.after(1_000, second.claims().bills()).orElseThrow();
+        }
+
+        @Test
+        void standForAnsweredClaimsAndMatchTheTicketsOwn() {
+            ClaimTicket ticket = fleet.grant(first, fleet.request("k"));
+            long nowEpochMillis = fleet.time.wallClock().millis();
+            fleet.after(100, first.claims().settle(ticket, ClaimFleet.answer("done")));
+            Bill held = ticket.bill(ClaimFleet.answer("done"), nowEpochMillis).orElseThrow();
+            assertEquals(held.id(), bills().get(0).id());
+            assertEquals(100, bills().get(0).amountMicros());
+        }
+
+        @Test
+        void areNotMadeOutForErrorAnswersAndWithdrawals() {
+            ClaimTicket rejected = fleet.grant(first, fleet.request("k"));
+            RecordedAnswer error = new RecordedAnswer(409, "text/plain", ByteString.EMPTY);
+            fleet.after(100, first.claims().settle(rejected, new Outcome.Answered(error)));
+            ClaimTicket withdrawn = fleet.grant(first, fleet.request("l"));
+            fleet.after(100, first.claims().settle(withdrawn, new Outcome.NotRun()));
+            assertTrue(bills().isEmpty());
+        }
+
+        @Test
+        void chargeNothingForAnUnknownOutcome() {
+            ClaimTicket ticket = fleet.grant(first, fleet.request("k"));
+            fleet.after(100, first.claims().settle(ticket, new Outcome.Unknown()));
+            assertEquals(Bill.Outcome.UNKNOWN, bills().get(0).outcome());
+            assertEquals(0, bills().get(0).amountMicros());
+        }
+    }
+
     @Nested
     class Sealing {
         private final SlotLogSettings smallSlots = new SlotLogSettings(1, 0, 1_000, 256, 2_000, 10, 1_000);
