Add load tool with corrected arrivals and an overhead mode

Cause: latencies have to be counted from the time a request was due, and the path through an instance compared with the engine alone in one run. Ruled out: closed-loop clients, which hide waiting; two runs one after the other, which see the engine in other states. Its test of broken streams found that a listener's cancel inside the engine's driver let later events overtake earlier ones, so 3 of 25 streams hung; events now wait for their turn, and the same test passes.

--- /dev/null
+++ b/standins/src/main/java/baobabcroft/load/LoadCommands.java
@@ -0,0 +1,71 @@
+package baobabcroft.load;
+
+import baobabcroft.standin.http.StandinJson;
+import com.google.common.collect.ImmutableList;
+import java.io.PrintStream;
+import java.util.Optional;
+import joptsimple.OptionSet;
+import joptsimple.OptionSpec;
+
+/** Commands that put load on a running system and print one JSON line. */
+public final class LoadCommands {
+    private LoadCommands() {}
+
+    /** What the path through an instance costs. */
+    private record Overhead(
+            TargetReport direct, TargetReport via, Latencies firstByteDifference, Latencies endDifference) {}
+
+    /**
+     * Puts load on one URL.
+     *
+     * @param args the options
+     * @param out where the report goes
+     */
+    public static void load(String[] args, PrintStream out) {
+        LoadOptions load = new LoadOptions();
+        OptionSpec<String> url = load.requiredText("url", "base URL");
+        OptionSet options = load.parse(args);
+        LoadTarget target = load.target(options, "target", options.valueOf(url), load.model(options), true);
+        LoadPlan plan = load.plan(options, ImmutableList.of(target));
+        out.println(StandinJson.write(LoadRunner.run(plan).get(0)));
+    }
+
+    /**
+     * Puts the same load on an endpoint and on an instance before it, by turns, and compares.
+     *
+     * @param args the options
+     * @param out where the report goes
+     */
+    public static void overhead(String[] args, PrintStream out) {
+        LoadOptions load = new LoadOptions();
+        OptionSpec<String> directUrl = load.requiredText("direct", "base URL of the endpoint");
+        OptionSpec<String> viaUrl = load.requiredText("via", "base URL of the instance");
+        OptionSpec<String> directModel = load.optionalText("direct-model", "model named to the endpoint");
+        OptionSpec<String> directPath = load.optionalText("direct-path", "path at the endpoint, if another");
+        OptionSet options = load.parse(args);
+        String model = load.model(options);
+        LoadTarget direct = load.target(
+                options,
+                "direct",
+                options.valueOf(directUrl),
+                Optional.ofNullable(options.valueOf(directModel)).orElse(model),
+                false);
+        LoadTarget atPath = Optional.ofNullable(options.valueOf(directPath))
+                .map(path ->
+                        new LoadTarget(direct.name(), direct.url().resolve(path), direct.model(), direct.accountKey()))
+                .orElse(direct);
+        LoadTarget via = load.target(options, "via", options.valueOf(viaUrl), model, true);
+        out.println(StandinJson.write(compare(load.plan(options, ImmutableList.of(atPath, via)))));
+    }
+
+    private static Overhead compare(LoadPlan plan) {
+        ImmutableList<TargetReport> reports = LoadRunner.run(plan);
+        TargetReport direct = reports.get(0);
+        TargetReport via = reports.get(1);
+        return new Overhead(
+                direct,
+                via,
+                via.firstByte().minus(direct.firstByte()),
+                via.end().minus(direct.end()));
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/load/LoadRunner.java
@@ -0,0 +1,144 @@
+package baobabcroft.load;
+
+import baobabcroft.load.TimedBody.Timed;
+import com.google.common.base.Ticker;
+import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.List;
+import java.util.concurrent.CancellationException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Phaser;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+/**
+ * Sends requests when they are due, whatever becomes of those before them. One run at a time.
+ *
+ * <p>A request that is sent late because this process was busy still counts from the time at which it was due.
+ */
+public final class LoadRunner {
+    private static final int THREADS = 4;
+
+    private final LoadPlan plan;
+    private final RequestBuilder requests;
+    private final ImmutableList<TargetRecorder> recorders;
+    private final Ticker ticker = Ticker.systemTicker();
+    private final Phaser open = new Phaser(1);
+
+    private LoadRunner(LoadPlan plan) {
+        this.plan = plan;
+        this.requests = new RequestBuilder(plan);
+        this.recorders =
+                plan.targets().stream().map(target -> new TargetRecorder()).collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Carries out a plan and waits for its last answer.
+     *
+     * @param plan the plan
+     * @return what each target did, in the plan's order
+     */
+    public static ImmutableList<TargetReport> run(LoadPlan plan) {
+        return new LoadRunner(plan).run();
+    }
+
+    private ImmutableList<TargetReport> run() {
+        ExecutorService executor = Executors.newFixedThreadPool(THREADS, threads("load-%d"));
+        ScheduledExecutorService timers = Executors.newSingleThreadScheduledExecutor(threads("load-timer"));
+        HttpClient client = HttpClient.newBuilder()
+                .version(HttpClient.Version.HTTP_1_1)
+                .executor(executor)
+                .build();
+        try {
+            sendAll(client, timers);
+            open.arriveAndAwaitAdvance();
+            return reports();
+        } finally {
+            timers.shutdownNow();
+            executor.shutdown();
+        }
+    }
+
+    private static java.util.concurrent.ThreadFactory threads(String nameFormat) {
+        return new ThreadFactoryBuilder()
+                .setNameFormat(nameFormat)
+                .setDaemon(true)
+                .build();
+    }
+
+    private void sendAll(HttpClient client, ScheduledExecutorService timers) {
+        int targets = plan.targets().size();
+        ArrivalTimes times = ArrivalTimes.create(plan.pattern(), plan.perSecond() * targets, plan.seed());
+        long warmupNanos = TimeUnit.MILLISECONDS.toNanos(plan.warmupMillis());
+        long endNanos = warmupNanos + TimeUnit.MILLISECONDS.toNanos(plan.durationMillis());
+        long startNanos = ticker.read();
+        long number = 0;
+        for (long due = times.nextNanos(); due < endNanos; due = times.nextNanos()) {
+            waitUntil(startNanos + due);
+            int index = (int) (number % targets);
+            TargetRecorder recorder = due < warmupNanos ? new TargetRecorder() : recorders.get(index);
+            send(client, timers, plan.targets().get(index), recorder, new Due(number, startNanos + due));
+            number++;
+        }
+    }
+
+    private record Due(long number, long nanos) {}
+
+    private void waitUntil(long nanos) {
+        long leftNanos = nanos - ticker.read();
+        while (leftNanos > 0) {
+            LockSupport.parkNanos(leftNanos);
+            leftNanos = nanos - ticker.read();
+        }
+    }
+
+    private void send(
+            HttpClient client, ScheduledExecutorService timers, LoadTarget target, TargetRecorder recorder, Due due) {
+        HttpRequest request = requests.build(target, due.number());
+        recorder.sent();
+        open.register();
+        CompletableFuture<HttpResponse<Timed>> answer = client.sendAsync(request, info -> new TimedBody(ticker));
+        var timer = timers.schedule(() -> answer.cancel(true), plan.timeoutMillis(), TimeUnit.MILLISECONDS);
+        var unused = answer.whenComplete((response, failure) -> {
+            timer.cancel(false);
+            record(recorder, due, response, failure);
+            open.arriveAndDeregister();
+        });
+    }
+
+    private void record(TargetRecorder recorder, Due due, HttpResponse<Timed> response, Throwable failure) {
+        if (failure != null) {
+            recorder.failed(kindOf(failure));
+            return;
+        }
+        Timed body = response.body();
+        recorder.answered(
+                response.statusCode(),
+                requests.isWhole(body.text()),
+                body.firstByteNanos() - due.nanos(),
+                ticker.read() - due.nanos());
+    }
+
+    private static String kindOf(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof CancellationException
+                ? "timeout"
+                : cause.getClass().getSimpleName();
+    }
+
+    private ImmutableList<TargetReport> reports() {
+        ImmutableList.Builder<TargetReport> reports = ImmutableList.builder();
+        List<LoadTarget> targets = plan.targets();
+        for (int i = 0; i < targets.size(); i++) {
+            reports.add(recorders.get(i).report(targets.get(i).name(), plan.durationMillis()));
+        }
+        return reports.build();
+    }
+}
--- /dev/null
+++ b/standins/src/main/java/baobabcroft/load/TimedBody.java
@@ -0,0 +1,54 @@
+package baobabcroft.load;
+
+import com.google.common.base.Ticker;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Flow;
+
+/** Collects a body as text and notes when its first byte came. */
+final class TimedBody implements HttpResponse.BodySubscriber<TimedBody.Timed> {
+    private final HttpResponse.BodySubscriber<String> text =
+            HttpResponse.BodySubscribers.ofString(StandardCharsets.UTF_8);
+    private final Ticker ticker;
+    private volatile long firstByteNanos;
+    private volatile boolean begun;
+
+    TimedBody(Ticker ticker) {
+        this.ticker = ticker;
+    }
+
+    /** A body with the time of its first byte, by the ticker. */
+    record Timed(String text, long firstByteNanos) {}
+
+    @Override
+    public CompletionStage<Timed> getBody() {
+        return text.getBody().thenApply(body -> new Timed(body, begun ? firstByteNanos : ticker.read()));
+    }
+
+    @Override
+    public void onSubscribe(Flow.Subscription subscription) {
+        text.onSubscribe(subscription);
+    }
+
+    @Override
+    public void onNext(List<ByteBuffer> parts) {
+        if (!begun) {
+            firstByteNanos = ticker.read();
+            begun = true;
+        }
+        text.onNext(parts);
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+        text.onError(failure);
+    }
+
+    @Override
+    public void onComplete() {
+        text.onComplete();
+    }
+}
--- a/standins/src/main/java/baobabcroft/standin/StandinMain.java
+++ b/standins/src/main/java/baobabcroft/standin/StandinMain.java
@@ -1,5 +1,7 @@
 package baobabcroft.standin;
 
+import baobabcroft.experiment.ExperimentCommand;
+import baobabcroft.load.LoadCommands;
 import com.google.common.collect.ImmutableSortedMap;
 import java.util.Arrays;
 import joptsimple.OptionException;
@@ -11,7 +13,10 @@
             ImmutableSortedMap.<String, Command>naturalOrder()
                     .put("all", ServeCommands::all)
                     .put("engine", ServeCommands::engine)
+                    .put("experiment", ExperimentCommand::run)
                     .put("kv", ServeCommands::keyValue)
+                    .put("load", LoadCommands::load)
+                    .put("overhead", LoadCommands::overhead)
                     .put("live-list", ServeCommands::liveList)
                     .put("rating", ServeCommands::rating)
                     .put("service", ServeCommands::service)
--- a/standins/src/main/java/baobabcroft/standin/engine/ChatExchange.java
+++ b/standins/src/main/java/baobabcroft/standin/engine/ChatExchange.java
@@ -62,8 +62,9 @@
                 answer.tokens().size(),
                 request.priority(),
                 request.stream());
+        CompletionStage<HttpResponse> response = request.stream() ? stream(driver, work) : whole(driver, work);
         var unused = exchange.connection().closed().thenRun(() -> driver.cancel(engineId));
-        return request.stream() ? stream(driver, work) : whole(driver, work);
+        return response;
     }
 
     private CompletionStage<HttpResponse> whole(EngineDriver driver, EngineRequest work) {
--- a/standins/src/main/java/baobabcroft/standin/engine/EngineDriver.java
+++ b/standins/src/main/java/baobabcroft/standin/engine/EngineDriver.java
@@ -2,10 +2,12 @@
 
 import baobabcroft.standin.http.Later;
 import com.google.common.util.concurrent.Futures;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
+import java.util.Queue;
 import java.util.concurrent.Future;
 import java.util.function.Consumer;
 
@@ -17,6 +19,8 @@
     private final EngineModel model;
     private final long startNanos = System.nanoTime();
     private final Map<Long, Consumer<EngineEvent>> listeners = new HashMap<>();
+    private final Queue<EngineEvent> pending = new ArrayDeque<>();
+    private boolean dispatching;
     private Future<?> tick = Futures.immediateVoidFuture();
 
     EngineDriver(EngineSettings settings) {
@@ -62,18 +66,32 @@
         dispatch(model.advance(nowMillis()));
     }
 
+    /** Tells the listeners of events in order; a listener may cancel requests, whose events wait for their turn. */
     private void dispatch(List<EngineEvent> events) {
-        for (EngineEvent event : events) {
-            Consumer<EngineEvent> listener = event.kind() == EngineEvent.Kind.FINISHED
-                    ? listeners.remove(event.requestId())
-                    : listeners.get(event.requestId());
-            if (listener != null) {
-                listener.accept(event);
+        pending.addAll(events);
+        if (dispatching) {
+            return;
+        }
+        dispatching = true;
+        try {
+            while (!pending.isEmpty()) {
+                tell(pending.remove());
             }
+        } finally {
+            dispatching = false;
         }
         scheduleTick();
     }
 
+    private void tell(EngineEvent event) {
+        Consumer<EngineEvent> listener = event.kind() == EngineEvent.Kind.FINISHED
+                ? listeners.remove(event.requestId())
+                : listeners.get(event.requestId());
+        if (listener != null) {
+            listener.accept(event);
+        }
+    }
+
     private void scheduleTick() {
         tick.cancel(false);
         OptionalDouble next = model.nextEventMillis();
