--- a/router/src/main/java/baobabcroft/chat/ChatBody.java
+++ b/router/src/main/java/baobabcroft/chat/ChatBody.java
@@ -16,6 +16,7 @@
 public final class ChatBody {
     private static final ObjectMapper JSON = new ObjectMapper();
     private static final int PREFIX_LENGTH_CHARS = 512;
+    private static final int CHARS_PER_TOKEN = 4;
 
     private final ObjectNode root;
     private final String model;
@@ -127,6 +128,15 @@
         return digest;
     }
 
+    /**
+     * Returns a rough count of the prompt's tokens, by its length.
+     *
+     * @return a quarter of the messages' characters
+     */
+    public long promptTokens() {
+        return root.get("messages").toString().length() / CHARS_PER_TOKEN;
+    }
+
     /**
      * Returns a digest of the beginning of the conversation, which engines cache.
      *
--- a/router/src/main/java/baobabcroft/claim/ClaimRecord.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimRecord.java
@@ -98,9 +98,14 @@
         };
     }
 
+    /** Returns the name under which an attempt is billed. */
+    static String billingId(String idempotencyKey, long attempt) {
+        return idempotencyKey + "/%016x".formatted(attempt);
+    }
+
     private Bill bill(
             String account, String idempotencyKey, long amountMicros, Bill.Outcome outcome, long atEpochMillis) {
-        String requestId = idempotencyKey + "/%016x".formatted(attempt);
+        String requestId = billingId(idempotencyKey, attempt);
         return new Bill(account, requestId, Bill.Kind.OPERATION, operation, 0, amountMicros, outcome, atEpochMillis);
     }
 }
--- a/router/src/main/java/baobabcroft/claim/ClaimTicket.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimTicket.java
@@ -52,6 +52,16 @@
         return state.compareAndSet(State.SENDING, State.READY);
     }
 
+    /**
+     * Returns the name under which the request is billed, so that a bill that is held elsewhere counts once with the
+     * claim's own.
+     *
+     * @return the bill's request identifier
+     */
+    public String billingId() {
+        return ClaimRecord.billingId(request.idempotencyKey(), attempt);
+    }
+
     /**
      * Returns the request.
      *
--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -2,59 +2,51 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.balance.FailureKind;
-import baobabcroft.chat.ChatAnswer;
+import baobabcroft.cascade.CascadeChoice;
+import baobabcroft.cascade.RequestKind;
 import baobabcroft.chat.ChatBody;
-import baobabcroft.chat.SseRelay;
 import baobabcroft.common.ErrorCode;
-import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
 import baobabcroft.limit.AccountUsage;
+import baobabcroft.rules.CascadeRule;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.VersionId;
-import baobabcroft.rules.VersionRule;
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableList;
-import java.time.Duration;
 import java.util.Optional;
-import java.util.OptionalLong;
+import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.apache.pekko.actor.typed.ActorSystem;
-import org.apache.pekko.http.javadsl.model.ContentTypes;
-import org.apache.pekko.http.javadsl.model.HttpEntities;
-import org.apache.pekko.http.javadsl.model.HttpRequest;
-import org.apache.pekko.http.javadsl.model.HttpResponse;
-import org.apache.pekko.http.javadsl.model.StatusCodes;
-import org.apache.pekko.http.javadsl.model.headers.RawHeader;
-import org.apache.pekko.stream.javadsl.Source;
-import org.apache.pekko.util.ByteString;
-
-/** Takes a chat request to an engine and its answer, whole or streamed, back to the caller. Thread-safe. */
+
+/**
+ * Takes a chat request to an engine and its answer, whole or streamed, back to the caller.
+ *
+ * <p>A cascade's whole answer may be rated and, if it is short, replaced by a dearer model's; a streamed one cannot be
+ * taken back, so where the policy would escalate, it starts at the next model. Thread-safe.
+ */
 final class ChatFlow {
-    private static final String ENGINE_PATH = "/v1/chat/completions";
-    private static final long MAX_ANSWER_BYTES = 8L << 20;
     private static final long DEFAULT_TOKENS = 256;
     private static final int STATUS_OK = 200;
 
     private final RulesInForce rulesInForce;
     private final ModelTargets targets;
-    private final SessionVersions sessions;
-    private final Dispatcher dispatcher;
+    private final ChatSender sender;
+    private final ChatAnswers answers;
+    private final Cascades cascades;
     private final Charges charges;
     private final AccountGate accountGate;
     private final Ticker ticker;
-    private final ActorSystem<?> system;
 
     private ChatFlow(GatewayParts parts, Dispatcher dispatcher, AccountGate accountGate) {
         this.rulesInForce = parts.rulesInForce();
         this.targets = new ModelTargets(parts.versionChooser());
-        this.sessions = parts.sessions();
-        this.dispatcher = checkNotNull(dispatcher);
+        this.sender = new ChatSender(targets, parts.sessions(), dispatcher);
+        this.answers = new ChatAnswers(parts.charges(), parts.ticker(), parts.system());
+        this.cascades = parts.cascades();
         this.charges = parts.charges();
         this.accountGate = checkNotNull(accountGate);
         this.ticker = parts.ticker();
-        this.system = parts.system();
     }
 
     /** Returns a flow that sends through the given dispatcher. */
@@ -74,170 +66,110 @@
         ImmutableList<String> models = targets.models(body.model(), caller.account(), rules);
         AccountUsage usage = accountGate.enter(caller, body.expectedTokens(DEFAULT_TOKENS));
         ChatRun run = new ChatRun(caller, body, usage);
-        return runOn(run, models.get(0), rules).whenComplete((answer, failure) -> {
+        CompletionStage<CallerAnswer> answer;
+        try {
+            answer = rules.cascade(body.model())
+                    .map(cascade -> runCascade(run, cascade, rules))
+                    .orElseGet(() -> runModel(run, models.get(0), rules));
+        } catch (RouterException refusal) {
+            usage.ended(0);
+            throw refusal;
+        }
+        return answer.whenComplete((done, failure) -> {
             if (failure != null) {
                 usage.ended(0);
             }
         });
     }
 
-    private CompletionStage<CallerAnswer> runOn(ChatRun run, String model, RuleSet rules) {
-        Optional<VersionId> explicit = VersionId.parse(run.body().model());
-        return keptVersion(run.caller(), model, explicit, rules)
-                .thenCompose(kept -> dispatcher.dispatch(order(run, model, explicit, kept)))
-                .thenCompose(delivery -> answer(run, delivery));
+    private CompletionStage<CallerAnswer> runModel(ChatRun run, String model, RuleSet rules) {
+        return sender.send(run, model, rules).thenCompose(delivery -> {
+            if (delivery.response().status().intValue() != STATUS_OK) {
+                return answers.relayRefusal(run, delivery);
+            }
+            if (run.body().stream()) {
+                return CompletableFuture.completedFuture(answers.streamed(run, delivery));
+            }
+            return answers.draft(run, delivery).thenCompose(draft -> {
+                if (cascades.samplePlainAnswer()) {
+                    cascades.rate(run, draft, kind(run), 0);
+                }
+                return answers.release(run, draft);
+            });
+        });
     }
 
-    private CompletionStage<Optional<VersionId>> keptVersion(
-            CallerRequest caller, String model, Optional<VersionId> explicit, RuleSet rules) {
-        if (caller.session().isEmpty()) {
-            return CompletableFuture.completedFuture(Optional.empty());
-        }
-        return sessions.versionOf(
-                        caller.account().name(),
-                        caller.session().get(),
-                        model,
-                        () -> explicit.map(id -> targets.explicit(id, caller.account(), rules)
-                                        .id())
-                                .orElseGet(
-                                        () -> targets.choose(model, caller.assignmentKey(), caller.account(), rules)),
-                        rules.versionsOf(model).size() == 1)
-                .thenApply(kept -> Optional.of(requireSame(kept, explicit)));
+    private static RequestKind kind(ChatRun run) {
+        return RequestKind.of(
+                run.caller().account().name(), run.body().model(), run.body().promptTokens());
     }
 
-    private static VersionId requireSame(VersionId kept, Optional<VersionId> explicit) {
-        if (explicit.isPresent() && !explicit.get().equals(kept)) {
-            throw RouterException.notRun(
-                    ErrorCode.NOT_ALLOWED,
-                    "the session keeps version " + kept + " and cannot run on " + explicit.get());
+    private CompletionStage<CallerAnswer> runCascade(ChatRun run, CascadeRule cascade, RuleSet rules) {
+        ImmutableList<VersionId> versions = cascade.models().stream()
+                .map(model -> targets.choose(
+                        model, run.caller().assignmentKey(), run.caller().account(), rules))
+                .collect(ImmutableList.toImmutableList());
+        CascadeChoice choice = cascades.choose(versions, kind(run), cascade.qualityTarget(), rules);
+        if (run.body().stream()) {
+            int step = choice.escalateBelow() > 0 ? choice.step() + 1 : choice.step();
+            return runModel(run, cascade.models().get(Math.min(step, versions.size() - 1)), rules);
         }
-        return kept;
+        return new CascadeRun(run, cascade, rules, choice).step(choice.step());
     }
 
-    private Order order(ChatRun run, String model, Optional<VersionId> explicit, Optional<VersionId> kept) {
-        return new Order(
-                run.caller(),
-                run.body().digest(),
-                true,
-                OptionalLong.of(run.body().prefixDigest()),
-                snapshot -> target(run, model, explicit, kept, snapshot),
-                SendPermit.ALWAYS,
-                Long.MAX_VALUE);
-    }
-
-    private Target target(
-            ChatRun run, String model, Optional<VersionId> explicit, Optional<VersionId> kept, RulesSnapshot snapshot) {
-        RuleSet rules = snapshot.rules();
-        VersionRule version;
-        if (kept.isPresent()) {
-            version = targets.usable(kept.get(), run.caller().account(), rules);
-        } else if (explicit.isPresent()) {
-            version = targets.explicit(explicit.get(), run.caller().account(), rules);
-        } else {
-            VersionId chosen = targets.choose(
-                    model, run.caller().assignmentKey(), run.caller().account(), rules);
-            version = targets.usable(chosen, run.caller().account(), rules);
+    /** One request's way through the models of a cascade. */
+    private final class CascadeRun {
+        private final ChatRun run;
+        private final CascadeRule cascade;
+        private final RuleSet rules;
+        private final CascadeChoice choice;
+
+        CascadeRun(ChatRun run, CascadeRule cascade, RuleSet rules, CascadeChoice choice) {
+            this.run = run;
+            this.cascade = cascade;
+            this.rules = rules;
+            this.choice = choice;
         }
-        String name = version.id().toString();
-        HttpRequest request = HttpRequest.POST(ENGINE_PATH)
-                .withEntity(HttpEntities.create(
-                        ContentTypes.APPLICATION_JSON,
-                        ByteString.fromArray(run.body().forEngine(name))));
-        return new Target(
-                name, version.priceMicrosPerThousandTokens(), rules.endpointsFor(version.id()), endpoint -> request);
-    }
 
-    private CompletionStage<CallerAnswer> answer(ChatRun run, Delivery delivery) {
-        if (delivery.response().status().intValue() != STATUS_OK) {
-            return relayRefusalOfEngine(run, delivery);
+        CompletionStage<CallerAnswer> step(int step) {
+            return sender.send(run, cascade.models().get(step), rules).thenCompose(delivery -> {
+                if (delivery.response().status().intValue() != STATUS_OK) {
+                    return answers.relayRefusal(run, delivery);
+                }
+                return answers.draft(run, delivery).thenCompose(draft -> judge(step, draft));
+            });
         }
-        return run.body().stream() ? CompletableFuture.completedFuture(streamed(run, delivery)) : whole(run, delivery);
-    }
-
-    private CompletionStage<CallerAnswer> relayRefusalOfEngine(ChatRun run, Delivery delivery) {
-        return read(run, delivery).thenApply(bytes -> {
-            delivery.succeeded(ticker);
-            run.usage().ended(0);
-            HttpResponse response = HttpResponse.create()
-                    .withStatus(delivery.response().status())
-                    .withEntity(HttpEntities.create(delivery.response().entity().getContentType(), bytes));
-            return new CallerAnswer(withProvenance(response, delivery), false);
-        });
-    }
 
-    private CompletionStage<CallerAnswer> whole(ChatRun run, Delivery delivery) {
-        return read(run, delivery).thenCompose(bytes -> {
-            Optional<ChatAnswer> parsed = ChatAnswer.parse(
-                    bytes.toArray(), delivery.target().name(), run.body().choices());
-            if (parsed.isEmpty()) {
-                delivery.failed(FailureKind.INVALID_ANSWER);
-                throw RouterException.of(
-                        ErrorCode.ENDPOINT_ANSWER_INVALID,
-                        Execution.MAY_HAVE_RUN,
-                        "the endpoint's answer was not a whole chat answer of "
-                                + delivery.target().name());
+        private CompletionStage<CallerAnswer> judge(int step, ChatDraft draft) {
+            if (!choice.rate()) {
+                return answers.release(run, draft);
             }
-            delivery.succeeded(ticker);
-            run.usage().ended(parsed.get().completionTokens());
-            HttpResponse response = HttpResponse.create()
-                    .withStatus(StatusCodes.OK)
-                    .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, bytes));
-            return charges.record(charge(run, delivery, parsed.get().completionTokens(), true))
-                    .thenApply(unused -> new CallerAnswer(withProvenance(response, delivery), false));
-        });
-    }
-
-    private CompletionStage<ByteString> read(ChatRun run, Delivery delivery) {
-        long remainingMillis = Math.max(1, run.caller().remainingMillis(ticker.read()));
-        return Entities.read(delivery.response().entity(), MAX_ANSWER_BYTES, remainingMillis, system)
-                .handle((bytes, failure) -> {
-                    if (failure == null) {
-                        return bytes;
-                    }
-                    delivery.failed(FailureKind.INVALID_ANSWER);
-                    throw RouterException.of(
-                            ErrorCode.ENDPOINT_ANSWER_INVALID,
-                            Execution.MAY_HAVE_RUN,
-                            "the endpoint's answer broke off: " + failure.getMessage());
-                });
-    }
-
-    private CallerAnswer streamed(ChatRun run, Delivery delivery) {
-        long remainingMillis = Math.max(1, run.caller().remainingMillis(ticker.read()));
-        ChatStreamEnd end = new ChatStreamEnd(
-                delivery, charges, run.usage(), (tokens, whole) -> charge(run, delivery, tokens, whole), ticker);
-        Source<ByteString, ?> relayed = delivery.response()
-                .entity()
-                .getDataBytes()
-                .completionTimeout(Duration.ofMillis(remainingMillis))
-                .via(SseRelay.create(
-                        delivery.target().name(),
-                        run.body().choices(),
-                        run.body().wantsUsage(),
-                        end));
-        HttpResponse response = HttpResponse.create()
-                .withStatus(StatusCodes.OK)
-                .withEntity(HttpEntities.create(delivery.response().entity().getContentType(), relayed));
-        return new CallerAnswer(withProvenance(response, delivery), true);
-    }
+            CompletionStage<OptionalDouble> rating = cascades.rate(run, draft, kind(run), cascade.qualityTarget());
+            if (choice.escalateBelow() <= 0) {
+                return answers.release(run, draft);
+            }
+            return rating.thenCompose(score -> {
+                OptionalInt next = nextStep(step, score);
+                return next.isPresent() ? escalate(next.getAsInt(), draft) : answers.release(run, draft);
+            });
+        }
 
-    private Charge charge(ChatRun run, Delivery delivery, long tokens, boolean whole) {
-        return new Charge(
-                run.caller().account().name(),
-                run.caller().billingId(run.body().digest()),
-                delivery.target().name(),
-                tokens,
-                Charge.priceMicros(tokens, delivery.target().priceMicros()),
-                whole);
-    }
+        private OptionalInt nextStep(int step, OptionalDouble score) {
+            if (score.isEmpty()) {
+                return OptionalInt.empty();
+            }
+            long remainingMillis = run.caller().remainingMillis(ticker.read());
+            return choice.escalate(step, cascade.models().size(), score.getAsDouble(), remainingMillis, 0);
+        }
 
-    private static HttpResponse withProvenance(HttpResponse response, Delivery delivery) {
-        String name = delivery.target().name();
-        String model = VersionId.parse(name).map(VersionId::model).orElse(name);
-        return response.addHeader(RawHeader.create(Headers.MODEL, model))
-                .addHeader(RawHeader.create(Headers.VERSION, name))
-                .addHeader(RawHeader.create(
-                        Headers.ENDPOINT, delivery.room().endpoint().name()))
-                .addHeader(RawHeader.create(Headers.CONFIG_VERSION, Long.toString(delivery.configNumber())));
+        /** Asks a dearer model; if that fails, the earlier answer still stands. */
+        private CompletionStage<CallerAnswer> escalate(int step, ChatDraft earlier) {
+            return sender.send(run, cascade.models().get(step), rules)
+                    .thenCompose(delivery -> answers.draft(run, delivery))
+                    .handle((later, failure) ->
+                            failure == null ? Optional.of(later.after(earlier)) : Optional.<ChatDraft>empty())
+                    .thenCompose(better ->
+                            better.isPresent() ? judge(step, better.get()) : answers.release(run, earlier));
+        }
     }
 }
--- a/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
+++ b/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
@@ -31,11 +31,13 @@
 
     private final ClaimService claims;
     private final InstancePresence presence;
+    private final Charges charges;
     private final InstantSource wallClock;
 
-    ClaimedCalls(ClaimService claims, InstancePresence presence, InstantSource wallClock) {
+    ClaimedCalls(ClaimService claims, InstancePresence presence, Charges charges, InstantSource wallClock) {
         this.claims = checkNotNull(claims);
         this.presence = checkNotNull(presence);
+        this.charges = checkNotNull(charges);
         this.wallClock = checkNotNull(wallClock);
     }
 
@@ -129,15 +131,26 @@
                 answer.response().status().intValue(),
                 answer.response().entity().getContentType().toString(),
                 ByteString.copyFrom(answer.body().toArray()));
-        return claims.settle(ticket, new Outcome.Answered(record)).thenApply(result -> {
-            if (result == SettleResult.DURABLE) {
-                return new CallerAnswer(answer.response(), false);
-            }
-            throw RouterException.of(
-                    ErrorCode.OUTCOME_UNKNOWN,
-                    Execution.RAN,
-                    "the request ran; its outcome could not be recorded yet, send it again for the answer");
-        });
+        return claims.settle(ticket, new Outcome.Answered(record))
+                .thenApply(result -> {
+                    if (result == SettleResult.DURABLE) {
+                        return CompletableFuture.<Void>completedFuture(null);
+                    }
+                    return charges.record(heldCharge(ticket, answer));
+                })
+                .thenCompose(Function.identity())
+                .thenApply(unused -> new CallerAnswer(answer.response(), false));
+    }
+
+    /** Returns the charge that other instances hold until the claim's outcome, which bears the same name, is stored. */
+    private static Charge heldCharge(ClaimTicket ticket, OperationAnswer answer) {
+        return new Charge(
+                ticket.request().account(),
+                ticket.billingId(),
+                ticket.request().operation(),
+                0,
+                answer.isSuccess() ? ticket.request().priceMicros() : 0,
+                true);
     }
 
     private CompletionStage<CallerAnswer> failed(ClaimTicket ticket, Throwable failure) {
--- a/router/src/main/java/baobabcroft/gateway/GatewayParts.java
+++ b/router/src/main/java/baobabcroft/gateway/GatewayParts.java
@@ -26,6 +26,7 @@
  * @param rulesInForce the rules for new work
  * @param observeAnswer told how versions answer
  * @param versionChooser chooses versions for new sessions
+ * @param cascades decides how cascades answer
  * @param sessions versions that sessions keep
  * @param charges records what requests cost
  * @param claims claims of non-idempotent requests
@@ -50,6 +51,7 @@
         RulesInForce rulesInForce,
         BiConsumer<VersionId, AnswerOutcome> observeAnswer,
         VersionChooser versionChooser,
+        Cascades cascades,
         SessionVersions sessions,
         Charges charges,
         ClaimService claims,
--- a/router/src/main/java/baobabcroft/gateway/GatewayServer.java
+++ b/router/src/main/java/baobabcroft/gateway/GatewayServer.java
@@ -75,7 +75,8 @@
         Dispatcher dispatcher = Dispatcher.create(parts, rooms);
         AccountGate accountGate = new AccountGate(parts.limits(), parts.wallClock(), parts.metrics());
         ChatFlow chat = ChatFlow.create(parts, dispatcher, accountGate);
-        ClaimedCalls claimedCalls = new ClaimedCalls(parts.claims(), parts.presence(), parts.wallClock());
+        ClaimedCalls claimedCalls =
+                new ClaimedCalls(parts.claims(), parts.presence(), parts.charges(), parts.wallClock());
         ServiceFlow services = ServiceFlow.create(parts, dispatcher, claimedCalls, accountGate);
         return new GatewayServer(parts, chat, services);
     }
--- a/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -2,9 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.balance.FailureKind;
 import baobabcroft.common.ErrorCode;
-import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
 import baobabcroft.limit.AccountUsage;
 import baobabcroft.rules.OperationRule;
@@ -154,17 +152,7 @@
 
     private CompletionStage<OperationAnswer> read(CallerRequest caller, OperationRule rule, Delivery delivery) {
         long remainingMillis = Math.max(1, Math.min(rule.timeoutMillis(), caller.remainingMillis(ticker.read())));
-        return Entities.read(delivery.response().entity(), MAX_ANSWER_BYTES, remainingMillis, system)
-                .handle((bytes, failure) -> {
-                    if (failure == null) {
-                        return answer(delivery, bytes);
-                    }
-                    delivery.failed(FailureKind.INVALID_ANSWER);
-                    throw RouterException.of(
-                            ErrorCode.ENDPOINT_ANSWER_INVALID,
-                            Execution.MAY_HAVE_RUN,
-                            "the endpoint's answer broke off: " + failure.getMessage());
-                });
+        return delivery.readBody(MAX_ANSWER_BYTES, remainingMillis, system).thenApply(bytes -> answer(delivery, bytes));
     }
 
     private OperationAnswer answer(Delivery delivery, ByteString bytes) {
@@ -172,11 +160,9 @@
         ContentType type = delivery.response().entity().getContentType();
         HttpResponse response = HttpResponse.create()
                 .withStatus(delivery.response().status())
-                .withEntity(HttpEntities.create(type, bytes))
-                .addHeader(RawHeader.create(
-                        Headers.ENDPOINT, delivery.room().endpoint().name()))
-                .addHeader(RawHeader.create(Headers.CONFIG_VERSION, Long.toString(delivery.configNumber())));
-        return new OperationAnswer(response, bytes, delivery.target().priceMicros());
+                .withEntity(HttpEntities.create(type, bytes));
+        return new OperationAnswer(
+                delivery.withProvenance(response), bytes, delivery.target().priceMicros());
     }
 
     private static Charge charge(CallerRequest caller, OperationRule rule, String digest, OperationAnswer answer) {
--- a/router/src/main/java/baobabcroft/peer/proto/AccountUsage.java
+++ b/router/src/main/java/baobabcroft/peer/proto/AccountDemand.java
@@ -6,13 +6,13 @@
 package baobabcroft.peer.proto;
 
 /**
- * Protobuf type {@code baobabcroft.peer.AccountUsage}
+ * Protobuf type {@code baobabcroft.peer.AccountDemand}
  */
 @com.google.protobuf.Generated
-public final class AccountUsage extends
+public final class AccountDemand extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:baobabcroft.peer.AccountUsage)
-    AccountUsageOrBuilder {
+    // @@protoc_insertion_point(message_implements:baobabcroft.peer.AccountDemand)
+    AccountDemandOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,32 +21,32 @@
       /* minor= */ 34,
       /* patch= */ 2,
       /* suffix= */ "",
-      "AccountUsage");
+      "AccountDemand");
   }
-  // Use AccountUsage.newBuilder() to construct.
-  private AccountUsage(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use AccountDemand.newBuilder() to construct.
+  private AccountDemand(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private AccountUsage() {
+  private AccountDemand() {
     account_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountUsage_descriptor;
+    return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountDemand_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountUsage_descriptor;
+    return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountDemand_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountUsage_fieldAccessorTable
+    return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountDemand_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            baobabcroft.peer.proto.AccountUsage.class, baobabcroft.peer.proto.AccountUsage.Builder.class);
+            baobabcroft.peer.proto.AccountDemand.class, baobabcroft.peer.proto.AccountDemand.Builder.class);
   }
 
   public static final int ACCOUNT_FIELD_NUMBER = 1;
@@ -88,37 +88,15 @@
     }
   }
 
-  public static final int REQUESTS_FIELD_NUMBER = 2;
-  private long requests_ = 0L;
+  public static final int DEMAND_FIELD_NUMBER = 2;
+  private double demand_ = 0D;
   /**
-   * <code>uint64 requests = 2;</code>
-   * @return The requests.
+   * <code>double demand = 2;</code>
+   * @return The demand.
    */
   @java.lang.Override
-  public long getRequests() {
-    return requests_;
-  }
-
-  public static final int COST_MICROS_FIELD_NUMBER = 3;
-  private long costMicros_ = 0L;
-  /**
-   * <code>uint64 cost_micros = 3;</code>
-   * @return The costMicros.
-   */
-  @java.lang.Override
-  public long getCostMicros() {
-    return costMicros_;
-  }
-
-  public static final int IN_FLIGHT_FIELD_NUMBER = 4;
-  private long inFlight_ = 0L;
-  /**
-   * <code>uint64 in_flight = 4;</code>
-   * @return The inFlight.
-   */
-  @java.lang.Override
-  public long getInFlight() {
-    return inFlight_;
+  public double getDemand() {
+    return demand_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -138,14 +116,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, account_);
     }
-    if (requests_ != 0L) {
-      output.writeUInt64(2, requests_);
-    }
-    if (costMicros_ != 0L) {
-      output.writeUInt64(3, costMicros_);
-    }
-    if (inFlight_ != 0L) {
-      output.writeUInt64(4, inFlight_);
+    if (java.lang.Double.doubleToRawLongBits(demand_) != 0) {
+      output.writeDouble(2, demand_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -159,17 +131,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(account_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, account_);
     }
-    if (requests_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(2, requests_);
-    }
-    if (costMicros_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, costMicros_);
-    }
-    if (inFlight_ != 0L) {
+    if (java.lang.Double.doubleToRawLongBits(demand_) != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(4, inFlight_);
+        .computeDoubleSize(2, demand_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -181,19 +145,16 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof baobabcroft.peer.proto.AccountUsage)) {
+    if (!(obj instanceof baobabcroft.peer.proto.AccountDemand)) {
       return super.equals(obj);
     }
-    baobabcroft.peer.proto.AccountUsage other = (baobabcroft.peer.proto.AccountUsage) obj;
+    baobabcroft.peer.proto.AccountDemand other = (baobabcroft.peer.proto.AccountDemand) obj;
 
     if (!getAccount()
         .equals(other.getAccount())) return false;
-    if (getRequests()
-        != other.getRequests()) return false;
-    if (getCostMicros()
-        != other.getCostMicros()) return false;
-    if (getInFlight()
-        != other.getInFlight()) return false;
+    if (java.lang.Double.doubleToLongBits(getDemand())
+        != java.lang.Double.doubleToLongBits(
+            other.getDemand())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -207,58 +168,52 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ACCOUNT_FIELD_NUMBER;
     hash = (53 * hash) + getAccount().hashCode();
-    hash = (37 * hash) + REQUESTS_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRequests());
-    hash = (37 * hash) + COST_MICROS_FIELD_NUMBER;
+    hash = (37 * hash) + DEMAND_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getCostMicros());
-    hash = (37 * hash) + IN_FLIGHT_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getInFlight());
+        java.lang.Double.doubleToLongBits(getDemand()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
   }
 
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(byte[] data)
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(java.io.InputStream input)
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -266,26 +221,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static baobabcroft.peer.proto.AccountUsage parseDelimitedFrom(java.io.InputStream input)
+  public static baobabcroft.peer.proto.AccountDemand parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static baobabcroft.peer.proto.AccountUsage parseDelimitedFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static baobabcroft.peer.proto.AccountUsage parseFrom(
+  public static baobabcroft.peer.proto.AccountDemand parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -298,7 +253,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(baobabcroft.peer.proto.AccountUsage prototype) {
+  public static Builder newBuilder(baobabcroft.peer.proto.AccountDemand prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -314,26 +269,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code baobabcroft.peer.AccountUsage}
+   * Protobuf type {@code baobabcroft.peer.AccountDemand}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:baobabcroft.peer.AccountUsage)
-      baobabcroft.peer.proto.AccountUsageOrBuilder {
+      // @@protoc_insertion_point(builder_implements:baobabcroft.peer.AccountDemand)
+      baobabcroft.peer.proto.AccountDemandOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountUsage_descriptor;
+      return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountDemand_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountUsage_fieldAccessorTable
+      return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountDemand_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              baobabcroft.peer.proto.AccountUsage.class, baobabcroft.peer.proto.AccountUsage.Builder.class);
+              baobabcroft.peer.proto.AccountDemand.class, baobabcroft.peer.proto.AccountDemand.Builder.class);
     }
 
-    // Construct using baobabcroft.peer.proto.AccountUsage.newBuilder()
+    // Construct using baobabcroft.peer.proto.AccountDemand.newBuilder()
     private Builder() {
 
     }
@@ -348,26 +303,24 @@
       super.clear();
       bitField0_ = 0;
       account_ = "";
-      requests_ = 0L;
-      costMicros_ = 0L;
-      inFlight_ = 0L;
+      demand_ = 0D;
       return this;
     }
 
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountUsage_descriptor;
+      return baobabcroft.peer.proto.Peer.internal_static_baobabcroft_peer_AccountDemand_descriptor;
     }
 
     @java.lang.Override
-    public baobabcroft.peer.proto.AccountUsage getDefaultInstanceForType() {
-      return baobabcroft.peer.proto.AccountUsage.getDefaultInstance();
+    public baobabcroft.peer.proto.AccountDemand getDefaultInstanceForType() {
+      return baobabcroft.peer.proto.AccountDemand.getDefaultInstance();
     }
 
     @java.lang.Override
-    public baobabcroft.peer.proto.AccountUsage build() {
-      baobabcroft.peer.proto.AccountUsage result = buildPartial();
+    public baobabcroft.peer.proto.AccountDemand build() {
+      baobabcroft.peer.proto.AccountDemand result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -375,54 +328,42 @@
     }
 
     @java.lang.Override
-    public baobabcroft.peer.proto.AccountUsage buildPartial() {
-      baobabcroft.peer.proto.AccountUsage result = new baobabcroft.peer.proto.AccountUsage(this);
+    public baobabcroft.peer.proto.AccountDemand buildPartial() {
+      baobabcroft.peer.proto.AccountDemand result = new baobabcroft.peer.proto.AccountDemand(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(baobabcroft.peer.proto.AccountUsage result) {
+    private void buildPartial0(baobabcroft.peer.proto.AccountDemand result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.account_ = account_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.requests_ = requests_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.costMicros_ = costMicros_;
-      }
-      if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.inFlight_ = inFlight_;
+        result.demand_ = demand_;
       }
     }
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof baobabcroft.peer.proto.AccountUsage) {
-        return mergeFrom((baobabcroft.peer.proto.AccountUsage)other);
+      if (other instanceof baobabcroft.peer.proto.AccountDemand) {
+        return mergeFrom((baobabcroft.peer.proto.AccountDemand)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(baobabcroft.peer.proto.AccountUsage other) {
-      if (other == baobabcroft.peer.proto.AccountUsage.getDefaultInstance()) return this;
+    public Builder mergeFrom(baobabcroft.peer.proto.AccountDemand other) {
+      if (other == baobabcroft.peer.proto.AccountDemand.getDefaultInstance()) return this;
       if (!other.getAccount().isEmpty()) {
         account_ = other.account_;
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getRequests() != 0L) {
-        setRequests(other.getRequests());
-      }
-      if (other.getCostMicros() != 0L) {
-        setCostMicros(other.getCostMicros());
-      }
-      if (other.getInFlight() != 0L) {
-        setInFlight(other.getInFlight());
+      if (java.lang.Double.doubleToRawLongBits(other.getDemand()) != 0) {
+        setDemand(other.getDemand());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -455,21 +396,11 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 16: {
-              requests_ = input.readUInt64();
+            case 17: {
+              demand_ = input.readDouble();
               bitField0_ |= 0x00000002;
               break;
-            } // case 16
-            case 24: {
-              costMicros_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
-            case 32: {
-              inFlight_ = input.readUInt64();
-              bitField0_ |= 0x00000008;
-              break;
-            } // case 32
+            } // case 17
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -559,119 +490,55 @@
       return this;
     }
 
-    private long requests_ ;
+    private double demand_ ;
     /**
-     * <code>uint64 requests = 2;</code>
-     * @return The requests.
+     * <code>double demand = 2;</code>
+     * @return The demand.
      */
     @java.lang.Override
-    public long getRequests() {
-      return requests_;
+    public double getDemand() {
+      return demand_;
     }
     /**
-     * <code>uint64 requests = 2;</code>
-     * @param value The requests to set.
+     * <code>double demand = 2;</code>
+     * @param value The demand to set.
      * @return This builder for chaining.
      */
-    public Builder setRequests(long value) {
+    public Builder setDemand(double value) {
 
-      requests_ = value;
+      demand_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 requests = 2;</code>
+     * <code>double demand = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRequests() {
+    public Builder clearDemand() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      requests_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private long costMicros_ ;
-    /**
-     * <code>uint64 cost_micros = 3;</code>
-     * @return The costMicros.
-     */
-    @java.lang.Override
-    public long getCostMicros() {
-      return costMicros_;
-    }
-    /**
-     * <code>uint64 cost_micros = 3;</code>
-     * @param value The costMicros to set.
-     * @return This builder for chaining.
-     */
-    public Builder setCostMicros(long value) {
-
-      costMicros_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 cost_micros = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearCostMicros() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      costMicros_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private long inFlight_ ;
-    /**
-     * <code>uint64 in_flight = 4;</code>
-     * @return The inFlight.
-     */
-    @java.lang.Override
-    public long getInFlight() {
-      return inFlight_;
-    }
-    /**
-     * <code>uint64 in_flight = 4;</code>
-     * @param value The inFlight to set.
-     * @return This builder for chaining.
-     */
-    public Builder setInFlight(long value) {
-
-      inFlight_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 in_flight = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearInFlight() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      inFlight_ = 0L;
+      demand_ = 0D;
       onChanged();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:baobabcroft.peer.AccountUsage)
+    // @@protoc_insertion_point(builder_scope:baobabcroft.peer.AccountDemand)
   }
 
-  // @@protoc_insertion_point(class_scope:baobabcroft.peer.AccountUsage)
-  private static final baobabcroft.peer.proto.AccountUsage DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:baobabcroft.peer.AccountDemand)
+  private static final baobabcroft.peer.proto.AccountDemand DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new baobabcroft.peer.proto.AccountUsage();
+    DEFAULT_INSTANCE = new baobabcroft.peer.proto.AccountDemand();
   }
 
-  public static baobabcroft.peer.proto.AccountUsage getDefaultInstance() {
+  public static baobabcroft.peer.proto.AccountDemand getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<AccountUsage>
-      PARSER = new com.google.protobuf.AbstractParser<AccountUsage>() {
+  private static final com.google.protobuf.Parser<AccountDemand>
+      PARSER = new com.google.protobuf.AbstractParser<AccountDemand>() {
     @java.lang.Override
-    public AccountUsage parsePartialFrom(
+    public AccountDemand parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -690,17 +557,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<AccountUsage> parser() {
+  public static com.google.protobuf.Parser<AccountDemand> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<AccountUsage> getParserForType() {
+  public com.google.protobuf.Parser<AccountDemand> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public baobabcroft.peer.proto.AccountUsage getDefaultInstanceForType() {
+  public baobabcroft.peer.proto.AccountDemand getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/router/src/main/java/baobabcroft/peer/proto/AccountUsageOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/BillKeyOrBuilder.java
@@ -6,8 +6,8 @@
 package baobabcroft.peer.proto;
 
 @com.google.protobuf.Generated
-public interface AccountUsageOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:baobabcroft.peer.AccountUsage)
+public interface BillKeyOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:baobabcroft.peer.BillKey)
     com.google.protobuf.MessageOrBuilder {
 
   /**
@@ -23,20 +23,14 @@
       getAccountBytes();
 
   /**
-   * <code>uint64 requests = 2;</code>
-   * @return The requests.
+   * <code>string request_id = 2;</code>
+   * @return The requestId.
    */
-  long getRequests();
-
+  java.lang.String getRequestId();
   /**
-   * <code>uint64 cost_micros = 3;</code>
-   * @return The costMicros.
+   * <code>string request_id = 2;</code>
+   * @return The bytes for requestId.
    */
-  long getCostMicros();
-
-  /**
-   * <code>uint64 in_flight = 4;</code>
-   * @return The inFlight.
-   */
-  long getInFlight();
+  com.google.protobuf.ByteString
+      getRequestIdBytes();
 }
--- a/router/src/main/java/baobabcroft/peer/proto/BillsWritten.java
+++ b/router/src/main/java/baobabcroft/peer/proto/BillsWritten.java
@@ -32,7 +32,7 @@
     super(builder);
   }
   private BillsWritten() {
-    billKeys_ = emptyList(com.google.protobuf.ByteString.class);
+    billKeys_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -55,30 +55,42 @@
 
   public static final int BILL_KEYS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> billKeys_ =
-      emptyList(com.google.protobuf.ByteString.class);
+  private java.util.List<baobabcroft.peer.proto.BillKey> billKeys_;
   /**
-   * <code>repeated bytes bill_keys = 1;</code>
-   * @return A list containing the billKeys.
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<com.google.protobuf.ByteString>
-      getBillKeysList() {
+  public java.util.List<baobabcroft.peer.proto.BillKey> getBillKeysList() {
     return billKeys_;
   }
   /**
-   * <code>repeated bytes bill_keys = 1;</code>
-   * @return The count of billKeys.
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
    */
+  @java.lang.Override
+  public java.util.List<? extends baobabcroft.peer.proto.BillKeyOrBuilder> 
+      getBillKeysOrBuilderList() {
+    return billKeys_;
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+   */
+  @java.lang.Override
   public int getBillKeysCount() {
     return billKeys_.size();
   }
   /**
-   * <code>repeated bytes bill_keys = 1;</code>
-   * @param index The index of the element to return.
-   * @return The billKeys at the given index.
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
    */
-  public com.google.protobuf.ByteString getBillKeys(int index) {
+  @java.lang.Override
+  public baobabcroft.peer.proto.BillKey getBillKeys(int index) {
+    return billKeys_.get(index);
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.peer.proto.BillKeyOrBuilder getBillKeysOrBuilder(
+      int index) {
     return billKeys_.get(index);
   }
 
@@ -97,7 +109,7 @@
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
     for (int i = 0; i < billKeys_.size(); i++) {
-      output.writeBytes(1, billKeys_.get(i));
+      output.writeMessage(1, billKeys_.get(i));
     }
     getUnknownFields().writeTo(output);
   }
@@ -108,15 +120,15 @@
     if (size != -1) return size;
 
     size = 0;
-    {
-      int dataSize = 0;
-      for (int i = 0; i < billKeys_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeBytesSizeNoTag(billKeys_.get(i));
-      }
-      size += dataSize;
-      size += 1 * getBillKeysList().size();
-    }
+
+        {
+          final int count = billKeys_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(billKeys_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -284,7 +296,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      billKeys_ = emptyList(com.google.protobuf.ByteString.class);
+      if (billKeysBuilder_ == null) {
+        billKeys_ = java.util.Collections.emptyList();
+      } else {
+        billKeys_ = null;
+        billKeysBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000001);
       return this;
     }
 
@@ -311,19 +329,28 @@
     @java.lang.Override
     public baobabcroft.peer.proto.BillsWritten buildPartial() {
       baobabcroft.peer.proto.BillsWritten result = new baobabcroft.peer.proto.BillsWritten(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(baobabcroft.peer.proto.BillsWritten result) {
-      int from_bitField0_ = bitField0_;
-      if (((from_bitField0_ & 0x00000001) != 0)) {
-        billKeys_.makeImmutable();
+    private void buildPartialRepeatedFields(baobabcroft.peer.proto.BillsWritten result) {
+      if (billKeysBuilder_ == null) {
+        if (((bitField0_ & 0x00000001) != 0)) {
+          billKeys_ = java.util.Collections.unmodifiableList(billKeys_);
+          bitField0_ = (bitField0_ & ~0x00000001);
+        }
         result.billKeys_ = billKeys_;
+      } else {
+        result.billKeys_ = billKeysBuilder_.build();
       }
     }
 
+    private void buildPartial0(baobabcroft.peer.proto.BillsWritten result) {
+      int from_bitField0_ = bitField0_;
+    }
+
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
       if (other instanceof baobabcroft.peer.proto.BillsWritten) {
@@ -336,16 +363,31 @@
 
     public Builder mergeFrom(baobabcroft.peer.proto.BillsWritten other) {
       if (other == baobabcroft.peer.proto.BillsWritten.getDefaultInstance()) return this;
-      if (!other.billKeys_.isEmpty()) {
-        if (billKeys_.isEmpty()) {
-          billKeys_ = other.billKeys_;
-          billKeys_.makeImmutable();
-          bitField0_ |= 0x00000001;
-        } else {
-          ensureBillKeysIsMutable();
-          billKeys_.addAll(other.billKeys_);
+      if (billKeysBuilder_ == null) {
+        if (!other.billKeys_.isEmpty()) {
+          if (billKeys_.isEmpty()) {
+            billKeys_ = other.billKeys_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+          } else {
+            ensureBillKeysIsMutable();
+            billKeys_.addAll(other.billKeys_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.billKeys_.isEmpty()) {
+          if (billKeysBuilder_.isEmpty()) {
+            billKeysBuilder_.dispose();
+            billKeysBuilder_ = null;
+            billKeys_ = other.billKeys_;
+            bitField0_ = (bitField0_ & ~0x00000001);
+            billKeysBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetBillKeysFieldBuilder() : null;
+          } else {
+            billKeysBuilder_.addAllMessages(other.billKeys_);
+          }
         }
-        onChanged();
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -374,9 +416,16 @@
               done = true;
               break;
             case 10: {
-              com.google.protobuf.ByteString v = input.readBytes();
-              ensureBillKeysIsMutable();
-              billKeys_.add(v);
+              baobabcroft.peer.proto.BillKey m =
+                  input.readMessage(
+                      baobabcroft.peer.proto.BillKey.parser(),
+                      extensionRegistry);
+              if (billKeysBuilder_ == null) {
+                ensureBillKeysIsMutable();
+                billKeys_.add(m);
+              } else {
+                billKeysBuilder_.addMessage(m);
+              }
               break;
             } // case 10
             default: {
@@ -396,89 +445,245 @@
     }
     private int bitField0_;
 
-    private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> billKeys_ = emptyList(com.google.protobuf.ByteString.class);
+    private java.util.List<baobabcroft.peer.proto.BillKey> billKeys_ =
+      java.util.Collections.emptyList();
     private void ensureBillKeysIsMutable() {
-      if (!billKeys_.isModifiable()) {
-        billKeys_ = makeMutableCopy(billKeys_);
-      }
-      bitField0_ |= 0x00000001;
+      if (!((bitField0_ & 0x00000001) != 0)) {
+        billKeys_ = new java.util.ArrayList<baobabcroft.peer.proto.BillKey>(billKeys_);
+        bitField0_ |= 0x00000001;
+       }
     }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.peer.proto.BillKey, baobabcroft.peer.proto.BillKey.Builder, baobabcroft.peer.proto.BillKeyOrBuilder> billKeysBuilder_;
+
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @return A list containing the billKeys.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
-    public java.util.List<com.google.protobuf.ByteString>
-        getBillKeysList() {
-      billKeys_.makeImmutable();
-      return billKeys_;
+    public java.util.List<baobabcroft.peer.proto.BillKey> getBillKeysList() {
+      if (billKeysBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(billKeys_);
+      } else {
+        return billKeysBuilder_.getMessageList();
+      }
     }
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @return The count of billKeys.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
     public int getBillKeysCount() {
-      return billKeys_.size();
+      if (billKeysBuilder_ == null) {
+        return billKeys_.size();
+      } else {
+        return billKeysBuilder_.getCount();
+      }
     }
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @param index The index of the element to return.
-     * @return The billKeys at the given index.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
-    public com.google.protobuf.ByteString getBillKeys(int index) {
-      return billKeys_.get(index);
+    public baobabcroft.peer.proto.BillKey getBillKeys(int index) {
+      if (billKeysBuilder_ == null) {
+        return billKeys_.get(index);
+      } else {
+        return billKeysBuilder_.getMessage(index);
+      }
     }
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @param index The index to set the value at.
-     * @param value The billKeys to set.
-     * @return This builder for chaining.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
     public Builder setBillKeys(
-        int index, com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureBillKeysIsMutable();
-      billKeys_.set(index, value);
-      bitField0_ |= 0x00000001;
-      onChanged();
+        int index, baobabcroft.peer.proto.BillKey value) {
+      if (billKeysBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureBillKeysIsMutable();
+        billKeys_.set(index, value);
+        onChanged();
+      } else {
+        billKeysBuilder_.setMessage(index, value);
+      }
       return this;
     }
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @param value The billKeys to add.
-     * @return This builder for chaining.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
-    public Builder addBillKeys(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureBillKeysIsMutable();
-      billKeys_.add(value);
-      bitField0_ |= 0x00000001;
-      onChanged();
+    public Builder setBillKeys(
+        int index, baobabcroft.peer.proto.BillKey.Builder builderForValue) {
+      if (billKeysBuilder_ == null) {
+        ensureBillKeysIsMutable();
+        billKeys_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        billKeysBuilder_.setMessage(index, builderForValue.build());
+      }
       return this;
     }
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @param values The billKeys to add.
-     * @return This builder for chaining.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public Builder addBillKeys(baobabcroft.peer.proto.BillKey value) {
+      if (billKeysBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureBillKeysIsMutable();
+        billKeys_.add(value);
+        onChanged();
+      } else {
+        billKeysBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public Builder addBillKeys(
+        int index, baobabcroft.peer.proto.BillKey value) {
+      if (billKeysBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureBillKeysIsMutable();
+        billKeys_.add(index, value);
+        onChanged();
+      } else {
+        billKeysBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public Builder addBillKeys(
+        baobabcroft.peer.proto.BillKey.Builder builderForValue) {
+      if (billKeysBuilder_ == null) {
+        ensureBillKeysIsMutable();
+        billKeys_.add(builderForValue.build());
+        onChanged();
+      } else {
+        billKeysBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public Builder addBillKeys(
+        int index, baobabcroft.peer.proto.BillKey.Builder builderForValue) {
+      if (billKeysBuilder_ == null) {
+        ensureBillKeysIsMutable();
+        billKeys_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        billKeysBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
     public Builder addAllBillKeys(
-        java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
-      ensureBillKeysIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, billKeys_);
-      bitField0_ |= 0x00000001;
-      onChanged();
+        java.lang.Iterable<? extends baobabcroft.peer.proto.BillKey> values) {
+      if (billKeysBuilder_ == null) {
+        ensureBillKeysIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, billKeys_);
+        onChanged();
+      } else {
+        billKeysBuilder_.addAllMessages(values);
+      }
       return this;
     }
     /**
-     * <code>repeated bytes bill_keys = 1;</code>
-     * @return This builder for chaining.
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
      */
     public Builder clearBillKeys() {
-      billKeys_ = emptyList(com.google.protobuf.ByteString.class);
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
+      if (billKeysBuilder_ == null) {
+        billKeys_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000001);
+        onChanged();
+      } else {
+        billKeysBuilder_.clear();
+      }
       return this;
     }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public Builder removeBillKeys(int index) {
+      if (billKeysBuilder_ == null) {
+        ensureBillKeysIsMutable();
+        billKeys_.remove(index);
+        onChanged();
+      } else {
+        billKeysBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public baobabcroft.peer.proto.BillKey.Builder getBillKeysBuilder(
+        int index) {
+      return internalGetBillKeysFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public baobabcroft.peer.proto.BillKeyOrBuilder getBillKeysOrBuilder(
+        int index) {
+      if (billKeysBuilder_ == null) {
+        return billKeys_.get(index);  } else {
+        return billKeysBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public java.util.List<? extends baobabcroft.peer.proto.BillKeyOrBuilder> 
+         getBillKeysOrBuilderList() {
+      if (billKeysBuilder_ != null) {
+        return billKeysBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(billKeys_);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public baobabcroft.peer.proto.BillKey.Builder addBillKeysBuilder() {
+      return internalGetBillKeysFieldBuilder().addBuilder(
+          baobabcroft.peer.proto.BillKey.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public baobabcroft.peer.proto.BillKey.Builder addBillKeysBuilder(
+        int index) {
+      return internalGetBillKeysFieldBuilder().addBuilder(
+          index, baobabcroft.peer.proto.BillKey.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+     */
+    public java.util.List<baobabcroft.peer.proto.BillKey.Builder> 
+         getBillKeysBuilderList() {
+      return internalGetBillKeysFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.peer.proto.BillKey, baobabcroft.peer.proto.BillKey.Builder, baobabcroft.peer.proto.BillKeyOrBuilder> 
+        internalGetBillKeysFieldBuilder() {
+      if (billKeysBuilder_ == null) {
+        billKeysBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            baobabcroft.peer.proto.BillKey, baobabcroft.peer.proto.BillKey.Builder, baobabcroft.peer.proto.BillKeyOrBuilder>(
+                billKeys_,
+                ((bitField0_ & 0x00000001) != 0),
+                getParentForChildren(),
+                isClean());
+        billKeys_ = null;
+      }
+      return billKeysBuilder_;
+    }
 
     // @@protoc_insertion_point(builder_scope:baobabcroft.peer.BillsWritten)
   }
--- a/router/src/main/java/baobabcroft/peer/proto/BillsWrittenOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/BillsWrittenOrBuilder.java
@@ -11,19 +11,26 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>repeated bytes bill_keys = 1;</code>
-   * @return A list containing the billKeys.
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
    */
-  java.util.List<com.google.protobuf.ByteString> getBillKeysList();
+  java.util.List<baobabcroft.peer.proto.BillKey> 
+      getBillKeysList();
   /**
-   * <code>repeated bytes bill_keys = 1;</code>
-   * @return The count of billKeys.
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+   */
+  baobabcroft.peer.proto.BillKey getBillKeys(int index);
+  /**
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
    */
   int getBillKeysCount();
   /**
-   * <code>repeated bytes bill_keys = 1;</code>
-   * @param index The index of the element to return.
-   * @return The billKeys at the given index.
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
+   */
+  java.util.List<? extends baobabcroft.peer.proto.BillKeyOrBuilder> 
+      getBillKeysOrBuilderList();
+  /**
+   * <code>repeated .baobabcroft.peer.BillKey bill_keys = 1;</code>
    */
-  com.google.protobuf.ByteString getBillKeys(int index);
+  baobabcroft.peer.proto.BillKeyOrBuilder getBillKeysOrBuilder(
+      int index);
 }
--- a/router/src/main/java/baobabcroft/peer/proto/Evidence.java
+++ b/router/src/main/java/baobabcroft/peer/proto/Evidence.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Counters by version and origin. Monotone for an origin, merged by maximum, so that each piece counts once.
+ * Sums by version and origin. Monotone for an origin, merged by the later state, so that each piece counts once.
  * </pre>
  *
  * Protobuf type {@code baobabcroft.peer.Evidence}
@@ -33,6 +33,8 @@
   }
   private Evidence() {
     versions_ = java.util.Collections.emptyList();
+    stops_ = java.util.Collections.emptyList();
+    kinds_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -94,6 +96,88 @@
     return versions_.get(index);
   }
 
+  public static final int STOPS_FIELD_NUMBER = 2;
+  @SuppressWarnings("serial")
+  private java.util.List<baobabcroft.peer.proto.VersionStopped> stops_;
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<baobabcroft.peer.proto.VersionStopped> getStopsList() {
+    return stops_;
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends baobabcroft.peer.proto.VersionStoppedOrBuilder> 
+      getStopsOrBuilderList() {
+    return stops_;
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  @java.lang.Override
+  public int getStopsCount() {
+    return stops_.size();
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.peer.proto.VersionStopped getStops(int index) {
+    return stops_.get(index);
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.peer.proto.VersionStoppedOrBuilder getStopsOrBuilder(
+      int index) {
+    return stops_.get(index);
+  }
+
+  public static final int KINDS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private java.util.List<baobabcroft.peer.proto.KindEvidence> kinds_;
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<baobabcroft.peer.proto.KindEvidence> getKindsList() {
+    return kinds_;
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends baobabcroft.peer.proto.KindEvidenceOrBuilder> 
+      getKindsOrBuilderList() {
+    return kinds_;
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  @java.lang.Override
+  public int getKindsCount() {
+    return kinds_.size();
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.peer.proto.KindEvidence getKinds(int index) {
+    return kinds_.get(index);
+  }
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.peer.proto.KindEvidenceOrBuilder getKindsOrBuilder(
+      int index) {
+    return kinds_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -111,6 +195,12 @@
     for (int i = 0; i < versions_.size(); i++) {
       output.writeMessage(1, versions_.get(i));
     }
+    for (int i = 0; i < stops_.size(); i++) {
+      output.writeMessage(2, stops_.get(i));
+    }
+    for (int i = 0; i < kinds_.size(); i++) {
+      output.writeMessage(3, kinds_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -129,6 +219,24 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = stops_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(stops_.get(i));
+          }
+          size += 1 * count;
+        }
+
+        {
+          final int count = kinds_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(kinds_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -146,6 +254,10 @@
 
     if (!getVersionsList()
         .equals(other.getVersionsList())) return false;
+    if (!getStopsList()
+        .equals(other.getStopsList())) return false;
+    if (!getKindsList()
+        .equals(other.getKindsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -161,6 +273,14 @@
       hash = (37 * hash) + VERSIONS_FIELD_NUMBER;
       hash = (53 * hash) + getVersionsList().hashCode();
     }
+    if (getStopsCount() > 0) {
+      hash = (37 * hash) + STOPS_FIELD_NUMBER;
+      hash = (53 * hash) + getStopsList().hashCode();
+    }
+    if (getKindsCount() > 0) {
+      hash = (37 * hash) + KINDS_FIELD_NUMBER;
+      hash = (53 * hash) + getKindsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -260,7 +380,7 @@
   }
   /**
    * <pre>
-   * Counters by version and origin. Monotone for an origin, merged by maximum, so that each piece counts once.
+   * Sums by version and origin. Monotone for an origin, merged by the later state, so that each piece counts once.
    * </pre>
    *
    * Protobuf type {@code baobabcroft.peer.Evidence}
@@ -303,6 +423,20 @@
         versionsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000001);
+      if (stopsBuilder_ == null) {
+        stops_ = java.util.Collections.emptyList();
+      } else {
+        stops_ = null;
+        stopsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000002);
+      if (kindsBuilder_ == null) {
+        kinds_ = java.util.Collections.emptyList();
+      } else {
+        kinds_ = null;
+        kindsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000004);
       return this;
     }
 
@@ -345,6 +479,24 @@
       } else {
         result.versions_ = versionsBuilder_.build();
       }
+      if (stopsBuilder_ == null) {
+        if (((bitField0_ & 0x00000002) != 0)) {
+          stops_ = java.util.Collections.unmodifiableList(stops_);
+          bitField0_ = (bitField0_ & ~0x00000002);
+        }
+        result.stops_ = stops_;
+      } else {
+        result.stops_ = stopsBuilder_.build();
+      }
+      if (kindsBuilder_ == null) {
+        if (((bitField0_ & 0x00000004) != 0)) {
+          kinds_ = java.util.Collections.unmodifiableList(kinds_);
+          bitField0_ = (bitField0_ & ~0x00000004);
+        }
+        result.kinds_ = kinds_;
+      } else {
+        result.kinds_ = kindsBuilder_.build();
+      }
     }
 
     private void buildPartial0(baobabcroft.peer.proto.Evidence result) {
@@ -389,6 +541,58 @@
           }
         }
       }
+      if (stopsBuilder_ == null) {
+        if (!other.stops_.isEmpty()) {
+          if (stops_.isEmpty()) {
+            stops_ = other.stops_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+          } else {
+            ensureStopsIsMutable();
+            stops_.addAll(other.stops_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.stops_.isEmpty()) {
+          if (stopsBuilder_.isEmpty()) {
+            stopsBuilder_.dispose();
+            stopsBuilder_ = null;
+            stops_ = other.stops_;
+            bitField0_ = (bitField0_ & ~0x00000002);
+            stopsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetStopsFieldBuilder() : null;
+          } else {
+            stopsBuilder_.addAllMessages(other.stops_);
+          }
+        }
+      }
+      if (kindsBuilder_ == null) {
+        if (!other.kinds_.isEmpty()) {
+          if (kinds_.isEmpty()) {
+            kinds_ = other.kinds_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+          } else {
+            ensureKindsIsMutable();
+            kinds_.addAll(other.kinds_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.kinds_.isEmpty()) {
+          if (kindsBuilder_.isEmpty()) {
+            kindsBuilder_.dispose();
+            kindsBuilder_ = null;
+            kinds_ = other.kinds_;
+            bitField0_ = (bitField0_ & ~0x00000004);
+            kindsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetKindsFieldBuilder() : null;
+          } else {
+            kindsBuilder_.addAllMessages(other.kinds_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -428,6 +632,32 @@
               }
               break;
             } // case 10
+            case 18: {
+              baobabcroft.peer.proto.VersionStopped m =
+                  input.readMessage(
+                      baobabcroft.peer.proto.VersionStopped.parser(),
+                      extensionRegistry);
+              if (stopsBuilder_ == null) {
+                ensureStopsIsMutable();
+                stops_.add(m);
+              } else {
+                stopsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 18
+            case 26: {
+              baobabcroft.peer.proto.KindEvidence m =
+                  input.readMessage(
+                      baobabcroft.peer.proto.KindEvidence.parser(),
+                      extensionRegistry);
+              if (kindsBuilder_ == null) {
+                ensureKindsIsMutable();
+                kinds_.add(m);
+              } else {
+                kindsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -685,6 +915,486 @@
       return versionsBuilder_;
     }
 
+    private java.util.List<baobabcroft.peer.proto.VersionStopped> stops_ =
+      java.util.Collections.emptyList();
+    private void ensureStopsIsMutable() {
+      if (!((bitField0_ & 0x00000002) != 0)) {
+        stops_ = new java.util.ArrayList<baobabcroft.peer.proto.VersionStopped>(stops_);
+        bitField0_ |= 0x00000002;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.peer.proto.VersionStopped, baobabcroft.peer.proto.VersionStopped.Builder, baobabcroft.peer.proto.VersionStoppedOrBuilder> stopsBuilder_;
+
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public java.util.List<baobabcroft.peer.proto.VersionStopped> getStopsList() {
+      if (stopsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(stops_);
+      } else {
+        return stopsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public int getStopsCount() {
+      if (stopsBuilder_ == null) {
+        return stops_.size();
+      } else {
+        return stopsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public baobabcroft.peer.proto.VersionStopped getStops(int index) {
+      if (stopsBuilder_ == null) {
+        return stops_.get(index);
+      } else {
+        return stopsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder setStops(
+        int index, baobabcroft.peer.proto.VersionStopped value) {
+      if (stopsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStopsIsMutable();
+        stops_.set(index, value);
+        onChanged();
+      } else {
+        stopsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder setStops(
+        int index, baobabcroft.peer.proto.VersionStopped.Builder builderForValue) {
+      if (stopsBuilder_ == null) {
+        ensureStopsIsMutable();
+        stops_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        stopsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder addStops(baobabcroft.peer.proto.VersionStopped value) {
+      if (stopsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStopsIsMutable();
+        stops_.add(value);
+        onChanged();
+      } else {
+        stopsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder addStops(
+        int index, baobabcroft.peer.proto.VersionStopped value) {
+      if (stopsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureStopsIsMutable();
+        stops_.add(index, value);
+        onChanged();
+      } else {
+        stopsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder addStops(
+        baobabcroft.peer.proto.VersionStopped.Builder builderForValue) {
+      if (stopsBuilder_ == null) {
+        ensureStopsIsMutable();
+        stops_.add(builderForValue.build());
+        onChanged();
+      } else {
+        stopsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder addStops(
+        int index, baobabcroft.peer.proto.VersionStopped.Builder builderForValue) {
+      if (stopsBuilder_ == null) {
+        ensureStopsIsMutable();
+        stops_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        stopsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder addAllStops(
+        java.lang.Iterable<? extends baobabcroft.peer.proto.VersionStopped> values) {
+      if (stopsBuilder_ == null) {
+        ensureStopsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, stops_);
+        onChanged();
+      } else {
+        stopsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder clearStops() {
+      if (stopsBuilder_ == null) {
+        stops_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000002);
+        onChanged();
+      } else {
+        stopsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public Builder removeStops(int index) {
+      if (stopsBuilder_ == null) {
+        ensureStopsIsMutable();
+        stops_.remove(index);
+        onChanged();
+      } else {
+        stopsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public baobabcroft.peer.proto.VersionStopped.Builder getStopsBuilder(
+        int index) {
+      return internalGetStopsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public baobabcroft.peer.proto.VersionStoppedOrBuilder getStopsOrBuilder(
+        int index) {
+      if (stopsBuilder_ == null) {
+        return stops_.get(index);  } else {
+        return stopsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public java.util.List<? extends baobabcroft.peer.proto.VersionStoppedOrBuilder> 
+         getStopsOrBuilderList() {
+      if (stopsBuilder_ != null) {
+        return stopsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(stops_);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public baobabcroft.peer.proto.VersionStopped.Builder addStopsBuilder() {
+      return internalGetStopsFieldBuilder().addBuilder(
+          baobabcroft.peer.proto.VersionStopped.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public baobabcroft.peer.proto.VersionStopped.Builder addStopsBuilder(
+        int index) {
+      return internalGetStopsFieldBuilder().addBuilder(
+          index, baobabcroft.peer.proto.VersionStopped.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+     */
+    public java.util.List<baobabcroft.peer.proto.VersionStopped.Builder> 
+         getStopsBuilderList() {
+      return internalGetStopsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.peer.proto.VersionStopped, baobabcroft.peer.proto.VersionStopped.Builder, baobabcroft.peer.proto.VersionStoppedOrBuilder> 
+        internalGetStopsFieldBuilder() {
+      if (stopsBuilder_ == null) {
+        stopsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            baobabcroft.peer.proto.VersionStopped, baobabcroft.peer.proto.VersionStopped.Builder, baobabcroft.peer.proto.VersionStoppedOrBuilder>(
+                stops_,
+                ((bitField0_ & 0x00000002) != 0),
+                getParentForChildren(),
+                isClean());
+        stops_ = null;
+      }
+      return stopsBuilder_;
+    }
+
+    private java.util.List<baobabcroft.peer.proto.KindEvidence> kinds_ =
+      java.util.Collections.emptyList();
+    private void ensureKindsIsMutable() {
+      if (!((bitField0_ & 0x00000004) != 0)) {
+        kinds_ = new java.util.ArrayList<baobabcroft.peer.proto.KindEvidence>(kinds_);
+        bitField0_ |= 0x00000004;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.peer.proto.KindEvidence, baobabcroft.peer.proto.KindEvidence.Builder, baobabcroft.peer.proto.KindEvidenceOrBuilder> kindsBuilder_;
+
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public java.util.List<baobabcroft.peer.proto.KindEvidence> getKindsList() {
+      if (kindsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(kinds_);
+      } else {
+        return kindsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public int getKindsCount() {
+      if (kindsBuilder_ == null) {
+        return kinds_.size();
+      } else {
+        return kindsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public baobabcroft.peer.proto.KindEvidence getKinds(int index) {
+      if (kindsBuilder_ == null) {
+        return kinds_.get(index);
+      } else {
+        return kindsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder setKinds(
+        int index, baobabcroft.peer.proto.KindEvidence value) {
+      if (kindsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureKindsIsMutable();
+        kinds_.set(index, value);
+        onChanged();
+      } else {
+        kindsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder setKinds(
+        int index, baobabcroft.peer.proto.KindEvidence.Builder builderForValue) {
+      if (kindsBuilder_ == null) {
+        ensureKindsIsMutable();
+        kinds_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        kindsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder addKinds(baobabcroft.peer.proto.KindEvidence value) {
+      if (kindsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureKindsIsMutable();
+        kinds_.add(value);
+        onChanged();
+      } else {
+        kindsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder addKinds(
+        int index, baobabcroft.peer.proto.KindEvidence value) {
+      if (kindsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureKindsIsMutable();
+        kinds_.add(index, value);
+        onChanged();
+      } else {
+        kindsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder addKinds(
+        baobabcroft.peer.proto.KindEvidence.Builder builderForValue) {
+      if (kindsBuilder_ == null) {
+        ensureKindsIsMutable();
+        kinds_.add(builderForValue.build());
+        onChanged();
+      } else {
+        kindsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder addKinds(
+        int index, baobabcroft.peer.proto.KindEvidence.Builder builderForValue) {
+      if (kindsBuilder_ == null) {
+        ensureKindsIsMutable();
+        kinds_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        kindsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder addAllKinds(
+        java.lang.Iterable<? extends baobabcroft.peer.proto.KindEvidence> values) {
+      if (kindsBuilder_ == null) {
+        ensureKindsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, kinds_);
+        onChanged();
+      } else {
+        kindsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder clearKinds() {
+      if (kindsBuilder_ == null) {
+        kinds_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000004);
+        onChanged();
+      } else {
+        kindsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public Builder removeKinds(int index) {
+      if (kindsBuilder_ == null) {
+        ensureKindsIsMutable();
+        kinds_.remove(index);
+        onChanged();
+      } else {
+        kindsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public baobabcroft.peer.proto.KindEvidence.Builder getKindsBuilder(
+        int index) {
+      return internalGetKindsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public baobabcroft.peer.proto.KindEvidenceOrBuilder getKindsOrBuilder(
+        int index) {
+      if (kindsBuilder_ == null) {
+        return kinds_.get(index);  } else {
+        return kindsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public java.util.List<? extends baobabcroft.peer.proto.KindEvidenceOrBuilder> 
+         getKindsOrBuilderList() {
+      if (kindsBuilder_ != null) {
+        return kindsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(kinds_);
+      }
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public baobabcroft.peer.proto.KindEvidence.Builder addKindsBuilder() {
+      return internalGetKindsFieldBuilder().addBuilder(
+          baobabcroft.peer.proto.KindEvidence.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public baobabcroft.peer.proto.KindEvidence.Builder addKindsBuilder(
+        int index) {
+      return internalGetKindsFieldBuilder().addBuilder(
+          index, baobabcroft.peer.proto.KindEvidence.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+     */
+    public java.util.List<baobabcroft.peer.proto.KindEvidence.Builder> 
+         getKindsBuilderList() {
+      return internalGetKindsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.peer.proto.KindEvidence, baobabcroft.peer.proto.KindEvidence.Builder, baobabcroft.peer.proto.KindEvidenceOrBuilder> 
+        internalGetKindsFieldBuilder() {
+      if (kindsBuilder_ == null) {
+        kindsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            baobabcroft.peer.proto.KindEvidence, baobabcroft.peer.proto.KindEvidence.Builder, baobabcroft.peer.proto.KindEvidenceOrBuilder>(
+                kinds_,
+                ((bitField0_ & 0x00000004) != 0),
+                getParentForChildren(),
+                isClean());
+        kinds_ = null;
+      }
+      return kindsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.peer.Evidence)
   }
 
--- a/router/src/main/java/baobabcroft/peer/proto/EvidenceOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/EvidenceOrBuilder.java
@@ -33,4 +33,52 @@
    */
   baobabcroft.peer.proto.VersionEvidenceOrBuilder getVersionsOrBuilder(
       int index);
+
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  java.util.List<baobabcroft.peer.proto.VersionStopped> 
+      getStopsList();
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  baobabcroft.peer.proto.VersionStopped getStops(int index);
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  int getStopsCount();
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  java.util.List<? extends baobabcroft.peer.proto.VersionStoppedOrBuilder> 
+      getStopsOrBuilderList();
+  /**
+   * <code>repeated .baobabcroft.peer.VersionStopped stops = 2;</code>
+   */
+  baobabcroft.peer.proto.VersionStoppedOrBuilder getStopsOrBuilder(
+      int index);
+
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  java.util.List<baobabcroft.peer.proto.KindEvidence> 
+      getKindsList();
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  baobabcroft.peer.proto.KindEvidence getKinds(int index);
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  int getKindsCount();
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  java.util.List<? extends baobabcroft.peer.proto.KindEvidenceOrBuilder> 
+      getKindsOrBuilderList();
+  /**
+   * <code>repeated .baobabcroft.peer.KindEvidence kinds = 3;</code>
+   */
+  baobabcroft.peer.proto.KindEvidenceOrBuilder getKindsOrBuilder(
+      int index);
 }
--- a/router/src/main/java/baobabcroft/peer/proto/HoldBills.java
+++ b/router/src/main/java/baobabcroft/peer/proto/HoldBills.java
@@ -6,6 +6,10 @@
 package baobabcroft.peer.proto;
 
 /**
+ * <pre>
+ * Bills to be written by the receiver if the sender does not.
+ * </pre>
+ *
  * Protobuf type {@code baobabcroft.peer.HoldBills}
  */
 @com.google.protobuf.Generated
@@ -28,7 +32,7 @@
     super(builder);
   }
   private HoldBills() {
-    bills_ = emptyList(com.google.protobuf.ByteString.class);
+    bills_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -50,33 +54,19 @@
   }
 
   public static final int BILLS_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> bills_ =
-      emptyList(com.google.protobuf.ByteString.class);
+  private com.google.protobuf.ByteString bills_ = com.google.protobuf.ByteString.EMPTY;
   /**
-   * <code>repeated bytes bills = 1;</code>
-   * @return A list containing the bills.
+   * <pre>
+   * A BillBatch, see billing.proto.
+   * </pre>
+   *
+   * <code>bytes bills = 1;</code>
+   * @return The bills.
    */
   @java.lang.Override
-  public java.util.List<com.google.protobuf.ByteString>
-      getBillsList() {
+  public com.google.protobuf.ByteString getBills() {
     return bills_;
   }
-  /**
-   * <code>repeated bytes bills = 1;</code>
-   * @return The count of bills.
-   */
-  public int getBillsCount() {
-    return bills_.size();
-  }
-  /**
-   * <code>repeated bytes bills = 1;</code>
-   * @param index The index of the element to return.
-   * @return The bills at the given index.
-   */
-  public com.google.protobuf.ByteString getBills(int index) {
-    return bills_.get(index);
-  }
 
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
@@ -92,8 +82,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    for (int i = 0; i < bills_.size(); i++) {
-      output.writeBytes(1, bills_.get(i));
+    if (!bills_.isEmpty()) {
+      output.writeBytes(1, bills_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -104,14 +94,9 @@
     if (size != -1) return size;
 
     size = 0;
-    {
-      int dataSize = 0;
-      for (int i = 0; i < bills_.size(); i++) {
-        dataSize += com.google.protobuf.CodedOutputStream
-          .computeBytesSizeNoTag(bills_.get(i));
-      }
-      size += dataSize;
-      size += 1 * getBillsList().size();
+    if (!bills_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(1, bills_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -128,8 +113,8 @@
     }
     baobabcroft.peer.proto.HoldBills other = (baobabcroft.peer.proto.HoldBills) obj;
 
-    if (!getBillsList()
-        .equals(other.getBillsList())) return false;
+    if (!getBills()
+        .equals(other.getBills())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -141,10 +126,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    if (getBillsCount() > 0) {
-      hash = (37 * hash) + BILLS_FIELD_NUMBER;
-      hash = (53 * hash) + getBillsList().hashCode();
-    }
+    hash = (37 * hash) + BILLS_FIELD_NUMBER;
+    hash = (53 * hash) + getBills().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -243,6 +226,10 @@
     return builder;
   }
   /**
+   * <pre>
+   * Bills to be written by the receiver if the sender does not.
+   * </pre>
+   *
    * Protobuf type {@code baobabcroft.peer.HoldBills}
    */
   public static final class Builder extends
@@ -276,7 +263,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      bills_ = emptyList(com.google.protobuf.ByteString.class);
+      bills_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -311,7 +298,6 @@
     private void buildPartial0(baobabcroft.peer.proto.HoldBills result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        bills_.makeImmutable();
         result.bills_ = bills_;
       }
     }
@@ -328,16 +314,8 @@
 
     public Builder mergeFrom(baobabcroft.peer.proto.HoldBills other) {
       if (other == baobabcroft.peer.proto.HoldBills.getDefaultInstance()) return this;
-      if (!other.bills_.isEmpty()) {
-        if (bills_.isEmpty()) {
-          bills_ = other.bills_;
-          bills_.makeImmutable();
-          bitField0_ |= 0x00000001;
-        } else {
-          ensureBillsIsMutable();
-          bills_.addAll(other.bills_);
-        }
-        onChanged();
+      if (!other.getBills().isEmpty()) {
+        setBills(other.getBills());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -366,9 +344,8 @@
               done = true;
               break;
             case 10: {
-              com.google.protobuf.ByteString v = input.readBytes();
-              ensureBillsIsMutable();
-              bills_.add(v);
+              bills_ = input.readBytes();
+              bitField0_ |= 0x00000001;
               break;
             } // case 10
             default: {
@@ -388,86 +365,46 @@
     }
     private int bitField0_;
 
-    private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> bills_ = emptyList(com.google.protobuf.ByteString.class);
-    private void ensureBillsIsMutable() {
-      if (!bills_.isModifiable()) {
-        bills_ = makeMutableCopy(bills_);
-      }
-      bitField0_ |= 0x00000001;
-    }
+    private com.google.protobuf.ByteString bills_ = com.google.protobuf.ByteString.EMPTY;
     /**
-     * <code>repeated bytes bills = 1;</code>
-     * @return A list containing the bills.
+     * <pre>
+     * A BillBatch, see billing.proto.
+     * </pre>
+     *
+     * <code>bytes bills = 1;</code>
+     * @return The bills.
      */
-    public java.util.List<com.google.protobuf.ByteString>
-        getBillsList() {
-      bills_.makeImmutable();
+    @java.lang.Override
+    public com.google.protobuf.ByteString getBills() {
       return bills_;
     }
     /**
-     * <code>repeated bytes bills = 1;</code>
-     * @return The count of bills.
-     */
-    public int getBillsCount() {
-      return bills_.size();
-    }
-    /**
-     * <code>repeated bytes bills = 1;</code>
-     * @param index The index of the element to return.
-     * @return The bills at the given index.
-     */
-    public com.google.protobuf.ByteString getBills(int index) {
-      return bills_.get(index);
-    }
-    /**
-     * <code>repeated bytes bills = 1;</code>
-     * @param index The index to set the value at.
+     * <pre>
+     * A BillBatch, see billing.proto.
+     * </pre>
+     *
+     * <code>bytes bills = 1;</code>
      * @param value The bills to set.
      * @return This builder for chaining.
      */
-    public Builder setBills(
-        int index, com.google.protobuf.ByteString value) {
+    public Builder setBills(com.google.protobuf.ByteString value) {
       if (value == null) { throw new NullPointerException(); }
-      ensureBillsIsMutable();
-      bills_.set(index, value);
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated bytes bills = 1;</code>
-     * @param value The bills to add.
-     * @return This builder for chaining.
-     */
-    public Builder addBills(com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      ensureBillsIsMutable();
-      bills_.add(value);
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>repeated bytes bills = 1;</code>
-     * @param values The bills to add.
-     * @return This builder for chaining.
-     */
-    public Builder addAllBills(
-        java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
-      ensureBillsIsMutable();
-      com.google.protobuf.AbstractMessageLite.Builder.addAll(
-          values, bills_);
+      bills_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>repeated bytes bills = 1;</code>
+     * <pre>
+     * A BillBatch, see billing.proto.
+     * </pre>
+     *
+     * <code>bytes bills = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearBills() {
-      bills_ = emptyList(com.google.protobuf.ByteString.class);
       bitField0_ = (bitField0_ & ~0x00000001);
+      bills_ = getDefaultInstance().getBills();
       onChanged();
       return this;
     }
--- a/router/src/main/java/baobabcroft/peer/proto/HoldBillsOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/HoldBillsOrBuilder.java
@@ -11,19 +11,12 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>repeated bytes bills = 1;</code>
-   * @return A list containing the bills.
+   * <pre>
+   * A BillBatch, see billing.proto.
+   * </pre>
+   *
+   * <code>bytes bills = 1;</code>
+   * @return The bills.
    */
-  java.util.List<com.google.protobuf.ByteString> getBillsList();
-  /**
-   * <code>repeated bytes bills = 1;</code>
-   * @return The count of bills.
-   */
-  int getBillsCount();
-  /**
-   * <code>repeated bytes bills = 1;</code>
-   * @param index The index of the element to return.
-   * @return The bills at the given index.
-   */
-  com.google.protobuf.ByteString getBills(int index);
+  com.google.protobuf.ByteString getBills();
 }
--- a/router/src/main/java/baobabcroft/peer/proto/Peer.java
+++ b/router/src/main/java/baobabcroft/peer/proto/Peer.java
@@ -121,6 +121,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_baobabcroft_peer_BillsWritten_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_baobabcroft_peer_BillKey_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_baobabcroft_peer_BillKey_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_baobabcroft_peer_Evidence_descriptor;
   static final 
@@ -131,6 +136,16 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_baobabcroft_peer_VersionEvidence_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_baobabcroft_peer_VersionStopped_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_baobabcroft_peer_VersionStopped_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_baobabcroft_peer_KindEvidence_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_baobabcroft_peer_KindEvidence_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_baobabcroft_peer_CrashReports_descriptor;
   static final 
@@ -147,10 +162,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_baobabcroft_peer_Usage_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_baobabcroft_peer_AccountUsage_descriptor;
+    internal_static_baobabcroft_peer_AccountDemand_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_baobabcroft_peer_AccountUsage_fieldAccessorTable;
+      internal_static_baobabcroft_peer_AccountDemand_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_baobabcroft_peer_LeaveNotice_descriptor;
   static final 
@@ -217,25 +232,33 @@
       "edit\030\005 \001(\0132\032.baobabcroft.peer.LineEdit\"C" +
       "\n\010LineEdit\022\021\n\tfrom_line\030\001 \001(\r\022\025\n\rremoved" +
       "_lines\030\002 \001(\r\022\r\n\005added\030\003 \003(\t\"\032\n\tHoldBills" +
-      "\022\r\n\005bills\030\001 \003(\014\"!\n\014BillsWritten\022\021\n\tbill_" +
-      "keys\030\001 \003(\014\"?\n\010Evidence\0223\n\010versions\030\001 \003(\013" +
-      "2!.baobabcroft.peer.VersionEvidence\"\350\001\n\017" +
-      "VersionEvidence\022\r\n\005model\030\001 \001(\t\022\017\n\007versio" +
-      "n\030\002 \001(\t\022\016\n\006origin\030\003 \001(\t\022\032\n\022origin_incarn" +
-      "ation\030\004 \001(\006\022\017\n\007answers\030\005 \001(\004\022\020\n\010failures" +
-      "\030\006 \001(\004\022\r\n\005rated\030\007 \001(\004\022\022\n\nrating_sum\030\010 \001(" +
-      "\001\022\031\n\021rating_square_sum\030\t \001(\001\022\032\n\022latency_" +
-      "millis_sum\030\n \001(\004\022\014\n\004late\030\013 \001(\004\">\n\014CrashR" +
-      "eports\022.\n\007reports\030\001 \003(\0132\035.baobabcroft.pe" +
-      "er.CrashReport\"K\n\013CrashReport\022\026\n\016request" +
-      "_digest\030\001 \001(\014\022\020\n\010endpoint\030\002 \001(\t\022\022\n\nage_m" +
-      "illis\030\003 \001(\004\"e\n\005Usage\022\016\n\006origin\030\001 \001(\t\022\032\n\022" +
-      "origin_incarnation\030\002 \001(\006\0220\n\010accounts\030\003 \003" +
-      "(\0132\036.baobabcroft.peer.AccountUsage\"Y\n\014Ac" +
-      "countUsage\022\017\n\007account\030\001 \001(\t\022\020\n\010requests\030" +
-      "\002 \001(\004\022\023\n\013cost_micros\030\003 \001(\004\022\021\n\tin_flight\030" +
-      "\004 \001(\004\"\"\n\013LeaveNotice\022\023\n\013incarnation\030\001 \001(" +
-      "\006B\032\n\026baobabcroft.peer.protoP\001b\006proto3"
+      "\022\r\n\005bills\030\001 \001(\014\"<\n\014BillsWritten\022,\n\tbill_" +
+      "keys\030\001 \003(\0132\031.baobabcroft.peer.BillKey\".\n" +
+      "\007BillKey\022\017\n\007account\030\001 \001(\t\022\022\n\nrequest_id\030" +
+      "\002 \001(\t\"\237\001\n\010Evidence\0223\n\010versions\030\001 \003(\0132!.b" +
+      "aobabcroft.peer.VersionEvidence\022/\n\005stops" +
+      "\030\002 \003(\0132 .baobabcroft.peer.VersionStopped" +
+      "\022-\n\005kinds\030\003 \003(\0132\036.baobabcroft.peer.KindE" +
+      "vidence\"\214\001\n\017VersionEvidence\022\017\n\007version\030\001" +
+      " \001(\t\022\016\n\006origin\030\002 \001(\t\022\017\n\007answers\030\003 \001(\004\022\016\n" +
+      "\006errors\030\004 \001(\004\022\014\n\004slow\030\005 \001(\004\022\017\n\007ratings\030\006" +
+      " \001(\004\022\030\n\020rating_shortfall\030\007 \001(\001\"g\n\016Versio" +
+      "nStopped\022\017\n\007version\030\001 \001(\t\022\r\n\005cause\030\002 \001(\t" +
+      "\022\027\n\017at_epoch_millis\030\003 \001(\004\022\016\n\006trials\030\004 \001(" +
+      "\004\022\014\n\004rate\030\005 \001(\001\"\275\001\n\014KindEvidence\022\017\n\007vers" +
+      "ion\030\001 \001(\t\022\016\n\006origin\030\002 \001(\t\022\017\n\007account\030\003 \001" +
+      "(\t\022\017\n\007cascade\030\004 \001(\t\022\025\n\rlength_bucket\030\005 \001" +
+      "(\r\022\017\n\007ratings\030\006 \001(\004\022\013\n\003sum\030\007 \001(\001\022\022\n\nsqua" +
+      "re_sum\030\010 \001(\001\022\016\n\006shorts\030\t \001(\004\022\021\n\tshort_su" +
+      "m\030\n \001(\001\">\n\014CrashReports\022.\n\007reports\030\001 \003(\013" +
+      "2\035.baobabcroft.peer.CrashReport\"K\n\013Crash" +
+      "Report\022\026\n\016request_digest\030\001 \001(\014\022\020\n\010endpoi" +
+      "nt\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\004\"X\n\005Usage\022\016\n" +
+      "\006origin\030\001 \001(\t\022\014\n\004slot\030\002 \001(\022\0221\n\010accounts\030" +
+      "\003 \003(\0132\037.baobabcroft.peer.AccountDemand\"0" +
+      "\n\rAccountDemand\022\017\n\007account\030\001 \001(\t\022\016\n\006dema" +
+      "nd\030\002 \001(\001\"\"\n\013LeaveNotice\022\023\n\013incarnation\030\001" +
+      " \001(\006B\032\n\026baobabcroft.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -355,44 +378,62 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_BillsWritten_descriptor,
         new java.lang.String[] { "BillKeys", });
-    internal_static_baobabcroft_peer_Evidence_descriptor =
+    internal_static_baobabcroft_peer_BillKey_descriptor =
       getDescriptor().getMessageType(19);
+    internal_static_baobabcroft_peer_BillKey_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_baobabcroft_peer_BillKey_descriptor,
+        new java.lang.String[] { "Account", "RequestId", });
+    internal_static_baobabcroft_peer_Evidence_descriptor =
+      getDescriptor().getMessageType(20);
     internal_static_baobabcroft_peer_Evidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_Evidence_descriptor,
-        new java.lang.String[] { "Versions", });
+        new java.lang.String[] { "Versions", "Stops", "Kinds", });
     internal_static_baobabcroft_peer_VersionEvidence_descriptor =
-      getDescriptor().getMessageType(20);
+      getDescriptor().getMessageType(21);
     internal_static_baobabcroft_peer_VersionEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_VersionEvidence_descriptor,
-        new java.lang.String[] { "Model", "Version", "Origin", "OriginIncarnation", "Answers", "Failures", "Rated", "RatingSum", "RatingSquareSum", "LatencyMillisSum", "Late", });
+        new java.lang.String[] { "Version", "Origin", "Answers", "Errors", "Slow", "Ratings", "RatingShortfall", });
+    internal_static_baobabcroft_peer_VersionStopped_descriptor =
+      getDescriptor().getMessageType(22);
+    internal_static_baobabcroft_peer_VersionStopped_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_baobabcroft_peer_VersionStopped_descriptor,
+        new java.lang.String[] { "Version", "Cause", "AtEpochMillis", "Trials", "Rate", });
+    internal_static_baobabcroft_peer_KindEvidence_descriptor =
+      getDescriptor().getMessageType(23);
+    internal_static_baobabcroft_peer_KindEvidence_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_baobabcroft_peer_KindEvidence_descriptor,
+        new java.lang.String[] { "Version", "Origin", "Account", "Cascade", "LengthBucket", "Ratings", "Sum", "SquareSum", "Shorts", "ShortSum", });
     internal_static_baobabcroft_peer_CrashReports_descriptor =
-      getDescriptor().getMessageType(21);
+      getDescriptor().getMessageType(24);
     internal_static_baobabcroft_peer_CrashReports_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_CrashReports_descriptor,
         new java.lang.String[] { "Reports", });
     internal_static_baobabcroft_peer_CrashReport_descriptor =
-      getDescriptor().getMessageType(22);
+      getDescriptor().getMessageType(25);
     internal_static_baobabcroft_peer_CrashReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_CrashReport_descriptor,
         new java.lang.String[] { "RequestDigest", "Endpoint", "AgeMillis", });
     internal_static_baobabcroft_peer_Usage_descriptor =
-      getDescriptor().getMessageType(23);
+      getDescriptor().getMessageType(26);
     internal_static_baobabcroft_peer_Usage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_Usage_descriptor,
-        new java.lang.String[] { "Origin", "OriginIncarnation", "Accounts", });
-    internal_static_baobabcroft_peer_AccountUsage_descriptor =
-      getDescriptor().getMessageType(24);
-    internal_static_baobabcroft_peer_AccountUsage_fieldAccessorTable = new
+        new java.lang.String[] { "Origin", "Slot", "Accounts", });
+    internal_static_baobabcroft_peer_AccountDemand_descriptor =
+      getDescriptor().getMessageType(27);
+    internal_static_baobabcroft_peer_AccountDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_baobabcroft_peer_AccountUsage_descriptor,
-        new java.lang.String[] { "Account", "Requests", "CostMicros", "InFlight", });
+        internal_static_baobabcroft_peer_AccountDemand_descriptor,
+        new java.lang.String[] { "Account", "Demand", });
     internal_static_baobabcroft_peer_LeaveNotice_descriptor =
-      getDescriptor().getMessageType(25);
+      getDescriptor().getMessageType(28);
     internal_static_baobabcroft_peer_LeaveNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_LeaveNotice_descriptor,
--- a/router/src/main/java/baobabcroft/peer/proto/Usage.java
+++ b/router/src/main/java/baobabcroft/peer/proto/Usage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Counters by account and origin, monotone for an origin.
+ * Demand that one origin saw up to the end of one time slot. Never changes once told.
  * </pre>
  *
  * Protobuf type {@code baobabcroft.peer.Usage}
@@ -93,54 +93,54 @@
     }
   }
 
-  public static final int ORIGIN_INCARNATION_FIELD_NUMBER = 2;
-  private long originIncarnation_ = 0L;
+  public static final int SLOT_FIELD_NUMBER = 2;
+  private long slot_ = 0L;
   /**
-   * <code>fixed64 origin_incarnation = 2;</code>
-   * @return The originIncarnation.
+   * <code>sint64 slot = 2;</code>
+   * @return The slot.
    */
   @java.lang.Override
-  public long getOriginIncarnation() {
-    return originIncarnation_;
+  public long getSlot() {
+    return slot_;
   }
 
   public static final int ACCOUNTS_FIELD_NUMBER = 3;
   @SuppressWarnings("serial")
-  private java.util.List<baobabcroft.peer.proto.AccountUsage> accounts_;
+  private java.util.List<baobabcroft.peer.proto.AccountDemand> accounts_;
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<baobabcroft.peer.proto.AccountUsage> getAccountsList() {
+  public java.util.List<baobabcroft.peer.proto.AccountDemand> getAccountsList() {
     return accounts_;
   }
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends baobabcroft.peer.proto.AccountUsageOrBuilder> 
+  public java.util.List<? extends baobabcroft.peer.proto.AccountDemandOrBuilder> 
       getAccountsOrBuilderList() {
     return accounts_;
   }
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
   @java.lang.Override
   public int getAccountsCount() {
     return accounts_.size();
   }
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
   @java.lang.Override
-  public baobabcroft.peer.proto.AccountUsage getAccounts(int index) {
+  public baobabcroft.peer.proto.AccountDemand getAccounts(int index) {
     return accounts_.get(index);
   }
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
   @java.lang.Override
-  public baobabcroft.peer.proto.AccountUsageOrBuilder getAccountsOrBuilder(
+  public baobabcroft.peer.proto.AccountDemandOrBuilder getAccountsOrBuilder(
       int index) {
     return accounts_.get(index);
   }
@@ -162,8 +162,8 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(origin_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 1, origin_);
     }
-    if (originIncarnation_ != 0L) {
-      output.writeFixed64(2, originIncarnation_);
+    if (slot_ != 0L) {
+      output.writeSInt64(2, slot_);
     }
     for (int i = 0; i < accounts_.size(); i++) {
       output.writeMessage(3, accounts_.get(i));
@@ -180,9 +180,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(origin_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(1, origin_);
     }
-    if (originIncarnation_ != 0L) {
+    if (slot_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(2, originIncarnation_);
+        .computeSInt64Size(2, slot_);
     }
 
         {
@@ -210,8 +210,8 @@
 
     if (!getOrigin()
         .equals(other.getOrigin())) return false;
-    if (getOriginIncarnation()
-        != other.getOriginIncarnation()) return false;
+    if (getSlot()
+        != other.getSlot()) return false;
     if (!getAccountsList()
         .equals(other.getAccountsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -227,9 +227,9 @@
     hash = (19 * hash) + getDescriptor().hashCode();
     hash = (37 * hash) + ORIGIN_FIELD_NUMBER;
     hash = (53 * hash) + getOrigin().hashCode();
-    hash = (37 * hash) + ORIGIN_INCARNATION_FIELD_NUMBER;
+    hash = (37 * hash) + SLOT_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getOriginIncarnation());
+        getSlot());
     if (getAccountsCount() > 0) {
       hash = (37 * hash) + ACCOUNTS_FIELD_NUMBER;
       hash = (53 * hash) + getAccountsList().hashCode();
@@ -333,7 +333,7 @@
   }
   /**
    * <pre>
-   * Counters by account and origin, monotone for an origin.
+   * Demand that one origin saw up to the end of one time slot. Never changes once told.
    * </pre>
    *
    * Protobuf type {@code baobabcroft.peer.Usage}
@@ -370,7 +370,7 @@
       super.clear();
       bitField0_ = 0;
       origin_ = "";
-      originIncarnation_ = 0L;
+      slot_ = 0L;
       if (accountsBuilder_ == null) {
         accounts_ = java.util.Collections.emptyList();
       } else {
@@ -428,7 +428,7 @@
         result.origin_ = origin_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.originIncarnation_ = originIncarnation_;
+        result.slot_ = slot_;
       }
     }
 
@@ -449,8 +449,8 @@
         bitField0_ |= 0x00000001;
         onChanged();
       }
-      if (other.getOriginIncarnation() != 0L) {
-        setOriginIncarnation(other.getOriginIncarnation());
+      if (other.getSlot() != 0L) {
+        setSlot(other.getSlot());
       }
       if (accountsBuilder_ == null) {
         if (!other.accounts_.isEmpty()) {
@@ -509,15 +509,15 @@
               bitField0_ |= 0x00000001;
               break;
             } // case 10
-            case 17: {
-              originIncarnation_ = input.readFixed64();
+            case 16: {
+              slot_ = input.readSInt64();
               bitField0_ |= 0x00000002;
               break;
-            } // case 17
+            } // case 16
             case 26: {
-              baobabcroft.peer.proto.AccountUsage m =
+              baobabcroft.peer.proto.AccountDemand m =
                   input.readMessage(
-                      baobabcroft.peer.proto.AccountUsage.parser(),
+                      baobabcroft.peer.proto.AccountDemand.parser(),
                       extensionRegistry);
               if (accountsBuilder_ == null) {
                 ensureAccountsIsMutable();
@@ -616,54 +616,54 @@
       return this;
     }
 
-    private long originIncarnation_ ;
+    private long slot_ ;
     /**
-     * <code>fixed64 origin_incarnation = 2;</code>
-     * @return The originIncarnation.
+     * <code>sint64 slot = 2;</code>
+     * @return The slot.
      */
     @java.lang.Override
-    public long getOriginIncarnation() {
-      return originIncarnation_;
+    public long getSlot() {
+      return slot_;
     }
     /**
-     * <code>fixed64 origin_incarnation = 2;</code>
-     * @param value The originIncarnation to set.
+     * <code>sint64 slot = 2;</code>
+     * @param value The slot to set.
      * @return This builder for chaining.
      */
-    public Builder setOriginIncarnation(long value) {
+    public Builder setSlot(long value) {
 
-      originIncarnation_ = value;
+      slot_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>fixed64 origin_incarnation = 2;</code>
+     * <code>sint64 slot = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearOriginIncarnation() {
+    public Builder clearSlot() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      originIncarnation_ = 0L;
+      slot_ = 0L;
       onChanged();
       return this;
     }
 
-    private java.util.List<baobabcroft.peer.proto.AccountUsage> accounts_ =
+    private java.util.List<baobabcroft.peer.proto.AccountDemand> accounts_ =
       java.util.Collections.emptyList();
     private void ensureAccountsIsMutable() {
       if (!((bitField0_ & 0x00000004) != 0)) {
-        accounts_ = new java.util.ArrayList<baobabcroft.peer.proto.AccountUsage>(accounts_);
+        accounts_ = new java.util.ArrayList<baobabcroft.peer.proto.AccountDemand>(accounts_);
         bitField0_ |= 0x00000004;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        baobabcroft.peer.proto.AccountUsage, baobabcroft.peer.proto.AccountUsage.Builder, baobabcroft.peer.proto.AccountUsageOrBuilder> accountsBuilder_;
+        baobabcroft.peer.proto.AccountDemand, baobabcroft.peer.proto.AccountDemand.Builder, baobabcroft.peer.proto.AccountDemandOrBuilder> accountsBuilder_;
 
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public java.util.List<baobabcroft.peer.proto.AccountUsage> getAccountsList() {
+    public java.util.List<baobabcroft.peer.proto.AccountDemand> getAccountsList() {
       if (accountsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(accounts_);
       } else {
@@ -671,7 +671,7 @@
       }
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public int getAccountsCount() {
       if (accountsBuilder_ == null) {
@@ -681,9 +681,9 @@
       }
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public baobabcroft.peer.proto.AccountUsage getAccounts(int index) {
+    public baobabcroft.peer.proto.AccountDemand getAccounts(int index) {
       if (accountsBuilder_ == null) {
         return accounts_.get(index);
       } else {
@@ -691,10 +691,10 @@
       }
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder setAccounts(
-        int index, baobabcroft.peer.proto.AccountUsage value) {
+        int index, baobabcroft.peer.proto.AccountDemand value) {
       if (accountsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -708,10 +708,10 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder setAccounts(
-        int index, baobabcroft.peer.proto.AccountUsage.Builder builderForValue) {
+        int index, baobabcroft.peer.proto.AccountDemand.Builder builderForValue) {
       if (accountsBuilder_ == null) {
         ensureAccountsIsMutable();
         accounts_.set(index, builderForValue.build());
@@ -722,9 +722,9 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public Builder addAccounts(baobabcroft.peer.proto.AccountUsage value) {
+    public Builder addAccounts(baobabcroft.peer.proto.AccountDemand value) {
       if (accountsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -738,10 +738,10 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder addAccounts(
-        int index, baobabcroft.peer.proto.AccountUsage value) {
+        int index, baobabcroft.peer.proto.AccountDemand value) {
       if (accountsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -755,10 +755,10 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder addAccounts(
-        baobabcroft.peer.proto.AccountUsage.Builder builderForValue) {
+        baobabcroft.peer.proto.AccountDemand.Builder builderForValue) {
       if (accountsBuilder_ == null) {
         ensureAccountsIsMutable();
         accounts_.add(builderForValue.build());
@@ -769,10 +769,10 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder addAccounts(
-        int index, baobabcroft.peer.proto.AccountUsage.Builder builderForValue) {
+        int index, baobabcroft.peer.proto.AccountDemand.Builder builderForValue) {
       if (accountsBuilder_ == null) {
         ensureAccountsIsMutable();
         accounts_.add(index, builderForValue.build());
@@ -783,10 +783,10 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder addAllAccounts(
-        java.lang.Iterable<? extends baobabcroft.peer.proto.AccountUsage> values) {
+        java.lang.Iterable<? extends baobabcroft.peer.proto.AccountDemand> values) {
       if (accountsBuilder_ == null) {
         ensureAccountsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -798,7 +798,7 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder clearAccounts() {
       if (accountsBuilder_ == null) {
@@ -811,7 +811,7 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
     public Builder removeAccounts(int index) {
       if (accountsBuilder_ == null) {
@@ -824,16 +824,16 @@
       return this;
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public baobabcroft.peer.proto.AccountUsage.Builder getAccountsBuilder(
+    public baobabcroft.peer.proto.AccountDemand.Builder getAccountsBuilder(
         int index) {
       return internalGetAccountsFieldBuilder().getBuilder(index);
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public baobabcroft.peer.proto.AccountUsageOrBuilder getAccountsOrBuilder(
+    public baobabcroft.peer.proto.AccountDemandOrBuilder getAccountsOrBuilder(
         int index) {
       if (accountsBuilder_ == null) {
         return accounts_.get(index);  } else {
@@ -841,9 +841,9 @@
       }
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public java.util.List<? extends baobabcroft.peer.proto.AccountUsageOrBuilder> 
+    public java.util.List<? extends baobabcroft.peer.proto.AccountDemandOrBuilder> 
          getAccountsOrBuilderList() {
       if (accountsBuilder_ != null) {
         return accountsBuilder_.getMessageOrBuilderList();
@@ -852,33 +852,33 @@
       }
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public baobabcroft.peer.proto.AccountUsage.Builder addAccountsBuilder() {
+    public baobabcroft.peer.proto.AccountDemand.Builder addAccountsBuilder() {
       return internalGetAccountsFieldBuilder().addBuilder(
-          baobabcroft.peer.proto.AccountUsage.getDefaultInstance());
+          baobabcroft.peer.proto.AccountDemand.getDefaultInstance());
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public baobabcroft.peer.proto.AccountUsage.Builder addAccountsBuilder(
+    public baobabcroft.peer.proto.AccountDemand.Builder addAccountsBuilder(
         int index) {
       return internalGetAccountsFieldBuilder().addBuilder(
-          index, baobabcroft.peer.proto.AccountUsage.getDefaultInstance());
+          index, baobabcroft.peer.proto.AccountDemand.getDefaultInstance());
     }
     /**
-     * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+     * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
      */
-    public java.util.List<baobabcroft.peer.proto.AccountUsage.Builder> 
+    public java.util.List<baobabcroft.peer.proto.AccountDemand.Builder> 
          getAccountsBuilderList() {
       return internalGetAccountsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        baobabcroft.peer.proto.AccountUsage, baobabcroft.peer.proto.AccountUsage.Builder, baobabcroft.peer.proto.AccountUsageOrBuilder> 
+        baobabcroft.peer.proto.AccountDemand, baobabcroft.peer.proto.AccountDemand.Builder, baobabcroft.peer.proto.AccountDemandOrBuilder> 
         internalGetAccountsFieldBuilder() {
       if (accountsBuilder_ == null) {
         accountsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            baobabcroft.peer.proto.AccountUsage, baobabcroft.peer.proto.AccountUsage.Builder, baobabcroft.peer.proto.AccountUsageOrBuilder>(
+            baobabcroft.peer.proto.AccountDemand, baobabcroft.peer.proto.AccountDemand.Builder, baobabcroft.peer.proto.AccountDemandOrBuilder>(
                 accounts_,
                 ((bitField0_ & 0x00000004) != 0),
                 getParentForChildren(),
--- a/router/src/main/java/baobabcroft/peer/proto/UsageOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/UsageOrBuilder.java
@@ -23,32 +23,32 @@
       getOriginBytes();
 
   /**
-   * <code>fixed64 origin_incarnation = 2;</code>
-   * @return The originIncarnation.
+   * <code>sint64 slot = 2;</code>
+   * @return The slot.
    */
-  long getOriginIncarnation();
+  long getSlot();
 
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
-  java.util.List<baobabcroft.peer.proto.AccountUsage> 
+  java.util.List<baobabcroft.peer.proto.AccountDemand> 
       getAccountsList();
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
-  baobabcroft.peer.proto.AccountUsage getAccounts(int index);
+  baobabcroft.peer.proto.AccountDemand getAccounts(int index);
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
   int getAccountsCount();
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
-  java.util.List<? extends baobabcroft.peer.proto.AccountUsageOrBuilder> 
+  java.util.List<? extends baobabcroft.peer.proto.AccountDemandOrBuilder> 
       getAccountsOrBuilderList();
   /**
-   * <code>repeated .baobabcroft.peer.AccountUsage accounts = 3;</code>
+   * <code>repeated .baobabcroft.peer.AccountDemand accounts = 3;</code>
    */
-  baobabcroft.peer.proto.AccountUsageOrBuilder getAccountsOrBuilder(
+  baobabcroft.peer.proto.AccountDemandOrBuilder getAccountsOrBuilder(
       int index);
 }
--- a/router/src/main/java/baobabcroft/peer/proto/VersionEvidence.java
+++ b/router/src/main/java/baobabcroft/peer/proto/VersionEvidence.java
@@ -28,7 +28,6 @@
     super(builder);
   }
   private VersionEvidence() {
-    model_ = "";
     version_ = "";
     origin_ = "";
   }
@@ -51,50 +50,11 @@
             baobabcroft.peer.proto.VersionEvidence.class, baobabcroft.peer.proto.VersionEvidence.Builder.class);
   }
 
-  public static final int MODEL_FIELD_NUMBER = 1;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object model_ = "";
-  /**
-   * <code>string model = 1;</code>
-   * @return The model.
-   */
-  @java.lang.Override
-  public java.lang.String getModel() {
-    java.lang.Object ref = model_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      model_ = s;
-      return s;
-    }
-  }
-  /**
-   * <code>string model = 1;</code>
-   * @return The bytes for model.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getModelBytes() {
-    java.lang.Object ref = model_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      model_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int VERSION_FIELD_NUMBER = 2;
+  public static final int VERSION_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object version_ = "";
   /**
-   * <code>string version = 2;</code>
+   * <code>string version = 1;</code>
    * @return The version.
    */
   @java.lang.Override
@@ -111,7 +71,7 @@
     }
   }
   /**
-   * <code>string version = 2;</code>
+   * <code>string version = 1;</code>
    * @return The bytes for version.
    */
   @java.lang.Override
@@ -129,11 +89,11 @@
     }
   }
 
-  public static final int ORIGIN_FIELD_NUMBER = 3;
+  public static final int ORIGIN_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
   private volatile java.lang.Object origin_ = "";
   /**
-   * <code>string origin = 3;</code>
+   * <code>string origin = 2;</code>
    * @return The origin.
    */
   @java.lang.Override
@@ -150,7 +110,7 @@
     }
   }
   /**
-   * <code>string origin = 3;</code>
+   * <code>string origin = 2;</code>
    * @return The bytes for origin.
    */
   @java.lang.Override
@@ -168,21 +128,10 @@
     }
   }
 
-  public static final int ORIGIN_INCARNATION_FIELD_NUMBER = 4;
-  private long originIncarnation_ = 0L;
-  /**
-   * <code>fixed64 origin_incarnation = 4;</code>
-   * @return The originIncarnation.
-   */
-  @java.lang.Override
-  public long getOriginIncarnation() {
-    return originIncarnation_;
-  }
-
-  public static final int ANSWERS_FIELD_NUMBER = 5;
+  public static final int ANSWERS_FIELD_NUMBER = 3;
   private long answers_ = 0L;
   /**
-   * <code>uint64 answers = 5;</code>
+   * <code>uint64 answers = 3;</code>
    * @return The answers.
    */
   @java.lang.Override
@@ -190,70 +139,48 @@
     return answers_;
   }
 
-  public static final int FAILURES_FIELD_NUMBER = 6;
-  private long failures_ = 0L;
-  /**
-   * <code>uint64 failures = 6;</code>
-   * @return The failures.
-   */
-  @java.lang.Override
-  public long getFailures() {
-    return failures_;
-  }
-
-  public static final int RATED_FIELD_NUMBER = 7;
-  private long rated_ = 0L;
-  /**
-   * <code>uint64 rated = 7;</code>
-   * @return The rated.
-   */
-  @java.lang.Override
-  public long getRated() {
-    return rated_;
-  }
-
-  public static final int RATING_SUM_FIELD_NUMBER = 8;
-  private double ratingSum_ = 0D;
+  public static final int ERRORS_FIELD_NUMBER = 4;
+  private long errors_ = 0L;
   /**
-   * <code>double rating_sum = 8;</code>
-   * @return The ratingSum.
+   * <code>uint64 errors = 4;</code>
+   * @return The errors.
    */
   @java.lang.Override
-  public double getRatingSum() {
-    return ratingSum_;
+  public long getErrors() {
+    return errors_;
   }
 
-  public static final int RATING_SQUARE_SUM_FIELD_NUMBER = 9;
-  private double ratingSquareSum_ = 0D;
+  public static final int SLOW_FIELD_NUMBER = 5;
+  private long slow_ = 0L;
   /**
-   * <code>double rating_square_sum = 9;</code>
-   * @return The ratingSquareSum.
+   * <code>uint64 slow = 5;</code>
+   * @return The slow.
    */
   @java.lang.Override
-  public double getRatingSquareSum() {
-    return ratingSquareSum_;
+  public long getSlow() {
+    return slow_;
   }
 
-  public static final int LATENCY_MILLIS_SUM_FIELD_NUMBER = 10;
-  private long latencyMillisSum_ = 0L;
+  public static final int RATINGS_FIELD_NUMBER = 6;
+  private long ratings_ = 0L;
   /**
-   * <code>uint64 latency_millis_sum = 10;</code>
-   * @return The latencyMillisSum.
+   * <code>uint64 ratings = 6;</code>
+   * @return The ratings.
    */
   @java.lang.Override
-  public long getLatencyMillisSum() {
-    return latencyMillisSum_;
+  public long getRatings() {
+    return ratings_;
   }
 
-  public static final int LATE_FIELD_NUMBER = 11;
-  private long late_ = 0L;
+  public static final int RATING_SHORTFALL_FIELD_NUMBER = 7;
+  private double ratingShortfall_ = 0D;
   /**
-   * <code>uint64 late = 11;</code>
-   * @return The late.
+   * <code>double rating_shortfall = 7;</code>
+   * @return The ratingShortfall.
    */
   @java.lang.Override
-  public long getLate() {
-    return late_;
+  public double getRatingShortfall() {
+    return ratingShortfall_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -270,38 +197,26 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 1, model_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, version_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 1, version_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(origin_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 3, origin_);
-    }
-    if (originIncarnation_ != 0L) {
-      output.writeFixed64(4, originIncarnation_);
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, origin_);
     }
     if (answers_ != 0L) {
-      output.writeUInt64(5, answers_);
-    }
-    if (failures_ != 0L) {
-      output.writeUInt64(6, failures_);
-    }
-    if (rated_ != 0L) {
-      output.writeUInt64(7, rated_);
+      output.writeUInt64(3, answers_);
     }
-    if (java.lang.Double.doubleToRawLongBits(ratingSum_) != 0) {
-      output.writeDouble(8, ratingSum_);
+    if (errors_ != 0L) {
+      output.writeUInt64(4, errors_);
     }
-    if (java.lang.Double.doubleToRawLongBits(ratingSquareSum_) != 0) {
-      output.writeDouble(9, ratingSquareSum_);
+    if (slow_ != 0L) {
+      output.writeUInt64(5, slow_);
     }
-    if (latencyMillisSum_ != 0L) {
-      output.writeUInt64(10, latencyMillisSum_);
+    if (ratings_ != 0L) {
+      output.writeUInt64(6, ratings_);
     }
-    if (late_ != 0L) {
-      output.writeUInt64(11, late_);
+    if (java.lang.Double.doubleToRawLongBits(ratingShortfall_) != 0) {
+      output.writeDouble(7, ratingShortfall_);
     }
     getUnknownFields().writeTo(output);
   }
@@ -312,46 +227,31 @@
     if (size != -1) return size;
 
     size = 0;
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(model_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, model_);
-    }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(version_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, version_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(1, version_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(origin_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, origin_);
-    }
-    if (originIncarnation_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(4, originIncarnation_);
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, origin_);
     }
     if (answers_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(5, answers_);
+        .computeUInt64Size(3, answers_);
     }
-    if (failures_ != 0L) {
+    if (errors_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(6, failures_);
+        .computeUInt64Size(4, errors_);
     }
-    if (rated_ != 0L) {
+    if (slow_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(7, rated_);
+        .computeUInt64Size(5, slow_);
     }
-    if (java.lang.Double.doubleToRawLongBits(ratingSum_) != 0) {
+    if (ratings_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(8, ratingSum_);
+        .computeUInt64Size(6, ratings_);
     }
-    if (java.lang.Double.doubleToRawLongBits(ratingSquareSum_) != 0) {
+    if (java.lang.Double.doubleToRawLongBits(ratingShortfall_) != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeDoubleSize(9, ratingSquareSum_);
-    }
-    if (latencyMillisSum_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(10, latencyMillisSum_);
-    }
-    if (late_ != 0L) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(11, late_);
+        .computeDoubleSize(7, ratingShortfall_);
     }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
@@ -368,30 +268,21 @@
     }
     baobabcroft.peer.proto.VersionEvidence other = (baobabcroft.peer.proto.VersionEvidence) obj;
 
-    if (!getModel()
-        .equals(other.getModel())) return false;
     if (!getVersion()
         .equals(other.getVersion())) return false;
     if (!getOrigin()
         .equals(other.getOrigin())) return false;
-    if (getOriginIncarnation()
-        != other.getOriginIncarnation()) return false;
     if (getAnswers()
         != other.getAnswers()) return false;
-    if (getFailures()
-        != other.getFailures()) return false;
-    if (getRated()
-        != other.getRated()) return false;
-    if (java.lang.Double.doubleToLongBits(getRatingSum())
-        != java.lang.Double.doubleToLongBits(
-            other.getRatingSum())) return false;
-    if (java.lang.Double.doubleToLongBits(getRatingSquareSum())
+    if (getErrors()
+        != other.getErrors()) return false;
+    if (getSlow()
+        != other.getSlow()) return false;
+    if (getRatings()
+        != other.getRatings()) return false;
+    if (java.lang.Double.doubleToLongBits(getRatingShortfall())
         != java.lang.Double.doubleToLongBits(
-            other.getRatingSquareSum())) return false;
-    if (getLatencyMillisSum()
-        != other.getLatencyMillisSum()) return false;
-    if (getLate()
-        != other.getLate()) return false;
+            other.getRatingShortfall())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -403,36 +294,25 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + MODEL_FIELD_NUMBER;
-    hash = (53 * hash) + getModel().hashCode();
     hash = (37 * hash) + VERSION_FIELD_NUMBER;
     hash = (53 * hash) + getVersion().hashCode();
     hash = (37 * hash) + ORIGIN_FIELD_NUMBER;
     hash = (53 * hash) + getOrigin().hashCode();
-    hash = (37 * hash) + ORIGIN_INCARNATION_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getOriginIncarnation());
     hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAnswers());
-    hash = (37 * hash) + FAILURES_FIELD_NUMBER;
+    hash = (37 * hash) + ERRORS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFailures());
-    hash = (37 * hash) + RATED_FIELD_NUMBER;
+        getErrors());
+    hash = (37 * hash) + SLOW_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRated());
-    hash = (37 * hash) + RATING_SUM_FIELD_NUMBER;
+        getSlow());
+    hash = (37 * hash) + RATINGS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getRatingSum()));
-    hash = (37 * hash) + RATING_SQUARE_SUM_FIELD_NUMBER;
+        getRatings());
+    hash = (37 * hash) + RATING_SHORTFALL_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        java.lang.Double.doubleToLongBits(getRatingSquareSum()));
-    hash = (37 * hash) + LATENCY_MILLIS_SUM_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLatencyMillisSum());
-    hash = (37 * hash) + LATE_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getLate());
+        java.lang.Double.doubleToLongBits(getRatingShortfall()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -564,17 +444,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      model_ = "";
       version_ = "";
       origin_ = "";
-      originIncarnation_ = 0L;
       answers_ = 0L;
-      failures_ = 0L;
-      rated_ = 0L;
-      ratingSum_ = 0D;
-      ratingSquareSum_ = 0D;
-      latencyMillisSum_ = 0L;
-      late_ = 0L;
+      errors_ = 0L;
+      slow_ = 0L;
+      ratings_ = 0L;
+      ratingShortfall_ = 0D;
       return this;
     }
 
@@ -609,37 +485,25 @@
     private void buildPartial0(baobabcroft.peer.proto.VersionEvidence result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.model_ = model_;
+        result.version_ = version_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.version_ = version_;
+        result.origin_ = origin_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.origin_ = origin_;
+        result.answers_ = answers_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
-        result.originIncarnation_ = originIncarnation_;
+        result.errors_ = errors_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.answers_ = answers_;
+        result.slow_ = slow_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.failures_ = failures_;
+        result.ratings_ = ratings_;
       }
       if (((from_bitField0_ & 0x00000040) != 0)) {
-        result.rated_ = rated_;
-      }
-      if (((from_bitField0_ & 0x00000080) != 0)) {
-        result.ratingSum_ = ratingSum_;
-      }
-      if (((from_bitField0_ & 0x00000100) != 0)) {
-        result.ratingSquareSum_ = ratingSquareSum_;
-      }
-      if (((from_bitField0_ & 0x00000200) != 0)) {
-        result.latencyMillisSum_ = latencyMillisSum_;
-      }
-      if (((from_bitField0_ & 0x00000400) != 0)) {
-        result.late_ = late_;
+        result.ratingShortfall_ = ratingShortfall_;
       }
     }
 
@@ -655,44 +519,30 @@
 
     public Builder mergeFrom(baobabcroft.peer.proto.VersionEvidence other) {
       if (other == baobabcroft.peer.proto.VersionEvidence.getDefaultInstance()) return this;
-      if (!other.getModel().isEmpty()) {
-        model_ = other.model_;
-        bitField0_ |= 0x00000001;
-        onChanged();
-      }
       if (!other.getVersion().isEmpty()) {
         version_ = other.version_;
-        bitField0_ |= 0x00000002;
+        bitField0_ |= 0x00000001;
         onChanged();
       }
       if (!other.getOrigin().isEmpty()) {
         origin_ = other.origin_;
-        bitField0_ |= 0x00000004;
+        bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (other.getOriginIncarnation() != 0L) {
-        setOriginIncarnation(other.getOriginIncarnation());
-      }
       if (other.getAnswers() != 0L) {
         setAnswers(other.getAnswers());
       }
-      if (other.getFailures() != 0L) {
-        setFailures(other.getFailures());
-      }
-      if (other.getRated() != 0L) {
-        setRated(other.getRated());
-      }
-      if (java.lang.Double.doubleToRawLongBits(other.getRatingSum()) != 0) {
-        setRatingSum(other.getRatingSum());
+      if (other.getErrors() != 0L) {
+        setErrors(other.getErrors());
       }
-      if (java.lang.Double.doubleToRawLongBits(other.getRatingSquareSum()) != 0) {
-        setRatingSquareSum(other.getRatingSquareSum());
+      if (other.getSlow() != 0L) {
+        setSlow(other.getSlow());
       }
-      if (other.getLatencyMillisSum() != 0L) {
-        setLatencyMillisSum(other.getLatencyMillisSum());
+      if (other.getRatings() != 0L) {
+        setRatings(other.getRatings());
       }
-      if (other.getLate() != 0L) {
-        setLate(other.getLate());
+      if (java.lang.Double.doubleToRawLongBits(other.getRatingShortfall()) != 0) {
+        setRatingShortfall(other.getRatingShortfall());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -721,60 +571,40 @@
               done = true;
               break;
             case 10: {
-              model_ = input.readStringRequireUtf8();
+              version_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000001;
               break;
             } // case 10
             case 18: {
-              version_ = input.readStringRequireUtf8();
+              origin_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000002;
               break;
             } // case 18
-            case 26: {
-              origin_ = input.readStringRequireUtf8();
+            case 24: {
+              answers_ = input.readUInt64();
               bitField0_ |= 0x00000004;
               break;
-            } // case 26
-            case 33: {
-              originIncarnation_ = input.readFixed64();
+            } // case 24
+            case 32: {
+              errors_ = input.readUInt64();
               bitField0_ |= 0x00000008;
               break;
-            } // case 33
+            } // case 32
             case 40: {
-              answers_ = input.readUInt64();
+              slow_ = input.readUInt64();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
             case 48: {
-              failures_ = input.readUInt64();
+              ratings_ = input.readUInt64();
               bitField0_ |= 0x00000020;
               break;
             } // case 48
-            case 56: {
-              rated_ = input.readUInt64();
+            case 57: {
+              ratingShortfall_ = input.readDouble();
               bitField0_ |= 0x00000040;
               break;
-            } // case 56
-            case 65: {
-              ratingSum_ = input.readDouble();
-              bitField0_ |= 0x00000080;
-              break;
-            } // case 65
-            case 73: {
-              ratingSquareSum_ = input.readDouble();
-              bitField0_ |= 0x00000100;
-              break;
-            } // case 73
-            case 80: {
-              latencyMillisSum_ = input.readUInt64();
-              bitField0_ |= 0x00000200;
-              break;
-            } // case 80
-            case 88: {
-              late_ = input.readUInt64();
-              bitField0_ |= 0x00000400;
-              break;
-            } // case 88
+            } // case 57
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -792,81 +622,9 @@
     }
     private int bitField0_;
 
-    private java.lang.Object model_ = "";
-    /**
-     * <code>string model = 1;</code>
-     * @return The model.
-     */
-    public java.lang.String getModel() {
-      java.lang.Object ref = model_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        model_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <code>string model = 1;</code>
-     * @return The bytes for model.
-     */
-    public com.google.protobuf.ByteString
-        getModelBytes() {
-      java.lang.Object ref = model_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        model_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
-    }
-    /**
-     * <code>string model = 1;</code>
-     * @param value The model to set.
-     * @return This builder for chaining.
-     */
-    public Builder setModel(
-        java.lang.String value) {
-      if (value == null) { throw new NullPointerException(); }
-      model_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string model = 1;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearModel() {
-      model_ = getDefaultInstance().getModel();
-      bitField0_ = (bitField0_ & ~0x00000001);
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>string model = 1;</code>
-     * @param value The bytes for model to set.
-     * @return This builder for chaining.
-     */
-    public Builder setModelBytes(
-        com.google.protobuf.ByteString value) {
-      if (value == null) { throw new NullPointerException(); }
-      checkByteStringIsUtf8(value);
-      model_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
-
     private java.lang.Object version_ = "";
     /**
-     * <code>string version = 2;</code>
+     * <code>string version = 1;</code>
      * @return The version.
      */
     public java.lang.String getVersion() {
@@ -882,7 +640,7 @@
       }
     }
     /**
-     * <code>string version = 2;</code>
+     * <code>string version = 1;</code>
      * @return The bytes for version.
      */
     public com.google.protobuf.ByteString
@@ -899,7 +657,7 @@
       }
     }
     /**
-     * <code>string version = 2;</code>
+     * <code>string version = 1;</code>
      * @param value The version to set.
      * @return This builder for chaining.
      */
@@ -907,22 +665,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       version_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
-     * <code>string version = 2;</code>
+     * <code>string version = 1;</code>
      * @return This builder for chaining.
      */
     public Builder clearVersion() {
       version_ = getDefaultInstance().getVersion();
-      bitField0_ = (bitField0_ & ~0x00000002);
+      bitField0_ = (bitField0_ & ~0x00000001);
       onChanged();
       return this;
     }
     /**
-     * <code>string version = 2;</code>
+     * <code>string version = 1;</code>
      * @param value The bytes for version to set.
      * @return This builder for chaining.
      */
@@ -931,14 +689,14 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       version_ = value;
-      bitField0_ |= 0x00000002;
+      bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
 
     private java.lang.Object origin_ = "";
     /**
-     * <code>string origin = 3;</code>
+     * <code>string origin = 2;</code>
      * @return The origin.
      */
     public java.lang.String getOrigin() {
@@ -954,7 +712,7 @@
       }
     }
     /**
-     * <code>string origin = 3;</code>
+     * <code>string origin = 2;</code>
      * @return The bytes for origin.
      */
     public com.google.protobuf.ByteString
@@ -971,7 +729,7 @@
       }
     }
     /**
-     * <code>string origin = 3;</code>
+     * <code>string origin = 2;</code>
      * @param value The origin to set.
      * @return This builder for chaining.
      */
@@ -979,22 +737,22 @@
         java.lang.String value) {
       if (value == null) { throw new NullPointerException(); }
       origin_ = value;
-      bitField0_ |= 0x00000004;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>string origin = 3;</code>
+     * <code>string origin = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearOrigin() {
       origin_ = getDefaultInstance().getOrigin();
-      bitField0_ = (bitField0_ & ~0x00000004);
+      bitField0_ = (bitField0_ & ~0x00000002);
       onChanged();
       return this;
     }
     /**
-     * <code>string origin = 3;</code>
+     * <code>string origin = 2;</code>
      * @param value The bytes for origin to set.
      * @return This builder for chaining.
      */
@@ -1003,46 +761,14 @@
       if (value == null) { throw new NullPointerException(); }
       checkByteStringIsUtf8(value);
       origin_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-
-    private long originIncarnation_ ;
-    /**
-     * <code>fixed64 origin_incarnation = 4;</code>
-     * @return The originIncarnation.
-     */
-    @java.lang.Override
-    public long getOriginIncarnation() {
-      return originIncarnation_;
-    }
-    /**
-     * <code>fixed64 origin_incarnation = 4;</code>
-     * @param value The originIncarnation to set.
-     * @return This builder for chaining.
-     */
-    public Builder setOriginIncarnation(long value) {
-
-      originIncarnation_ = value;
-      bitField0_ |= 0x00000008;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>fixed64 origin_incarnation = 4;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearOriginIncarnation() {
-      bitField0_ = (bitField0_ & ~0x00000008);
-      originIncarnation_ = 0L;
+      bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
 
     private long answers_ ;
     /**
-     * <code>uint64 answers = 5;</code>
+     * <code>uint64 answers = 3;</code>
      * @return The answers.
      */
     @java.lang.Override
@@ -1050,216 +776,152 @@
       return answers_;
     }
     /**
-     * <code>uint64 answers = 5;</code>
+     * <code>uint64 answers = 3;</code>
      * @param value The answers to set.
      * @return This builder for chaining.
      */
     public Builder setAnswers(long value) {
 
       answers_ = value;
-      bitField0_ |= 0x00000010;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 answers = 5;</code>
+     * <code>uint64 answers = 3;</code>
      * @return This builder for chaining.
      */
     public Builder clearAnswers() {
-      bitField0_ = (bitField0_ & ~0x00000010);
+      bitField0_ = (bitField0_ & ~0x00000004);
       answers_ = 0L;
       onChanged();
       return this;
     }
 
-    private long failures_ ;
-    /**
-     * <code>uint64 failures = 6;</code>
-     * @return The failures.
-     */
-    @java.lang.Override
-    public long getFailures() {
-      return failures_;
-    }
-    /**
-     * <code>uint64 failures = 6;</code>
-     * @param value The failures to set.
-     * @return This builder for chaining.
-     */
-    public Builder setFailures(long value) {
-
-      failures_ = value;
-      bitField0_ |= 0x00000020;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 failures = 6;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearFailures() {
-      bitField0_ = (bitField0_ & ~0x00000020);
-      failures_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private long rated_ ;
+    private long errors_ ;
     /**
-     * <code>uint64 rated = 7;</code>
-     * @return The rated.
+     * <code>uint64 errors = 4;</code>
+     * @return The errors.
      */
     @java.lang.Override
-    public long getRated() {
-      return rated_;
+    public long getErrors() {
+      return errors_;
     }
     /**
-     * <code>uint64 rated = 7;</code>
-     * @param value The rated to set.
+     * <code>uint64 errors = 4;</code>
+     * @param value The errors to set.
      * @return This builder for chaining.
      */
-    public Builder setRated(long value) {
+    public Builder setErrors(long value) {
 
-      rated_ = value;
-      bitField0_ |= 0x00000040;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 rated = 7;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRated() {
-      bitField0_ = (bitField0_ & ~0x00000040);
-      rated_ = 0L;
-      onChanged();
-      return this;
-    }
-
-    private double ratingSum_ ;
-    /**
-     * <code>double rating_sum = 8;</code>
-     * @return The ratingSum.
-     */
-    @java.lang.Override
-    public double getRatingSum() {
-      return ratingSum_;
-    }
-    /**
-     * <code>double rating_sum = 8;</code>
-     * @param value The ratingSum to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRatingSum(double value) {
-
-      ratingSum_ = value;
-      bitField0_ |= 0x00000080;
+      errors_ = value;
+      bitField0_ |= 0x00000008;
       onChanged();
       return this;
     }
     /**
-     * <code>double rating_sum = 8;</code>
+     * <code>uint64 errors = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRatingSum() {
-      bitField0_ = (bitField0_ & ~0x00000080);
-      ratingSum_ = 0D;
+    public Builder clearErrors() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      errors_ = 0L;
       onChanged();
       return this;
     }
 
-    private double ratingSquareSum_ ;
+    private long slow_ ;
     /**
-     * <code>double rating_square_sum = 9;</code>
-     * @return The ratingSquareSum.
+     * <code>uint64 slow = 5;</code>
+     * @return The slow.
      */
     @java.lang.Override
-    public double getRatingSquareSum() {
-      return ratingSquareSum_;
+    public long getSlow() {
+      return slow_;
     }
     /**
-     * <code>double rating_square_sum = 9;</code>
-     * @param value The ratingSquareSum to set.
+     * <code>uint64 slow = 5;</code>
+     * @param value The slow to set.
      * @return This builder for chaining.
      */
-    public Builder setRatingSquareSum(double value) {
+    public Builder setSlow(long value) {
 
-      ratingSquareSum_ = value;
-      bitField0_ |= 0x00000100;
+      slow_ = value;
+      bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>double rating_square_sum = 9;</code>
+     * <code>uint64 slow = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRatingSquareSum() {
-      bitField0_ = (bitField0_ & ~0x00000100);
-      ratingSquareSum_ = 0D;
+    public Builder clearSlow() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      slow_ = 0L;
       onChanged();
       return this;
     }
 
-    private long latencyMillisSum_ ;
+    private long ratings_ ;
     /**
-     * <code>uint64 latency_millis_sum = 10;</code>
-     * @return The latencyMillisSum.
+     * <code>uint64 ratings = 6;</code>
+     * @return The ratings.
      */
     @java.lang.Override
-    public long getLatencyMillisSum() {
-      return latencyMillisSum_;
+    public long getRatings() {
+      return ratings_;
     }
     /**
-     * <code>uint64 latency_millis_sum = 10;</code>
-     * @param value The latencyMillisSum to set.
+     * <code>uint64 ratings = 6;</code>
+     * @param value The ratings to set.
      * @return This builder for chaining.
      */
-    public Builder setLatencyMillisSum(long value) {
+    public Builder setRatings(long value) {
 
-      latencyMillisSum_ = value;
-      bitField0_ |= 0x00000200;
+      ratings_ = value;
+      bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 latency_millis_sum = 10;</code>
+     * <code>uint64 ratings = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearLatencyMillisSum() {
-      bitField0_ = (bitField0_ & ~0x00000200);
-      latencyMillisSum_ = 0L;
+    public Builder clearRatings() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      ratings_ = 0L;
       onChanged();
       return this;
     }
 
-    private long late_ ;
+    private double ratingShortfall_ ;
     /**
-     * <code>uint64 late = 11;</code>
-     * @return The late.
+     * <code>double rating_shortfall = 7;</code>
+     * @return The ratingShortfall.
      */
     @java.lang.Override
-    public long getLate() {
-      return late_;
+    public double getRatingShortfall() {
+      return ratingShortfall_;
     }
     /**
-     * <code>uint64 late = 11;</code>
-     * @param value The late to set.
+     * <code>double rating_shortfall = 7;</code>
+     * @param value The ratingShortfall to set.
      * @return This builder for chaining.
      */
-    public Builder setLate(long value) {
+    public Builder setRatingShortfall(double value) {
 
-      late_ = value;
-      bitField0_ |= 0x00000400;
+      ratingShortfall_ = value;
+      bitField0_ |= 0x00000040;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 late = 11;</code>
+     * <code>double rating_shortfall = 7;</code>
      * @return This builder for chaining.
      */
-    public Builder clearLate() {
-      bitField0_ = (bitField0_ & ~0x00000400);
-      late_ = 0L;
+    public Builder clearRatingShortfall() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      ratingShortfall_ = 0D;
       onChanged();
       return this;
     }
--- a/router/src/main/java/baobabcroft/peer/proto/VersionEvidenceOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/VersionEvidenceOrBuilder.java
@@ -11,86 +11,56 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>string model = 1;</code>
-   * @return The model.
-   */
-  java.lang.String getModel();
-  /**
-   * <code>string model = 1;</code>
-   * @return The bytes for model.
-   */
-  com.google.protobuf.ByteString
-      getModelBytes();
-
-  /**
-   * <code>string version = 2;</code>
+   * <code>string version = 1;</code>
    * @return The version.
    */
   java.lang.String getVersion();
   /**
-   * <code>string version = 2;</code>
+   * <code>string version = 1;</code>
    * @return The bytes for version.
    */
   com.google.protobuf.ByteString
       getVersionBytes();
 
   /**
-   * <code>string origin = 3;</code>
+   * <code>string origin = 2;</code>
    * @return The origin.
    */
   java.lang.String getOrigin();
   /**
-   * <code>string origin = 3;</code>
+   * <code>string origin = 2;</code>
    * @return The bytes for origin.
    */
   com.google.protobuf.ByteString
       getOriginBytes();
 
   /**
-   * <code>fixed64 origin_incarnation = 4;</code>
-   * @return The originIncarnation.
-   */
-  long getOriginIncarnation();
-
-  /**
-   * <code>uint64 answers = 5;</code>
+   * <code>uint64 answers = 3;</code>
    * @return The answers.
    */
   long getAnswers();
 
   /**
-   * <code>uint64 failures = 6;</code>
-   * @return The failures.
-   */
-  long getFailures();
-
-  /**
-   * <code>uint64 rated = 7;</code>
-   * @return The rated.
-   */
-  long getRated();
-
-  /**
-   * <code>double rating_sum = 8;</code>
-   * @return The ratingSum.
+   * <code>uint64 errors = 4;</code>
+   * @return The errors.
    */
-  double getRatingSum();
+  long getErrors();
 
   /**
-   * <code>double rating_square_sum = 9;</code>
-   * @return The ratingSquareSum.
+   * <code>uint64 slow = 5;</code>
+   * @return The slow.
    */
-  double getRatingSquareSum();
+  long getSlow();
 
   /**
-   * <code>uint64 latency_millis_sum = 10;</code>
-   * @return The latencyMillisSum.
+   * <code>uint64 ratings = 6;</code>
+   * @return The ratings.
    */
-  long getLatencyMillisSum();
+  long getRatings();
 
   /**
-   * <code>uint64 late = 11;</code>
-   * @return The late.
+   * <code>double rating_shortfall = 7;</code>
+   * @return The ratingShortfall.
    */
-  long getLate();
+  double getRatingShortfall();
 }
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -8,6 +8,13 @@
 import baobabcroft.balance.BreakerSettings;
 import baobabcroft.balance.EndpointPickers;
 import baobabcroft.balance.EndpointPool;
+import baobabcroft.billing.BillHolder;
+import baobabcroft.billing.BillService;
+import baobabcroft.billing.BillingContext;
+import baobabcroft.billing.BillingSettings;
+import baobabcroft.cascade.CascadePolicies;
+import baobabcroft.cascade.QualityLedger;
+import baobabcroft.cascade.RatingBudget;
 import baobabcroft.claim.ClaimService;
 import baobabcroft.claim.ClaimSettings;
 import baobabcroft.common.Scheduler;
@@ -15,6 +22,7 @@
 import baobabcroft.config.ConfigNode;
 import baobabcroft.config.ConfigTimings;
 import baobabcroft.endpoint.PekkoEndpointClient;
+import baobabcroft.gateway.Cascades;
 import baobabcroft.gateway.Explainer;
 import baobabcroft.gateway.GatewayParts;
 import baobabcroft.gateway.GatewayServer;
@@ -27,12 +35,16 @@
 import baobabcroft.peer.NettyPeerTransport;
 import baobabcroft.peer.PeerSettings;
 import baobabcroft.platform.HttpLiveList;
+import baobabcroft.platform.HttpRatingService;
 import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.RatingService;
 import baobabcroft.platform.etcd.EtcdStore;
 import baobabcroft.poison.CrashLedger;
 import baobabcroft.rollout.AutomaticStop;
 import baobabcroft.rollout.EvidenceLedger;
 import baobabcroft.rules.RulesParser;
+import baobabcroft.session.SessionService;
+import baobabcroft.session.SessionSettings;
 import baobabcroft.settings.Settings;
 import baobabcroft.slot.SlotLog;
 import baobabcroft.slot.SlotLogContext;
@@ -44,6 +56,7 @@
 import java.security.SecureRandom;
 import java.time.InstantSource;
 import java.util.HexFormat;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -64,6 +77,9 @@
     private static final int MAX_CRASH_REQUESTS = 10_000;
     private static final long LIST_LAG_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final int REQUEST_ID_BYTES = 16;
+    private static final long STORED_CHECK_MILLIS = 50;
+    private static final double RATINGS_PER_SECOND = 1;
+    private static final double MAX_SAVED_RATINGS = 20;
 
     private final EventLog log = EventLog.of(InstanceServer.class);
     private final Settings settings;
@@ -81,6 +97,7 @@
     private final NettyPeerTransport transport;
     private final ConfigNode node;
     private final ClaimService claims;
+    private final BillService bills;
     private final EvidenceLedger evidence;
     private final AutomaticStop stops = AutomaticStop.create();
     private final VersionWatch versionWatch;
@@ -128,11 +145,18 @@
                 liveList::addressOf,
                 secureRandom);
         this.node = ConfigNode.start(configContext(self, incarnation));
-        this.claims = claimService(incarnationName);
+        SlotLog slotLog = slotLog();
+        this.claims = ClaimService.create(
+                slotLog, incarnationName, ClaimSettings.defaults(), scheduler, wallClock, secureRandom::nextLong);
+        PeerNames peers =
+                new PeerNames(self, settings.instance().failureDomain(), members, node, liveList::failureDomainOf);
+        PeerBillHolder billHolder = new PeerBillHolder(transport, peers);
+        this.bills = billService(incarnationName, billHolder);
+        billHolder.serve(bills);
         this.evidence = EvidenceLedger.create(incarnationName);
         this.versionWatch = new VersionWatch(evidence, stops, node, metrics, scheduler, wallClock);
         this.gate = WorkGate.create(settings.limits().maxConcurrentRequests());
-        GatewayParts parts = gatewayParts(self, incarnationName);
+        GatewayParts parts = gatewayParts(incarnationName, peers, slotLog);
         this.gateway = GatewayServer.create(parts);
         StatusReporter reporter = new StatusReporter(
                 settings.instance(),
@@ -140,7 +164,7 @@
                 members,
                 pool,
                 gate,
-                () -> 0,
+                bills::waitingCount,
                 ticker,
                 settings.timing().authorityMillis());
         this.admin = new AdminService(
@@ -165,29 +189,39 @@
                 RulesParser::parse);
     }
 
-    private ClaimService claimService(String incarnationName) {
+    private SlotLog slotLog() {
         SlotLogContext context = new SlotLogContext(
                 store, scheduler, Runnable::run, ticker, wallClock, secureRandom::nextLong, metrics.registry());
-        SlotLog slotLog = SlotLog.create(context, SlotLogSettings.defaults());
-        return ClaimService.create(
-                slotLog, incarnationName, ClaimSettings.defaults(), scheduler, wallClock, secureRandom::nextLong);
+        return SlotLog.create(context, SlotLogSettings.defaults());
+    }
+
+    private BillService billService(String incarnationName, BillHolder holder) {
+        BillingContext context = new BillingContext(
+                store, scheduler, Runnable::run, ticker, () -> randomProvider().nextDouble(), metrics.registry());
+        return BillService.create(incarnationName, context, BillingSettings.defaults(), holder);
     }
 
-    private GatewayParts gatewayParts(String self, String incarnationName) {
+    private GatewayParts gatewayParts(String incarnationName, PeerNames peers, SlotLog slotLog) {
         CrashLedger crashes = CrashLedger.create(CRASH_RETENTION_MILLIS, MAX_CRASH_REQUESTS);
-        PeerNames peers = new PeerNames(self, members, node);
-        PeerGossip gossip = new PeerGossip(transport, peers, crashes, wallClock);
-        gossip.register();
-        ClaimantPresence presence = new ClaimantPresence(incarnationName, node.presence(), ticker);
+        AccountLimits limits = AccountLimits.create(incarnationName);
+        QualityLedger quality = QualityLedger.create(incarnationName);
+        PeerGossip gossip = new PeerGossip(
+                transport,
+                peers,
+                new PeerGossip.Shared(crashes, evidence, stops, versionWatch::hear, quality, limits),
+                scheduler,
+                wallClock);
+        gossip.start();
         return new GatewayParts(
                 new ConfigRules(node, ticker),
                 evidence::answered,
                 versionWatch::choose,
-                new StoreSessions(store),
-                new StoreCharges(store),
+                cascades(quality),
+                new PinnedSessions(SessionService.create(slotLog, SessionSettings.defaults(), wallClock)),
+                new JournalCharges(bills, wallClock),
                 claims,
-                presence,
-                AccountLimits.create(incarnationName),
+                new ClaimantPresence(incarnationName, node.presence(), ticker),
+                limits,
                 pool,
                 EndpointPickers.tiered(),
                 PekkoEndpointClient.create(system, scheduler),
@@ -207,6 +241,20 @@
                 system);
     }
 
+    private Cascades cascades(QualityLedger quality) {
+        Optional<RatingService> ratings = settings.platform()
+                .ratingUrl()
+                .map(url -> HttpRatingService.create(url, settings.platform().timeoutMillis()));
+        return new Cascades(
+                CascadePolicies.lowerBound(),
+                quality,
+                RatingBudget.create(RATINGS_PER_SECOND, MAX_SAVED_RATINGS, ticker),
+                ratings,
+                evidence::rated,
+                InstanceServer::randomProvider,
+                metrics);
+    }
+
     private static UniformRandomProvider randomProvider() {
         return ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP);
     }
@@ -302,7 +350,16 @@
         callersBinding
                 .stop(timeoutMillis)
                 .thenCompose(done -> adminBinding.stop(timeoutMillis))
-                .whenComplete((done, failure) -> stopParts());
+                .whenComplete((done, failure) -> stopWhenStored(timeoutMillis / STORED_CHECK_MILLIS));
+    }
+
+    /** Waits until claims and bills are stored, as long as a stop may take, and stops the parts. */
+    private void stopWhenStored(long checksLeft) {
+        if (checksLeft <= 0 || claims.unsettledCount() + bills.waitingCount() == 0) {
+            stopParts();
+            return;
+        }
+        scheduler.schedule(STORED_CHECK_MILLIS, () -> stopWhenStored(checksLeft - 1));
     }
 
     private void stopParts() {
--- a/router/src/main/java/baobabcroft/serve/LiveListPoller.java
+++ b/router/src/main/java/baobabcroft/serve/LiveListPoller.java
@@ -29,6 +29,7 @@
     private final Ticker ticker;
     private final long intervalMillis;
     private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
+    private volatile ImmutableMap<String, String> failureDomains = ImmutableMap.of();
     private volatile boolean available = true;
     private volatile boolean closed;
 
@@ -62,6 +63,11 @@
         return Optional.ofNullable(peerAddresses.get(instance));
     }
 
+    /** Returns the failure domain that an instance is listed in, empty text if it is not listed. */
+    String failureDomainOf(String instance) {
+        return failureDomains.getOrDefault(instance, "");
+    }
+
     private void poll() {
         if (closed) {
             return;
@@ -87,6 +93,8 @@
                 .filter(entry -> entry.role() == LiveEntry.Role.INSTANCE)
                 .forEach(entry -> addresses.put(entry.name(), address(entry)));
         peerAddresses = addresses.buildKeepingLast();
+        failureDomains = listed.entries().stream()
+                .collect(ImmutableMap.toImmutableMap(LiveEntry::name, LiveEntry::failureDomain, (first, last) -> last));
         members.listed(names(listed, entry -> entry.role() == LiveEntry.Role.INSTANCE), ticker.read());
         pool.markLeaving(names(
                 listed, entry -> entry.role() == LiveEntry.Role.ENDPOINT && entry.state() == LiveEntry.State.LEAVING));
--- a/router/src/main/java/baobabcroft/serve/PeerGossip.java
+++ b/router/src/main/java/baobabcroft/serve/PeerGossip.java
@@ -2,49 +2,125 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.cascade.QualityLedger;
+import baobabcroft.common.Scheduler;
+import baobabcroft.limit.AccountLimits;
+import baobabcroft.limit.DemandReport;
 import baobabcroft.peer.PeerTransport;
 import baobabcroft.peer.proto.Ack;
 import baobabcroft.peer.proto.CrashReport;
 import baobabcroft.peer.proto.CrashReports;
+import baobabcroft.peer.proto.Evidence;
 import baobabcroft.peer.proto.PeerReply;
 import baobabcroft.peer.proto.PeerRequest;
 import baobabcroft.poison.Crash;
 import baobabcroft.poison.CrashLedger;
+import baobabcroft.rollout.AutomaticStop;
+import baobabcroft.rollout.EvidenceLedger;
+import baobabcroft.rollout.VersionStop;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.time.InstantSource;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.function.Consumer;
 
-/** Tells the other instances of crashes, and takes in theirs. Thread-safe. */
+/**
+ * Tells the other instances what the decisions need to share, and takes in theirs: crashes at once; evidence on
+ * versions, stops and demand at intervals. Thread-safe.
+ */
 final class PeerGossip {
     private static final long ASK_TIMEOUT_MILLIS = 1_000;
+    private static final long INTERVAL_MILLIS = 500;
 
     private final PeerTransport transport;
     private final PeerNames peers;
-    private final CrashLedger crashes;
+    private final Shared shared;
+    private final Scheduler scheduler;
     private final InstantSource wallClock;
+    private volatile long toldSlot = Long.MIN_VALUE;
 
-    PeerGossip(PeerTransport transport, PeerNames peers, CrashLedger crashes, InstantSource wallClock) {
+    /**
+     * What is shared.
+     *
+     * @param crashes requests of which endpoints died
+     * @param evidence how versions answered
+     * @param stops versions that were stopped
+     * @param stopHeard told of each stop that another instance found
+     * @param quality ratings by kind of request
+     * @param limits demand of the accounts
+     */
+    record Shared(
+            CrashLedger crashes,
+            EvidenceLedger evidence,
+            AutomaticStop stops,
+            Consumer<VersionStop> stopHeard,
+            QualityLedger quality,
+            AccountLimits limits) {}
+
+    PeerGossip(PeerTransport transport, PeerNames peers, Shared shared, Scheduler scheduler, InstantSource wallClock) {
         this.transport = checkNotNull(transport);
         this.peers = checkNotNull(peers);
-        this.crashes = checkNotNull(crashes);
+        this.shared = checkNotNull(shared);
+        this.scheduler = checkNotNull(scheduler);
         this.wallClock = checkNotNull(wallClock);
     }
 
-    /** Starts answering the other instances. */
-    void register() {
+    /** Starts answering the other instances and telling them at intervals. */
+    void start() {
         transport.handle(PeerRequest.BodyCase.CRASH_REPORTS, (sender, request) -> {
             hear(request.getCrashReports());
             return acknowledged();
         });
+        transport.handle(PeerRequest.BodyCase.EVIDENCE, (sender, request) -> {
+            hear(request.getEvidence());
+            return acknowledged();
+        });
+        transport.handle(PeerRequest.BodyCase.USAGE, (sender, request) -> {
+            shared.limits().hear(EvidenceCodec.decode(request.getUsage()));
+            return acknowledged();
+        });
+        tellAtIntervals();
     }
 
     /** Tells all live instances of a crash. */
     void announce(Crash crash) {
-        PeerRequest request = PeerRequest.newBuilder()
+        tell(PeerRequest.newBuilder()
                 .setCrashReports(CrashReports.newBuilder().addReports(report(crash)))
-                .build();
+                .build());
+    }
+
+    private void tellAtIntervals() {
+        ImmutableList<String> alive = peers.alive();
+        shared.limits().setLiveInstances(ImmutableSet.copyOf(alive));
+        Evidence evidence = ownEvidence();
+        if (evidence.getSerializedSize() > 0) {
+            tell(PeerRequest.newBuilder().setEvidence(evidence).build());
+        }
+        tellDemand();
+        scheduler.schedule(INTERVAL_MILLIS, this::tellAtIntervals);
+    }
+
+    private Evidence ownEvidence() {
+        Evidence.Builder evidence = Evidence.newBuilder();
+        shared.evidence().reports().forEach(report -> evidence.addVersions(EvidenceCodec.encode(report)));
+        shared.stops().stops().forEach(stop -> evidence.addStops(EvidenceCodec.encode(stop)));
+        shared.quality().reports().forEach(report -> evidence.addKinds(EvidenceCodec.encode(report)));
+        return evidence.build();
+    }
+
+    private void tellDemand() {
+        Optional<DemandReport> own = shared.limits().ownReport(wallClock.millis());
+        if (own.isEmpty() || own.get().slot() <= toldSlot) {
+            return;
+        }
+        toldSlot = own.get().slot();
+        tell(PeerRequest.newBuilder().setUsage(EvidenceCodec.encode(own.get())).build());
+    }
+
+    private void tell(PeerRequest request) {
         peers.alive().forEach(peer -> transport.ask(peer, request, ASK_TIMEOUT_MILLIS));
     }
 
@@ -58,12 +134,20 @@
 
     private void hear(CrashReports reports) {
         long nowMillis = wallClock.millis();
-        crashes.merge(reports.getReportsList().stream()
-                .map(report -> new Crash(
-                        report.getRequestDigest().toStringUtf8(),
-                        report.getEndpoint(),
-                        nowMillis - report.getAgeMillis()))
-                .collect(ImmutableList.toImmutableList()));
+        shared.crashes()
+                .merge(reports.getReportsList().stream()
+                        .map(report -> new Crash(
+                                report.getRequestDigest().toStringUtf8(),
+                                report.getEndpoint(),
+                                nowMillis - report.getAgeMillis()))
+                        .collect(ImmutableList.toImmutableList()));
+    }
+
+    private void hear(Evidence evidence) {
+        evidence.getVersionsList()
+                .forEach(message -> EvidenceCodec.decode(message).ifPresent(shared.evidence()::hear));
+        evidence.getStopsList().forEach(message -> EvidenceCodec.decode(message).ifPresent(shared.stopHeard()));
+        evidence.getKindsList().forEach(message -> EvidenceCodec.decode(message).ifPresent(shared.quality()::hear));
     }
 
     private static CompletionStage<PeerReply> acknowledged() {
--- a/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
@@ -3,6 +3,9 @@
 import baobabcroft.balance.BreakerSettings;
 import baobabcroft.balance.EndpointPickers;
 import baobabcroft.balance.EndpointPool;
+import baobabcroft.cascade.CascadePolicies;
+import baobabcroft.cascade.QualityLedger;
+import baobabcroft.cascade.RatingBudget;
 import baobabcroft.claim.ClaimService;
 import baobabcroft.claim.ClaimSettings;
 import baobabcroft.endpoint.EndpointCall;
@@ -107,6 +110,14 @@
                 },
                 (version, outcome) -> {},
                 (open, key) -> VersionAssignment.assign(key, open, version -> false),
+                new Cascades(
+                        CascadePolicies.fixed(0),
+                        QualityLedger.create("self"),
+                        RatingBudget.create(0, 1, time.ticker()),
+                        Optional.empty(),
+                        (version, rating) -> {},
+                        () -> random,
+                        metrics),
                 (account, session, model, choice, only) -> CompletableFuture.completedFuture(choice.get()),
                 recorder(),
                 claims(),
--- a/router/src/test/java/baobabcroft/peer/NettyPeerTransportTest.java
+++ b/router/src/test/java/baobabcroft/peer/NettyPeerTransportTest.java
@@ -60,7 +60,7 @@
 
     private static PeerRequest holdBills(int bytes) {
         HoldBills hold = HoldBills.newBuilder()
-                .addBills(ByteString.copyFrom(new byte[bytes]))
+                .setBills(ByteString.copyFrom(new byte[bytes]))
                 .build();
         return PeerRequest.newBuilder().setHoldBills(hold).build();
     }
@@ -83,7 +83,7 @@
             NettyPeerTransport b = start("b", KEY);
             List<String> seen = new ArrayList<>();
             b.handle(PeerRequest.BodyCase.HOLD_BILLS, (sender, request) -> {
-                seen.add(sender + " " + request.getHoldBills().getBills(0).size());
+                seen.add(sender + " " + request.getHoldBills().getBills().size());
                 return CompletableFuture.completedFuture(ACK);
             });
 
