--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -168,8 +168,8 @@
                     .thenCompose(delivery -> answers.draft(run, delivery))
                     .handle((later, failure) ->
                             failure == null ? Optional.of(later.after(earlier)) : Optional.<ChatDraft>empty())
-                    .thenCompose(better ->
-                            better.isPresent() ? judge(step, better.get()) : answers.release(run, earlier));
+                    .thenCompose(
+                            better -> better.isPresent() ? judge(step, better.get()) : answers.release(run, earlier));
         }
     }
 }
