--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -50,6 +50,7 @@
 import baobabcroft.slot.SlotLogContext;
 import baobabcroft.slot.SlotLogSettings;
 import com.google.common.base.Ticker;
+import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
@@ -115,12 +116,7 @@
         String self = settings.instance().name();
         String incarnationName = self + "#" + Long.toHexString(incarnation);
         this.system = ActorSystem.create(Behaviors.empty(), "baobabcroft");
-        this.store = EtcdStore.create(
-                settings.platform().storeUrls(),
-                settings.platform().timeoutMillis(),
-                scheduler,
-                () -> ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP)
-                        .nextDouble());
+        this.store = createStore();
         this.members = Members.create(LIST_LAG_NANOS, ticker.read());
         this.pool = EndpointPool.create(
                 settings.instance().failureDomain(),
@@ -135,15 +131,7 @@
                 scheduler,
                 ticker,
                 settings.timing().liveListPollMillis());
-        this.transport = NettyPeerTransport.start(
-                self,
-                new InetSocketAddress(
-                        InetAddresses.forString(settings.listen().peers().getHost()),
-                        settings.listen().peers().getPort()),
-                settings.peers().sharedKey().reveal().getBytes(StandardCharsets.UTF_8),
-                PeerSettings.defaults(),
-                liveList::addressOf,
-                secureRandom);
+        this.transport = startTransport(self);
         this.node = ConfigNode.start(configContext(self, incarnation));
         SlotLog slotLog = slotLog();
         this.claims = ClaimService.create(
@@ -171,6 +159,23 @@
                 node, store, Explainer.create(parts), reporter::report, this::startDrain, this::randomName);
     }
 
+    private KeyValueStore createStore() {
+        return EtcdStore.create(
+                settings.platform().storeUrls(), settings.platform().timeoutMillis(), scheduler, () -> randomProvider()
+                        .nextDouble());
+    }
+
+    private NettyPeerTransport startTransport(String self) {
+        HostAndPort address = settings.listen().peers();
+        return NettyPeerTransport.start(
+                self,
+                new InetSocketAddress(InetAddresses.forString(address.getHost()), address.getPort()),
+                settings.peers().sharedKey().reveal().getBytes(StandardCharsets.UTF_8),
+                PeerSettings.defaults(),
+                liveList::addressOf,
+                secureRandom);
+    }
+
     private ConfigContext configContext(String self, long incarnation) {
         ConfigTimings timings = new ConfigTimings(
                 settings.timing().authorityMillis(),
