Read the engines' load reports

Cause: the choice of endpoints discounts load reports by age but nothing fed it any. Ruled out: asking all engines everywhere, since 7,100 engines times 710 instances would be five million calls a second. Conclusion: engines that report nothing are judged by the instance's own requests, as before.

--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -21,6 +21,7 @@
 import baobabcroft.config.ConfigContext;
 import baobabcroft.config.ConfigNode;
 import baobabcroft.config.ConfigTimings;
+import baobabcroft.endpoint.EndpointClient;
 import baobabcroft.endpoint.PekkoEndpointClient;
 import baobabcroft.gateway.Cascades;
 import baobabcroft.gateway.Explainer;
@@ -91,6 +92,7 @@
     private final Scheduler scheduler = threads.scheduler();
     private final RouterMetrics metrics = RouterMetrics.create();
     private final ActorSystem<Void> system;
+    private final EndpointClient endpointClient;
     private final KeyValueStore store;
     private final Members members;
     private final EndpointPool pool;
@@ -116,6 +118,7 @@
         String self = settings.instance().name();
         String incarnationName = self + "#" + Long.toHexString(incarnation);
         this.system = ActorSystem.create(Behaviors.empty(), "baobabcroft");
+        this.endpointClient = PekkoEndpointClient.create(system, scheduler);
         this.store = createStore();
         this.members = Members.create(LIST_LAG_NANOS, ticker.read());
         this.pool = EndpointPool.create(
@@ -156,7 +159,7 @@
                 ticker,
                 settings.timing().authorityMillis());
         this.admin = new AdminService(
-                node, store, Explainer.create(parts), reporter::report, this::startDrain, this::randomName);
+                node, store, claims, Explainer.create(parts), reporter::report, this::startDrain, this::randomName);
     }
 
     private KeyValueStore createStore() {
@@ -229,7 +232,7 @@
                 limits,
                 pool,
                 EndpointPickers.tiered(),
-                PekkoEndpointClient.create(system, scheduler),
+                endpointClient,
                 crashes,
                 gossip::announce,
                 gate,
@@ -290,6 +293,7 @@
                 ""));
         liveList.start();
         versionWatch.start();
+        new LoadPoller(node, pool, endpointClient, settings.instance().region(), scheduler, ticker, system).start();
         AdminServer adminServer =
                 new AdminServer(AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
         return HttpBinding.bind(settings.listen().callers(), gateway::handle, system)
--- /dev/null
+++ b/router/src/main/java/baobabcroft/serve/LoadPoller.java
@@ -0,0 +1,108 @@
+package baobabcroft.serve;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.balance.EndpointPool;
+import baobabcroft.balance.LoadReport;
+import baobabcroft.common.Scheduler;
+import baobabcroft.config.AppliedConfig;
+import baobabcroft.config.ConfigNode;
+import baobabcroft.endpoint.EndpointCall;
+import baobabcroft.endpoint.EndpointClient;
+import baobabcroft.endpoint.EndpointReply;
+import baobabcroft.rules.EndpointRule;
+import baobabcroft.rules.RuleSet;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Ticker;
+import java.io.IOException;
+import java.util.Optional;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+
+/**
+ * Asks the model engines of the own region for their load at intervals.
+ *
+ * <p>An engine answers {@code GET /load} with the members {@code running} and {@code waiting}, or with {@code
+ * server_load} alone; one that does not is judged by this instance's own requests. Thread-safe.
+ */
+final class LoadPoller {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final long INTERVAL_MILLIS = 1_000;
+    private static final long TIMEOUT_MILLIS = 500;
+    private static final int STATUS_OK = 200;
+
+    private final ConfigNode node;
+    private final EndpointPool pool;
+    private final EndpointClient client;
+    private final String region;
+    private final Scheduler scheduler;
+    private final Ticker ticker;
+    private final ActorSystem<?> system;
+
+    LoadPoller(
+            ConfigNode node,
+            EndpointPool pool,
+            EndpointClient client,
+            String region,
+            Scheduler scheduler,
+            Ticker ticker,
+            ActorSystem<?> system) {
+        this.node = checkNotNull(node);
+        this.pool = checkNotNull(pool);
+        this.client = checkNotNull(client);
+        this.region = checkNotNull(region);
+        this.scheduler = checkNotNull(scheduler);
+        this.ticker = checkNotNull(ticker);
+        this.system = checkNotNull(system);
+    }
+
+    /** Starts asking at intervals. */
+    void start() {
+        node.current().map(AppliedConfig::rules).ifPresent(this::askAll);
+        scheduler.schedule(INTERVAL_MILLIS, this::start);
+    }
+
+    private void askAll(RuleSet rules) {
+        Optional<String> own = Optional.of(region);
+        rules.endpoints().values().stream()
+                .filter(endpoint -> endpoint.service().isEmpty())
+                .filter(endpoint -> rules.regionOf(endpoint.failureDomain()).equals(own))
+                .forEach(this::ask);
+    }
+
+    private void ask(EndpointRule endpoint) {
+        long askedNanos = ticker.read();
+        client.send(new EndpointCall(endpoint.address(), HttpRequest.GET("/load"), true, TIMEOUT_MILLIS))
+                .thenAccept(reply -> {
+                    if (reply instanceof EndpointReply.Answered answered) {
+                        take(endpoint, answered.response(), askedNanos);
+                    }
+                });
+    }
+
+    private void take(EndpointRule endpoint, HttpResponse response, long askedNanos) {
+        if (response.status().intValue() != STATUS_OK) {
+            response.discardEntityBytes(system);
+            return;
+        }
+        response.entity().toStrict(TIMEOUT_MILLIS, system).thenAccept(strict -> parse(
+                        strict.getData().toArray(), askedNanos)
+                .ifPresent(report -> pool.report(endpoint.name(), report)));
+    }
+
+    /** Returns the report that an engine's answer holds. */
+    static Optional<LoadReport> parse(byte[] body, long takenAtNanos) {
+        try {
+            JsonNode load = JSON.readTree(body);
+            int running = load.path("running").asInt(load.path("server_load").asInt(-1));
+            int waiting = load.path("waiting").asInt(0);
+            return running < 0 || waiting < 0
+                    ? Optional.empty()
+                    : Optional.of(new LoadReport(running, waiting, takenAtNanos));
+        } catch (IOException garbage) {
+            return Optional.empty();
+        }
+    }
+}
