Let operators export bills and list open claims

Cause: a bill with an unknown outcome charges nothing and must be settled by hand, so operators must see it. Ruled out: reading the store's keys with other tools, since records are compacted and double. Conclusion: commands bills and claims, on the administration API too.

--- a/router/src/main/java/baobabcroft/admin/AdminOperations.java
+++ b/router/src/main/java/baobabcroft/admin/AdminOperations.java
@@ -70,6 +70,20 @@
      */
     CompletionStage<StatusReport> status();
 
+    /**
+     * Returns all bills, each request once.
+     *
+     * @return the bills, earliest first as far as the store's order tells
+     */
+    CompletionStage<List<BillView>> bills();
+
+    /**
+     * Returns the non-idempotent requests whose outcome is not known yet.
+     *
+     * @return the open claims
+     */
+    CompletionStage<List<OpenClaimView>> openClaims();
+
     /**
      * Starts a planned stop of this instance. A second call changes nothing.
      *
--- a/router/src/main/java/baobabcroft/admin/AdminRoutes.java
+++ b/router/src/main/java/baobabcroft/admin/AdminRoutes.java
@@ -98,6 +98,8 @@
                         path("rules", () -> concat(get(this::current), post(() -> apply(operator)))),
                         pathPrefix("rules", () -> concat(history(), rollback(operator))),
                         path("explain", () -> get(this::explain)),
+                        path("bills", () -> get(() -> respond(operations.bills(), AdminAnswers::ok))),
+                        path("claims", () -> get(() -> respond(operations.openClaims(), AdminAnswers::ok))),
                         path("status", () -> get(() -> respond(operations.status(), AdminAnswers::ok))),
                         path("drain", () -> post(() -> drain(operator)))));
     }
--- a/router/src/main/java/baobabcroft/cli/InstanceCommands.java
+++ b/router/src/main/java/baobabcroft/cli/InstanceCommands.java
@@ -1,14 +1,18 @@
 package baobabcroft.cli;
 
+import baobabcroft.admin.BillView;
 import baobabcroft.admin.DrainReport;
 import baobabcroft.admin.Explanation;
+import baobabcroft.admin.OpenClaimView;
 import baobabcroft.admin.Problem;
 import baobabcroft.admin.StatusReport;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.UrlEscapers;
+import java.util.List;
+import java.util.function.Function;
 import joptsimple.OptionParser;
 
-/** Commands on one instance: {@code explain}, {@code status} and {@code drain}. */
+/** Commands on one instance: {@code explain}, {@code status}, {@code bills}, {@code claims} and {@code drain}. */
 final class InstanceCommands {
     private static final String SESSION = "session";
     private static final String FAILURE_DOMAIN = "failure-domain";
@@ -16,7 +20,7 @@
     private InstanceCommands() {}
 
     static ImmutableList<Command> all() {
-        return ImmutableList.of(explain(), status(), drain());
+        return ImmutableList.of(explain(), status(), bills(), claims(), drain());
     }
 
     private static Command explain() {
@@ -82,6 +86,43 @@
         return ExitCode.OK.status();
     }
 
+    private static Command bills() {
+        return new Command(
+                "bills",
+                "",
+                "print all bills, each request once",
+                """
+                One line a bill: account, request, version or operation, tokens, amount in millionths, outcome. A bill
+                with the outcome 'unknown' charges nothing; find out whether the request ran and settle it by hand.""",
+                0,
+                0,
+                Invocation::declareAdmin,
+                invocation -> runList(invocation, "bills", BillView[].class, Report::bills));
+    }
+
+    private static Command claims() {
+        return new Command(
+                "claims",
+                "",
+                "print the non-idempotent requests whose outcome is not known",
+                "One line a claim: account, idempotency key, operation, claiming instance, deadline.",
+                0,
+                0,
+                Invocation::declareAdmin,
+                invocation -> runList(invocation, "claims", OpenClaimView[].class, Report::claims));
+    }
+
+    private static <T> int runList(
+            Invocation invocation, String path, Class<T[]> type, Function<List<T>, String> report) {
+        AdminReply reply = invocation.admin().get(path);
+        if (!reply.isSuccess()) {
+            return printProblem(invocation, reply);
+        }
+        List<T> entries = List.of(reply.read(type));
+        invocation.print(entries, report.apply(entries));
+        return ExitCode.OK.status();
+    }
+
     private static Command drain() {
         return new Command(
                 "drain",
--- a/router/src/main/java/baobabcroft/cli/Report.java
+++ b/router/src/main/java/baobabcroft/cli/Report.java
@@ -1,8 +1,10 @@
 package baobabcroft.cli;
 
 import baobabcroft.admin.ApplyAnswer;
+import baobabcroft.admin.BillView;
 import baobabcroft.admin.ConfigSummary;
 import baobabcroft.admin.Explanation;
+import baobabcroft.admin.OpenClaimView;
 import baobabcroft.admin.Problem;
 import baobabcroft.admin.StatusReport;
 import baobabcroft.rules.RuleFault;
@@ -50,6 +52,31 @@
         return LINES.join(lines);
     }
 
+    static String bills(List<BillView> bills) {
+        return LINES.join(bills.stream()
+                .map(bill -> "%s %s %s %d %d %s"
+                        .formatted(
+                                bill.account(),
+                                bill.requestId(),
+                                bill.item(),
+                                bill.tokens(),
+                                bill.amountMicros(),
+                                bill.outcome()))
+                .toList());
+    }
+
+    static String claims(List<OpenClaimView> claims) {
+        return LINES.join(claims.stream()
+                .map(claim -> "%s %s %s %s %s"
+                        .formatted(
+                                claim.account(),
+                                claim.idempotencyKey(),
+                                claim.operation(),
+                                claim.instance(),
+                                Instant.ofEpochMilli(claim.deadlineEpochMillis())))
+                .toList());
+    }
+
     static String applied(ApplyAnswer answer) {
         if (answer.accepted()) {
             return "accepted: configuration " + answer.number() + " is in force, confirmed by "
--- a/router/src/main/java/baobabcroft/serve/AdminService.java
+++ b/router/src/main/java/baobabcroft/serve/AdminService.java
@@ -4,12 +4,17 @@
 
 import baobabcroft.admin.AdminOperations;
 import baobabcroft.admin.ApplyOutcome;
+import baobabcroft.admin.BillView;
 import baobabcroft.admin.ConfigDocument;
 import baobabcroft.admin.ConfigSummary;
 import baobabcroft.admin.DrainReport;
 import baobabcroft.admin.ExplainQuery;
 import baobabcroft.admin.Explanation;
+import baobabcroft.admin.OpenClaimView;
 import baobabcroft.admin.StatusReport;
+import baobabcroft.billing.Bill;
+import baobabcroft.billing.BillReader;
+import baobabcroft.claim.ClaimService;
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
@@ -31,6 +36,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -45,6 +51,7 @@
     private final ConfigNode node;
     private final ConfigService configs;
     private final KeyValueStore store;
+    private final ClaimService claims;
     private final Explainer explainer;
     private final Supplier<CompletionStage<StatusReport>> status;
     private final Supplier<DrainReport> drain;
@@ -53,6 +60,7 @@
     AdminService(
             ConfigNode node,
             KeyValueStore store,
+            ClaimService claims,
             Explainer explainer,
             Supplier<CompletionStage<StatusReport>> status,
             Supplier<DrainReport> drain,
@@ -60,6 +68,7 @@
         this.node = checkNotNull(node);
         this.configs = ConfigService.create(node);
         this.store = checkNotNull(store);
+        this.claims = checkNotNull(claims);
         this.explainer = checkNotNull(explainer);
         this.status = checkNotNull(status);
         this.drain = checkNotNull(drain);
@@ -159,7 +168,7 @@
         if (result instanceof ReadResult.Found found) {
             return found.entries();
         }
-        throw RouterException.notRun(ErrorCode.STORE_UNAVAILABLE, "the platform's store did not answer");
+        throw storeUnavailable();
     }
 
     private static ConfigDocument document(baobabcroft.config.ConfigDocument found) {
@@ -180,6 +189,42 @@
                 explainer.explain(query, new RulesSnapshot(applied.number(), applied.rules())));
     }
 
+    @Override
+    public CompletionStage<List<BillView>> bills() {
+        return BillReader.create(store, claims::bills)
+                .read()
+                .thenApply(found -> found.orElseThrow(AdminService::storeUnavailable).bills().stream()
+                        .map(AdminService::view)
+                        .toList());
+    }
+
+    private static BillView view(Bill bill) {
+        return new BillView(
+                bill.account(),
+                bill.requestId(),
+                bill.item(),
+                bill.tokens(),
+                bill.amountMicros(),
+                bill.outcome().name().toLowerCase(Locale.ROOT),
+                bill.atEpochMillis());
+    }
+
+    @Override
+    public CompletionStage<List<OpenClaimView>> openClaims() {
+        return claims.openClaims().thenApply(found -> found.orElseThrow(AdminService::storeUnavailable).stream()
+                .map(claim -> new OpenClaimView(
+                        claim.account(),
+                        claim.idempotencyKey(),
+                        claim.operation(),
+                        claim.claimingInstance(),
+                        claim.deadlineEpochMillis()))
+                .toList());
+    }
+
+    private static RouterException storeUnavailable() {
+        return RouterException.notRun(ErrorCode.STORE_UNAVAILABLE, "the platform's store did not answer");
+    }
+
     @Override
     public CompletionStage<StatusReport> status() {
         return status.get();
--- a/router/src/test/java/baobabcroft/admin/FakeAdminOperations.java
+++ b/router/src/test/java/baobabcroft/admin/FakeAdminOperations.java
@@ -119,6 +119,17 @@
                 ImmutableList.of(new StatusReport.VersionView("film-small@2", "stopped", "errors"))));
     }
 
+    @Override
+    public CompletionStage<List<BillView>> bills() {
+        return CompletableFuture.completedFuture(
+                List.of(new BillView("shop", "key:1", "film-small@1", 7, 14, "answered", 0)));
+    }
+
+    @Override
+    public CompletionStage<List<OpenClaimView>> openClaims() {
+        return CompletableFuture.completedFuture(List.of());
+    }
+
     @Override
     public CompletionStage<DrainReport> drain() {
         return done(new DrainReport(3, 5000));
