--- a/router/src/main/java/baobabcroft/membership/PresenceTable.java
+++ b/router/src/main/java/baobabcroft/membership/PresenceTable.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -66,6 +67,18 @@
         return last != null && last.incarnation() == incarnation && of(name, nowNanos) == Presence.ALIVE;
     }
 
+    /**
+     * Returns the instances that answered lately.
+     *
+     * @param nowNanos the monotonic clock
+     * @return those that are {@link Presence#ALIVE}
+     */
+    public ImmutableSet<String> alive(long nowNanos) {
+        return sightings.keySet().stream()
+                .filter(name -> of(name, nowNanos) == Presence.ALIVE)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /**
      * Returns whether an instance said that it is leaving.
      *
--- a/router/src/test/java/baobabcroft/config/ConfigCluster.java
+++ b/router/src/test/java/baobabcroft/config/ConfigCluster.java
@@ -9,8 +9,10 @@
 import baobabcroft.rules.RulesParser;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
@@ -26,6 +28,8 @@
     final FakePeerNetwork network = new FakePeerNetwork(time);
     final Map<String, Instance> instances = new TreeMap<>();
     private final TreeSet<String> list = new TreeSet<>();
+    private final TreeMap<Long, Set<String>> listHistory = new TreeMap<>();
+    private final Map<String, Long> listLagMillis = new HashMap<>();
     private long nextIncarnation = 1;
 
     /** One start of an instance. */
@@ -59,11 +63,17 @@
         return "failure-domain fd-" + variant + " region=north # ann: variant " + variant;
     }
 
+    /** Sets by how much an instance's view of the platform's list lags. */
+    void setListLagMillis(String name, long lagMillis) {
+        listLagMillis.put(name, lagMillis);
+    }
+
     /** Starts instances i-1 to i-n, writes the first configuration and waits until all work under it. */
     void startAll(int count) {
         for (int i = 1; i <= count; i++) {
             list.add("i-" + i);
         }
+        rememberList();
         List.copyOf(list).forEach(this::start);
         time.advance(2 * LIST_LAG_MILLIS);
         CompletableFuture<ProposalResult> first = propose("i-1", 0, "first", 1);
@@ -76,6 +86,7 @@
     /** Starts an instance, in place of an earlier start of the same name. */
     Instance start(String name) {
         list.add(name);
+        rememberList();
         Instance earlier = instances.get(name);
         if (earlier != null) {
             earlier.process.kill();
@@ -96,16 +107,24 @@
                 time.wallClock(),
                 ConfigTimings.defaults(),
                 RulesParser::parse);
-        pollList(process, members);
+        pollList(name, process, members);
         ConfigNode node = ConfigNode.start(context);
         Instance instance = new Instance(name, process, client, members, node, ConfigService.create(node));
         instances.put(name, instance);
         return instance;
     }
 
-    private void pollList(FakeProcess process, Members members) {
-        members.listed(list, time.ticker().read());
-        process.scheduler().schedule(LIST_POLL_MILLIS, () -> pollList(process, members));
+    private void pollList(String name, FakeProcess process, Members members) {
+        long seenMillis = time.nowMillis() - listLagMillis.getOrDefault(name, 0L);
+        Map.Entry<Long, Set<String>> seen = listHistory.floorEntry(seenMillis);
+        if (seen != null) {
+            members.listed(seen.getValue(), time.ticker().read());
+        }
+        process.scheduler().schedule(LIST_POLL_MILLIS, () -> pollList(name, process, members));
+    }
+
+    private void rememberList() {
+        listHistory.put(time.nowMillis(), Set.copyOf(list));
     }
 
     Instance get(String name) {
@@ -115,6 +134,7 @@
     /** Removes an instance from the platform's list. */
     void unlist(String name) {
         list.remove(name);
+        rememberList();
     }
 
     CompletableFuture<ProposalResult> propose(String through, long baseNumber, String changeId, long variant) {
