--- a/router/src/test/java/baobabcroft/config/ConfigModelTest.java
+++ b/router/src/test/java/baobabcroft/config/ConfigModelTest.java
@@ -69,8 +69,8 @@
                     Arguments.of(Size.UNLISTED, 11_343),
                     Arguments.of(Size.DELAYS, 5_582),
                     Arguments.of(Size.RACE, 27_631));
-            Stream<Arguments> deep = Stream.of(
-                    Arguments.of(Size.UNLISTED_DELAYS, 663_711), Arguments.of(Size.LONGER_TIME, 1_250_335));
+            Stream<Arguments> deep =
+                    Stream.of(Arguments.of(Size.UNLISTED_DELAYS, 663_711), Arguments.of(Size.LONGER_TIME, 1_250_335));
             return Boolean.getBoolean("model.deep") ? Stream.concat(usual, deep) : usual;
         }
 
