Split the unused part of an account's limit evenly

Shares followed demand alone, so an account that used 5 % of its limit was refused when two of its requests met at an instance that had seen none lately. Now each instance keeps its demand and an even part of what is left over. Ruled out: larger buckets, which let the fleet exceed the limit by more.

--- a/router/src/main/java/baobabcroft/limit/AccountLimits.java
+++ b/router/src/main/java/baobabcroft/limit/AccountLimits.java
@@ -29,6 +29,7 @@
  */
 public final class AccountLimits {
     private static final double SECONDS_PER_MINUTE = 60;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     private final String self;
     private final DemandLedger ledger;
@@ -167,15 +168,19 @@
 
     private AccountState state(AccountRule rule, long nowEpochMillis) {
         AccountState state = accounts.computeIfAbsent(
-                rule.name(),
-                name -> new AccountState(rule, ledger.fractions(name).get(self), nowEpochMillis));
+                rule.name(), name -> new AccountState(rule, fractions(rule).get(self), nowEpochMillis));
         if (state.fractionsSlot != slot) {
-            state.fractions = ledger.fractions(rule.name());
+            state.fractions = fractions(rule);
             state.fractionsSlot = slot;
         }
         return state;
     }
 
+    private Map<String, Double> fractions(AccountRule rule) {
+        double limitPerSlot = rule.requestsPerSecond() * DemandLedger.SLOT_MILLIS / MILLIS_PER_SECOND;
+        return ledger.fractions(rule.name(), limitPerSlot);
+    }
+
     private Share shareOf(AccountRule rule, AccountState state) {
         double fraction = state.fractions.get(self);
         long concurrent =
--- a/router/src/main/java/baobabcroft/limit/DemandLedger.java
+++ b/router/src/main/java/baobabcroft/limit/DemandLedger.java
@@ -19,7 +19,7 @@
 
     private static final long KEPT_SLOTS = 4;
     private static final double SMOOTHING = 0.5;
-    private static final double EVEN_SHARE = 0.2;
+    private static final double MIN_EVEN_SHARE = 0.05;
     private static final double NEGLIGIBLE_DEMAND = 1e-3;
 
     private final String self;
@@ -73,17 +73,23 @@
         current.clear();
     }
 
-    /** Returns every live instance's part of an account's limits in the current slot; the parts add up to one. */
-    Map<String, Double> fractions(String account) {
+    /**
+     * Returns every live instance's part of an account's limits in the current slot; the parts add up to one. While the
+     * demand is under the limit, each instance gets its demand and an even part of what is left over.
+     */
+    Map<String, Double> fractions(String account, double limitPerSlot) {
         Map<String, DemandReport> heard = reports.getOrDefault(slot - REPORT_LAG_SLOTS, Map.of());
         Map<String, Double> demands = new TreeMap<>();
         live.forEach(instance -> demands.put(instance, demand(heard.get(instance), account)));
         double total =
                 demands.values().stream().mapToDouble(Double::doubleValue).sum();
-        boolean even = !heard.keySet().containsAll(live) || total == 0;
         double evenPart = 1.0 / live.size();
-        demands.replaceAll(
-                (instance, demand) -> even ? evenPart : EVEN_SHARE * evenPart + (1 - EVEN_SHARE) * demand / total);
+        if (!heard.keySet().containsAll(live) || total == 0) {
+            demands.replaceAll((instance, demand) -> evenPart);
+            return demands;
+        }
+        double demandPart = Math.min(1 - MIN_EVEN_SHARE, total / Math.max(limitPerSlot, NEGLIGIBLE_DEMAND));
+        demands.replaceAll((instance, demand) -> demandPart * demand / total + (1 - demandPart) * evenPart);
         return demands;
     }
 
