Fill the last place of an endpoint and of the pool

With an estimate of 15.3 requests on an endpoint of 16 places the last place was left empty, on every endpoint. A place now counts as free while the estimate is under the capacity.

--- a/router/src/main/java/baobabcroft/admission/AdmissionQueue.java
+++ b/router/src/main/java/baobabcroft/admission/AdmissionQueue.java
@@ -137,7 +137,7 @@
     }
 
     private boolean start(AdmissionTicket ticket, PoolLoad load, long nowNanos) {
-        if (load.load() + 1 > usableCapacity(ticket.request(), load, nowNanos)) {
+        if (load.load() >= usableCapacity(ticket.request(), load, nowNanos)) {
             return false;
         }
         if (!ticket.attempt().tryStart()) {
--- a/router/src/main/java/baobabcroft/balance/TieredPicker.java
+++ b/router/src/main/java/baobabcroft/balance/TieredPicker.java
@@ -15,7 +15,7 @@
 
     @Override
     public Optional<Candidate> pick(List<Candidate> candidates, RequestFacts facts, UniformRandomProvider random) {
-        List<Candidate> withRoom = filter(candidates, candidate -> candidate.load() + 1 <= candidate.capacity());
+        List<Candidate> withRoom = filter(candidates, candidate -> candidate.load() < candidate.capacity());
         List<Candidate> inTime = filter(withRoom, candidate -> candidate.answersWithin(facts.remainingMillis()));
         List<Candidate> usable = inTime.isEmpty() ? withRoom : inTime;
         List<Candidate> preferred = filter(usable, candidate -> !isAvoided(candidate, facts));
