Admit by the time that a request's own token bound takes

Admission used the mean service time, so a long answer that was started at its last moment missed its deadline. It now uses the recent time a token and the bound that the caller gave.

--- a/standins/src/main/java/baobabcroft/experiment/Instance.java
+++ b/standins/src/main/java/baobabcroft/experiment/Instance.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.admission.AdmissionQueue;
 import baobabcroft.admission.AdmissionSettings;
+import baobabcroft.admission.ServiceEstimate;
 import baobabcroft.balance.BreakerSettings;
 import baobabcroft.balance.EndpointLease;
 import baobabcroft.balance.EndpointPicker;
@@ -58,6 +59,7 @@
     private final RatingBudget ratings;
     private final RetryBudget retries;
     private final Map<String, AdmissionQueue> queues = new HashMap<>();
+    private final Map<String, ServiceEstimate> services = new HashMap<>();
 
     /** What an instance tells all others. */
     record News(
@@ -145,6 +147,10 @@
         return queues.get(run.model());
     }
 
+    ServiceEstimate service(String model) {
+        return services.computeIfAbsent(model, key -> ServiceEstimate.create());
+    }
+
     String name() {
         return name;
     }
--- a/standins/src/main/java/baobabcroft/experiment/RequestRun.java
+++ b/standins/src/main/java/baobabcroft/experiment/RequestRun.java
@@ -146,7 +146,7 @@
     }
 
     private double serviceMillis() {
-        return instance.load(model()).serviceMillis();
+        return instance.service(model()).millisFor(request.maxTokens());
     }
 
     @Override
@@ -261,6 +261,7 @@
         }
         double tookMillis = loop.nowMillis() - sentMillis;
         lease.succeeded((long) tookMillis);
+        instance.service(model()).answered(request.outputTokens(), tookMillis);
         release();
         Engine engine = instance.fleet().engine(lease.rule().name());
         outcome(new AnswerOutcome(false, isSlow(tookMillis, engine.model())));
@@ -313,7 +314,8 @@
     }
 
     private double nextServiceMillis() {
-        return instance.load(steps.get(step + 1).version().model()).serviceMillis();
+        String model = steps.get(step + 1).version().model();
+        return instance.service(model).millisFor(request.maxTokens());
     }
 
     private void deliver() {
