Choose cascade steps at the price of quality that just meets the target

Steps are now weighed by one price of quality over all recent kinds, found by bisection, and an answer is escalated when its rating makes the next step worth its cost.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/cascade/CascadeMix.java
@@ -0,0 +1,114 @@
+package baobabcroft.cascade;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.ToDoubleFunction;
+
+/**
+ * Recent requests of one cascade by kind, and the price of quality at which their answers together just reach the
+ * target.
+ *
+ * <p>Each kind is answered by the step with the best quality net of its cost, so that cost is spent where it buys most.
+ * Thread-safe; the price is computed anew every few requests.
+ */
+public final class CascadeMix {
+    private static final int MAX_KINDS = 256;
+    private static final int REQUESTS_PER_UPDATE = 50;
+    private static final int BISECTIONS = 40;
+    private static final double MAX_PRICE_FACTOR = 1_000;
+    private static final double DECAY = 0.98;
+
+    private final Map<RequestKind, Entry> kinds = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RequestKind, Entry> eldest) {
+            return size() > MAX_KINDS;
+        }
+    };
+    private int requests;
+    private double qualityPrice;
+
+    private record Entry(double weight, ImmutableList<QualityEstimate> estimates, ImmutableList<Double> costs) {
+        Entry decayed() {
+            return new Entry(weight * DECAY, estimates, costs);
+        }
+    }
+
+    private CascadeMix() {}
+
+    /**
+     * Returns a mix without requests.
+     *
+     * @return the mix
+     */
+    public static CascadeMix create() {
+        return new CascadeMix();
+    }
+
+    /** Counts a request and returns the present price of quality, in the unit of the steps' prices. */
+    synchronized double count(
+            RequestKind kind, List<CascadeStep> steps, List<QualityEstimate> estimates, double qualityTarget) {
+        Entry known = kinds.get(kind);
+        double weight = known == null ? 0 : known.weight();
+        ImmutableList<Double> costs = steps.stream()
+                .map(step -> (double) step.priceMicrosPerThousandTokens())
+                .collect(ImmutableList.toImmutableList());
+        kinds.put(kind, new Entry(weight + 1, ImmutableList.copyOf(estimates), costs));
+        if (requests++ % REQUESTS_PER_UPDATE == 0) {
+            update(qualityTarget);
+        }
+        return qualityPrice;
+    }
+
+    private void update(double qualityTarget) {
+        kinds.replaceAll((kind, entry) -> entry.decayed());
+        double low = 0;
+        double high = MAX_PRICE_FACTOR
+                * kinds.values().stream()
+                        .flatMap(entry -> entry.costs().stream())
+                        .mapToDouble(Double::doubleValue)
+                        .max()
+                        .orElse(0);
+        for (int i = 0; i < BISECTIONS; i++) {
+            double middle = (low + high) / 2;
+            if (meanQuality(middle) >= qualityTarget) {
+                high = middle;
+            } else {
+                low = middle;
+            }
+        }
+        qualityPrice = high;
+    }
+
+    private double meanQuality(double price) {
+        double weights = 0;
+        double sum = 0;
+        for (Entry entry : kinds.values()) {
+            weights += entry.weight();
+            int best = best(entry.estimates(), entry.costs(), price, QualityEstimate::lowerBound);
+            sum += entry.weight() * entry.estimates().get(best).lowerBound();
+        }
+        return weights == 0 ? 0 : sum / weights;
+    }
+
+    /** Returns the step with the greatest quality net of its cost. */
+    static int best(
+            List<QualityEstimate> estimates,
+            List<Double> costs,
+            double price,
+            ToDoubleFunction<QualityEstimate> quality) {
+        int best = 0;
+        double bestNet = Double.NEGATIVE_INFINITY;
+        for (int i = 0; i < costs.size(); i++) {
+            double net = quality.applyAsDouble(estimates.get(i)) * price - costs.get(i);
+            if (net > bestNet) {
+                best = i;
+                bestNet = net;
+            }
+        }
+        return best;
+    }
+}
--- a/router/src/main/java/baobabcroft/cascade/CascadePolicies.java
+++ b/router/src/main/java/baobabcroft/cascade/CascadePolicies.java
@@ -1,6 +1,6 @@
 package baobabcroft.cascade;
 
-/** The policies at hand: the product's and the baselines it is measured against. All are stateless. */
+/** The policies at hand: the product's and the baselines it is measured against. All are thread-safe. */
 public final class CascadePolicies {
     private CascadePolicies() {}
 
@@ -10,7 +10,7 @@
      * @return the policy
      */
     public static CascadePolicy dearest() {
-        return (steps, qualityTarget, random) -> new CascadeChoice(steps.size() - 1, false, 0);
+        return (kind, steps, qualityTarget, random) -> new CascadeChoice(steps.size() - 1, false, 0);
     }
 
     /**
@@ -20,7 +20,7 @@
      * @return the policy
      */
     public static CascadePolicy fixed(int step) {
-        return (steps, qualityTarget, random) -> new CascadeChoice(Math.min(step, steps.size() - 1), false, 0);
+        return (kind, steps, qualityTarget, random) -> new CascadeChoice(Math.min(step, steps.size() - 1), false, 0);
     }
 
     /**
@@ -31,16 +31,17 @@
      * @return the policy
      */
     public static CascadePolicy fixedThreshold(double threshold) {
-        return (steps, qualityTarget, random) -> new CascadeChoice(0, true, threshold);
+        return (kind, steps, qualityTarget, random) -> new CascadeChoice(0, true, threshold);
     }
 
     /**
-     * Returns the product's policy: the cheapest plan whose lower confidence bound meets the target, with a part of
-     * the ratings spent on cheaper versions that may yet meet it.
+     * Returns the product's policy: the step with the best lower bound of quality net of its cost, at the price of
+     * quality that just reaches the target over the recent requests of the cascade.
      *
-     * @return the policy
+     * @param mix the recent requests of one cascade
+     * @return the policy, for that cascade
      */
-    public static CascadePolicy lowerBound() {
-        return new LowerBoundPolicy();
+    public static CascadePolicy qualityPrice(CascadeMix mix) {
+        return new QualityPricePolicy(mix);
     }
 }
--- a/router/src/main/java/baobabcroft/cascade/CascadePolicy.java
+++ b/router/src/main/java/baobabcroft/cascade/CascadePolicy.java
@@ -9,10 +9,11 @@
     /**
      * Chooses the first step.
      *
+     * @param kind the kind of request
      * @param steps the versions that may answer, cheapest first; not empty
      * @param qualityTarget mean quality that the answers must reach
      * @param random source of randomness of the calling thread
      * @return the choice
      */
-    CascadeChoice choose(List<CascadeStep> steps, double qualityTarget, UniformRandomProvider random);
+    CascadeChoice choose(RequestKind kind, List<CascadeStep> steps, double qualityTarget, UniformRandomProvider random);
 }
--- a/router/src/main/java/baobabcroft/cascade/QualityEstimate.java
+++ b/router/src/main/java/baobabcroft/cascade/QualityEstimate.java
@@ -6,32 +6,28 @@
  *
  * @param mean estimated mean rating
  * @param standardError its standard error
- * @param shortShare estimated share of answers under the target
- * @param shortMean estimated mean rating of those
  */
-record QualityEstimate(double mean, double standardError, double shortShare, double shortMean) {
+record QualityEstimate(double mean, double standardError) {
     private static final double PRIOR_RATINGS = 4;
-    private static final double PRIOR_VARIANCE = 0.06;
-    private static final double CONFIDENCE_Z = 1.3;
+    private static final double PRIOR_VARIANCE = 0.03;
+    private static final double LOWER_Z = 0.25;
+    private static final double UPPER_Z = 2;
 
-    static QualityEstimate of(CascadeStep step, double target) {
+    static QualityEstimate of(CascadeStep step) {
         QualityEvidence evidence = step.evidence();
         double weight = evidence.ratings() + PRIOR_RATINGS;
         double mean = (evidence.sum() + PRIOR_RATINGS * step.expectedQuality()) / weight;
         double priorSquares = PRIOR_VARIANCE + step.expectedQuality() * step.expectedQuality();
         double squares = (evidence.squareSum() + PRIOR_RATINGS * priorSquares) / weight;
         double variance = Math.max(squares - mean * mean, PRIOR_VARIANCE / weight);
-        double priorShorts = PRIOR_RATINGS * (1 - step.expectedQuality());
-        double shorts = evidence.shorts() + priorShorts;
-        double shortMean = (evidence.shortSum() + priorShorts * target / 2) / Math.max(shorts, 1e-9);
-        return new QualityEstimate(mean, Math.sqrt(variance / weight), shorts / weight, shortMean);
+        return new QualityEstimate(mean, Math.sqrt(variance / weight));
     }
 
     double lowerBound() {
-        return mean - CONFIDENCE_Z * standardError;
+        return mean - LOWER_Z * standardError;
     }
 
     double upperBound() {
-        return mean + CONFIDENCE_Z * standardError;
+        return mean + UPPER_Z * standardError;
     }
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/cascade/QualityPricePolicy.java
@@ -0,0 +1,47 @@
+package baobabcroft.cascade;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Asks the step with the best quality net of its cost, at the price of quality that just reaches the target over all
+ * recent requests, and has part of the answers rated.
+ */
+final class QualityPricePolicy implements CascadePolicy {
+    private static final double RATED_SHARE = 0.4;
+    private static final double EXPLORE_SHARE = 0.1;
+
+    private final CascadeMix mix;
+
+    QualityPricePolicy(CascadeMix mix) {
+        this.mix = checkNotNull(mix);
+    }
+
+    @Override
+    public CascadeChoice choose(
+            RequestKind kind, List<CascadeStep> steps, double qualityTarget, UniformRandomProvider random) {
+        List<QualityEstimate> estimates =
+                steps.stream().map(QualityEstimate::of).toList();
+        double price = mix.count(kind, steps, estimates, qualityTarget);
+        List<Double> costs = steps.stream()
+                .map(step -> (double) step.priceMicrosPerThousandTokens())
+                .toList();
+        int step = CascadeMix.best(estimates, costs, price, QualityEstimate::lowerBound);
+        int hopeful = CascadeMix.best(estimates, costs, price, QualityEstimate::upperBound);
+        if (hopeful != step && random.nextDouble() < EXPLORE_SHARE) {
+            step = hopeful;
+        }
+        boolean rate = random.nextDouble() < RATED_SHARE;
+        return new CascadeChoice(step, rate, escalateBelow(estimates, costs, price, step));
+    }
+
+    /** Returns the rating under which the next step's answer is worth its cost. */
+    private static double escalateBelow(List<QualityEstimate> estimates, List<Double> costs, double price, int step) {
+        if (step + 1 >= costs.size() || price <= 0) {
+            return 0;
+        }
+        return Math.max(0, estimates.get(step + 1).mean() - costs.get(step + 1) / price);
+    }
+}
--- a/standins/src/main/java/baobabcroft/experiment/Instance.java
+++ b/standins/src/main/java/baobabcroft/experiment/Instance.java
@@ -9,6 +9,7 @@
 import baobabcroft.balance.EndpointPool;
 import baobabcroft.balance.PoolLoad;
 import baobabcroft.balance.RequestFacts;
+import baobabcroft.cascade.CascadePolicy;
 import baobabcroft.cascade.QualityLedger;
 import baobabcroft.cascade.QualityReport;
 import baobabcroft.cascade.RatingBudget;
@@ -51,6 +52,7 @@
     private final EndpointPool pool;
     private final EndpointPicker picker;
     private final AccountLimits limits;
+    private final CascadePolicy cascade;
     private final CrashLedger crashes = CrashLedger.create(CRASH_RETENTION_MILLIS, MAX_CRASH_REQUESTS);
     private final EvidenceLedger evidence;
     private final BadVersionDetector detector;
@@ -79,6 +81,7 @@
                 failureDomain, BreakerSettings.defaults(), fleet.loop().ticker(), random);
         this.pool.replace(fleet.rules());
         this.picker = policy.picker().map(supplier -> supplier.get()).orElseGet(fleet::oraclePicker);
+        this.cascade = policy.cascade().get();
         this.limits = AccountLimits.create(name);
         this.limits.setLiveInstances(IntStream.range(0, fleet.deployment().instances())
                 .mapToObj(i -> "instance-" + i)
@@ -171,6 +174,10 @@
         return random;
     }
 
+    CascadePolicy cascade() {
+        return cascade;
+    }
+
     EndpointPool pool() {
         return pool;
     }
--- a/standins/src/main/java/baobabcroft/experiment/Policy.java
+++ b/standins/src/main/java/baobabcroft/experiment/Policy.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.balance.EndpointPicker;
 import baobabcroft.balance.EndpointPickers;
+import baobabcroft.cascade.CascadeMix;
 import baobabcroft.cascade.CascadePolicies;
 import baobabcroft.cascade.CascadePolicy;
 import java.util.List;
@@ -13,7 +14,7 @@
  *
  * @param name the policy's name
  * @param picker makes each instance's picker; empty for the oracle, which knows each queue
- * @param cascade chooses the first model
+ * @param cascade makes each instance's choice of the first model
  * @param retryBudget whether retries are bounded by the budget
  * @param automaticStop whether bad versions are stopped
  * @param crashLedger whether poison requests are remembered
@@ -21,7 +22,7 @@
 record Policy(
         String name,
         Optional<Supplier<EndpointPicker>> picker,
-        CascadePolicy cascade,
+        Supplier<CascadePolicy> cascade,
         boolean retryBudget,
         boolean automaticStop,
         boolean crashLedger) {
@@ -29,7 +30,12 @@
 
     static Policy product() {
         return new Policy(
-                "product", Optional.of(EndpointPickers::tiered), CascadePolicies.lowerBound(), true, true, true);
+                "product",
+                Optional.of(EndpointPickers::tiered),
+                () -> CascadePolicies.qualityPrice(CascadeMix.create()),
+                true,
+                true,
+                true);
     }
 
     static List<Policy> of(Scenario.Family family) {
@@ -55,7 +61,7 @@
     }
 
     private static Policy withCascade(String name, CascadePolicy cascade) {
-        return new Policy(name, product().picker(), cascade, true, true, true);
+        return new Policy(name, product().picker(), () -> cascade, true, true, true);
     }
 
     private static Policy withPicker(String name, Optional<Supplier<EndpointPicker>> picker) {
--- a/standins/src/main/java/baobabcroft/experiment/RequestRun.java
+++ b/standins/src/main/java/baobabcroft/experiment/RequestRun.java
@@ -104,7 +104,7 @@
             return;
         }
         instance.retries().requestStarted();
-        choice = instance.policy().cascade().choose(steps, QUALITY_TARGET, instance.random());
+        choice = instance.cascade().choose(kind, steps, QUALITY_TARGET, instance.random());
         step = choice.step();
         loop.at(dueMillis, this::deadlinePassed);
         offer();
