Test ratings as means and spend them evenly on open versions

A version whose answers got worse at a 5 % share was found late: ratings were spread by traffic, and the bound for values between zero and one ignores that ratings vary little. Ratings now go evenly to the open versions, and the test of the mean uses their variance. Ruled out by a seeded test of alike ratings (40 runs of 500): false alarms above one.

--- a/router/src/main/java/baobabcroft/rollout/BadVersionDetector.java
+++ b/router/src/main/java/baobabcroft/rollout/BadVersionDetector.java
@@ -10,7 +10,6 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -28,6 +27,7 @@
  */
 public final class BadVersionDetector {
     private static final long MIN_TRIALS_ALONE = 50;
+    private static final long MIN_RATINGS = 5;
     private static final double MAX_SHORTFALL_LEVEL = 0.99;
 
     private final DetectorSettings settings;
@@ -93,35 +93,44 @@
         Evidence own = since(start, version.id());
         Evidence others = sum(otherOpen, start);
         Evidence before = sum(otherOpen, windowStarts.getLast());
+        if (isBad(errors(own), errors(others), errors(before), settings.toleratedErrorRate())) {
+            return Optional.of(stop(version, StopCause.ERRORS, nowEpochMillis, own.answers(), (double) own.errors()));
+        }
+        if (isBad(slow(own), slow(others), slow(before), settings.toleratedSlowRate())) {
+            return Optional.of(stop(version, StopCause.SLOWNESS, nowEpochMillis, own.answers(), (double) own.slow()));
+        }
         double shortfall = 1 - version.expectedQuality() + settings.qualityMargin();
-        double maxShortfall = Math.min(MAX_SHORTFALL_LEVEL, shortfall);
-        double maxErrors = settings.toleratedErrorRate();
-        double maxSlow = settings.toleratedSlowRate();
-        return List.of(
-                        new Trial(StopCause.ERRORS, errors(own), errors(others), errors(before), maxErrors),
-                        new Trial(StopCause.SLOWNESS, slow(own), slow(others), slow(before), maxSlow),
-                        new Trial(StopCause.QUALITY, quality(own), quality(others), quality(before), maxShortfall))
-                .stream()
-                .filter(this::isBad)
-                .map(trial -> new VersionStop(
-                        version.id(),
-                        trial.cause(),
-                        nowEpochMillis,
-                        (long) trial.own().trials(),
-                        trial.own().rate()))
-                .findFirst();
+        if (isBadQuality(quality(own), quality(others), quality(before), Math.min(MAX_SHORTFALL_LEVEL, shortfall))) {
+            return Optional.of(stop(version, StopCause.QUALITY, nowEpochMillis, own.ratings(), own.ratingShortfall()));
+        }
+        return Optional.empty();
     }
 
-    private record Trial(
-            StopCause cause, RateEvidence own, RateEvidence others, RateEvidence othersBefore, double level) {}
+    private static VersionStop stop(
+            VersionRule version, StopCause cause, long nowEpochMillis, long trials, double bad) {
+        return new VersionStop(version.id(), cause, nowEpochMillis, trials, bad / trials);
+    }
 
-    private boolean isBad(Trial trial) {
-        double threshold = -Math.log(settings.falseAlarmRate());
-        if (trial.own().logEvalueAbove(trial.level()) < threshold) {
+    private boolean isBad(RateEvidence own, RateEvidence others, RateEvidence othersBefore, double level) {
+        if (own.logEvalueAbove(level) < threshold()) {
             return false;
         }
-        boolean alone = trial.othersBefore().trials() == 0 && trial.own().trials() >= MIN_TRIALS_ALONE;
-        return alone || trial.own().logBayesFactorAgainst(trial.others()) >= threshold;
+        return isAlone(own.trials(), othersBefore.trials()) || own.logBayesFactorAgainst(others) >= threshold();
+    }
+
+    private boolean isBadQuality(MeanEvidence own, MeanEvidence others, MeanEvidence othersBefore, double level) {
+        if (own.trials() < MIN_RATINGS || own.logEvalueAbove(level) < threshold()) {
+            return false;
+        }
+        return isAlone(own.trials(), othersBefore.trials()) || own.logEvalueAbove(others) >= threshold();
+    }
+
+    private double threshold() {
+        return -Math.log(settings.falseAlarmRate());
+    }
+
+    private static boolean isAlone(double ownTrials, double othersTrials) {
+        return othersTrials == 0 && ownTrials >= MIN_TRIALS_ALONE;
     }
 
     private Evidence sum(Collection<VersionRule> versions, Map<VersionId, Evidence> start) {
@@ -140,7 +149,7 @@
         return new RateEvidence(evidence.answers(), evidence.slow());
     }
 
-    private static RateEvidence quality(Evidence evidence) {
-        return new RateEvidence(evidence.ratings(), Math.min((double) evidence.ratings(), evidence.ratingShortfall()));
+    private static MeanEvidence quality(Evidence evidence) {
+        return new MeanEvidence(evidence.ratings(), evidence.ratingShortfall(), evidence.shortfallSquares());
     }
 }
--- a/router/src/main/java/baobabcroft/rollout/Evidence.java
+++ b/router/src/main/java/baobabcroft/rollout/Evidence.java
@@ -10,10 +10,12 @@
  * @param slow those that took too long
  * @param ratings answers that were rated
  * @param ratingShortfall sum of one minus the rating
+ * @param shortfallSquares sum of its squares
  */
-public record Evidence(long answers, long errors, long slow, long ratings, double ratingShortfall) {
+public record Evidence(
+        long answers, long errors, long slow, long ratings, double ratingShortfall, double shortfallSquares) {
     /** No evidence. */
-    public static final Evidence NONE = new Evidence(0, 0, 0, 0, 0);
+    public static final Evidence NONE = new Evidence(0, 0, 0, 0, 0, 0);
 
     /**
      * Returns the evidence with one more answer.
@@ -22,7 +24,7 @@
      * @return the sum
      */
     public Evidence plus(AnswerOutcome outcome) {
-        return plus(new Evidence(1, outcome.failed() ? 1 : 0, outcome.slow() ? 1 : 0, 0, 0));
+        return plus(new Evidence(1, outcome.failed() ? 1 : 0, outcome.slow() ? 1 : 0, 0, 0, 0));
     }
 
     /**
@@ -33,7 +35,8 @@
      */
     public Evidence plusRating(double rating) {
         checkArgument(rating >= 0 && rating <= 1, "rating not in [0, 1]: %s", rating);
-        return plus(new Evidence(0, 0, 0, 1, 1 - rating));
+        double shortfall = 1 - rating;
+        return plus(new Evidence(0, 0, 0, 1, shortfall, shortfall * shortfall));
     }
 
     /**
@@ -48,7 +51,8 @@
                 errors + other.errors,
                 slow + other.slow,
                 ratings + other.ratings,
-                ratingShortfall + other.ratingShortfall);
+                ratingShortfall + other.ratingShortfall,
+                shortfallSquares + other.shortfallSquares);
     }
 
     /**
@@ -63,7 +67,8 @@
                 errors - earlier.errors,
                 slow - earlier.slow,
                 ratings - earlier.ratings,
-                Math.max(0, ratingShortfall - earlier.ratingShortfall));
+                Math.max(0, ratingShortfall - earlier.ratingShortfall),
+                Math.max(0, shortfallSquares - earlier.shortfallSquares));
     }
 
     /**
@@ -78,6 +83,7 @@
                 Math.max(errors, other.errors),
                 Math.max(slow, other.slow),
                 Math.max(ratings, other.ratings),
-                Math.max(ratingShortfall, other.ratingShortfall));
+                Math.max(ratingShortfall, other.ratingShortfall),
+                Math.max(shortfallSquares, other.shortfallSquares));
     }
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rollout/MeanEvidence.java
@@ -0,0 +1,51 @@
+package baobabcroft.rollout;
+
+/**
+ * E-values of a mean, from sums of values between zero and one, for means of enough values to be nearly normal.
+ *
+ * <p>Each is a likelihood ratio mixed over a normal prior of the shift. The variance is estimated from the values and
+ * from a prior of a few values.
+ *
+ * @param trials the count of values
+ * @param sum their sum
+ * @param squareSum the sum of their squares
+ */
+record MeanEvidence(double trials, double sum, double squareSum) {
+    private static final double PRIOR_TRIALS = 10;
+    private static final double PRIOR_VARIANCE = 0.06;
+    private static final double SHIFT_VARIANCE = 0.04;
+
+    double mean() {
+        return trials == 0 ? 0 : sum / trials;
+    }
+
+    private double squares() {
+        return Math.max(0, squareSum - trials * mean() * mean());
+    }
+
+    /** Returns the logarithm of an e-value against the mean being at most a level. */
+    double logEvalueAbove(double level) {
+        double variance = (squares() + PRIOR_TRIALS * PRIOR_VARIANCE) / (trials + PRIOR_TRIALS);
+        return logMixture(mean() - level, variance, trials);
+    }
+
+    /** Returns the logarithm of an e-value against the mean being at most that of the others. */
+    double logEvalueAbove(MeanEvidence others) {
+        if (trials == 0 || others.trials == 0) {
+            return 0;
+        }
+        double all = trials + others.trials + PRIOR_TRIALS;
+        double variance = (squares() + others.squares() + PRIOR_TRIALS * PRIOR_VARIANCE) / all;
+        double pairs = 1 / (1 / trials + 1 / others.trials);
+        return logMixture(mean() - others.mean(), variance, pairs);
+    }
+
+    private static double logMixture(double shift, double variance, double count) {
+        if (shift <= 0 || count == 0) {
+            return 0;
+        }
+        double ratio = count * SHIFT_VARIANCE / variance;
+        double squaredScore = shift * shift * count / variance;
+        return squaredScore / 2 * ratio / (1 + ratio) - Math.log1p(ratio) / 2;
+    }
+}
--- a/router/src/test/java/baobabcroft/rollout/BadVersionDetectorTest.java
+++ b/router/src/test/java/baobabcroft/rollout/BadVersionDetectorTest.java
@@ -60,6 +60,25 @@
         assertTrue(alarms <= Math.ceil(bound), "alarms: " + alarms);
     }
 
+    @Test
+    void alikeRatingsRaiseNoFalseAlarms() {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
+        int alarms = 0;
+        for (int run = 0; run < 40; run++) {
+            EvidenceLedger ledger = EvidenceLedger.create("i");
+            BadVersionDetector detector = BadVersionDetector.create(DetectorSettings.defaults(), ledger);
+            boolean alarm = false;
+            for (int i = 0; i < 500 && !alarm; i++) {
+                ledger.rated(NEW.id(), random.nextDouble() < 0.5 ? 1 : random.nextDouble());
+                ledger.rated(OLD.id(), random.nextDouble() < 0.5 ? 1 : random.nextDouble());
+                alarm = detector.check(NEW, List.of(OLD), (long) i * STEP_MILLIS)
+                        .isPresent();
+            }
+            alarms += alarm ? 1 : 0;
+        }
+        assertTrue(alarms <= 1, "alarms: " + alarms);
+    }
+
     @Test
     void findsErrorsSoonAtASmallShare() {
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
@@ -69,11 +88,11 @@
     @Test
     void evidenceOfOneOriginCountsOnce() {
         EvidenceLedger ledger = EvidenceLedger.create("i");
-        EvidenceReport report = new EvidenceReport("j", NEW.id(), new Evidence(10, 4, 0, 0, 0));
+        EvidenceReport report = new EvidenceReport("j", NEW.id(), new Evidence(10, 4, 0, 0, 0, 0));
         ledger.hear(report);
         ledger.hear(report);
-        ledger.hear(new EvidenceReport("i", NEW.id(), new Evidence(10, 4, 0, 0, 0)));
-        assertEquals(new Evidence(10, 4, 0, 0, 0), ledger.total(NEW.id()));
+        ledger.hear(new EvidenceReport("i", NEW.id(), new Evidence(10, 4, 0, 0, 0, 0)));
+        assertEquals(new Evidence(10, 4, 0, 0, 0, 0), ledger.total(NEW.id()));
     }
 
     @Test
--- a/standins/src/main/java/baobabcroft/experiment/RequestRun.java
+++ b/standins/src/main/java/baobabcroft/experiment/RequestRun.java
@@ -26,6 +26,7 @@
 import baobabcroft.retry.RetryFacts;
 import baobabcroft.retry.RetryPolicy;
 import baobabcroft.rollout.AnswerOutcome;
+import baobabcroft.rollout.RatingAllocation;
 import baobabcroft.rollout.VersionAssignment;
 import baobabcroft.rules.AccountRule;
 import baobabcroft.rules.VersionId;
@@ -44,6 +45,7 @@
     private static final double POISON_DELAY_MILLIS = 200;
     private static final double ERROR_DELAY_MILLIS = 100;
     private static final double RATING_MILLIS = 500;
+    private static final double ROLLOUT_RATED_SHARE = 0.1;
 
     private final SimRequest request;
     private final Instance instance;
@@ -268,7 +270,7 @@
         recorder.cost(steps.get(step).priceMicrosPerThousandTokens() * request.outputTokens() / 1_000.0);
         double quality = quality();
         answerQuality = Optional.of(quality);
-        boolean rated = choice.rate() && instance.ratings().tryTake();
+        boolean rated = wantsRating() && instance.ratings().tryTake();
         boolean mayEscalate = rated && choice.escalateBelow() > 0 && step + 1 < steps.size();
         if (rated) {
             recorder.ratingAsked();
@@ -288,6 +290,16 @@
         return tookMillis / steps > 2 * model.stepMillis(model.maxBatch());
     }
 
+    private boolean wantsRating() {
+        List<VersionRule> versions = instance.fleet().rules().versionsOf(model());
+        if (versions.size() == 1) {
+            return choice.rate();
+        }
+        VersionRule rule = instance.fleet().rules().version(version()).orElseThrow();
+        double probability = RatingAllocation.probability(rule, versions, ROLLOUT_RATED_SHARE);
+        return instance.random().nextDouble() < probability;
+    }
+
     private double quality() {
         int index = Fleet.MODELS.indexOf(model());
         double loss = VersionBehavior.of(version(), instance.fleet().scenario(), loop.nowMillis())
