Carry the policy by price of quality and rating squares to the gateway

One policy now remembers the recent requests of each cascade by name, and the peers' evidence message has the sum of squared shortfalls that the test needs. Instances of an older build send no squares; their ratings then look constant.

--- a/router/src/main/java/baobabcroft/cascade/CascadeMix.java
+++ b/router/src/main/java/baobabcroft/cascade/CascadeMix.java
@@ -13,7 +13,7 @@
  * <p>Each kind is answered by the step with the best quality net of its cost, so that cost is spent where it buys most.
  * Thread-safe; the price is computed anew every few requests.
  */
-public final class CascadeMix {
+final class CascadeMix {
     private static final int MAX_KINDS = 256;
     private static final int REQUESTS_PER_UPDATE = 50;
     private static final int BISECTIONS = 40;
@@ -37,17 +37,6 @@
         }
     }
 
-    private CascadeMix() {}
-
-    /**
-     * Returns a mix without requests.
-     *
-     * @return the mix
-     */
-    public static CascadeMix create() {
-        return new CascadeMix();
-    }
-
     /** Counts a request and returns the present price of quality, in the unit of the steps' prices. */
     synchronized double count(
             RequestKind kind, List<CascadeStep> steps, List<QualityEstimate> estimates, double qualityTarget) {
--- a/router/src/main/java/baobabcroft/cascade/CascadePolicies.java
+++ b/router/src/main/java/baobabcroft/cascade/CascadePolicies.java
@@ -38,10 +38,9 @@
      * Returns the product's policy: the step with the best lower bound of quality net of its cost, at the price of
      * quality that just reaches the target over the recent requests of the cascade.
      *
-     * @param mix the recent requests of one cascade
-     * @return the policy, for that cascade
+     * @return the policy, with a memory of recent requests of each cascade
      */
-    public static CascadePolicy qualityPrice(CascadeMix mix) {
-        return new QualityPricePolicy(mix);
+    public static CascadePolicy qualityPrice() {
+        return new QualityPricePolicy();
     }
 }
--- a/router/src/main/java/baobabcroft/cascade/QualityPricePolicy.java
+++ b/router/src/main/java/baobabcroft/cascade/QualityPricePolicy.java
@@ -1,8 +1,7 @@
 package baobabcroft.cascade;
 
-import static com.google.common.base.Preconditions.checkNotNull;
-
 import java.util.List;
+import java.util.concurrent.ConcurrentHashMap;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -13,17 +12,14 @@
     private static final double RATED_SHARE = 0.4;
     private static final double EXPLORE_SHARE = 0.1;
 
-    private final CascadeMix mix;
-
-    QualityPricePolicy(CascadeMix mix) {
-        this.mix = checkNotNull(mix);
-    }
+    private final ConcurrentHashMap<String, CascadeMix> mixes = new ConcurrentHashMap<>();
 
     @Override
     public CascadeChoice choose(
             RequestKind kind, List<CascadeStep> steps, double qualityTarget, UniformRandomProvider random) {
         List<QualityEstimate> estimates =
                 steps.stream().map(QualityEstimate::of).toList();
+        CascadeMix mix = mixes.computeIfAbsent(kind.cascade(), cascade -> new CascadeMix());
         double price = mix.count(kind, steps, estimates, qualityTarget);
         List<Double> costs = steps.stream()
                 .map(step -> (double) step.priceMicrosPerThousandTokens())
--- a/router/src/main/java/baobabcroft/gateway/Cascades.java
+++ b/router/src/main/java/baobabcroft/gateway/Cascades.java
@@ -69,7 +69,7 @@
     CascadeChoice choose(List<VersionId> versions, RequestKind kind, double qualityTarget, RuleSet rules) {
         List<CascadeStep> steps =
                 versions.stream().map(version -> step(version, kind, rules)).toList();
-        return policy.choose(steps, qualityTarget, random.get());
+        return policy.choose(kind, steps, qualityTarget, random.get());
     }
 
     private CascadeStep step(VersionId version, RequestKind kind, RuleSet rules) {
--- a/router/src/main/java/baobabcroft/peer/proto/Peer.java
+++ b/router/src/main/java/baobabcroft/peer/proto/Peer.java
@@ -239,26 +239,27 @@
       "aobabcroft.peer.VersionEvidence\022/\n\005stops" +
       "\030\002 \003(\0132 .baobabcroft.peer.VersionStopped" +
       "\022-\n\005kinds\030\003 \003(\0132\036.baobabcroft.peer.KindE" +
-      "vidence\"\214\001\n\017VersionEvidence\022\017\n\007version\030\001" +
+      "vidence\"\247\001\n\017VersionEvidence\022\017\n\007version\030\001" +
       " \001(\t\022\016\n\006origin\030\002 \001(\t\022\017\n\007answers\030\003 \001(\004\022\016\n" +
       "\006errors\030\004 \001(\004\022\014\n\004slow\030\005 \001(\004\022\017\n\007ratings\030\006" +
-      " \001(\004\022\030\n\020rating_shortfall\030\007 \001(\001\"g\n\016Versio" +
-      "nStopped\022\017\n\007version\030\001 \001(\t\022\r\n\005cause\030\002 \001(\t" +
-      "\022\027\n\017at_epoch_millis\030\003 \001(\004\022\016\n\006trials\030\004 \001(" +
-      "\004\022\014\n\004rate\030\005 \001(\001\"\275\001\n\014KindEvidence\022\017\n\007vers" +
-      "ion\030\001 \001(\t\022\016\n\006origin\030\002 \001(\t\022\017\n\007account\030\003 \001" +
-      "(\t\022\017\n\007cascade\030\004 \001(\t\022\025\n\rlength_bucket\030\005 \001" +
-      "(\r\022\017\n\007ratings\030\006 \001(\004\022\013\n\003sum\030\007 \001(\001\022\022\n\nsqua" +
-      "re_sum\030\010 \001(\001\022\016\n\006shorts\030\t \001(\004\022\021\n\tshort_su" +
-      "m\030\n \001(\001\">\n\014CrashReports\022.\n\007reports\030\001 \003(\013" +
-      "2\035.baobabcroft.peer.CrashReport\"K\n\013Crash" +
-      "Report\022\026\n\016request_digest\030\001 \001(\014\022\020\n\010endpoi" +
-      "nt\030\002 \001(\t\022\022\n\nage_millis\030\003 \001(\004\"X\n\005Usage\022\016\n" +
-      "\006origin\030\001 \001(\t\022\014\n\004slot\030\002 \001(\022\0221\n\010accounts\030" +
-      "\003 \003(\0132\037.baobabcroft.peer.AccountDemand\"0" +
-      "\n\rAccountDemand\022\017\n\007account\030\001 \001(\t\022\016\n\006dema" +
-      "nd\030\002 \001(\001\"\"\n\013LeaveNotice\022\023\n\013incarnation\030\001" +
-      " \001(\006B\032\n\026baobabcroft.peer.protoP\001b\006proto3"
+      " \001(\004\022\030\n\020rating_shortfall\030\007 \001(\001\022\031\n\021shortf" +
+      "all_squares\030\010 \001(\001\"g\n\016VersionStopped\022\017\n\007v" +
+      "ersion\030\001 \001(\t\022\r\n\005cause\030\002 \001(\t\022\027\n\017at_epoch_" +
+      "millis\030\003 \001(\004\022\016\n\006trials\030\004 \001(\004\022\014\n\004rate\030\005 \001" +
+      "(\001\"\275\001\n\014KindEvidence\022\017\n\007version\030\001 \001(\t\022\016\n\006" +
+      "origin\030\002 \001(\t\022\017\n\007account\030\003 \001(\t\022\017\n\007cascade" +
+      "\030\004 \001(\t\022\025\n\rlength_bucket\030\005 \001(\r\022\017\n\007ratings" +
+      "\030\006 \001(\004\022\013\n\003sum\030\007 \001(\001\022\022\n\nsquare_sum\030\010 \001(\001\022" +
+      "\016\n\006shorts\030\t \001(\004\022\021\n\tshort_sum\030\n \001(\001\">\n\014Cr" +
+      "ashReports\022.\n\007reports\030\001 \003(\0132\035.baobabcrof" +
+      "t.peer.CrashReport\"K\n\013CrashReport\022\026\n\016req" +
+      "uest_digest\030\001 \001(\014\022\020\n\010endpoint\030\002 \001(\t\022\022\n\na" +
+      "ge_millis\030\003 \001(\004\"X\n\005Usage\022\016\n\006origin\030\001 \001(\t" +
+      "\022\014\n\004slot\030\002 \001(\022\0221\n\010accounts\030\003 \003(\0132\037.baoba" +
+      "bcroft.peer.AccountDemand\"0\n\rAccountDema" +
+      "nd\022\017\n\007account\030\001 \001(\t\022\016\n\006demand\030\002 \001(\001\"\"\n\013L" +
+      "eaveNotice\022\023\n\013incarnation\030\001 \001(\006B\032\n\026baoba" +
+      "bcroft.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -395,7 +396,7 @@
     internal_static_baobabcroft_peer_VersionEvidence_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_peer_VersionEvidence_descriptor,
-        new java.lang.String[] { "Version", "Origin", "Answers", "Errors", "Slow", "Ratings", "RatingShortfall", });
+        new java.lang.String[] { "Version", "Origin", "Answers", "Errors", "Slow", "Ratings", "RatingShortfall", "ShortfallSquares", });
     internal_static_baobabcroft_peer_VersionStopped_descriptor =
       getDescriptor().getMessageType(22);
     internal_static_baobabcroft_peer_VersionStopped_fieldAccessorTable = new
--- a/router/src/main/java/baobabcroft/peer/proto/VersionEvidence.java
+++ b/router/src/main/java/baobabcroft/peer/proto/VersionEvidence.java
@@ -183,6 +183,17 @@
     return ratingShortfall_;
   }
 
+  public static final int SHORTFALL_SQUARES_FIELD_NUMBER = 8;
+  private double shortfallSquares_ = 0D;
+  /**
+   * <code>double shortfall_squares = 8;</code>
+   * @return The shortfallSquares.
+   */
+  @java.lang.Override
+  public double getShortfallSquares() {
+    return shortfallSquares_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -218,6 +229,9 @@
     if (java.lang.Double.doubleToRawLongBits(ratingShortfall_) != 0) {
       output.writeDouble(7, ratingShortfall_);
     }
+    if (java.lang.Double.doubleToRawLongBits(shortfallSquares_) != 0) {
+      output.writeDouble(8, shortfallSquares_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -253,6 +267,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeDoubleSize(7, ratingShortfall_);
     }
+    if (java.lang.Double.doubleToRawLongBits(shortfallSquares_) != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeDoubleSize(8, shortfallSquares_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -283,6 +301,9 @@
     if (java.lang.Double.doubleToLongBits(getRatingShortfall())
         != java.lang.Double.doubleToLongBits(
             other.getRatingShortfall())) return false;
+    if (java.lang.Double.doubleToLongBits(getShortfallSquares())
+        != java.lang.Double.doubleToLongBits(
+            other.getShortfallSquares())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -313,6 +334,9 @@
     hash = (37 * hash) + RATING_SHORTFALL_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         java.lang.Double.doubleToLongBits(getRatingShortfall()));
+    hash = (37 * hash) + SHORTFALL_SQUARES_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        java.lang.Double.doubleToLongBits(getShortfallSquares()));
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -451,6 +475,7 @@
       slow_ = 0L;
       ratings_ = 0L;
       ratingShortfall_ = 0D;
+      shortfallSquares_ = 0D;
       return this;
     }
 
@@ -505,6 +530,9 @@
       if (((from_bitField0_ & 0x00000040) != 0)) {
         result.ratingShortfall_ = ratingShortfall_;
       }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.shortfallSquares_ = shortfallSquares_;
+      }
     }
 
     @java.lang.Override
@@ -544,6 +572,9 @@
       if (java.lang.Double.doubleToRawLongBits(other.getRatingShortfall()) != 0) {
         setRatingShortfall(other.getRatingShortfall());
       }
+      if (java.lang.Double.doubleToRawLongBits(other.getShortfallSquares()) != 0) {
+        setShortfallSquares(other.getShortfallSquares());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -605,6 +636,11 @@
               bitField0_ |= 0x00000040;
               break;
             } // case 57
+            case 65: {
+              shortfallSquares_ = input.readDouble();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 65
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -926,6 +962,38 @@
       return this;
     }
 
+    private double shortfallSquares_ ;
+    /**
+     * <code>double shortfall_squares = 8;</code>
+     * @return The shortfallSquares.
+     */
+    @java.lang.Override
+    public double getShortfallSquares() {
+      return shortfallSquares_;
+    }
+    /**
+     * <code>double shortfall_squares = 8;</code>
+     * @param value The shortfallSquares to set.
+     * @return This builder for chaining.
+     */
+    public Builder setShortfallSquares(double value) {
+
+      shortfallSquares_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>double shortfall_squares = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearShortfallSquares() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      shortfallSquares_ = 0D;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.peer.VersionEvidence)
   }
 
--- a/router/src/main/java/baobabcroft/peer/proto/VersionEvidenceOrBuilder.java
+++ b/router/src/main/java/baobabcroft/peer/proto/VersionEvidenceOrBuilder.java
@@ -63,4 +63,10 @@
    * @return The ratingShortfall.
    */
   double getRatingShortfall();
+
+  /**
+   * <code>double shortfall_squares = 8;</code>
+   * @return The shortfallSquares.
+   */
+  double getShortfallSquares();
 }
--- a/router/src/main/java/baobabcroft/serve/EvidenceCodec.java
+++ b/router/src/main/java/baobabcroft/serve/EvidenceCodec.java
@@ -29,6 +29,7 @@
                 .setSlow(report.evidence().slow())
                 .setRatings(report.evidence().ratings())
                 .setRatingShortfall(report.evidence().ratingShortfall())
+                .setShortfallSquares(report.evidence().shortfallSquares())
                 .build();
     }
 
@@ -38,7 +39,8 @@
                 message.getErrors(),
                 message.getSlow(),
                 message.getRatings(),
-                message.getRatingShortfall());
+                message.getRatingShortfall(),
+                message.getShortfallSquares());
         return VersionId.parse(message.getVersion())
                 .map(version -> new EvidenceReport(message.getOrigin(), version, evidence));
     }
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -254,7 +254,7 @@
                 .ratingUrl()
                 .map(url -> HttpRatingService.create(url, settings.platform().timeoutMillis()));
         return new Cascades(
-                CascadePolicies.lowerBound(),
+                CascadePolicies.qualityPrice(),
                 quality,
                 RatingBudget.create(RATINGS_PER_SECOND, MAX_SAVED_RATINGS, ticker),
                 ratings,
--- a/router/src/test/java/baobabcroft/cascade/CascadePolicyTest.java
+++ b/router/src/test/java/baobabcroft/cascade/CascadePolicyTest.java
@@ -27,7 +27,7 @@
         List<CascadeStep> steps = List.of(
                 new CascadeStep(SMALL, 100, 0.7, ledger.total(SMALL, KIND)),
                 new CascadeStep(new VersionId("large", "1"), 1_000, 0.9, QualityEvidence.NONE));
-        CascadePolicy policy = CascadePolicies.qualityPrice(CascadeMix.create());
+        CascadePolicy policy = CascadePolicies.qualityPrice();
         long chosen = 0;
         for (int i = 0; i < 100; i++) {
             chosen += policy.choose(KIND, steps, TARGET, random).step() == step ? 1 : 0;
--- a/standins/src/main/java/baobabcroft/experiment/Policy.java
+++ b/standins/src/main/java/baobabcroft/experiment/Policy.java
@@ -2,7 +2,6 @@
 
 import baobabcroft.balance.EndpointPicker;
 import baobabcroft.balance.EndpointPickers;
-import baobabcroft.cascade.CascadeMix;
 import baobabcroft.cascade.CascadePolicies;
 import baobabcroft.cascade.CascadePolicy;
 import java.util.List;
@@ -30,12 +29,7 @@
 
     static Policy product() {
         return new Policy(
-                "product",
-                Optional.of(EndpointPickers::tiered),
-                () -> CascadePolicies.qualityPrice(CascadeMix.create()),
-                true,
-                true,
-                true);
+                "product", Optional.of(EndpointPickers::tiered), CascadePolicies::qualityPrice, true, true, true);
     }
 
     static List<Policy> of(Scenario.Family family) {
