Relay streams with CRLF line ends and end them at their mark

Cause: servers that end lines with CRLF were held until the deadline, and an engine that kept its connection open after the end mark held the end of the answer until the deadline too. Ruled out: a buffer that was too small; the test shows no event found at all, since only LF LF was looked for. Conclusion: both delimiters end an event; the end mark releases the end while the rest of the stream is read and dropped.

--- a/router/src/main/java/baobabcroft/chat/SseRelay.java
+++ b/router/src/main/java/baobabcroft/chat/SseRelay.java
@@ -29,6 +29,7 @@
 public final class SseRelay extends GraphStage<FlowShape<ByteString, ByteString>> {
     private static final int MAX_EVENT_BYTES = 1 << 20;
     private static final ByteString LF_LF = ByteString.fromString("\n\n");
+    private static final ByteString CR_LF_CR_LF = ByteString.fromString("\r\n\r\n");
 
     private final Inlet<ByteString> in = Inlet.create("SseRelay.in");
     private final Outlet<ByteString> out = Outlet.create("SseRelay.out");
@@ -122,24 +123,37 @@
         }
 
         private void accept(ByteString bytes) {
+            if (ended) {
+                deliver();
+                return;
+            }
             pending = pending.concat(bytes);
-            int end = pending.indexOfSlice(LF_LF, 0);
+            int end = eventEnd();
             while (end >= 0 && !ended) {
-                ByteString block = pending.take(end + LF_LF.length());
-                pending = pending.drop(end + LF_LF.length());
+                ByteString block = pending.take(end);
+                pending = pending.drop(end);
                 acceptEvent(block);
-                end = pending.indexOfSlice(LF_LF, 0);
-            }
-            if (ended) {
-                return;
+                end = eventEnd();
             }
-            if (pending.length() > MAX_EVENT_BYTES) {
+            if (!ended && pending.length() > MAX_EVENT_BYTES) {
                 breakOff("an event is longer than " + MAX_EVENT_BYTES + " bytes");
-                return;
+            }
+            if (!ended && done) {
+                finish("the end mark came before the end");
             }
             deliver();
         }
 
+        /** Returns where the first event in what is pending ends, or -1 if none is complete. */
+        private int eventEnd() {
+            int byLf = pending.indexOfSlice(LF_LF, 0);
+            int byCrLf = pending.indexOfSlice(CR_LF_CR_LF, 0);
+            if (byLf >= 0 && (byCrLf < 0 || byLf < byCrLf)) {
+                return byLf + LF_LF.length();
+            }
+            return byCrLf < 0 ? -1 : byCrLf + CR_LF_CR_LF.length();
+        }
+
         private void acceptEvent(ByteString block) {
             if (done) {
                 return;
@@ -193,7 +207,8 @@
             if (isAvailable(out) && !ready.isEmpty()) {
                 push(out, ready.poll());
             }
-            if (!ended && !isClosed(in) && !hasBeenPulled(in) && isAvailable(out)) {
+            boolean wanted = ended || isAvailable(out);
+            if (wanted && !isClosed(in) && !hasBeenPulled(in)) {
                 pull(in);
             }
         }
--- a/router/src/test/java/baobabcroft/chat/SseRelayTest.java
+++ b/router/src/test/java/baobabcroft/chat/SseRelayTest.java
@@ -75,6 +75,29 @@
             }
         }
 
+        @Test
+        void passesUnchangedWithWindowsLineEnds() throws Exception {
+            String whole = (word("five") + LAST + DONE).replace("\n", "\r\n");
+
+            assertEquals(whole, relay(false, whole));
+        }
+
+        @Test
+        void isReleasedAtItsEndMarkThoughTheConnectionStaysOpen() throws Exception {
+            String whole = word("five") + LAST + DONE;
+
+            String out = Source.from(List.of(whole))
+                    .map(ByteString::fromString)
+                    .concat(Source.maybe())
+                    .via(SseRelay.create(VERSION, 1, false, observer))
+                    .runWith(Sink.fold(ByteString.emptyByteString(), ByteString::concat), system)
+                    .toCompletableFuture()
+                    .get(20, TimeUnit.SECONDS)
+                    .utf8String();
+
+            assertEquals(whole, out);
+        }
+
         @Test
         void countsTokensByTheEnginesUsageAndHidesItUnlessWanted() throws Exception {
             String out = relay(false, word("a"), LAST, USAGE, DONE);
