Run the binary under failure as separate processes: seven scenarios

Cause: nothing showed the real binary under kill -9, SIGTERM, lost replies and racing operators. The verdict of each scenario comes from what the stand-in engines, the stand-in service and the store counted and hold. Scenarios: instance killed between claim and answer with resends elsewhere; resend during the first run; SIGTERM under 20 streams; request that kills each engine; withdrawal under load; lost replies to a change; two operators at once. The key-value stand-in gets two reads that pass by its faults. Not here yet: frozen instance, and store down with an instance replaced.

--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/ChatSteps.java
@@ -0,0 +1,109 @@
+package baobabcroft.acceptance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import baobabcroft.standin.fault.FaultKind;
+import io.cucumber.java.en.Given;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+
+/** Steps of chats. */
+public final class ChatSteps {
+    private static final String MODEL = "paper";
+    private static final String VERSION = "paper@1";
+
+    private final Deployment deployment;
+    private final List<CompletableFuture<Reply>> streams = new ArrayList<>();
+    private final List<Reply> late = new ArrayList<>();
+    private int exitStatus = -1;
+
+    /** Takes the deployment of the scenario. */
+    public ChatSteps(Deployment deployment) {
+        this.deployment = deployment;
+    }
+
+    @When("{int} streams have begun through instance {int}")
+    public void beginStreams(int count, int instance) {
+        List<CompletableFuture<OpenStream>> heads = IntStream.range(0, count)
+                .mapToObj(n -> deployment.streamedChat(instance, MODEL, "stream " + n))
+                .toList();
+        for (CompletableFuture<OpenStream> head : heads) {
+            streams.add(head.join().end());
+        }
+    }
+
+    @When("chats are sent through instance {int} until it has ended")
+    public void sendUntilEnd(int instance) {
+        for (int n = 0; deployment.instance(instance).isRunning(); n++) {
+            late.add(deployment.chat(instance, MODEL, "late " + n).join());
+        }
+        exitStatus = deployment.instance(instance).awaitExit();
+    }
+
+    @Then("the process has exited with {int}")
+    public void checkExitStatus(int status) {
+        assertEquals(status, exitStatus);
+    }
+
+    @Then("every stream that had begun is whole")
+    public void checkStreams() {
+        streams.stream().map(CompletableFuture::join).forEach(reply -> {
+            assertEquals(200, reply.status(), reply::toString);
+            assertTrue(reply.body().stripTrailing().endsWith("data: [DONE]"), reply::toString);
+        });
+    }
+
+    @Then("every later chat was answered whole, refused as not run, or found no listener")
+    public void checkLateChats() {
+        assertTrue(late.stream().anyMatch(reply -> reply.execution().equals("not_run")), late::toString);
+        late.forEach(reply ->
+                assertTrue(reply.isOk() || reply.isLost() || reply.execution().equals("not_run"), reply::toString));
+    }
+
+    @Then("the engines have started as many chats as callers got whole")
+    public void checkStarts() {
+        long whole = streams.size() + late.stream().filter(Reply::isOk).count();
+        assertEquals(whole, deployment.starts(VERSION), "chats that the engines counted");
+    }
+
+    @Then("{int} chats through instance {int} are answered")
+    public void checkChats(int count, int instance) {
+        long before = deployment.starts(VERSION);
+        for (int n = 0; n < count; n++) {
+            Reply reply = deployment.chat(instance, MODEL, "chat " + n).join();
+            assertTrue(reply.isOk(), reply::toString);
+        }
+        assertEquals(before + count, deployment.starts(VERSION), "chats that the engines counted");
+    }
+
+    @Given("every engine that runs {string} dies for {long} ms")
+    public void engineDiesOf(String text, long outageMillis) {
+        deployment.standins().engines().values().forEach(engine -> {
+            engine.faults().crashOn(text);
+            engine.faults().setOutageMillis(outageMillis);
+        });
+    }
+
+    @When("a chat {string} is sent {int} times through all instances in turn")
+    public void sendInTurn(String text, int times) {
+        int instances = deployment.instances().size();
+        for (int n = 0; n < times; n++) {
+            Reply reply = deployment.chat(1 + n % instances, MODEL, text).join();
+            assertFalse(reply.isOk(), reply::toString);
+        }
+    }
+
+    @Then("at most {int} engines were lost")
+    public void checkLost(int most) {
+        long lost = deployment.standins().engines().values().stream()
+                .mapToLong(engine -> engine.counters().faults().getOrDefault(FaultKind.CRASH, 0L))
+                .sum();
+        assertTrue(lost <= most, () -> "engines were lost " + lost + " times");
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/Client.java
@@ -0,0 +1,79 @@
+package baobabcroft.acceptance;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+
+/** Sends requests as callers and operators do. Thread-safe. */
+final class Client {
+    private static final Duration LONGEST = Duration.ofSeconds(60);
+
+    private final HttpClient http = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(LONGEST)
+            .build();
+
+    /** Sends a request; the future never fails. */
+    CompletableFuture<Reply> send(HttpRequest request) {
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofString())
+                .handle((response, failure) ->
+                        failure == null ? new Reply(response.statusCode(), response.body()) : lost(failure));
+    }
+
+    /** Sends a request; the future completes, or fails, when the head has come. */
+    CompletableFuture<OpenStream> sendStreamed(HttpRequest request) {
+        return http.sendAsync(request, HttpResponse.BodyHandlers.ofLines())
+                .thenApply(response -> new OpenStream(CompletableFuture.supplyAsync(() -> read(response))));
+    }
+
+    private static Reply read(HttpResponse<Stream<String>> response) {
+        try (Stream<String> lines = response.body()) {
+            return new Reply(response.statusCode(), lines.collect(Collectors.joining("\n")));
+        } catch (UncheckedIOException e) {
+            return lost(e);
+        }
+    }
+
+    private static Reply lost(Throwable failure) {
+        return new Reply(0, String.valueOf(failure));
+    }
+
+    /** Returns whether a GET is answered with 200. */
+    boolean isOk(URI uri) {
+        try {
+            HttpRequest request =
+                    HttpRequest.newBuilder(uri).timeout(Duration.ofSeconds(5)).build();
+            return http.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+        } catch (IOException e) {
+            return false;
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns a GET with a bearer key. */
+    static HttpRequest get(URI uri, String bearerKey) {
+        return HttpRequest.newBuilder(uri)
+                .timeout(LONGEST)
+                .header("Authorization", "Bearer " + bearerKey)
+                .build();
+    }
+
+    /** Returns a POST of JSON with a bearer key and further headers, as pairs of name and value. */
+    static HttpRequest post(URI uri, String bearerKey, String json, String... headers) {
+        HttpRequest.Builder builder = HttpRequest.newBuilder(uri)
+                .timeout(LONGEST)
+                .header("Authorization", "Bearer " + bearerKey)
+                .header("Content-Type", "application/json")
+                .POST(HttpRequest.BodyPublishers.ofString(json, StandardCharsets.UTF_8));
+        return headers.length == 0 ? builder.build() : builder.headers(headers).build();
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/ConfigSteps.java
@@ -0,0 +1,153 @@
+package baobabcroft.acceptance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import baobabcroft.config.ConfigKeys;
+import com.google.common.collect.ImmutableList;
+import io.cucumber.java.After;
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Steps of changes of the rules, and of the load under which they are made. */
+public final class ConfigSteps {
+    private static final String OLD_VERSION = "film@1";
+    private static final String NEW_VERSION = "film@2";
+
+    private final Deployment deployment;
+    private final AtomicBoolean loading = new AtomicBoolean(true);
+    private final AtomicLong oldSent = new AtomicLong();
+    private final List<CompletableFuture<Void>> loads = new ArrayList<>();
+    private List<CompletableFuture<Reply>> woken = new ArrayList<>();
+    private List<String> raced = List.of();
+    private List<Reply> results = List.of();
+    private long oldStartsAtAcceptance = -1;
+
+    /** Takes the deployment of the scenario. */
+    public ConfigSteps(Deployment deployment) {
+        this.deployment = deployment;
+    }
+
+    /** Ends the load. */
+    @After(order = 20_000)
+    public void stopLoad() {
+        loading.set(false);
+        loads.forEach(CompletableFuture::join);
+    }
+
+    @When("chats for both versions come through all instances without end")
+    public void startLoad() {
+        for (int instance = 1; instance <= deployment.instances().size(); instance++) {
+            load(instance, OLD_VERSION, oldSent);
+            load(instance, NEW_VERSION, new AtomicLong());
+        }
+        Conditions.await(
+                "the engines start chats of both versions",
+                () -> deployment.starts(OLD_VERSION) > 20 && deployment.starts(NEW_VERSION) > 20);
+    }
+
+    private void load(int instance, String version, AtomicLong sent) {
+        AtomicLong number = new AtomicLong();
+        loads.add(CompletableFuture.runAsync(() -> {
+            while (loading.get()) {
+                deployment
+                        .chat(instance, version, "load " + number.incrementAndGet())
+                        .join();
+                sent.incrementAndGet();
+            }
+        }));
+    }
+
+    @When("{int} chats for the old version wait at instance {int}")
+    public void queueAtFrozen(int count, int instance) {
+        for (int n = 0; n < count; n++) {
+            woken.add(deployment.chat(instance, OLD_VERSION, "waiting " + n));
+        }
+    }
+
+    @When("the old version's withdrawal through instance {int} is accepted")
+    public void withdraw(int instance) {
+        Reply reply =
+                deployment.apply(instance, deployment.rules().withdrawn(), 1).join();
+        oldStartsAtAcceptance = deployment.starts(OLD_VERSION);
+        assertEquals("true", reply.member("accepted"), reply::toString);
+    }
+
+    @Then("{int} more chats for the old version came and none has been started since acceptance")
+    public void checkNoStartUnderLoad(int more) {
+        long enough = oldSent.get() + more;
+        long newEnough = deployment.starts(NEW_VERSION) + more;
+        Conditions.await("more chats for the old version are sent", () -> oldSent.get() >= enough);
+        Conditions.await("the new version goes on", () -> deployment.starts(NEW_VERSION) >= newEnough);
+        assertEquals(oldStartsAtAcceptance, deployment.starts(OLD_VERSION), "starts of " + OLD_VERSION);
+    }
+
+    @Then("all waiting chats are refused and none has been started since acceptance")
+    public void checkNoStartAfterWaking() {
+        woken.stream()
+                .map(CompletableFuture::join)
+                .forEach(reply -> assertEquals("not_run", reply.execution(), reply::toString));
+        assertEquals(oldStartsAtAcceptance, deployment.starts(OLD_VERSION), "starts of " + OLD_VERSION);
+    }
+
+    @Then("instance {int} runs the new version again")
+    public void checkRunsAgain(int instance) {
+        Conditions.await(
+                "instance " + instance + " runs the new version",
+                () -> deployment.chat(instance, NEW_VERSION, "again").join().isOk());
+    }
+
+    @When("the replies to the next {int} writes of the store are lost and instance {int} gets a change")
+    public void applyWithLostReplies(int replies, int instance) {
+        deployment.standins().keyValue().loseReplies(replies);
+        raced = List.of(deployment.rules().withPaperPrice("0.31"));
+        results = List.of(deployment.apply(instance, raced.get(0), 1).join());
+    }
+
+    @When("two operators change the rules at once through instances {int} and {int}")
+    public void race(int first, int second) {
+        raced = List.of(
+                deployment.rules().withPaperPrice("0.41"), deployment.rules().withPaperPrice("0.42"));
+        CompletableFuture<Reply> one = deployment.apply(first, raced.get(0), 1);
+        CompletableFuture<Reply> other = deployment.apply(second, raced.get(1), 1);
+        results = List.of(one.join(), other.join());
+    }
+
+    @Then("one change is accepted and the others are told of a conflict")
+    public void checkOneAccepted() {
+        long accepted = results.stream()
+                .filter(reply -> reply.member("accepted").equals("true"))
+                .count();
+        long conflicts = results.stream()
+                .filter(reply -> reply.status() == 409 && reply.code().equals("config_conflict"))
+                .count();
+        assertEquals(1, accepted, results::toString);
+        assertEquals(results.size() - 1, conflicts, results::toString);
+    }
+
+    @Then("the store holds the accepted change whole as number {int}, and the history one entry for each before")
+    public void checkStore(int number) {
+        int winner = results.get(0).member("accepted").equals("true") ? 0 : 1;
+        assertEquals(number, deployment.storedConfig().number());
+        assertEquals(raced.get(winner), deployment.storedConfig().rulesText());
+        ImmutableList.Builder<String> earlier = ImmutableList.builder();
+        for (int n = 1; n < number; n++) {
+            earlier.add(ConfigKeys.history(n));
+        }
+        assertEquals(earlier.build(), deployment.standins().keyValue().keysWithPrefix(ConfigKeys.HISTORY_PREFIX));
+    }
+
+    @Then("all instances have number {int} in force")
+    public void checkNumberInForce(int number) {
+        for (int instance = 1; instance <= deployment.instances().size(); instance++) {
+            Reply reply = deployment.currentRules(instance).join();
+            assertEquals(Integer.toString(number), reply.member("number"), reply::toString);
+            assertTrue(raced.contains(reply.member("text")), reply::toString);
+        }
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/FreePorts.java
@@ -0,0 +1,35 @@
+package baobabcroft.acceptance;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+
+/** Finds ports that nobody listens on, below those that the system gives to clients. Not thread-safe. */
+final class FreePorts {
+    private static final int LOWEST = 15_000;
+    private static final int HIGHEST = 30_000;
+
+    private final Set<Integer> given = new HashSet<>();
+
+    /** Returns a free port that was not returned before. */
+    int next() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
+            if (!given.contains(port) && isFree(port)) {
+                given.add(port);
+                return port;
+            }
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+            return socket.isBound();
+        } catch (IOException taken) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/OrderSteps.java
@@ -0,0 +1,61 @@
+package baobabcroft.acceptance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.cucumber.java.en.Then;
+import io.cucumber.java.en.When;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+/** Steps of non-idempotent operations. */
+public final class OrderSteps {
+    private final Deployment deployment;
+    private final List<CompletableFuture<Reply>> sent = new ArrayList<>();
+
+    /** Takes the deployment of the scenario. */
+    public OrderSteps(Deployment deployment) {
+        this.deployment = deployment;
+    }
+
+    @When("order {string} is sent through instance {int}")
+    public void send(String key, int instance) {
+        sent.add(deployment.order(instance, key));
+    }
+
+    @When("the service has started order {string}")
+    public void awaitStart(String key) {
+        Conditions.await("the service starts order " + key, () -> deployment.serviceRuns(key) > 0);
+    }
+
+    @Then("the service has run order {string} {int} time(s)")
+    public void checkRuns(String key, int runs) {
+        sent.forEach(CompletableFuture::join);
+        assertEquals(runs, deployment.serviceRuns(key), "runs that the service counted");
+    }
+
+    @Then("all senders got the same answer")
+    public void checkSameAnswer() {
+        List<Reply> replies = sent.stream().map(CompletableFuture::join).toList();
+        assertTrue(replies.get(0).isOk(), replies::toString);
+        assertTrue(replies.get(0).body().contains("receipt"), replies::toString);
+        replies.forEach(reply -> assertEquals(replies.get(0), reply));
+    }
+
+    @Then("order {string}, sent {int} times through instance {int}, may have run or shows its answer each time")
+    public void checkResends(String key, int times, int instance) {
+        for (int n = 0; n < times; n++) {
+            Reply reply = deployment.order(instance, key).join();
+            boolean truthful = reply.isOk() || reply.execution().equals("may_have_run");
+            assertTrue(truthful, () -> "a resend was told " + reply);
+        }
+    }
+
+    @Then("order {string} through instance {int} is refused as not run")
+    public void checkRefused(String key, int instance) {
+        Reply reply = deployment.order(instance, key).join();
+        assertEquals("not_run", reply.execution(), reply::toString);
+        assertEquals(503, reply.status(), reply::toString);
+    }
+}
--- /dev/null
+++ b/acceptance/src/test/java/baobabcroft/acceptance/RouterInstance.java
@@ -0,0 +1,124 @@
+package baobabcroft.acceptance;
+
+import com.google.common.net.HostAndPort;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** A place where a router process runs: a name, addresses and a settings file. Not thread-safe. */
+final class RouterInstance {
+    private static final Path JAR = Path.of("..", "router", "target", "baobabcroft-router-1.0.0-all.jar");
+
+    private final String name;
+    private final String failureDomain;
+    private final Path folder;
+    private final int callersPort;
+    private final int adminPort;
+    private final int peersPort;
+    private Process process;
+
+    RouterInstance(String name, String failureDomain, Path folder, FreePorts ports) {
+        this.name = name;
+        this.failureDomain = failureDomain;
+        this.folder = folder;
+        this.callersPort = ports.next();
+        this.adminPort = ports.next();
+        this.peersPort = ports.next();
+    }
+
+    String name() {
+        return name;
+    }
+
+    String failureDomain() {
+        return failureDomain;
+    }
+
+    HostAndPort peersAddress() {
+        return HostAndPort.fromParts("127.0.0.1", peersPort);
+    }
+
+    URI callers(String path) {
+        return URI.create("http://127.0.0.1:" + callersPort + path);
+    }
+
+    URI admin(String path) {
+        return URI.create("http://127.0.0.1:" + adminPort + path);
+    }
+
+    /** Starts a process, which appends to the instance's log file. */
+    void start(URI store, URI liveList, String operatorKeySha256) {
+        try {
+            Path settings = folder.resolve(name + ".json");
+            Files.writeString(settings, settingsJson(store, liveList, operatorKeySha256));
+            Path log = folder.resolve(name + ".log");
+            process = new ProcessBuilder(
+                            ProcessHandle.current().info().command().orElseThrow(),
+                            "-Xmx192m",
+                            "-XX:+UseSerialGC",
+                            "-jar",
+                            JAR.toString(),
+                            "serve",
+                            "--settings",
+                            settings.toString())
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+                    .start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private String settingsJson(URI store, URI liveList, String operatorKeySha256) {
+        return String.format(
+                """
+                {"instance": {"name": "%s", "failureDomain": "%s", "region": "north"},
+                 "listen": {"callers": "127.0.0.1:%d", "admin": "127.0.0.1:%d", "peers": "127.0.0.1:%d"},
+                 "platform": {"storeUrls": ["%s"], "liveListUrl": "%s"},
+                 "peers": {"sharedKey": "acceptance-shared-key"},
+                 "adminKeys": [{"name": "operator", "sha256": "%s"}],
+                 "drain": {"balancerNoticeMillis": 200}}
+                """,
+                name, failureDomain, callersPort, adminPort, peersPort, store, liveList, operatorKeySha256);
+    }
+
+    /** Ends the process as {@code kill -9} does, and waits for its end. */
+    void kill() {
+        process.destroyForcibly();
+        awaitExit();
+    }
+
+    /** Sends the process a signal. */
+    void signal(String signal) {
+        try {
+            Process kill = new ProcessBuilder("kill", "-" + signal, Long.toString(process.pid())).start();
+            if (kill.waitFor() != 0) {
+                throw new IllegalStateException("kill -" + signal + " failed with " + kill.exitValue());
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns the exit status of the process once it has ended. */
+    int awaitExit() {
+        try {
+            if (!process.waitFor(60, TimeUnit.SECONDS)) {
+                throw new AssertionError(name + " did not end within a minute");
+            }
+            return process.exitValue();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns whether the process runs. */
+    boolean isRunning() {
+        return process != null && process.isAlive();
+    }
+}
--- a/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
@@ -8,10 +8,13 @@
 import baobabcroft.standin.http.Responses;
 import baobabcroft.standin.http.StandinSystem;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.util.concurrent.AtomicLongMap;
 import java.net.URI;
+import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.TimeUnit;
@@ -296,6 +299,36 @@
                 0));
     }
 
+    /**
+     * Reads a key whatever the present faults are.
+     *
+     * @param key the key
+     * @return its value, or empty if there is no such key
+     */
+    public Optional<com.google.protobuf.ByteString> valueOf(String key) {
+        return entriesFrom(key, com.google.protobuf.ByteString.EMPTY).stream()
+                .findFirst()
+                .map(EtcdMessages.KeyValue::value);
+    }
+
+    /**
+     * Lists keys whatever the present faults are.
+     *
+     * @param prefix how the keys start; not empty
+     * @return the keys, sorted
+     */
+    public ImmutableList<String> keysWithPrefix(String prefix) {
+        String end = prefix.substring(0, prefix.length() - 1) + (char) (prefix.charAt(prefix.length() - 1) + 1);
+        return entriesFrom(prefix, com.google.protobuf.ByteString.copyFromUtf8(end)).stream()
+                .map(entry -> entry.key().toStringUtf8())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private List<EtcdMessages.KeyValue> entriesFrom(String key, com.google.protobuf.ByteString rangeEnd) {
+        return state.range(new EtcdMessages.RangeRequest(com.google.protobuf.ByteString.copyFromUtf8(key), rangeEnd))
+                .kvs();
+    }
+
     /** Ends all faults and sets the counts to zero; keys stay. */
     public void reset() {
         faults.reset();
