--- a/router/src/main/java/baobabcroft/chat/ChatBody.java
+++ b/router/src/main/java/baobabcroft/chat/ChatBody.java
@@ -11,6 +11,7 @@
 import com.google.common.hash.Hashing;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
 
 /** A chat completion request as its caller sent it. Immutable and thread-safe. */
 public final class ChatBody {
@@ -101,13 +102,12 @@
     /**
      * Returns how many tokens the answer may have, by the caller's own bound.
      *
-     * @param defaultTokens what to return if the caller gives no bound
-     * @return the member {@code max_completion_tokens} or {@code max_tokens}, if positive
+     * @return the member {@code max_completion_tokens} or {@code max_tokens}, or empty if there is no positive one
      */
-    public long expectedTokens(long defaultTokens) {
+    public OptionalLong tokenBound() {
         long bound = root.path("max_completion_tokens")
-                .asLong(root.path("max_tokens").asLong(defaultTokens));
-        return bound > 0 ? bound : defaultTokens;
+                .asLong(root.path("max_tokens").asLong(0));
+        return bound > 0 ? OptionalLong.of(bound) : OptionalLong.empty();
     }
 
     /**
--- a/router/src/main/java/baobabcroft/gateway/Cascades.java
+++ b/router/src/main/java/baobabcroft/gateway/Cascades.java
@@ -12,6 +12,7 @@
 import baobabcroft.platform.RatingRequest;
 import baobabcroft.platform.RatingResult;
 import baobabcroft.platform.RatingService;
+import baobabcroft.rollout.RatingAllocation;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.VersionId;
 import baobabcroft.rules.VersionRule;
@@ -79,8 +80,11 @@
     }
 
     /** Returns whether an answer outside of cascades should be rated, as evidence on its version. */
-    boolean samplePlainAnswer() {
-        return random.get().nextDouble() < PLAIN_RATING_SHARE;
+    boolean samplePlainAnswer(VersionId version, RuleSet rules) {
+        double probability = rules.version(version)
+                .map(rule -> RatingAllocation.probability(rule, rules.versionsOf(version.model()), PLAIN_RATING_SHARE))
+                .orElse(0.0);
+        return random.get().nextDouble() < probability;
     }
 
     /** Returns the rating of an answer, or empty if the budget is used up or the service gives none. */
--- a/router/src/main/java/baobabcroft/gateway/ChatAnswers.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatAnswers.java
@@ -39,7 +39,7 @@
     /** Returns an engine's refusal of the caller's request as it is. */
     CompletionStage<CallerAnswer> relayRefusal(ChatRun run, Delivery delivery) {
         return read(run, delivery).thenApply(bytes -> {
-            delivery.succeeded(ticker);
+            delivery.succeeded(ticker, 0);
             run.usage().ended(0);
             HttpResponse response = HttpResponse.create()
                     .withStatus(delivery.response().status())
@@ -61,7 +61,7 @@
                         "the endpoint's answer was not a whole chat answer of "
                                 + delivery.target().name());
             }
-            delivery.succeeded(ticker);
+            delivery.succeeded(ticker, parsed.get().completionTokens());
             return ChatDraft.of(delivery, bytes, parsed.get());
         });
     }
--- a/router/src/main/java/baobabcroft/gateway/ChatFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatFlow.java
@@ -64,7 +64,7 @@
                         ErrorCode.CONFIG_STALE, "this instance is not certain of the configuration in force"))
                 .rules();
         ImmutableList<String> models = targets.models(body.model(), caller.account(), rules);
-        AccountUsage usage = accountGate.enter(caller, body.expectedTokens(DEFAULT_TOKENS));
+        AccountUsage usage = accountGate.enter(caller, body.tokenBound().orElse(DEFAULT_TOKENS));
         ChatRun run = new ChatRun(caller, body, usage);
         CompletionStage<CallerAnswer> answer;
         try {
@@ -91,7 +91,7 @@
                 return CompletableFuture.completedFuture(answers.streamed(run, delivery));
             }
             return answers.draft(run, delivery).thenCompose(draft -> {
-                if (cascades.samplePlainAnswer()) {
+                if (cascades.samplePlainAnswer(draft.version(), rules)) {
                     cascades.rate(run, draft, kind(run), 0);
                 }
                 return answers.release(run, draft);
--- a/router/src/main/java/baobabcroft/gateway/ChatSender.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatSender.java
@@ -38,6 +38,7 @@
                         run.body().digest(),
                         true,
                         OptionalLong.of(run.body().prefixDigest()),
+                        run.body().tokenBound(),
                         snapshot -> target(run, model, kept, snapshot),
                         SendPermit.ALWAYS,
                         Long.MAX_VALUE)));
--- a/router/src/main/java/baobabcroft/gateway/ChatStreamEnd.java
+++ b/router/src/main/java/baobabcroft/gateway/ChatStreamEnd.java
@@ -34,7 +34,7 @@
 
     @Override
     public CompletionStage<Optional<String>> onWhole(long completionTokens) {
-        delivery.succeeded(ticker);
+        delivery.succeeded(ticker, completionTokens);
         usage.ended(completionTokens);
         return charges.record(chargeOf.apply(completionTokens, true))
                 .handle((unused, failure) ->
--- a/router/src/main/java/baobabcroft/gateway/Delivery.java
+++ b/router/src/main/java/baobabcroft/gateway/Delivery.java
@@ -31,10 +31,10 @@
         long sentNanos,
         long deadlineNanos,
         VersionOutcomes outcomes) {
-    /** Tells that the whole answer came. */
-    void succeeded(Ticker ticker) {
+    /** Tells that the whole answer came, with how many generated tokens. */
+    void succeeded(Ticker ticker, long tokens) {
         long nowNanos = ticker.read();
-        room.succeeded(TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos));
+        room.succeeded(TimeUnit.NANOSECONDS.toMillis(nowNanos - sentNanos), tokens);
         outcomes.succeeded(target, nowNanos - deadlineNanos > 0);
     }
 
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -134,7 +134,7 @@
         Target target = order.target().apply(planned);
         RequestFacts facts = new RequestFacts(
                 order.prefixDigest(), remainingMillis(order), progress.tried(), progress.avoidedFailureDomain());
-        return rooms.enter(order.caller(), target, facts)
+        return rooms.enter(order.caller(), target, facts, order.tokenBound())
                 .handle((room, failure) -> failure == null
                         ? send(order, progress, planned, target, room)
                         : CompletableFuture.<Delivery>failedFuture(withVerdict(Problems.toRefusal(failure), progress)))
--- a/router/src/main/java/baobabcroft/gateway/Room.java
+++ b/router/src/main/java/baobabcroft/gateway/Room.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.admission.AdmissionTicket;
+import baobabcroft.admission.ServiceEstimate;
 import baobabcroft.balance.EndpointLease;
 import baobabcroft.balance.FailureKind;
 import baobabcroft.rules.EndpointRule;
@@ -11,11 +12,13 @@
 final class Room {
     private final EndpointLease lease;
     private final AdmissionTicket ticket;
+    private final ServiceEstimate estimate;
     private final Runnable freed;
 
-    Room(EndpointLease lease, AdmissionTicket ticket, Runnable freed) {
+    Room(EndpointLease lease, AdmissionTicket ticket, ServiceEstimate estimate, Runnable freed) {
         this.lease = checkNotNull(lease);
         this.ticket = checkNotNull(ticket);
+        this.estimate = checkNotNull(estimate);
         this.freed = checkNotNull(freed);
     }
 
@@ -24,8 +27,11 @@
         return lease.rule();
     }
 
-    /** Ends the place after a whole answer that took the given time. */
-    void succeeded(long latencyMillis) {
+    /** Ends the place after a whole answer that took the given time and has the given generated tokens. */
+    void succeeded(long latencyMillis, long tokens) {
+        if (tokens > 0) {
+            estimate.answered(tokens, (double) latencyMillis);
+        }
         end(lease.succeeded(latencyMillis));
     }
 
--- a/router/src/main/java/baobabcroft/gateway/Rooms.java
+++ b/router/src/main/java/baobabcroft/gateway/Rooms.java
@@ -11,6 +11,7 @@
 import baobabcroft.admission.AdmissionSettings;
 import baobabcroft.admission.AdmissionTicket;
 import baobabcroft.admission.Attempt;
+import baobabcroft.admission.ServiceEstimate;
 import baobabcroft.balance.EndpointLease;
 import baobabcroft.balance.EndpointPicker;
 import baobabcroft.balance.EndpointPool;
@@ -22,6 +23,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
@@ -61,6 +63,7 @@
     private static final class Line {
         private volatile ImmutableList<EndpointRule> endpoints;
         private final AdmissionQueue queue;
+        private final ServiceEstimate estimate = ServiceEstimate.create();
 
         Line(ImmutableList<EndpointRule> endpoints, AdmissionSettings settings, EndpointPool pool, Ticker ticker) {
             this.endpoints = endpoints;
@@ -69,7 +72,7 @@
     }
 
     /** Returns room on an endpoint of the target, or fails with the refusal, not run. */
-    CompletionStage<Room> enter(CallerRequest caller, Target target, RequestFacts facts) {
+    CompletionStage<Room> enter(CallerRequest caller, Target target, RequestFacts facts, OptionalLong tokenBound) {
         Line line = lines.computeIfAbsent(target.name(), name -> new Line(target.endpoints(), settings, pool, ticker));
         line.endpoints = target.endpoints();
         Entry entry = new Entry(target, facts);
@@ -77,13 +80,20 @@
                 caller.account().name(),
                 caller.account().priority(),
                 facts.remainingMillis(),
-                pool.load(target.endpoints()).serviceMillis());
+                expectedServiceMillis(line, target, tokenBound));
         AdmissionDecision decision = line.queue.offer(request, entry);
         if (decision instanceof Refused refused) {
             return CompletableFuture.failedFuture(refusal(refused, target));
         }
         AdmissionTicket ticket = decision instanceof Started started ? started.ticket() : ((Queued) decision).ticket();
-        return entry.lease.thenApply(lease -> new Room(lease, ticket, this::drain));
+        return entry.lease.thenApply(lease -> new Room(lease, ticket, line.estimate, this::drain));
+    }
+
+    /** Returns the time that a request's own bound on tokens takes; without a bound, the mean of recent answers. */
+    private double expectedServiceMillis(Line line, Target target, OptionalLong tokenBound) {
+        return tokenBound.isPresent()
+                ? line.estimate.millisFor(tokenBound.getAsLong())
+                : pool.load(target.endpoints()).serviceMillis();
     }
 
     /** Starts waiting requests where room was freed, and refuses those that can no longer be answered in time. */
--- a/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
+++ b/router/src/main/java/baobabcroft/gateway/ServiceFlow.java
@@ -118,6 +118,7 @@
                 digest,
                 rule.idempotent(),
                 OptionalLong.empty(),
+                OptionalLong.empty(),
                 snapshot -> target(caller, rule, forEndpoint, snapshot),
                 permit,
                 rule.timeoutMillis());
@@ -156,7 +157,7 @@
     }
 
     private OperationAnswer answer(Delivery delivery, ByteString bytes) {
-        delivery.succeeded(ticker);
+        delivery.succeeded(ticker, 0);
         ContentType type = delivery.response().entity().getContentType();
         HttpResponse response = HttpResponse.create()
                 .withStatus(delivery.response().status())
