--- /dev/null
+++ b/router/src/test/java/baobabcroft/claim/BlindStore.java
@@ -0,0 +1,62 @@
+package baobabcroft.claim;
+
+import baobabcroft.fake.FakeStore;
+import baobabcroft.platform.KeyValueStore;
+import baobabcroft.platform.LeaseResult;
+import baobabcroft.platform.ReadResult;
+import baobabcroft.platform.Versioned;
+import baobabcroft.platform.WatchListener;
+import baobabcroft.platform.WriteResult;
+import com.google.protobuf.ByteString;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletionStage;
+
+/** A broken adapter, which writes whatever the revision. */
+record BlindStore(FakeStore store, KeyValueStore client) implements KeyValueStore {
+    @Override
+    public CompletionStage<ReadResult> read(String key) {
+        return client.read(key);
+    }
+
+    @Override
+    public CompletionStage<ReadResult> list(String prefix) {
+        return client.list(prefix);
+    }
+
+    @Override
+    public CompletionStage<WriteResult> compareAndSwap(
+            String key, long expectedRevision, ByteString value, OptionalLong leaseId) {
+        long currentRevision = store.peek(key).map(Versioned::revision).orElse(ABSENT);
+        return client.compareAndSwap(key, currentRevision, value, leaseId);
+    }
+
+    @Override
+    public CompletionStage<WriteResult> compareAndDelete(String key, long expectedRevision) {
+        return client.compareAndDelete(key, expectedRevision);
+    }
+
+    @Override
+    public CompletionStage<LeaseResult> grantLease(long ttlMillis) {
+        return client.grantLease(ttlMillis);
+    }
+
+    @Override
+    public CompletionStage<LeaseResult> renewLease(long leaseId) {
+        return client.renewLease(leaseId);
+    }
+
+    @Override
+    public CompletionStage<LeaseResult> revokeLease(long leaseId) {
+        return client.revokeLease(leaseId);
+    }
+
+    @Override
+    public AutoCloseable watch(String prefix, WatchListener listener) {
+        return client.watch(prefix, listener);
+    }
+
+    @Override
+    public void close() {
+        client.close();
+    }
+}
--- /dev/null
+++ b/router/src/test/java/baobabcroft/claim/ClaimFuzzTest.java
@@ -0,0 +1,66 @@
+package baobabcroft.claim;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import java.util.stream.Stream;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Shrinkable;
+
+/**
+ * Random schedules of requests and faults against an oracle that knows what ran.
+ *
+ * <p>A longer run: {@code -Dclaims.fuzz.tries=20000 -Dclaims.fuzz.seed=7}.
+ */
+class ClaimFuzzTest {
+    private static final int MAX_STEPS = 60;
+    private static final int GENERATION_SIZE = 1_000;
+    private static final int MUTANT_TRIES = 1_000;
+
+    @Provide
+    Arbitrary<List<FuzzStep>> schedules() {
+        return FuzzStep.schedules(MAX_STEPS);
+    }
+
+    private static Stream<List<FuzzStep>> schedules(long seed) {
+        return FuzzStep.schedules(MAX_STEPS).generator(GENERATION_SIZE).stream(new Random(seed))
+                .map(Shrinkable::value);
+    }
+
+    @Property(tries = 200, seed = "20261204")
+    void noScheduleBreaksAPromise(@ForAll("schedules") List<FuzzStep> steps) {
+        new ClaimWorld(ClaimWorld.Mutant.NONE).run(steps);
+    }
+
+    @Example
+    void neitherDoesALongerRun() {
+        int tries = Integer.getInteger("claims.fuzz.tries", 50);
+        long seed = Long.getLong("claims.fuzz.seed", 1);
+        long actions = schedules(seed)
+                .limit(tries)
+                .peek(steps -> new ClaimWorld(ClaimWorld.Mutant.NONE).run(steps))
+                .mapToLong(List::size)
+                .sum();
+        System.out.printf("claims: seed %d, %d schedules, %d actions%n", seed, tries, actions);
+    }
+
+    @Property
+    void theOracleNoticesEachMutant(@ForAll ClaimWorld.Mutant mutant) {
+        boolean noticed = schedules(1).limit(MUTANT_TRIES).anyMatch(steps -> breaksAPromise(mutant, steps));
+        assertTrue(noticed != (mutant == ClaimWorld.Mutant.NONE), () -> "wrong verdict on " + mutant);
+    }
+
+    private static boolean breaksAPromise(ClaimWorld.Mutant mutant, List<FuzzStep> steps) {
+        try {
+            new ClaimWorld(mutant).run(steps);
+            return false;
+        } catch (IllegalStateException e) {
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/baobabcroft/claim/ClaimOracle.java
@@ -0,0 +1,76 @@
+package baobabcroft.claim;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import baobabcroft.billing.Bill;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/** What really happened, and what callers were told. Complains if the two do not fit. */
+final class ClaimOracle {
+    private final Map<String, List<Run>> runsByKey = new HashMap<>();
+    private final Map<String, Run> runsByAnswer = new HashMap<>();
+    private final Set<Integer> toldNotRun = new HashSet<>();
+    private String complaint = "";
+
+    /** One run of a request at an endpoint. */
+    record Run(int delivery, String key, String body, String answer) {}
+
+    /** Notes a run and returns its answer, which no other run gives. */
+    String ran(int delivery, String key, String body) {
+        Run run = new Run(delivery, key, body, "answer " + runsByAnswer.size() + " to " + key);
+        List<Run> runs = runsByKey.computeIfAbsent(key, name -> new ArrayList<>());
+        runs.add(run);
+        runsByAnswer.put(run.answer(), run);
+        check(runs.size() <= 1, "ran twice: " + runs);
+        check(!toldNotRun.contains(delivery), "ran after its caller was told that it did not: " + run);
+        return run.answer();
+    }
+
+    void toldNotRun(int delivery) {
+        boolean ran = runsByAnswer.values().stream().anyMatch(run -> run.delivery() == delivery);
+        check(!ran, "told \"not run\", but it ran: delivery " + delivery);
+        toldNotRun.add(delivery);
+    }
+
+    void toldAnswer(String key, String body, String answer) {
+        Run run = runsByAnswer.get(answer);
+        check(run != null, "answer of nobody: " + answer);
+        check(run != null && run.key().equals(key) && run.body().equals(body), "answer of another request: " + run);
+    }
+
+    boolean hasRun(String key) {
+        return runsByKey.containsKey(key);
+    }
+
+    /** Checks the bills at the end; a key whose answer was surely recorded has exactly one charged bill. */
+    void checkBills(List<Bill> bills, List<String> surelyAnsweredKeys) {
+        Map<String, Integer> charged = new HashMap<>();
+        for (Bill bill : bills) {
+            if (bill.outcome() == Bill.Outcome.ANSWERED) {
+                String key = bill.requestId().substring(0, bill.requestId().indexOf('/'));
+                charged.merge(key, 1, Integer::sum);
+            }
+        }
+        charged.forEach((key, count) -> {
+            check(count == 1, key + " was charged " + count + " times");
+            check(hasRun(key), key + " was charged and did not run");
+        });
+        surelyAnsweredKeys.forEach(key -> check(charged.containsKey(key), key + " ran and was not charged"));
+    }
+
+    /** Complains at the end of whatever was noticed on the way, where an exception may have been caught. */
+    void verify() {
+        checkState(complaint.isEmpty(), "%s", complaint);
+    }
+
+    private void check(boolean holds, String complaintIfNot) {
+        if (!holds && complaint.isEmpty()) {
+            complaint = complaintIfNot;
+        }
+    }
+}
