--- a/router/src/main/java/baobabcroft/claim/ClaimRules.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimRules.java
@@ -57,8 +57,7 @@
     }
 
     /**
-     * Returns the transition that records an outcome. Actions {@code SettleAnswered}, {@code SettleUnknown} and
-     * {@code Withdraw} of the specification.
+     * Returns the transition that records an outcome. Action {@code Settle} of the specification.
      */
     Transition<SettleResult> settle(ClaimTicket ticket, Outcome outcome) {
         RecordKey key = keyOf(ticket.request());
--- a/router/src/main/java/baobabcroft/claim/ClaimService.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimService.java
@@ -70,7 +70,7 @@
     }
 
     /**
-     * Claims a request. Actions {@code Claim}, {@code RepeatCommit} and {@code GiveUp} of the specification.
+     * Claims a request. Action {@code Claim} of the specification.
      *
      * @param request the request
      * @return whether it may be sent, and if not, why
@@ -110,7 +110,8 @@
     }
 
     /**
-     * Records the outcome of a claimed request, together with its bill. The ticket can send no more.
+     * Records the outcome of a claimed request, together with its bill. The ticket can send no more. Actions
+     * {@code SettleAnswered}, {@code SettleUnknown} and {@code Withdraw} of the specification.
      *
      * <p>An unknown outcome may be followed by a late answer; anything else is final. Tried until it is stored.
      *
--- a/router/src/main/java/baobabcroft/slot/SlotCommitter.java
+++ b/router/src/main/java/baobabcroft/slot/SlotCommitter.java
@@ -116,6 +116,7 @@
         }
     }
 
+    /** Refuses a transition that ran out of time, and undoes it. Action {@code GiveUp} of the specification. */
     private void giveUp(PendingTransition<?> pending) {
         if (pending.isDone()) {
             return;
@@ -162,6 +163,7 @@
         }
     }
 
+    /** Reads the slot. Action {@code Read} of the specification. */
     private void readSlot() {
         queue.removeIf(PendingTransition::isDone);
         if (queue.isEmpty()) {
@@ -220,6 +222,10 @@
         });
     }
 
+    /**
+     * Writes a batch by compare-and-swap. Action {@code Write} of the specification, and {@code RepeatCommit} if an
+     * earlier try may have taken effect.
+     */
     private void write(Batch batch, long expectedRevision, boolean mayHaveTakenEffect) {
         Slot next = batch.result();
         batch.markSent();
@@ -243,6 +249,7 @@
         });
     }
 
+    /** Applies the queue to the newer value. Action {@code Receive} of the specification. */
     private void afterConflict(WriteResult.Conflict conflict) {
         succeeded();
         if (!adopt(conflict.current())) {
--- /dev/null
+++ b/router/src/test/java/baobabcroft/fake/FakeMachines.java
@@ -0,0 +1,138 @@
+package baobabcroft.fake;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.BiFunction;
+
+/**
+ * Some instances of the system over one fake store. A killed one is replaced at once by one with a new name.
+ *
+ * @param <S> service that a test drives on each instance
+ */
+public final class FakeMachines<S> {
+    private final VirtualTime time = new VirtualTime();
+    private final FakeStore store = new FakeStore(time);
+    private final BiFunction<FakeMachines<S>, Machine<S>, S> starter;
+    private final List<Machine<S>> running = new ArrayList<>();
+    private final Set<String> dead = new HashSet<>();
+    private int started;
+
+    /** One instance: its process, its connection to the store and its service. */
+    public static final class Machine<S> {
+        private final String name;
+        private final FakeProcess process;
+        private final FakeStoreClient client;
+        private S service;
+
+        private Machine(String name, FakeProcess process, FakeStoreClient client) {
+            this.name = name;
+            this.process = process;
+            this.client = client;
+        }
+
+        /** Returns the instance's name. */
+        public String name() {
+            return name;
+        }
+
+        /** Returns the instance's process. */
+        public FakeProcess process() {
+            return process;
+        }
+
+        /** Returns the instance's connection to the store. */
+        public FakeStoreClient client() {
+            return client;
+        }
+
+        /** Returns the instance's service. */
+        public S service() {
+            return service;
+        }
+    }
+
+    /** Starts instances. */
+    public FakeMachines(int count, BiFunction<FakeMachines<S>, Machine<S>, S> starter) {
+        this.starter = starter;
+        for (int i = 0; i < count; i++) {
+            running.add(start());
+        }
+    }
+
+    /** Starts one more instance, which is not disturbed. */
+    public Machine<S> start() {
+        FakeProcess process = new FakeProcess(time);
+        FakeStoreClient client = store.connect();
+        client.deliverThrough(process::run);
+        Machine<S> machine = new Machine<>("instance-" + started++, process, client);
+        machine.service = starter.apply(this, machine);
+        return machine;
+    }
+
+    /** Returns the clock. */
+    public VirtualTime time() {
+        return time;
+    }
+
+    /** Returns the store. */
+    public FakeStore store() {
+        return store;
+    }
+
+    /** Returns the instance that has a place now. */
+    public Machine<S> at(int place) {
+        return running.get(place);
+    }
+
+    /** Returns all instances that have a place now. */
+    public List<Machine<S>> all() {
+        return List.copyOf(running);
+    }
+
+    /** Returns whether an instance has ended. */
+    public boolean isDead(String name) {
+        return dead.contains(name);
+    }
+
+    /** Lets a disturbance happen. */
+    public void suffer(Disturbance disturbance) {
+        Machine<S> machine = at(disturbance.place());
+        switch (disturbance.trouble()) {
+            case FREEZE -> machine.process().freeze();
+            case THAW -> machine.process().thaw();
+            case KILL -> replace(disturbance.place());
+            case CUT_FROM_STORE -> machine.client().setCut(true);
+            case RECONNECT -> machine.client().setCut(false);
+            case STOP_STORE -> store.setDown(true);
+            case RESTART_STORE -> store.setDown(false);
+            case SLOW_STORE -> store.setLatencyMillis(disturbance.millis());
+            case FAST_STORE -> store.setLatencyMillis(2);
+            case LOSE_REPLIES -> store.loseReplies(disturbance.count());
+            case DELAY_WRITES -> store.delayWrites(disturbance.count(), disturbance.millis());
+            case PAUSE -> time.advance(disturbance.millis());
+            default -> throw new AssertionError(disturbance);
+        }
+    }
+
+    private void replace(int place) {
+        Machine<S> machine = at(place);
+        machine.process().kill();
+        dead.add(machine.name());
+        running.set(place, start());
+    }
+
+    /** Ends all disturbances and lets half a minute pass. */
+    public void heal() {
+        store.setDown(false);
+        store.setLatencyMillis(2);
+        store.loseReplies(0);
+        store.delayWrites(0, 0);
+        for (Machine<S> machine : running) {
+            machine.client().setCut(false);
+            machine.process().thaw();
+        }
+        time.advance(30_000);
+    }
+}
