--- a/router/src/test/java/baobabcroft/claim/ClaimWorld.java
+++ b/router/src/test/java/baobabcroft/claim/ClaimWorld.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import baobabcroft.billing.Bill;
+import baobabcroft.fake.BlindStore;
 import baobabcroft.fake.FakeMachines;
 import baobabcroft.fake.FakeMachines.Machine;
 import baobabcroft.fake.VirtualTime;
--- a/router/src/test/java/baobabcroft/claim/BlindStore.java
+++ b/router/src/test/java/baobabcroft/fake/BlindStore.java
@@ -1,6 +1,5 @@
-package baobabcroft.claim;
+package baobabcroft.fake;
 
-import baobabcroft.fake.FakeStore;
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.LeaseResult;
 import baobabcroft.platform.ReadResult;
@@ -12,7 +11,7 @@
 import java.util.concurrent.CompletionStage;
 
 /** A broken adapter, which writes whatever the revision. */
-record BlindStore(FakeStore store, KeyValueStore client) implements KeyValueStore {
+public record BlindStore(FakeStore store, KeyValueStore client) implements KeyValueStore {
     @Override
     public CompletionStage<ReadResult> read(String key) {
         return client.read(key);
--- a/router/src/test/java/baobabcroft/session/SessionFuzzTest.java
+++ b/router/src/test/java/baobabcroft/session/SessionFuzzTest.java
@@ -1,10 +1,13 @@
 package baobabcroft.session;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import baobabcroft.fake.BlindStore;
 import baobabcroft.fake.Disturbance;
 import baobabcroft.fake.FakeMachines;
 import baobabcroft.fake.FakeMachines.Machine;
+import baobabcroft.platform.KeyValueStore;
 import baobabcroft.rules.VersionId;
 import baobabcroft.slot.SlotLog;
 import baobabcroft.slot.SlotLogContext;
@@ -13,25 +16,29 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Random;
 import java.util.Set;
 import java.util.SplittableRandom;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.Shrinkable;
 import net.jqwik.api.Tuple;
 
 /** Random schedules of one session's requests and of faults: whoever learns its version learns the same one. */
 class SessionFuzzTest {
     private static final int INSTANCES = 3;
+    private static final int MUTANT_TRIES = 500;
 
     /** A request that would choose a version, or a disturbance. */
     record Step(int place, int version, Optional<Disturbance> disturbance) {}
 
     @Provide
-    Arbitrary<List<Step>> schedules() {
+    static Arbitrary<List<Step>> schedules() {
         Arbitrary<Step> request = Combinators.combine(
                         Arbitraries.integers().between(0, INSTANCES - 1),
                         Arbitraries.integers().between(1, 3))
@@ -46,9 +53,21 @@
 
     @Property(tries = 200, seed = "20261204")
     void aPinNeverChanges(@ForAll("schedules") List<Step> steps) {
+        assertEquals(1, versionsLearned(steps, false).size());
+    }
+
+    @Example
+    void theOracleNoticesBlindWrites() {
+        assertTrue(schedules().generator(1_000).stream(new Random(1))
+                .map(Shrinkable::value)
+                .limit(MUTANT_TRIES)
+                .anyMatch(steps -> versionsLearned(steps, true).size() > 1));
+    }
+
+    private static Set<VersionId> versionsLearned(List<Step> steps, boolean writesBlindly) {
         SplittableRandom random = new SplittableRandom(5);
         FakeMachines<SessionService> machines =
-                new FakeMachines<>(INSTANCES, (all, machine) -> start(all, machine, random));
+                new FakeMachines<>(INSTANCES, (all, machine) -> start(all, machine, random, writesBlindly));
         Set<VersionId> learned = new HashSet<>();
         for (Step step : steps) {
             step.disturbance().ifPresent(machines::suffer);
@@ -59,7 +78,7 @@
         machines.heal();
         machines.all().forEach(machine -> request(machine, 9, learned));
         machines.time().advance(5_000);
-        assertEquals(1, learned.size(), learned::toString);
+        return learned;
     }
 
     private static void request(Machine<SessionService> machine, int version, Set<VersionId> learned) {
@@ -74,9 +93,13 @@
     }
 
     private static SessionService start(
-            FakeMachines<SessionService> all, Machine<SessionService> machine, SplittableRandom random) {
+            FakeMachines<SessionService> all,
+            Machine<SessionService> machine,
+            SplittableRandom random,
+            boolean writesBlindly) {
+        KeyValueStore view = writesBlindly ? new BlindStore(all.store(), machine.client()) : machine.client();
         SlotLogContext context = new SlotLogContext(
-                machine.client(),
+                view,
                 machine.process().scheduler(),
                 Runnable::run,
                 all.time().ticker(),
