Refuse a request whose claim record is damaged, and only that

A record that could not be decoded ended the claim's stage exceptionally, so that a caller's wait had no result. Such a request is now refused like any other that cannot be claimed, and the log says why; other keys of the slot go on, which a new test checks. Ruled out: treating it as absent, as its request may have run.

--- a/router/src/main/java/baobabcroft/claim/ClaimService.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimService.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Claims non-idempotent requests before they are sent, and records their outcomes.
@@ -23,6 +25,8 @@
  * <p>Only the attempt whose claim is stored may send, and only once; nobody takes a claim over. Thread-safe.
  */
 public final class ClaimService {
+    private static final Logger LOG = LoggerFactory.getLogger(ClaimService.class);
+
     private final SlotLog log;
     private final String instance;
     private final ClaimSettings settings;
@@ -86,7 +90,13 @@
                         rules.claim(ticket),
                         Math.min(leftMillis, settings.limitMillis()),
                         rules.settle(ticket, new Outcome.NotRun()))
-                .thenApply(ClaimService::resultOf);
+                .thenApply(ClaimService::resultOf)
+                .exceptionally(this::refuseDamaged);
+    }
+
+    private ClaimResult refuseDamaged(Throwable cause) {
+        LOG.error("a claim's record could not be read; the request is refused", cause);
+        return new ClaimResult.Unavailable(settings.limitMillis());
     }
 
     private static ClaimResult resultOf(CommitResult<ClaimResult> result) {
--- a/router/src/test/java/baobabcroft/claim/ClaimFleet.java
+++ b/router/src/test/java/baobabcroft/claim/ClaimFleet.java
@@ -5,12 +5,15 @@
 import baobabcroft.fake.FakeStore;
 import baobabcroft.fake.FakeStoreClient;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.slot.Decision;
 import baobabcroft.slot.SlotLog;
 import baobabcroft.slot.SlotLogContext;
 import baobabcroft.slot.SlotLogSettings;
+import baobabcroft.slot.SlotRecord;
 import com.codahale.metrics.MetricRegistry;
 import com.google.protobuf.ByteString;
 import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 
 /** Several instances with claim services over one fake store. */
@@ -68,6 +71,23 @@
         return stage.toCompletableFuture().join();
     }
 
+    /** Writes a record as it is. */
+    CompletableFuture<Boolean> write(SlotRecord record) {
+        SlotLogContext context = new SlotLogContext(
+                store.connect(),
+                time.scheduler(),
+                Runnable::run,
+                time.ticker(),
+                time.wallClock(),
+                random::nextLong,
+                new MetricRegistry());
+        CompletableFuture<Boolean> written = SlotLog.create(context, settings)
+                .submitUntilDone(record.key(), (view, nowEpochMillis) -> new Decision.Put<>(record, true))
+                .toCompletableFuture();
+        time.advance(100);
+        return written;
+    }
+
     /** Claims and expects to be granted the right to send. */
     ClaimTicket grant(Instance instance, ClaimRequest request) {
         ClaimResult result = after(100, instance.claims().claim(request));
--- a/router/src/test/java/baobabcroft/claim/ClaimServiceTest.java
+++ b/router/src/test/java/baobabcroft/claim/ClaimServiceTest.java
@@ -6,7 +6,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.billing.Bill;
+import baobabcroft.slot.RecordKey;
 import baobabcroft.slot.SlotLogSettings;
+import baobabcroft.slot.SlotRecord;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.util.concurrent.CompletableFuture;
@@ -130,6 +132,16 @@
                     ClaimResult.Unavailable.class, ClaimFleet.now(first.claims().claim(fleet.request("l"))));
         }
 
+        @Test
+        void ofADamagedRecordRefuseItsRequestAlone() {
+            RecordKey key = ClaimRules.keyOf(fleet.request("k"));
+            ByteString damaged = ByteString.copyFromUtf8("no claim");
+            CompletableFuture<Boolean> written = fleet.write(new SlotRecord(key, damaged, 0, Long.MAX_VALUE));
+            assertTrue(ClaimFleet.now(written));
+            assertInstanceOf(ClaimResult.Unavailable.class, claim(first, fleet.request("k")));
+            assertInstanceOf(ClaimResult.Granted.class, claim(first, fleet.request("l")));
+        }
+
         @Test
         void areOverWhenTheStoreIsBack() {
             fleet.store.setDown(true);
