Keep watches alive when a listener fails and when the client stops

Cause: read again after landing, the watch told its listener of a disconnection before it planned the next connection, so a listener that threw there ended the watch for good; a scheduler or executor that is stopping made calls throw. Ruled out: swallowing such calls as "nothing sent": the request may be on its way, so the reply counts as lost. The order of planning and telling has no test of its own. Conclusion: reconnection is planned first; a rejected task is a lost reply.

--- a/router/src/main/java/baobabcroft/platform/etcd/EtcdClient.java
+++ b/router/src/main/java/baobabcroft/platform/etcd/EtcdClient.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -116,9 +117,14 @@
     }
 
     private <T> CompletableFuture<Reply<T>> send(Call<T> call, URI url) {
-        HttpRequest request = request(url, call.path(), call.body());
-        CompletableFuture<HttpResponse<String>> exchange = http.sendAsync(request, BodyHandlers.ofString());
-        Scheduler.Cancellable timer = scheduler.schedule(timeoutMillis, () -> exchange.cancel(true));
+        CompletableFuture<HttpResponse<String>> exchange;
+        Scheduler.Cancellable timer;
+        try {
+            exchange = http.sendAsync(request(url, call.path(), call.body()), BodyHandlers.ofString());
+            timer = scheduler.schedule(timeoutMillis, () -> exchange.cancel(true));
+        } catch (RejectedExecutionException e) {
+            return CompletableFuture.completedFuture(new Reply.Lost<>("the client is stopping", false));
+        }
         return exchange.handle((response, failure) -> {
             timer.cancel();
             Reply<T> reply = failure == null ? read(response, call.answerType()) : failed(failure);
--- a/router/src/main/java/baobabcroft/platform/etcd/EtcdWatch.java
+++ b/router/src/main/java/baobabcroft/platform/etcd/EtcdWatch.java
@@ -71,7 +71,12 @@
         Connection opened = new Connection();
         connection = opened;
         opened.expectMessage();
-        opened.exchange = client.stream("/v3/watch", request, opened::subscriberFor);
+        try {
+            opened.exchange = client.stream("/v3/watch", request, opened::subscriberFor);
+        } catch (RejectedExecutionException e) {
+            disconnected(opened, "the client is stopping");
+            return;
+        }
         var unused = opened.exchange.whenComplete(
                 (response, failure) -> execute(() -> disconnected(opened, reasonOf(response, failure))));
     }
@@ -87,9 +92,9 @@
         connection = null;
         ended.close();
         client.preferNext();
-        listener.onDisconnected(reason);
         client.scheduler().schedule(delayMillis(), () -> execute(this::connect));
         failures++;
+        listener.onDisconnected(reason);
     }
 
     private long delayMillis() {
@@ -165,7 +170,7 @@
 
     /** One connection of the watch. */
     private final class Connection implements Flow.Subscriber<String> {
-        private CompletableFuture<HttpResponse<Void>> exchange;
+        private CompletableFuture<HttpResponse<Void>> exchange = new CompletableFuture<>();
         private Scheduler.Cancellable idleTimer = () -> {};
 
         HttpResponse.BodySubscriber<Void> subscriberFor(HttpResponse.ResponseInfo info) {
--- a/standins/src/test/java/baobabcroft/standin/kv/EtcdStoreTest.java
+++ b/standins/src/test/java/baobabcroft/standin/kv/EtcdStoreTest.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -317,6 +318,23 @@
             assertEquals(List.of("put a/3 two"), next(1));
         }
 
+        @Test
+        void tellAgainOfAChangeThatTheListenerFailedOn() throws Exception {
+            AtomicBoolean failed = new AtomicBoolean();
+            store.watch("a/", new ForwardingListener(listener) {
+                @Override
+                public void onPut(Versioned entry) {
+                    if (failed.compareAndSet(false, true)) {
+                        throw new IllegalStateException("the listener fails once");
+                    }
+                    super.onPut(entry);
+                }
+            });
+            next(1);
+            written("a/1", 0, ONE);
+            assertEquals(List.of("disconnected", "gap", "put a/1 one"), next(3));
+        }
+
         @Test
         void countAsOneCallAndEndWhenClosed() throws Exception {
             AutoCloseable watch = store.watch("a/", listener);
@@ -331,4 +349,32 @@
             assertEquals(0, standin.openWatches());
         }
     }
+
+    private static class ForwardingListener implements WatchListener {
+        private final WatchListener delegate;
+
+        ForwardingListener(WatchListener delegate) {
+            this.delegate = delegate;
+        }
+
+        @Override
+        public void onPut(Versioned entry) {
+            delegate.onPut(entry);
+        }
+
+        @Override
+        public void onDelete(String key, long revision) {
+            delegate.onDelete(key, revision);
+        }
+
+        @Override
+        public void onGap() {
+            delegate.onGap();
+        }
+
+        @Override
+        public void onDisconnected(String reason) {
+            delegate.onDisconnected(reason);
+        }
+    }
 }
