--- a/router/src/test/java/baobabcroft/config/ConfigFuzzProperties.java
+++ b/router/src/test/java/baobabcroft/config/ConfigFuzzTest.java
@@ -28,8 +28,8 @@
  * <p>{@code -Dconfig.fuzz.steps} sets the longest run of actions, {@code -Dconfig.fuzz.chains} how many runs more,
  * {@code -Dconfig.fuzz.seed} other runs.
  */
-class ConfigFuzzProperties {
-    private static final Logger LOG = LoggerFactory.getLogger(ConfigFuzzProperties.class);
+class ConfigFuzzTest {
+    private static final Logger LOG = LoggerFactory.getLogger(ConfigFuzzTest.class);
     private static final String SEED = "20261204";
     private static final int MAX_STEPS = Integer.getInteger("config.fuzz.steps", 30);
     private static final long DELAY_SEED = Long.getLong("config.fuzz.seed", 1);
@@ -85,7 +85,7 @@
         return ActionChain.startWith(() -> new ConfigFuzzModel(variant, DELAY_SEED))
                 .withAction(8, action("advance", (model, choice) -> model.advance(100L * (choice + 1))))
                 .withAction(4, action("propose", (model, choice) -> model.propose(choice, 0)))
-                .withAction(2, action("race", ConfigFuzzProperties::race))
+                .withAction(2, action("race", ConfigFuzzTest::race))
                 .withAction(1, action("propose stale", (model, choice) -> model.propose(choice, 1)))
                 .withAction(2, action("restart", ConfigFuzzModel::restart))
                 .withAction(1, action("kill", ConfigFuzzModel::kill))
--- a/router/src/test/java/baobabcroft/fake/FakePeerNetwork.java
+++ b/router/src/test/java/baobabcroft/fake/FakePeerNetwork.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.function.LongSupplier;
+import java.util.function.ToLongBiFunction;
 
 /**
  * Network between instances in virtual time, with cuts and delays; freezes and kills come from the processes.
@@ -24,7 +25,7 @@
     private final VirtualTime time;
     private final Map<String, Node> nodes = new HashMap<>();
     private final Set<Link> cuts = new HashSet<>();
-    private LongSupplier delayMillis = () -> 1;
+    private ToLongBiFunction<String, String> delayMillis = (from, to) -> 1;
     private long sentBytes;
 
     private record Link(String from, String to) {}
@@ -58,6 +59,11 @@
 
     /** Sets what gives the delay of each message. */
     public void setDelayMillis(LongSupplier delay) {
+        delayMillis = (from, to) -> delay.getAsLong();
+    }
+
+    /** Sets the delay of each message by sender and receiver. */
+    public void setLinkDelayMillis(ToLongBiFunction<String, String> delay) {
         delayMillis = delay;
     }
 
@@ -68,7 +74,7 @@
 
     private void send(String from, String to, int bytes, Runnable arrival) {
         sentBytes += bytes;
-        time.scheduler().schedule(delayMillis.getAsLong(), () -> {
+        time.scheduler().schedule(delayMillis.applyAsLong(from, to), () -> {
             if (!cuts.contains(new Link(from, to))) {
                 arrival.run();
             }
