Keep a request that failed everywhere from holding up all others

Also an estimate spoilt by one slow answer refused all bounded requests for good, as only an answer can correct it. Ruled out: a stalled timer (thread dump shows both idle), an endpoint out of service (status: ready, 0 open), a full gate. Conclusion: a request that was sent before takes room at once or is refused; an idle pool is always tried.

--- a/router/src/main/java/baobabcroft/gateway/Room.java
+++ b/router/src/main/java/baobabcroft/gateway/Room.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.admission.AdmissionTicket;
 import baobabcroft.admission.ServiceEstimate;
 import baobabcroft.balance.EndpointLease;
 import baobabcroft.balance.FailureKind;
@@ -11,13 +10,13 @@
 /** A request's place on an endpoint and in the admission queue. Thread-safe; only the first outcome counts. */
 final class Room {
     private final EndpointLease lease;
-    private final AdmissionTicket ticket;
+    private final Runnable leave;
     private final ServiceEstimate estimate;
     private final Runnable freed;
 
-    Room(EndpointLease lease, AdmissionTicket ticket, ServiceEstimate estimate, Runnable freed) {
+    Room(EndpointLease lease, Runnable leave, ServiceEstimate estimate, Runnable freed) {
         this.lease = checkNotNull(lease);
-        this.ticket = checkNotNull(ticket);
+        this.leave = checkNotNull(leave);
         this.estimate = checkNotNull(estimate);
         this.freed = checkNotNull(freed);
     }
@@ -47,7 +46,7 @@
 
     private void end(boolean first) {
         if (first) {
-            ticket.close();
+            leave.run();
             freed.run();
         }
     }
--- a/router/src/main/java/baobabcroft/gateway/Rooms.java
+++ b/router/src/main/java/baobabcroft/gateway/Rooms.java
@@ -15,7 +15,9 @@
 import baobabcroft.balance.EndpointLease;
 import baobabcroft.balance.EndpointPicker;
 import baobabcroft.balance.EndpointPool;
+import baobabcroft.balance.PoolLoad;
 import baobabcroft.balance.RequestFacts;
+import baobabcroft.common.ErrorCode;
 import baobabcroft.common.RouterException;
 import baobabcroft.common.Scheduler;
 import baobabcroft.rules.EndpointRule;
@@ -36,6 +38,8 @@
  * <p>There is one admission queue for each version and operation. Thread-safe.
  */
 final class Rooms {
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
     private final EndpointPool pool;
     private final EndpointPicker picker;
     private final AdmissionSettings settings;
@@ -75,6 +79,9 @@
     CompletionStage<Room> enter(CallerRequest caller, Target target, RequestFacts facts, OptionalLong tokenBound) {
         Line line = lines.computeIfAbsent(target.name(), name -> new Line(target.endpoints(), settings, pool, ticker));
         line.endpoints = target.endpoints();
+        if (!facts.excludedEndpoints().isEmpty()) {
+            return enterAgain(line, target, facts);
+        }
         Entry entry = new Entry(target, facts);
         AdmissionRequest request = new AdmissionRequest(
                 caller.account().name(),
@@ -86,14 +93,32 @@
             return CompletableFuture.failedFuture(refusal(refused, target));
         }
         AdmissionTicket ticket = decision instanceof Started started ? started.ticket() : ((Queued) decision).ticket();
-        return entry.lease.thenApply(lease -> new Room(lease, ticket, line.estimate, this::drain));
+        return entry.lease.thenApply(lease -> new Room(lease, ticket::close, line.estimate, this::drain));
     }
 
-    /** Returns the time that a request's own bound on tokens takes; without a bound, the mean of recent answers. */
+    /**
+     * Returns room for a request that has been sent before, or fails at once. It does not queue: it may be unable to
+     * use the very endpoints that have room, and would hold up all behind it.
+     */
+    private CompletionStage<Room> enterAgain(Line line, Target target, RequestFacts facts) {
+        return pool.tryAcquire(target.endpoints(), facts, picker, random.get())
+                .map(lease -> CompletableFuture.completedFuture(new Room(lease, () -> {}, line.estimate, this::drain)))
+                .orElseGet(() -> CompletableFuture.failedFuture(RouterException.notRun(
+                        ErrorCode.POOL_EXHAUSTED,
+                        "no other endpoint of " + target.name() + " has room",
+                        RETRY_AFTER_MILLIS)));
+    }
+
+    /**
+     * Returns the time that a request's own bound on tokens takes; without a bound, the mean of recent answers. While
+     * nothing runs it returns zero: only another answer can correct an estimate that one slow answer has spoilt.
+     */
     private double expectedServiceMillis(Line line, Target target, OptionalLong tokenBound) {
-        return tokenBound.isPresent()
-                ? line.estimate.millisFor(tokenBound.getAsLong())
-                : pool.load(target.endpoints()).serviceMillis();
+        PoolLoad load = pool.load(target.endpoints());
+        if (load.inFlight() == 0) {
+            return 0;
+        }
+        return tokenBound.isPresent() ? line.estimate.millisFor(tokenBound.getAsLong()) : load.serviceMillis();
     }
 
     /** Starts waiting requests where room was freed, and refuses those that can no longer be answered in time. */
--- a/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
@@ -186,10 +186,21 @@
 
     /** Lets the next call be answered with a whole chat answer of the given version. */
     void answerChat(String version) {
-        answer(
-                200,
-                "{\"id\":\"c\",\"model\":\"" + version + "\",\"choices\":[{\"message\":{\"content\":\"5 min\"},"
-                        + "\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":1000}}");
+        answer(200, chatAnswer(version, 1_000));
+    }
+
+    /** Lets the next call be answered with a whole chat answer after a while. */
+    void answerSlowChat(long millis, int tokens) {
+        script.add(call -> {
+            time.advance(millis);
+            return new EndpointReply.Answered(
+                    HttpResponse.create().withEntity(ContentTypes.APPLICATION_JSON, chatAnswer(VERSION, tokens)));
+        });
+    }
+
+    private static String chatAnswer(String version, int tokens) {
+        return "{\"id\":\"c\",\"model\":\"" + version + "\",\"choices\":[{\"message\":{\"content\":\"5 min\"},"
+                + "\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":" + tokens + "}}";
     }
 
     /** Lets the next call fail. */
--- a/router/src/test/java/baobabcroft/gateway/GatewayServerTest.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayServerTest.java
@@ -144,6 +144,34 @@
             assertTrue(!gateway.sent.get(0).address().equals(gateway.sent.get(1).address()));
         }
 
+        @Test
+        void thatEveryEndpointFailedIsGivenUpAtOnceAndHoldsUpNoOther() {
+            for (int filled = 0; filled < 25; filled++) {
+                gateway.answerChat(GatewayFixture.VERSION);
+                gateway.call(gateway.chat("shop-key", "film"));
+            }
+            long startMillis = gateway.time.nowMillis();
+            gateway.fail(Kind.CONNECTION_LOST);
+            gateway.fail(Kind.CONNECTION_LOST);
+
+            HttpResponse refusal = gateway.call(gateway.chat("shop-key", "film"));
+
+            assertEquals(503, refusal.status().intValue(), () -> body(refusal));
+            assertTrue(body(refusal).contains("may_have_run"), () -> body(refusal));
+            assertTrue(gateway.time.nowMillis() - startMillis < 2_000);
+        }
+
+        @Test
+        void isTriedOnAnIdlePoolHoweverSlowTheLastAnswerWas() {
+            gateway.answerSlowChat(9_000, 1);
+            gateway.call(gateway.chat("shop-key", "film"));
+            gateway.answerChat(GatewayFixture.VERSION);
+
+            HttpResponse response = gateway.call(gateway.chat("shop-key", "film\",\"max_tokens\":4,\"user\":\"u"));
+
+            assertEquals(200, response.status().intValue(), () -> body(response));
+        }
+
         @Test
         void ofAWithdrawnVersionIsRefusedAndNotSent() {
             gateway.apply(2, "withdrawn");
