--- a/acceptance/src/test/java/baobabcroft/acceptance/Deployment.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/Deployment.java
@@ -17,6 +17,7 @@
 import java.net.http.HttpRequest;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -30,11 +31,15 @@
     private static final String OPERATOR_KEY = "operator-key";
     private static final long SEED = 4;
 
+    /** More than twice the list lag: until then instances count each other as recent, and no majority decides. */
+    private static final Duration LIST_SETTLED = Duration.ofSeconds(24);
+
     private final ObjectMapper json = new ObjectMapper();
     private final Client client = new Client();
     private final FreePorts ports = new FreePorts();
     private final List<RouterInstance> instances = new ArrayList<>();
     private SampleRules rules;
+    private long readyNanos;
     private Standins standins;
 
     /** Starts stand-ins and instances, puts the sample rules in force and waits until all instances are ready. */
@@ -60,6 +65,14 @@
             throw new AssertionError("the sample rules were not accepted: " + applied);
         }
         instances.forEach(instance -> awaitOk(instance, "/readyz"));
+        readyNanos = System.nanoTime();
+    }
+
+    /** Waits until the instances have seen each other listed for so long that a majority of them can decide. */
+    void awaitListSettled() {
+        Conditions.await(
+                "the list has been watched for " + LIST_SETTLED,
+                () -> System.nanoTime() - readyNanos > LIST_SETTLED.toNanos());
     }
 
     private static Path createFolder() {
--- a/acceptance/src/test/java/baobabcroft/acceptance/DeploymentSteps.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/DeploymentSteps.java
@@ -24,6 +24,11 @@
         deployment.start(count);
     }
 
+    @Given("the instances have been listed for longer than the list may lag")
+    public void listSettled() {
+        deployment.awaitListSettled();
+    }
+
     @Given("the service takes {long} ms for an operation")
     public void serviceTakes(long millis) {
         deployment.standins().services().values().forEach(service -> service.setServiceMillis(millis));
--- a/acceptance/src/test/resources/features/configuration.feature
+++ b/acceptance/src/test/resources/features/configuration.feature
@@ -1,5 +1,17 @@
 Feature: A change of the rules is in force whole, once and everywhere
 
+  Scenario: a frozen instance wakes after a version was withdrawn
+    Given 3 instances
+    And the instances have been listed for longer than the list may lag
+    When chats for both versions come through all instances without end
+    And instance 1 is frozen
+    And 10 chats for the old version wait at instance 1
+    And the old version's withdrawal through instance 2 is accepted
+    And instance 1 wakes
+    Then all waiting chats are refused and none has been started since acceptance
+    And instance 1 runs the new version again
+    And 50 more chats for the old version came and none has been started since acceptance
+
   Scenario: a version is withdrawn under load
     Given 3 instances
     When chats for both versions come through all instances without end
