--- a/router/src/test/java/baobabcroft/rules/RulesParserProperties.java
+++ b/router/src/test/java/baobabcroft/rules/RulesParserPropertyTest.java
@@ -16,10 +16,10 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
 
-final class RulesParserProperties {
+final class RulesParserPropertyTest {
     private final String example;
 
-    RulesParserProperties() throws IOException {
+    RulesParserPropertyTest() throws IOException {
         example = Files.readString(Path.of("..", "examples", "kovacic", "kovacic.rules"));
     }
 
