--- a/router/src/main/java/baobabcroft/serve/PeerGossip.java
+++ b/router/src/main/java/baobabcroft/serve/PeerGossip.java
@@ -37,8 +37,8 @@
  */
 final class PeerGossip {
     private static final long ASK_TIMEOUT_MILLIS = 1_000;
-    private static final long INTERVAL_MILLIS = 500;
-    private static final int ROUNDS_BETWEEN_ALL = 20;
+    private static final long INTERVAL_MILLIS = 1_000;
+    private static final int ROUNDS_BETWEEN_ALL = 10;
 
     private final PeerTransport transport;
     private final PeerNames peers;
