--- a/router/src/main/java/baobabcroft/billing/BillJournal.java
+++ b/router/src/main/java/baobabcroft/billing/BillJournal.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.platform.Backoff;
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.OutageDetector;
@@ -18,8 +20,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Bills that one run of one instance writes: segments under its own name, one growing at a time, with group commit.
@@ -31,7 +31,7 @@
     /** Prefix of the keys of all journals. */
     static final String PREFIX = "bills/";
 
-    private static final Logger LOG = LoggerFactory.getLogger(BillJournal.class);
+    private static final EventLog LOG = EventLog.of(BillJournal.class);
     private static final int MAX_COMMIT_BILLS = 2_000;
 
     private final String instance;
@@ -118,7 +118,7 @@
                 .exceptionally(e -> new WriteResult.Unknown(String.valueOf(e.getMessage())))
                 .thenAcceptAsync(result -> written(commit, result), sequential)
                 .exceptionally(e -> {
-                    LOG.error("commit of bills failed", e);
+                    LOG.logFailure(LogEvent.COMMIT_FAILED, e, "bills");
                     return null;
                 });
     }
@@ -144,7 +144,7 @@
             return;
         }
         context.count("commit.conflict");
-        LOG.error("journal segment {} was written by another; going on in a new one", key());
+        LOG.log(LogEvent.JOURNAL_TAKEN, key());
         startSegment();
         commit.added().forEach(queue::addFirst);
         commitQueue();
--- a/router/src/main/java/baobabcroft/billing/BillReader.java
+++ b/router/src/main/java/baobabcroft/billing/BillReader.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.ReadResult;
 import baobabcroft.platform.Versioned;
@@ -11,12 +13,10 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletionStage;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Reads the bills of all instances, each request once. Thread-safe. */
 public final class BillReader {
-    private static final Logger LOG = LoggerFactory.getLogger(BillReader.class);
+    private static final EventLog LOG = EventLog.of(BillReader.class);
 
     private final KeyValueStore store;
     private final BillSource claims;
@@ -59,7 +59,7 @@
             try {
                 all.addAll(BillCodec.decode(segment.value()));
             } catch (InvalidProtocolBufferException e) {
-                LOG.error("{} is malformed", segment.key(), e);
+                LOG.logFailure(LogEvent.RECORD_UNREADABLE, e, segment.key());
                 return Optional.empty();
             }
         }
--- a/router/src/main/java/baobabcroft/claim/ClaimService.java
+++ b/router/src/main/java/baobabcroft/claim/ClaimService.java
@@ -4,6 +4,8 @@
 
 import baobabcroft.billing.Bill;
 import baobabcroft.common.Scheduler;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.slot.CommitResult;
 import baobabcroft.slot.RecordKey;
 import baobabcroft.slot.RecordKind;
@@ -16,8 +18,6 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongSupplier;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Claims non-idempotent requests before they are sent, and records their outcomes.
@@ -25,7 +25,7 @@
  * <p>Only the attempt whose claim is stored may send, and only once; nobody takes a claim over. Thread-safe.
  */
 public final class ClaimService {
-    private static final Logger LOG = LoggerFactory.getLogger(ClaimService.class);
+    private static final EventLog LOG = EventLog.of(ClaimService.class);
 
     private final SlotLog log;
     private final String instance;
@@ -95,7 +95,7 @@
     }
 
     private ClaimResult refuseDamaged(Throwable cause) {
-        LOG.error("a claim's record could not be read; the request is refused", cause);
+        LOG.logFailure(LogEvent.RECORD_UNREADABLE, cause, "claim");
         return new ClaimResult.Unavailable(settings.limitMillis());
     }
 
--- a/router/src/main/java/baobabcroft/claim/OutcomeWait.java
+++ b/router/src/main/java/baobabcroft/claim/OutcomeWait.java
@@ -1,16 +1,16 @@
 package baobabcroft.claim;
 
 import baobabcroft.common.Scheduler;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.slot.SlotLog;
 import java.time.InstantSource;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** One caller's wait for a running request: looks again whenever its slot changes, and now and then. Thread-safe. */
 final class OutcomeWait {
-    private static final Logger LOG = LoggerFactory.getLogger(OutcomeWait.class);
+    private static final EventLog LOG = EventLog.of(OutcomeWait.class);
 
     private final ClaimService claims;
     private final ClaimRequest request;
@@ -54,7 +54,7 @@
         try {
             watch.close();
         } catch (Exception e) {
-            LOG.warn("a watch could not be closed", e);
+            LOG.logFailure(LogEvent.INTERNAL_FAULT, e, "claim watch");
         }
     }
 
--- a/router/src/main/java/baobabcroft/config/ConfigState.java
+++ b/router/src/main/java/baobabcroft/config/ConfigState.java
@@ -1,6 +1,8 @@
 package baobabcroft.config;
 
 import baobabcroft.config.Confirmations.Progress;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.membership.Quorum;
 import baobabcroft.rules.ParsedRules;
 import java.util.ArrayList;
@@ -8,8 +10,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.TreeMap;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * What one instance has applied and what it knows of others.
@@ -17,7 +17,7 @@
  * <p>Changed by one thread at a time; {@link #grant} and {@link #current} may be read by any thread.
  */
 final class ConfigState {
-    private static final Logger LOG = LoggerFactory.getLogger(ConfigState.class);
+    private static final EventLog LOG = EventLog.of(ConfigState.class);
     private static final int MAX_KEPT_DOCUMENTS = 8;
 
     private final ConfigContext context;
@@ -86,7 +86,7 @@
             return false;
         }
         if (!(context.parser().apply(document.rulesText()) instanceof ParsedRules.Valid valid)) {
-            LOG.error("cannot read the rules of configuration {}; keeping {}", document.number(), number());
+            LOG.log(LogEvent.CONFIG_UNREADABLE, document.number(), "keeping " + number());
             rejectedNumber = document.number();
             return false;
         }
--- a/router/src/main/java/baobabcroft/config/PeerExchange.java
+++ b/router/src/main/java/baobabcroft/config/PeerExchange.java
@@ -1,5 +1,7 @@
 package baobabcroft.config;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.membership.KnownInstance;
 import baobabcroft.membership.PresenceTable;
 import baobabcroft.peer.PeerAnswer;
@@ -21,12 +23,10 @@
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Heartbeats with the other instances, and fetching from them what they have applied. Confined to its executor. */
 final class PeerExchange {
-    private static final Logger LOG = LoggerFactory.getLogger(PeerExchange.class);
+    private static final EventLog LOG = EventLog.of(PeerExchange.class);
     private static final int MAX_HEARTBEATS_UNDER_WAY = 4;
 
     private final ConfigContext context;
@@ -163,7 +163,7 @@
                         config.getDelta().getBaseNumber())
                 .flatMap(base -> ConfigDelta.apply(base, config.getDelta()));
         if (document.isEmpty()) {
-            LOG.warn("the delta of {} does not fit; fetching the whole document", peer);
+            LOG.log(LogEvent.CONFIG_DELTA_REFUSED, peer);
             fetch(peer, 0);
             return;
         }
--- a/router/src/main/java/baobabcroft/config/StorePoller.java
+++ b/router/src/main/java/baobabcroft/config/StorePoller.java
@@ -1,5 +1,7 @@
 package baobabcroft.config;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.ReadResult;
 import baobabcroft.platform.Versioned;
@@ -8,12 +10,10 @@
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Hears of changes from the store: by a watch, and by reads that also renew authority. Confined to its executor. */
 final class StorePoller {
-    private static final Logger LOG = LoggerFactory.getLogger(StorePoller.class);
+    private static final EventLog LOG = EventLog.of(StorePoller.class);
     private static final int MAX_READS_UNDER_WAY = 4;
 
     private final ConfigContext context;
@@ -42,7 +42,7 @@
 
             @Override
             public void onDelete(String key, long revision) {
-                LOG.warn("{} was deleted; keeping what is applied", key);
+                LOG.log(LogEvent.CONFIG_KEY_DELETED, key);
             }
 
             @Override
@@ -52,7 +52,7 @@
 
             @Override
             public void onDisconnected(String reason) {
-                LOG.warn("watch of the configuration is broken: {}", reason);
+                LOG.log(LogEvent.CONFIG_WATCH_BROKEN, reason);
             }
         });
     }
@@ -77,7 +77,7 @@
         Optional<Versioned> entry = found.entries().stream().findFirst();
         Optional<ConfigDocument> document = entry.flatMap(StorePoller::document);
         if (entry.isPresent() && document.isEmpty()) {
-            LOG.error("{} holds no configuration", ConfigKeys.CURRENT);
+            LOG.log(LogEvent.RECORD_UNREADABLE, ConfigKeys.CURRENT);
             return;
         }
         document.ifPresent(heard);
@@ -96,7 +96,7 @@
             return;
         }
         restoring = true;
-        LOG.warn("the store has lost configuration {}; writing it again", seen.appliedWhenSent());
+        LOG.log(LogEvent.CONFIG_LOST_BY_STORE, seen.appliedWhenSent());
         long revision = seen.entry().map(Versioned::revision).orElse(KeyValueStore.ABSENT);
         context.store()
                 .compareAndSwap(
--- a/router/src/main/java/baobabcroft/gateway/CrashWatch.java
+++ b/router/src/main/java/baobabcroft/gateway/CrashWatch.java
@@ -7,6 +7,8 @@
 import baobabcroft.endpoint.EndpointCall;
 import baobabcroft.endpoint.EndpointClient;
 import baobabcroft.endpoint.EndpointReply;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.poison.Crash;
 import baobabcroft.poison.CrashLedger;
 import baobabcroft.rules.EndpointRule;
@@ -24,6 +26,7 @@
 final class CrashWatch {
     private static final long PROBE_TIMEOUT_MILLIS = 300;
 
+    private final EventLog log = EventLog.of(CrashWatch.class);
     private final CrashLedger ledger;
     private final EndpointClient client;
     private final InstantSource wallClock;
@@ -60,5 +63,8 @@
         Crash crash = new Crash(bodyDigest, endpoint.name(), wallClock.millis());
         ledger.add(crash);
         announce.accept(crash);
+        if (ledger.isPoison(bodyDigest, wallClock.millis())) {
+            log.log(LogEvent.POISON_REQUEST_STOPPED, bodyDigest, endpoint.name());
+        }
     }
 }
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -1,5 +1,6 @@
 package baobabcroft.log;
 
+import static org.slf4j.event.Level.DEBUG;
 import static org.slf4j.event.Level.ERROR;
 import static org.slf4j.event.Level.INFO;
 import static org.slf4j.event.Level.WARN;
@@ -40,9 +41,17 @@
     /** The stored configuration cannot be read. */
     CONFIG_UNREADABLE(2005, ERROR, "stored configuration cannot be parsed; not applied", "number", "fault"),
     /** The instance's authority to take new work ran out. */
-    AUTHORITY_LOST(2006, WARN, "authority lost; new work refused", "number", "ageMillis"),
+    AUTHORITY_LOST(2006, WARN, "authority lost; new work refused", "number"),
     /** The instance has fresh authority again. */
     AUTHORITY_REGAINED(2007, INFO, "authority regained", "number", "lostMillis"),
+    /** The stored configuration was deleted. */
+    CONFIG_KEY_DELETED(2008, WARN, "stored configuration deleted; the applied one is kept", "key"),
+    /** The watch on the configuration is down; reads go on. */
+    CONFIG_WATCH_BROKEN(2009, WARN, "watch of the configuration broken", "reason"),
+    /** The key-value service shows an older configuration than it had. */
+    CONFIG_LOST_BY_STORE(2010, WARN, "key-value service lost a configuration; written again", "number"),
+    /** A difference from a peer does not fit what is applied. */
+    CONFIG_DELTA_REFUSED(2011, WARN, "difference does not fit; whole configuration fetched", "peer"),
 
     /** The key-value service does not answer. */
     STORE_UNAVAILABLE(3001, WARN, "key-value service unavailable", "reason"),
@@ -54,25 +63,39 @@
     RATING_UNAVAILABLE(3004, WARN, "rating service unavailable", "reason"),
 
     /** A connection to another instance is up. */
-    PEER_CONNECTED(4001, INFO, "peer connected", "peer", "address"),
+    PEER_CONNECTED(4001, INFO, "peer answers", "peer"),
     /** A connection to another instance is lost. */
-    PEER_LOST(4002, WARN, "peer lost", "peer", "reason"),
+    PEER_LOST(4002, WARN, "peer answers no more", "peer"),
+    /** A connection of another instance was refused or closed. */
+    PEER_REFUSED(4003, WARN, "peer refused", "peer", "reason"),
+    /** A connection to or from another instance failed. */
+    PEER_CONNECTION_FAILED(4004, DEBUG, "peer connection failed", "peer"),
+    /** A request of another instance could not be carried out. */
+    PEER_HANDLER_FAILED(4005, WARN, "request of a peer failed", "kind"),
 
     /** An endpoint gets no requests for a while. */
-    ENDPOINT_EJECTED(5001, WARN, "endpoint ejected", "endpoint", "reason", "ejectedMillis"),
+    ENDPOINT_EJECTED(5001, WARN, "endpoint out of service", "endpoint", "state"),
     /** An endpoint gets requests again. */
     ENDPOINT_BACK(5002, INFO, "endpoint back in service", "endpoint"),
     /** A version gets no new sessions because its figures turned bad. */
     VERSION_STOPPED(5003, ERROR, "version stopped automatically", "version", "reason", "requests"),
     /** A request that made several endpoints fail is not tried again. */
-    POISON_REQUEST_STOPPED(5004, ERROR, "poison request stopped", "account", "digest", "endpoints"),
+    POISON_REQUEST_STOPPED(5004, ERROR, "poison request stopped", "digest", "endpoint"),
 
     /** A bill is held in memory until the key-value service is back. */
-    BILL_HELD(6001, WARN, "bills held in memory of several instances", "bills", "holders"),
+    BILL_HELD(6001, WARN, "bills wait in memory for the key-value service", "bills"),
     /** Held bills are stored. */
-    BILL_WRITTEN(6002, INFO, "held bills written", "bills", "heldMillis"),
-    /** The reply to the write of a claim was lost and settled by reading back. */
-    CLAIM_REPLY_LOST(6003, WARN, "reply to a claim was lost; settled by reading back", "slot", "outcome");
+    BILL_WRITTEN(6002, INFO, "all waiting bills written", "heldMillis"),
+    /** The reply to the write of a slot was lost; the write is repeated on the same revision. */
+    CLAIM_REPLY_LOST(6003, WARN, "reply to the write of a slot was lost", "slot", "next"),
+    /** A stored record cannot be read. */
+    RECORD_UNREADABLE(6004, ERROR, "stored record cannot be read", "key"),
+    /** A commit failed for an unexpected reason and is tried again. */
+    COMMIT_FAILED(6005, ERROR, "commit failed; tried again", "key"),
+    /** A journal segment was written by another instance. */
+    JOURNAL_TAKEN(6006, ERROR, "journal segment written by another; going on in a new one", "key"),
+    /** The watch on a slot is down; it is opened again. */
+    SLOT_WATCH_BROKEN(6007, DEBUG, "watch of a slot broken", "slot", "reason");
 
     private final int number;
     private final Level level;
--- a/router/src/main/java/baobabcroft/peer/InboundSession.java
+++ b/router/src/main/java/baobabcroft/peer/InboundSession.java
@@ -1,17 +1,17 @@
 package baobabcroft.peer;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.peer.proto.Envelope;
 import baobabcroft.peer.proto.PeerReply;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.timeout.IdleStateEvent;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Answers the requests of one authenticated peer. Used by one event loop. */
 @SuppressWarnings("FutureReturnValueIgnored") // failed writes and closes end the channel, which is handled
 final class InboundSession extends SimpleChannelInboundHandler<Envelope> {
-    private static final Logger LOG = LoggerFactory.getLogger(InboundSession.class);
+    private static final EventLog LOG = EventLog.of(InboundSession.class);
 
     private final PeerHandlers handlers;
     private final PeerSettings settings;
@@ -49,7 +49,7 @@
 
     private void write(ChannelHandlerContext context, long correlationId, PeerReply reply) {
         if (!context.channel().isWritable()) {
-            LOG.warn("closing the connection of {}: it does not read its answers", peer);
+            LOG.log(LogEvent.PEER_REFUSED, peer, "does not read its answers");
             context.close();
             return;
         }
@@ -69,7 +69,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        LOG.debug("connection of {} failed", peer, cause);
+        LOG.logFailure(LogEvent.PEER_CONNECTION_FAILED, cause, peer);
         context.close();
     }
 }
--- a/router/src/main/java/baobabcroft/peer/ListenerHandshake.java
+++ b/router/src/main/java/baobabcroft/peer/ListenerHandshake.java
@@ -1,5 +1,7 @@
 package baobabcroft.peer;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.peer.PeerAuthenticator.Side;
 import baobabcroft.peer.PeerAuthenticator.Transcript;
 import baobabcroft.peer.proto.Challenge;
@@ -11,13 +13,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Handshake of the listening side; gives way to an {@link InboundSession}. Used by one event loop. */
 @SuppressWarnings("FutureReturnValueIgnored") // failed writes and closes end the channel, which is handled
 final class ListenerHandshake extends SimpleChannelInboundHandler<Envelope> {
-    private static final Logger LOG = LoggerFactory.getLogger(ListenerHandshake.class);
+    private static final EventLog LOG = EventLog.of(ListenerHandshake.class);
 
     private final PeerAuthenticator authenticator;
     private final PeerSettings settings;
@@ -47,7 +47,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext context, Envelope envelope) {
         if (envelope.getProtocolVersion() != PeerCodec.PROTOCOL_VERSION) {
-            LOG.warn("refused protocol version {} of {}", envelope.getProtocolVersion(), envelope.getSender());
+            LOG.log(LogEvent.PEER_REFUSED, envelope.getSender(), "protocol version " + envelope.getProtocolVersion());
             Envelope refusal = PeerCodec.envelope(self)
                     .setChallenge(Challenge.getDefaultInstance())
                     .build();
@@ -79,7 +79,7 @@
 
     private void check(ChannelHandlerContext context, ByteString proof, Transcript said) {
         if (!authenticator.verify(Side.OPENER, said, proof)) {
-            LOG.warn("refused {}: it does not know the shared key", said.opener());
+            LOG.log(LogEvent.PEER_REFUSED, said.opener(), "does not know the shared key");
             context.close();
             return;
         }
@@ -93,7 +93,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        LOG.debug("handshake failed", cause);
+        LOG.logFailure(LogEvent.PEER_CONNECTION_FAILED, cause, "unknown");
         context.close();
     }
 }
--- a/router/src/main/java/baobabcroft/peer/OutboundConnection.java
+++ b/router/src/main/java/baobabcroft/peer/OutboundConnection.java
@@ -1,5 +1,7 @@
 package baobabcroft.peer;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.peer.proto.Envelope;
 import baobabcroft.peer.proto.PeerRequest;
 import io.netty.bootstrap.Bootstrap;
@@ -22,8 +24,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.DoubleSupplier;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Connection on which this instance asks one peer, opened when first needed and again after a pause when it failed.
@@ -32,7 +32,7 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // failed writes and closes end the channel, which is handled
 final class OutboundConnection {
-    private static final Logger LOG = LoggerFactory.getLogger(OutboundConnection.class);
+    private static final EventLog LOG = EventLog.of(OutboundConnection.class);
 
     private final PeerSettings settings;
     private final PeerAuthenticator authenticator;
@@ -193,7 +193,7 @@
     }
 
     private void backOff(PeerFailure failure) {
-        LOG.debug("no connection to {} at {}: {}", peer, address, failure);
+        LOG.log(LogEvent.PEER_CONNECTION_FAILED, peer);
         state = State.BACKING_OFF;
         failAll(failure);
         closeChannel();
@@ -261,7 +261,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            LOG.debug("connection to {} failed", peer, cause);
+            LOG.logFailure(LogEvent.PEER_CONNECTION_FAILED, cause, peer);
             context.close();
         }
     }
--- a/router/src/main/java/baobabcroft/peer/PeerHandlers.java
+++ b/router/src/main/java/baobabcroft/peer/PeerHandlers.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.peer.proto.PeerReply;
 import baobabcroft.peer.proto.PeerRequest;
 import baobabcroft.peer.proto.Refused;
@@ -10,12 +12,10 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Handlers of a transport by kind of request. Thread-safe. */
 public final class PeerHandlers {
-    private static final Logger LOG = LoggerFactory.getLogger(PeerHandlers.class);
+    private static final EventLog LOG = EventLog.of(PeerHandlers.class);
 
     private final ConcurrentMap<PeerRequest.BodyCase, PeerHandler> handlers = new ConcurrentHashMap<>();
 
@@ -61,7 +61,7 @@
     }
 
     private static PeerReply failed(PeerRequest request, Throwable failure) {
-        LOG.warn("handler of {} failed", request.getBodyCase(), failure);
+        LOG.logFailure(LogEvent.PEER_HANDLER_FAILED, failure, request.getBodyCase());
         return refused("handler failed");
     }
 
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -101,6 +101,7 @@
     private final ConfigNode node;
     private final ClaimService claims;
     private final BillService bills;
+    private final PeerNames peers;
     private final EvidenceLedger evidence;
     private final AutomaticStop stops = AutomaticStop.create();
     private final VersionWatch versionWatch;
@@ -139,8 +140,7 @@
         SlotLog slotLog = slotLog();
         this.claims = ClaimService.create(
                 slotLog, incarnationName, ClaimSettings.defaults(), scheduler, wallClock, secureRandom::nextLong);
-        PeerNames peers =
-                new PeerNames(self, settings.instance().failureDomain(), members, node, liveList::failureDomainOf);
+        this.peers = new PeerNames(self, settings.instance().failureDomain(), members, node, liveList::failureDomainOf);
         PeerBillHolder billHolder = new PeerBillHolder(transport, peers);
         this.bills = billService(incarnationName, billHolder);
         billHolder.serve(bills);
@@ -294,6 +294,7 @@
                 ""));
         liveList.start();
         versionWatch.start();
+        new StateLog(node, claims, bills, pool, peers, scheduler, ticker).start();
         new LoadPoller(node, pool, endpointClient, settings.instance().region(), scheduler, ticker, system).start();
         AdminServer adminServer =
                 new AdminServer(AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
--- a/router/src/main/java/baobabcroft/slot/SegmentCache.java
+++ b/router/src/main/java/baobabcroft/slot/SegmentCache.java
@@ -1,5 +1,7 @@
 package baobabcroft.slot;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.ReadResult;
 import com.google.common.cache.Cache;
@@ -10,8 +12,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Arrays;
 import java.util.concurrent.CompletionStage;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Segments that were read: digests of the keys of many, and the records of a few. Thread-safe.
@@ -19,7 +19,7 @@
  * <p>A segment never changes, so what was read stays true. A segment that is gone held nothing worth keeping.
  */
 final class SegmentCache {
-    private static final Logger LOG = LoggerFactory.getLogger(SegmentCache.class);
+    private static final EventLog LOG = EventLog.of(SegmentCache.class);
     private static final long MAX_DIGESTS = 4_000_000;
     private static final long MAX_RECORD_BYTES = 16 << 20;
     private static final int RECORD_OVERHEAD_BYTES = 256;
@@ -87,7 +87,7 @@
             put(segmentKey, SlotCodec.decodeSegment(found.entries().get(0).value()));
             return true;
         } catch (InvalidProtocolBufferException e) {
-            LOG.error("segment {} is malformed", segmentKey, e);
+            LOG.logFailure(LogEvent.RECORD_UNREADABLE, e, segmentKey);
             return false;
         }
     }
--- a/router/src/main/java/baobabcroft/slot/SlotCommitter.java
+++ b/router/src/main/java/baobabcroft/slot/SlotCommitter.java
@@ -1,5 +1,7 @@
 package baobabcroft.slot;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.platform.Backoff;
 import baobabcroft.platform.KeyValueStore;
 import baobabcroft.platform.OutageDetector;
@@ -18,8 +20,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Commits the transitions of one slot, many in one compare-and-swap and one compare-and-swap at a time.
@@ -29,7 +29,7 @@
  * belongs to a sequential executor.
  */
 final class SlotCommitter {
-    private static final Logger LOG = LoggerFactory.getLogger(SlotCommitter.class);
+    private static final EventLog LOG = EventLog.of(SlotCommitter.class);
     private static final int MAX_SLOT_BYTES = 768 * 1024;
     private static final long UNKNOWN_REVISION = -1;
 
@@ -241,6 +241,7 @@
                 afterConflict(conflict);
             } else if (result instanceof WriteResult.Unknown || mayHaveTakenEffect) {
                 context.count("commit.unknown");
+                LOG.log(LogEvent.CLAIM_REPLY_LOST, slotName, "repeating the same write");
                 retry(() -> write(batch, expectedRevision, true));
             } else {
                 context.count("commit.unavailable");
@@ -292,7 +293,7 @@
         call.exceptionally(e -> onException.apply(String.valueOf(e.getMessage())))
                 .thenAcceptAsync(then, sequential)
                 .exceptionally(e -> {
-                    LOG.error("commit of slot {} failed; reading it again", slotName, e);
+                    LOG.logFailure(LogEvent.COMMIT_FAILED, e, slotName);
                     sequential.execute(() -> retry(this::readSlot));
                     return null;
                 });
@@ -327,7 +328,7 @@
             confirmedAtNanos = context.ticker().read();
             return true;
         } catch (InvalidProtocolBufferException e) {
-            LOG.error("slot {} is malformed", slotName, e);
+            LOG.logFailure(LogEvent.RECORD_UNREADABLE, e, slotName);
             return false;
         }
     }
--- a/router/src/main/java/baobabcroft/slot/SlotLog.java
+++ b/router/src/main/java/baobabcroft/slot/SlotLog.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import baobabcroft.platform.OutageDetector;
 import baobabcroft.platform.ReadResult;
 import baobabcroft.platform.Versioned;
@@ -13,8 +15,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import java.util.stream.IntStream;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * The records of all slots. Gathers transitions and commits them in groups, slot by slot.
@@ -22,7 +22,7 @@
  * <p>Any instance may commit to any slot at any time; compare-and-swap alone keeps them apart. Thread-safe.
  */
 public final class SlotLog {
-    private static final Logger LOG = LoggerFactory.getLogger(SlotLog.class);
+    private static final EventLog LOG = EventLog.of(SlotLog.class);
     private static final String SLOT_PREFIX = "slots/";
     private static final String SEGMENT_PREFIX = "segments/";
 
@@ -181,7 +181,7 @@
             try {
                 records.addAll(decoder.decode(entry.value()));
             } catch (InvalidProtocolBufferException e) {
-                LOG.error("{} is malformed", entry.key(), e);
+                LOG.logFailure(LogEvent.RECORD_UNREADABLE, e, entry.key());
                 return Optional.empty();
             }
         }
@@ -219,7 +219,7 @@
 
         @Override
         public void onDisconnected(String reason) {
-            LOG.debug("watch of {} disconnected: {}", slotKey, reason);
+            LOG.log(LogEvent.SLOT_WATCH_BROKEN, slotKey, reason);
         }
     }
 }
--- a/router/src/test/java/baobabcroft/log/EventLogTest.java
+++ b/router/src/test/java/baobabcroft/log/EventLogTest.java
@@ -39,9 +39,9 @@
     final class Line {
         @Test
         void showsNumberMessageAndValues() {
-            EventLog.of(EventLogTest.class).log(LogEvent.PEER_LOST, "i-2", "connection reset");
+            EventLog.of(EventLogTest.class).log(LogEvent.PEER_REFUSED, "i-2", "connection reset");
             ILoggingEvent logged = appender.list.get(0);
-            assertEquals("BC4002 peer lost peer=i-2 reason=\"connection reset\"", logged.getFormattedMessage());
+            assertEquals("BC4003 peer refused peer=i-2 reason=\"connection reset\"", logged.getFormattedMessage());
             assertEquals(Level.WARN, logged.getLevel());
         }
 
