Go on with a stopped version when nothing else is open

Ruled out: a higher bar for the last version, since any bar can be met by what all versions share. Conclusion: stops move new work to the other open versions and do not apply when there is none; operators are told as before.

--- a/router/src/main/java/baobabcroft/serve/VersionWatch.java
+++ b/router/src/main/java/baobabcroft/serve/VersionWatch.java
@@ -58,9 +58,13 @@
         check();
     }
 
-    /** Returns the version for a new session or a request without one. */
+    /**
+     * Returns the version for a new session or a request without one. Stops do not apply when they leave nothing: a
+     * suspect answer costs less than none.
+     */
     Optional<VersionId> choose(List<VersionRule> open, String assignmentKey) {
-        return VersionAssignment.assign(assignmentKey, open, stops::isStopped);
+        return VersionAssignment.assign(assignmentKey, open, stops::isStopped)
+                .or(() -> VersionAssignment.assign(assignmentKey, open, version -> false));
     }
 
     /** Takes in a stop that another instance told. */
