Apply the limit of header lengths from the settings

Cause: limits.maxHeaderBytes was read and used nowhere; Pekko's own 8 KB held instead. Ruled out: checking lengths in the gateway, since the parser refuses longer ones before it. Conclusion: both listeners take the limit; a claim that is unavailable says that only this delivery was not run.

--- a/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
+++ b/router/src/main/java/baobabcroft/gateway/ClaimedCalls.java
@@ -102,7 +102,9 @@
 
     private static RouterException unavailable(long retryAfterMillis) {
         return RouterException.notRun(
-                ErrorCode.CLAIM_UNAVAILABLE, "the request cannot be claimed at present", retryAfterMillis);
+                ErrorCode.CLAIM_UNAVAILABLE,
+                "the request cannot be claimed at present; this delivery was not run",
+                retryAfterMillis);
     }
 
     private CompletionStage<CallerAnswer> sendOnce(
--- a/router/src/main/java/baobabcroft/serve/HttpBinding.java
+++ b/router/src/main/java/baobabcroft/serve/HttpBinding.java
@@ -5,10 +5,12 @@
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.Done;
 import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.actor.typed.javadsl.Adapter;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.ServerBinding;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.settings.ServerSettings;
 import org.apache.pekko.japi.function.Function;
 
 /** A listening HTTP address. */
@@ -21,9 +23,16 @@
 
     /** Returns a binding once it listens; fails if the address cannot be bound. */
     static CompletionStage<HttpBinding> bind(
-            HostAndPort address, Function<HttpRequest, CompletionStage<HttpResponse>> handler, ActorSystem<?> system) {
+            HostAndPort address,
+            int maxHeaderBytes,
+            Function<HttpRequest, CompletionStage<HttpResponse>> handler,
+            ActorSystem<?> system) {
+        ServerSettings defaults = ServerSettings.create(Adapter.toClassic(system));
+        ServerSettings settings =
+                defaults.withParserSettings(defaults.getParserSettings().withMaxHeaderValueLength(maxHeaderBytes));
         return Http.get(system)
                 .newServerAt(address.getHost(), address.getPort())
+                .withSettings(settings)
                 .bind(handler)
                 .thenApply(HttpBinding::new);
     }
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -298,10 +298,11 @@
         new LoadPoller(node, pool, endpointClient, settings.instance().region(), scheduler, ticker, system).start();
         AdminServer adminServer =
                 new AdminServer(AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
-        return HttpBinding.bind(settings.listen().callers(), gateway::handle, system)
+        int maxHeaderBytes = settings.limits().maxHeaderBytes();
+        return HttpBinding.bind(settings.listen().callers(), maxHeaderBytes, gateway::handle, system)
                 .thenCompose(bound -> {
                     callersBinding = bound;
-                    return HttpBinding.bind(settings.listen().admin(), adminServer::handle, system);
+                    return HttpBinding.bind(settings.listen().admin(), maxHeaderBytes, adminServer::handle, system);
                 })
                 .thenApply(bound -> {
                     adminBinding = bound;
