--- a/acceptance/src/test/java/baobabcroft/acceptance/Deployment.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/Deployment.java
@@ -4,7 +4,7 @@
 
 import baobabcroft.config.ConfigDocument;
 import baobabcroft.config.ConfigKeys;
-import baobabcroft.platform.LiveEntry;
+import baobabcroft.external.LiveEntry;
 import baobabcroft.rules.ParsedRules;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.RulesParser;
--- a/router/src/main/java/baobabcroft/billing/BillJournal.java
+++ b/router/src/main/java/baobabcroft/billing/BillJournal.java
@@ -2,13 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.external.Backoff;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.OutageDetector;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.platform.Backoff;
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.OutageDetector;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WriteResult;
 import com.google.common.util.concurrent.MoreExecutors;
 import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
--- a/router/src/main/java/baobabcroft/billing/BillReader.java
+++ b/router/src/main/java/baobabcroft/billing/BillReader.java
@@ -2,11 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Comparator;
--- a/router/src/main/java/baobabcroft/billing/BillingContext.java
+++ b/router/src/main/java/baobabcroft/billing/BillingContext.java
@@ -1,7 +1,7 @@
 package baobabcroft.billing;
 
 import baobabcroft.common.Scheduler;
-import baobabcroft.platform.KeyValueStore;
+import baobabcroft.external.KeyValueStore;
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.base.Ticker;
 import java.util.concurrent.Executor;
--- a/router/src/main/java/baobabcroft/billing/HeldBills.java
+++ b/router/src/main/java/baobabcroft/billing/HeldBills.java
@@ -1,6 +1,6 @@
 package baobabcroft.billing;
 
-import baobabcroft.platform.ReadResult;
+import baobabcroft.external.ReadResult;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
--- a/router/src/main/java/baobabcroft/config/ConfigContext.java
+++ b/router/src/main/java/baobabcroft/config/ConfigContext.java
@@ -3,9 +3,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.common.Scheduler;
+import baobabcroft.external.KeyValueStore;
 import baobabcroft.membership.Members;
 import baobabcroft.peer.PeerTransport;
-import baobabcroft.platform.KeyValueStore;
 import baobabcroft.rules.ParsedRules;
 import com.google.common.base.Ticker;
 import java.time.InstantSource;
--- a/router/src/main/java/baobabcroft/config/ConfigService.java
+++ b/router/src/main/java/baobabcroft/config/ConfigService.java
@@ -3,7 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.config.Confirmations.Progress;
-import baobabcroft.platform.ReadResult;
+import baobabcroft.external.ReadResult;
 import baobabcroft.rules.ParsedRules;
 import java.time.Duration;
 import java.util.Optional;
--- a/router/src/main/java/baobabcroft/config/ConfigWriter.java
+++ b/router/src/main/java/baobabcroft/config/ConfigWriter.java
@@ -1,9 +1,9 @@
 package baobabcroft.config;
 
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WriteResult;
 import com.google.protobuf.ByteString;
 import java.time.InstantSource;
 import java.util.Optional;
--- a/router/src/main/java/baobabcroft/config/StorePoller.java
+++ b/router/src/main/java/baobabcroft/config/StorePoller.java
@@ -1,11 +1,11 @@
 package baobabcroft.config;
 
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WatchListener;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WatchListener;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.Executor;
--- a/router/src/main/java/baobabcroft/platform/KeyValueStore.java
+++ b/router/src/main/java/baobabcroft/external/KeyValueStore.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 import com.google.protobuf.ByteString;
 import java.util.OptionalLong;
--- a/router/src/main/java/baobabcroft/platform/LeaseResult.java
+++ b/router/src/main/java/baobabcroft/external/LeaseResult.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 /** Outcome of granting or renewing a lease. */
 public sealed interface LeaseResult {
--- a/router/src/main/java/baobabcroft/platform/LiveListResult.java
+++ b/router/src/main/java/baobabcroft/external/LiveListResult.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 import com.google.common.collect.ImmutableList;
 import java.util.List;
--- a/router/src/main/java/baobabcroft/platform/OutageDetector.java
+++ b/router/src/main/java/baobabcroft/external/OutageDetector.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 import com.google.common.base.Ticker;
 import java.util.concurrent.TimeUnit;
--- a/router/src/main/java/baobabcroft/platform/RatingResult.java
+++ b/router/src/main/java/baobabcroft/external/RatingResult.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 import static com.google.common.base.Preconditions.checkArgument;
 
--- a/router/src/main/java/baobabcroft/platform/WatchListener.java
+++ b/router/src/main/java/baobabcroft/external/WatchListener.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 /** Receives the changes of watched keys. Called by one thread at a time. */
 public interface WatchListener {
--- a/router/src/main/java/baobabcroft/platform/WriteResult.java
+++ b/router/src/main/java/baobabcroft/external/WriteResult.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 import java.util.Optional;
 
--- a/router/src/main/java/baobabcroft/platform/etcd/EtcdClient.java
+++ b/router/src/main/java/baobabcroft/external/etcd/EtcdClient.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform.etcd;
+package baobabcroft.external.etcd;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
--- a/router/src/main/java/baobabcroft/platform/etcd/EtcdJson.java
+++ b/router/src/main/java/baobabcroft/external/etcd/EtcdJson.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform.etcd;
+package baobabcroft.external.etcd;
 
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.core.JsonGenerator;
--- a/router/src/main/java/baobabcroft/platform/etcd/EtcdStore.java
+++ b/router/src/main/java/baobabcroft/external/etcd/EtcdStore.java
@@ -1,15 +1,15 @@
-package baobabcroft.platform.etcd;
+package baobabcroft.external.etcd;
 
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.common.Scheduler;
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.LeaseResult;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WatchListener;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.LeaseResult;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WatchListener;
+import baobabcroft.external.WriteResult;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.net.URI;
--- a/router/src/main/java/baobabcroft/platform/etcd/EtcdWatch.java
+++ b/router/src/main/java/baobabcroft/external/etcd/EtcdWatch.java
@@ -1,9 +1,9 @@
-package baobabcroft.platform.etcd;
+package baobabcroft.external.etcd;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.common.Scheduler;
-import baobabcroft.platform.WatchListener;
+import baobabcroft.external.WatchListener;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.google.common.util.concurrent.MoreExecutors;
 import com.google.protobuf.ByteString;
--- a/router/src/main/java/baobabcroft/platform/etcd/Reply.java
+++ b/router/src/main/java/baobabcroft/external/etcd/Reply.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform.etcd;
+package baobabcroft.external.etcd;
 
 /**
  * What became of one call.
--- a/router/src/main/java/baobabcroft/platform/etcd/package-info.java
+++ b/router/src/main/java/baobabcroft/external/etcd/package-info.java
@@ -5,4 +5,4 @@
  * its own and never repeats a POST: a pooled client that queues requests behind connection attempts cannot tell a write
  * that was not sent from one that may have been.
  */
-package baobabcroft.platform.etcd;
+package baobabcroft.external.etcd;
--- /dev/null
+++ b/router/src/main/java/baobabcroft/front/NettyChannels.java
@@ -0,0 +1,64 @@
+package baobabcroft.front;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioChannelOption;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.util.List;
+import java.util.function.Supplier;
+import jdk.net.ExtendedSocketOptions;
+
+/** Opens channels with the options that all of them share. */
+final class NettyChannels {
+    /** Silence after which the kernel probes a connection, in seconds. */
+    private static final int KEEP_ALIVE_IDLE_SECONDS = 2;
+    /** Time between probes, in seconds. */
+    private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
+    /** Probes without an answer after which a connection is dead; with the above under the bound of 4 s contact. */
+    private static final int KEEP_ALIVE_PROBES = 2;
+    /** Connections that may wait to be accepted; a burst of callers after a restart. */
+    private static final int BACKLOG = 512;
+
+    private NettyChannels() {}
+
+    /** Returns a client bootstrap. */
+    static Bootstrap client(EventLoopGroup loop, int connectTimeoutMillis, Supplier<List<ChannelHandler>> handlers) {
+        return new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMillis)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_KEEPALIVE, true)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPIDLE), KEEP_ALIVE_IDLE_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPINTERVAL), KEEP_ALIVE_INTERVAL_SECONDS)
+                .option(NioChannelOption.of(ExtendedSocketOptions.TCP_KEEPCOUNT), KEEP_ALIVE_PROBES)
+                .handler(initializer(handlers));
+    }
+
+    /** Returns a server bootstrap. */
+    static ServerBootstrap server(EventLoopGroup loop, Supplier<List<ChannelHandler>> handlers) {
+        return new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)
+                .childHandler(initializer(handlers));
+    }
+
+    private static ChannelInitializer<Channel> initializer(Supplier<List<ChannelHandler>> handlers) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                handlers.get().forEach(handler -> channel.pipeline().addLast(handler));
+            }
+        };
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/front/NettyHeaders.java
@@ -0,0 +1,31 @@
+package baobabcroft.front;
+
+import baobabcroft.relay.Header;
+import baobabcroft.relay.Headers;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Translates between Netty's types and the relay's. */
+final class NettyHeaders {
+    private NettyHeaders() {}
+
+    /** Returns the relay's headers. */
+    static Headers toRelay(HttpHeaders headers) {
+        List<Header> lines = new ArrayList<>(headers.size());
+        headers.forEach(entry -> lines.add(new Header(entry.getKey(), entry.getValue())));
+        return Headers.copyOf(lines);
+    }
+
+    /** Adds the relay's headers to Netty's. */
+    static void addTo(HttpHeaders target, Headers headers) {
+        headers.lines().forEach(line -> target.add(line.name(), line.value()));
+    }
+
+    /** Returns a copy of the readable bytes. */
+    static byte[] bytes(ByteBuf buffer) {
+        return ByteBufUtil.getBytes(buffer);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/front/StatusServer.java
@@ -0,0 +1,82 @@
+package baobabcroft.front;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.function.Supplier;
+
+/** Answers small questions about the instance itself, such as whether it is ready. */
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes its channel, which is handled.
+public final class StatusServer {
+    private static final int MAX_QUESTION_BYTES = 4_096;
+
+    private StatusServer() {}
+
+    /**
+     * One page.
+     *
+     * @param status HTTP status
+     * @param text the body
+     */
+    public record Page(int status, String text) {}
+
+    /**
+     * Binds an address and serves pages.
+     *
+     * @param loop runs all connections
+     * @param address where to listen
+     * @param pages each path's page, made when it is asked for
+     */
+    public static void start(EventLoopGroup loop, HostAndPort address, ImmutableMap<String, Supplier<Page>> pages) {
+        NettyChannels.server(
+                        loop,
+                        () -> List.of(
+                                new HttpServerCodec(), new HttpObjectAggregator(MAX_QUESTION_BYTES), handler(pages)))
+                .bind(address.getHost(), address.getPort())
+                .syncUninterruptibly();
+    }
+
+    private static SimpleChannelInboundHandler<FullHttpRequest> handler(ImmutableMap<String, Supplier<Page>> pages) {
+        return new SimpleChannelInboundHandler<>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+                Supplier<Page> page = pages.getOrDefault(request.uri(), () -> new Page(404, ""));
+                boolean open = HttpUtil.isKeepAlive(request);
+                var written = context.writeAndFlush(response(page.get(), open));
+                if (!open) {
+                    written.addListener(ChannelFutureListener.CLOSE);
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                context.close();
+            }
+        };
+    }
+
+    private static DefaultFullHttpResponse response(Page page, boolean open) {
+        byte[] text = page.text().getBytes(StandardCharsets.UTF_8);
+        DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(page.status()), Unpooled.wrappedBuffer(text));
+        response.headers()
+                .set(HttpHeaderNames.CONTENT_LENGTH, text.length)
+                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        HttpUtil.setKeepAlive(response, open);
+        return response;
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -0,0 +1,201 @@
+package baobabcroft.instance;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.Scheduler;
+import baobabcroft.directory.EndpointDirectory;
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.front.EndpointConnections;
+import baobabcroft.front.FrontServer;
+import baobabcroft.front.StatusServer;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.relay.CallerExchange;
+import baobabcroft.relay.CallerRequest;
+import baobabcroft.relay.EndpointChooser;
+import baobabcroft.relay.EndpointLoads;
+import baobabcroft.relay.ModelChooser;
+import baobabcroft.relay.RelayServices;
+import baobabcroft.relay.RelayedRequest;
+import baobabcroft.relay.RequestDialect;
+import baobabcroft.retry.RetryBudget;
+import baobabcroft.routing.CallerLimits;
+import baobabcroft.routing.RoutingInForce;
+import baobabcroft.routing.RoutingTable;
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.EventLoopGroup;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** One entry instance. All of it runs on one event loop. */
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes its channel, which is handled.
+public final class EntryInstance {
+    /** Time for the balancer to notice that the instance is not ready, in milliseconds: two questions and a margin. */
+    private static final long BALANCER_NOTICE_MILLIS = 2_700;
+    /** Margin before SIGKILL, in milliseconds. */
+    private static final long KILL_MARGIN_MILLIS = 700;
+
+    private static final long DRAIN_POLL_MILLIS = 50;
+    /** Share of the fleet's ratio of repeated sends that one instance uses. */
+    private static final double RETRY_RATIO_SHARE = 0.7;
+    /** Repeated sends that one instance may save up for a service. */
+    private static final double SAVED_RETRIES = 4;
+
+    private final EntrySettings settings;
+    private final Scheduler scheduler;
+    private final LongSupplier nowMillis = EntryInstance::steadyMillis;
+    private final RoutingInForce routing = new RoutingInForce();
+    private final EndpointDirectory directory = new EndpointDirectory();
+    private final Map<String, RetryBudget> budgets = new HashMap<>();
+    private final EndpointConnections connections;
+    private final EndpointLoads loads;
+    private final EndpointLedger endpoints;
+    private final RelayServices services;
+    private final EventLoopGroup loop;
+    private final EventLog log = EventLog.of(EntryInstance.class);
+    private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private FrontServer front;
+    private boolean endpointsKnown;
+    private boolean stopping;
+
+    private EntryInstance(EntrySettings settings, RequestDialect dialect, EventLoopGroup loop) {
+        this.settings = checkNotNull(settings);
+        this.loop = checkNotNull(loop);
+        this.scheduler = Scheduler.over(loop.next());
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+        this.connections = new EndpointConnections(loop.next(), dialect::isAnswerTo, request -> false);
+        this.loads = EndpointLoads.create(nowMillis);
+        this.endpoints = new EndpointLedger(directory, scheduler, nowMillis, this::endpointGone);
+        this.services = new RelayServices(
+                nowMillis,
+                scheduler,
+                random,
+                dialect,
+                routing,
+                directory,
+                loads,
+                new EndpointChooser(settings.failureDomain(), settings.regions(), loads, random),
+                ModelChooser.largest(),
+                this::budgetOf,
+                new OpenGate(),
+                new NoCrashes(),
+                connections,
+                LoggedRelay.create());
+    }
+
+    /**
+     * Returns an instance that does not listen yet.
+     *
+     * @param settings its settings
+     * @param dialect the words of its wire
+     * @param loop one thread that runs all of it
+     * @return the instance
+     */
+    public static EntryInstance create(EntrySettings settings, RequestDialect dialect, EventLoopGroup loop) {
+        return new EntryInstance(settings, dialect, loop);
+    }
+
+    /** Listens. The instance is ready once it knows configuration and endpoints. */
+    public void listen() {
+        StatusServer.start(
+                loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness, "/metrics", this::metrics));
+        front = FrontServer.start(loop, settings.callers(), this::limits, this::relay);
+        log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), "none");
+    }
+
+    /**
+     * Takes a configuration read from the operators; an older one than the present is ignored.
+     *
+     * @param table the configuration
+     */
+    public void configured(RoutingTable table) {
+        if (routing.offer(table)) {
+            log.log(LogEvent.CONFIG_APPLIED, table.version(), "", "operators", "store");
+        }
+    }
+
+    /**
+     * Returns the endpoints' ledger, to be kept in step with the platform's list.
+     *
+     * @return the ledger
+     */
+    public EndpointLedger endpoints() {
+        return endpoints;
+    }
+
+    /** The list of endpoints was read once. */
+    public void endpointsRead() {
+        endpointsKnown = true;
+    }
+
+    /** Begins a planned stop: not ready, requests under way are finished, then {@link #whenStopped} completes. */
+    public void stop() {
+        loop.execute(() -> {
+            if (stopping) {
+                return;
+            }
+            stopping = true;
+            log.log(LogEvent.DRAIN_STARTED, front.busyConnections());
+            front.drain();
+            long killAtMillis = nowMillis.getAsLong() + settings.bounds().graceMillis() - KILL_MARGIN_MILLIS;
+            scheduler.schedule(BALANCER_NOTICE_MILLIS, () -> awaitIdle(killAtMillis));
+        });
+    }
+
+    private void awaitIdle(long killAtMillis) {
+        front.closeIdle();
+        if (front.busyConnections() == 0 || nowMillis.getAsLong() >= killAtMillis) {
+            log.log(LogEvent.STOPPED, settings.instance(), front.busyConnections());
+            stopped.complete(null);
+        } else {
+            scheduler.schedule(DRAIN_POLL_MILLIS, () -> awaitIdle(killAtMillis));
+        }
+    }
+
+    /**
+     * Returns when the planned stop has ended.
+     *
+     * @return a future that completes on the event loop
+     */
+    public CompletableFuture<Void> whenStopped() {
+        return stopped;
+    }
+
+    private static long steadyMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+    }
+
+    private RelayedRequest relay(CallerRequest request, CallerExchange caller) {
+        return RelayedRequest.start(services, request, caller);
+    }
+
+    private CallerLimits limits() {
+        return routing.current().map(RoutingTable::limits).orElse(CallerLimits.DEFAULT);
+    }
+
+    private StatusServer.Page readiness() {
+        boolean ready = routing.current().isPresent() && endpointsKnown && !stopping;
+        return ready ? new StatusServer.Page(200, "ready") : new StatusServer.Page(503, "not ready");
+    }
+
+    private StatusServer.Page metrics() {
+        return new StatusServer.Page(200, "");
+    }
+
+    private RetryBudget budgetOf(String service) {
+        return budgets.computeIfAbsent(
+                service,
+                unused -> RetryBudget.of(
+                        RETRY_RATIO_SHARE * settings.bounds().retryRatio(), SAVED_RETRIES, SAVED_RETRIES));
+    }
+
+    private void endpointGone(EndpointEntry endpoint) {
+        connections.closeIdle(endpoint);
+        loads.forget(endpoint.id());
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/EntrySettings.java
@@ -0,0 +1,36 @@
+package baobabcroft.instance;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+
+/**
+ * Settings of one entry instance.
+ *
+ * @param instance its name
+ * @param failureDomain where it stands
+ * @param regions the region of each failure domain
+ * @param callers where callers connect
+ * @param readiness where the balancer asks whether it is ready
+ * @param metricsPort port of the metrics on the readiness address's host
+ * @param bounds the deployment's bounds
+ */
+public record EntrySettings(
+        String instance,
+        String failureDomain,
+        ImmutableMap<String, String> regions,
+        HostAndPort callers,
+        HostAndPort readiness,
+        int metricsPort,
+        EntryBounds bounds) {
+    /** Checks the parts. */
+    public EntrySettings {
+        checkNotNull(instance);
+        checkNotNull(failureDomain);
+        checkNotNull(regions);
+        checkNotNull(callers);
+        checkNotNull(readiness);
+        checkNotNull(bounds);
+    }
+}
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -77,6 +77,8 @@
     ENDPOINT_EJECTED(5001, WARN, "endpoint out of service", "endpoint", "state"),
     /** An endpoint gets requests again. */
     ENDPOINT_BACK(5002, INFO, "endpoint back in service", "endpoint"),
+    /** An entry of the endpoint list cannot be read. */
+    ENDPOINT_UNREADABLE(5010, WARN, "endpoint entry unreadable; it names no endpoint", "endpoint", "fault"),
     /** A version gets no new sessions because its figures turned bad. */
     VERSION_STOPPED(5003, ERROR, "version stopped automatically", "version", "reason", "requests"),
     /** A request that made several endpoints fail is not tried again. */
--- /dev/null
+++ b/router/src/main/java/baobabcroft/relay/CallerFacts.java
@@ -0,0 +1,32 @@
+package baobabcroft.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What the headers of a caller's request say.
+ *
+ * @param requestId id of the caller attempt
+ * @param waitMillis how long the caller waits, in milliseconds, if it says so
+ * @param key the key that it presents, if any
+ * @param prompt its prompt
+ * @param modelLeftOpen whether the router names the model
+ * @param resumeAfter number of the last event that the caller has, if it resumes a stream
+ * @param session the session that it belongs to, if any
+ */
+public record CallerFacts(
+        String requestId,
+        OptionalLong waitMillis,
+        Optional<String> key,
+        Prompt prompt,
+        boolean modelLeftOpen,
+        OptionalLong resumeAfter,
+        Optional<String> session) {
+    /** Checks the parts. */
+    public CallerFacts {
+        checkNotNull(requestId);
+        checkNotNull(prompt);
+    }
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -0,0 +1,449 @@
+package baobabcroft.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.Execution;
+import baobabcroft.common.RouterException;
+import baobabcroft.common.Scheduler;
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.routing.AccountProfile;
+import baobabcroft.routing.Route;
+import baobabcroft.routing.RouteKind;
+import baobabcroft.routing.RoutingTable;
+import baobabcroft.routing.ServiceProfile;
+import com.google.common.collect.ImmutableList;
+import java.io.ByteArrayOutputStream;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * One caller attempt from its arrival to its final answer.
+ *
+ * <p>Invariants: the caller receives exactly one whole answer or one stream; a request that may not be repeated is sent
+ * again only after an endpoint has said, or the transport has proved, that it did not run; an answer that promises "not
+ * run" is given only then. Not thread-safe.
+ */
+public final class RelayedRequest {
+    /** Longest answer that is not a stream, in bytes: the store's and the services' bound of a few megabytes. */
+    private static final int MAX_ANSWER_BYTES = 16 << 20;
+    /** Longest event, in bytes. */
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+    /** Time left under which a send is no use, in milliseconds: a round trip between regions does not fit. */
+    private static final long MIN_SEND_MILLIS = 20;
+    /** Sends beyond the route's bound on endpoints that may be spent on endpoints that did not run the request. */
+    private static final int MAX_EXTRA_SENDS = 3;
+    /** When to come back after no endpoint could take a request, in milliseconds. */
+    private static final long FULL_RETRY_MILLIS = 400;
+    /** When to come back to an instance that has no configuration yet, in milliseconds. */
+    private static final long STALE_RETRY_MILLIS = 1_000;
+    /** When to come back with a request under which endpoints died, in milliseconds. */
+    private static final long POISON_RETRY_MILLIS = 10_000;
+
+    private final RelayServices services;
+    private final CallerRequest request;
+    private final CallerExchange caller;
+    private final long arrivedAtMillis;
+    private final Set<String> used = new HashSet<>();
+    private Optional<RoutingTable> table = Optional.empty();
+    private Optional<Route> route = Optional.empty();
+    private Optional<AccountProfile> account = Optional.empty();
+    private Optional<String> model = Optional.empty();
+    private Optional<HeldAnswer> heldAnswer = Optional.empty();
+    private Optional<Attempt> attempt = Optional.empty();
+    private CallerFacts facts;
+    private String service = "";
+    private Execution execution = Execution.NOT_RUN;
+    private OptionalLong lastEvent = OptionalLong.empty();
+    private long deadlineAtMillis;
+    private int sends;
+    private int runs;
+    private boolean streaming;
+    private boolean done;
+    private Scheduler.Cancellable deadline = () -> {};
+
+    /** An endpoint's own failure, which is delivered unchanged if nothing better comes. */
+    @SuppressWarnings("ArrayRecordComponent")
+    private record HeldAnswer(int status, Headers headers, byte[] body) {}
+
+    private RelayedRequest(RelayServices services, CallerRequest request, CallerExchange caller) {
+        this.services = services;
+        this.request = request;
+        this.caller = caller;
+        this.arrivedAtMillis = services.nowMillis().getAsLong();
+    }
+
+    /**
+     * Starts to serve a request.
+     *
+     * @param services what requests share
+     * @param request the request, read whole
+     * @param caller receives the answer; may be called before this method returns
+     * @return the request under way
+     */
+    public static RelayedRequest start(RelayServices services, CallerRequest request, CallerExchange caller) {
+        RelayedRequest relayed =
+                new RelayedRequest(checkNotNull(services), checkNotNull(request), checkNotNull(caller));
+        relayed.begin();
+        return relayed;
+    }
+
+    /** The caller has closed its connection: the endpoint's work is cancelled. */
+    public void callerGone() {
+        if (!done) {
+            attempt.ifPresent(Attempt::abandon);
+            finish("caller_gone", 0);
+        }
+    }
+
+    /**
+     * Returns whether the request has its final answer.
+     *
+     * @return true from then on
+     */
+    public boolean isDone() {
+        return done;
+    }
+
+    private void begin() {
+        table = services.routing().current();
+        if (table.isEmpty()) {
+            refuse(Refusal.comeBack(ErrorCode.CONFIG_STALE, STALE_RETRY_MILLIS));
+            return;
+        }
+        try {
+            facts = services.dialect().readCaller(request);
+        } catch (RouterException malformed) {
+            refuse(Refusal.of(malformed.code()));
+            return;
+        }
+        route = table.get().find(request.host(), request.path());
+        if (route.isEmpty()) {
+            refuse(Refusal.of(ErrorCode.NOT_FOUND));
+            return;
+        }
+        account = facts.key().flatMap(table.get()::accountOf);
+        if (account.isEmpty() && table.get().needsKey(route.get())) {
+            refuse(Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
+            return;
+        }
+        if (services.crashes().isPoison(request, accountName())) {
+            refuse(Refusal.comeBack(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
+            return;
+        }
+        admit();
+    }
+
+    private void admit() {
+        long waitMillis =
+                Math.min(route.get().timeoutMillis(), facts.waitMillis().orElse(Long.MAX_VALUE));
+        deadlineAtMillis = arrivedAtMillis + waitMillis;
+        deadline = services.scheduler().schedule(waitMillis, this::onDeadline);
+        service = route.get().pickService(services.random().nextDouble());
+        model = facts.modelLeftOpen() ? services.models().choose(route.get(), facts.prompt()) : Optional.empty();
+        lastEvent = facts.resumeAfter();
+        services.budgets().apply(service).requestStarted();
+        sendOrGiveUp();
+    }
+
+    private void sendOrGiveUp() {
+        if (done) {
+            return;
+        }
+        if (remainingMillis() < MIN_SEND_MILLIS || !maySendAgain()) {
+            giveUp();
+            return;
+        }
+        ImmutableList<EndpointEntry> open = services.versions()
+                .allowed(service, services.directory().open(service), facts.session(), facts.requestId());
+        Optional<ServiceProfile> profile = table.get().service(service);
+        Optional<EndpointEntry> chosen = services.chooser().choose(open, used, profile, model, facts.prompt());
+        if (chosen.isEmpty() || (sends > 0 && !services.budgets().apply(service).tryTake())) {
+            giveUp();
+            return;
+        }
+        send(chosen.get(), profile.map(ServiceProfile::cacheTokens).orElse(0L));
+    }
+
+    private boolean maySendAgain() {
+        return runs < route.get().maxEndpoints() && sends < route.get().maxEndpoints() + MAX_EXTRA_SENDS;
+    }
+
+    private void send(EndpointEntry endpoint, long cacheTokens) {
+        used.add(endpoint.id());
+        sends++;
+        SendOrder order = new SendOrder(
+                endpoint.id(),
+                account.map(AccountProfile::name),
+                remainingMillis(),
+                model,
+                account.map(AccountProfile::priority)
+                        .orElse(java.util.OptionalInt.empty())
+                        .orElse(route.get().priority()),
+                lastEvent);
+        Headers headers = services.dialect().toEndpoint(request, order);
+        EndpointRequest outgoing =
+                new EndpointRequest(facts.requestId(), request.method(), request.target(), headers, request.body());
+        services.journal().sent(facts.requestId(), endpoint, model, sends);
+        EndpointLoads.Ticket ticket = services.loads().of(endpoint).begin(model, facts.prompt(), cacheTokens);
+        Attempt next = new Attempt(endpoint, ticket);
+        attempt = Optional.of(next);
+        next.exchange = services.transport().send(endpoint, outgoing, next);
+    }
+
+    private void onDeadline() {
+        if (done) {
+            return;
+        }
+        attempt.ifPresent(Attempt::abandon);
+        if (streaming) {
+            caller.breakOff();
+            finish("deadline_in_stream", 0);
+        } else if (execution == Execution.NOT_RUN) {
+            refuse(Refusal.comeBack(ErrorCode.DEADLINE_UNREACHABLE, FULL_RETRY_MILLIS));
+        } else {
+            refuse(Refusal.mayHaveRun(ErrorCode.DEADLINE_EXCEEDED));
+        }
+    }
+
+    private void giveUp() {
+        if (streaming) {
+            caller.breakOff();
+            finish("stream_lost", 0);
+        } else if (heldAnswer.isPresent()) {
+            deliver(heldAnswer.get(), "endpoint_failed");
+        } else if (execution == Execution.NOT_RUN) {
+            refuse(Refusal.comeBack(ErrorCode.POOL_EXHAUSTED, FULL_RETRY_MILLIS));
+        } else {
+            refuse(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED));
+        }
+    }
+
+    private void deliver(HeldAnswer answer, String outcome) {
+        caller.answer(answer.status(), services.dialect().toCaller(answer.headers()), answer.body());
+        finish(outcome, answer.status());
+    }
+
+    private void refuse(Refusal refusal) {
+        int status = services.dialect().statusOf(refusal);
+        caller.answer(status, services.dialect().headersOf(refusal), new byte[0]);
+        finish(refusal.code().code(), status);
+    }
+
+    private void finish(String outcome, int status) {
+        done = true;
+        deadline.cancel();
+        services.journal()
+                .finished(new RelaySummary(
+                        facts == null ? "" : facts.requestId(),
+                        route.map(Route::name),
+                        account.map(AccountProfile::name),
+                        outcome,
+                        status,
+                        execution,
+                        sends,
+                        services.nowMillis().getAsLong() - arrivedAtMillis,
+                        table.map(RoutingTable::version).orElse(0L)));
+    }
+
+    private long remainingMillis() {
+        return deadlineAtMillis - services.nowMillis().getAsLong();
+    }
+
+    private String accountName() {
+        return account.map(AccountProfile::name).orElse("");
+    }
+
+    /** One send to one endpoint. */
+    private final class Attempt implements ExchangeListener {
+        private final EndpointEntry endpoint;
+        private final EndpointLoads.Ticket ticket;
+        private final long sentAtMillis = services.nowMillis().getAsLong();
+        private final EventSplitter events = new EventSplitter();
+        private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+        private EndpointTransport.Exchange exchange = () -> {};
+        private int status;
+        private Headers headers = Headers.EMPTY;
+        private boolean eventStream;
+        private boolean firstOutput;
+        private boolean closed;
+
+        private Attempt(EndpointEntry endpoint, EndpointLoads.Ticket ticket) {
+            this.endpoint = endpoint;
+            this.ticket = ticket;
+        }
+
+        private void abandon() {
+            if (!closed) {
+                closed = true;
+                execution = Execution.MAY_HAVE_RUN;
+                ticket.abandoned();
+                exchange.cancel();
+            }
+        }
+
+        @Override
+        public void onHead(int newStatus, Headers newHeaders) {
+            if (closed) {
+                return;
+            }
+            status = newStatus;
+            headers = newHeaders;
+            AnswerFacts answer = services.dialect().readAnswer(status, headers);
+            if (answer.notRun()) {
+                notRun(answer.otherEndpoint() ? "other_endpoint" : "not_run_by_endpoint");
+                return;
+            }
+            boolean success = status >= 200 && status < 300;
+            if (success && (!answer.receipt() || answer.encoded())) {
+                failed(SendFailure.ANSWER_MALFORMED);
+                return;
+            }
+            eventStream = success && route.get().kind() == RouteKind.STREAMING;
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            if (closed) {
+                return;
+            }
+            if (eventStream) {
+                List<EventSplitter.Event> whole = events.feed(data);
+                whole.forEach(this::onEvent);
+                if (events.pendingBytes() > MAX_EVENT_BYTES) {
+                    failed(SendFailure.ANSWER_TOO_LARGE);
+                }
+                return;
+            }
+            body.writeBytes(data);
+            if (body.size() > MAX_ANSWER_BYTES) {
+                failed(SendFailure.ANSWER_TOO_LARGE);
+            }
+        }
+
+        private void onEvent(EventSplitter.Event event) {
+            if (closed) {
+                return;
+            }
+            if (event.id().isPresent()) {
+                long expected = lastEvent.orElse(0) + 1;
+                long id = event.id().getAsLong();
+                if (id > expected && streamHasBegun()) {
+                    failed(SendFailure.ANSWER_MALFORMED);
+                    return;
+                }
+                if (id < expected && streamHasBegun()) {
+                    return;
+                }
+                lastEvent = event.id();
+            }
+            markFirstOutput();
+            if (!streaming) {
+                streaming = true;
+                caller.startStream(status, services.dialect().toCaller(headers));
+            }
+            caller.streamData(event.bytes());
+        }
+
+        private boolean streamHasBegun() {
+            return lastEvent.isPresent();
+        }
+
+        private void markFirstOutput() {
+            if (!firstOutput) {
+                firstOutput = true;
+                ticket.promptRead();
+            }
+        }
+
+        @Override
+        public void onEnd() {
+            if (closed) {
+                return;
+            }
+            if (eventStream) {
+                endStream();
+                return;
+            }
+            closed = true;
+            execution = Execution.RAN;
+            runs++;
+            boolean endpointFailed = status >= 500;
+            ticket.answered(endpointFailed);
+            services.versions().answered(endpoint, route.get().name(), facts.session(), endpointFailed, elapsed());
+            HeldAnswer answer = new HeldAnswer(status, headers, body.toByteArray());
+            if (streaming) {
+                services.journal().sendFailed(facts.requestId(), endpoint, "failed_by_endpoint");
+                sendOrGiveUp();
+            } else if (endpointFailed && route.get().isRepeatable()) {
+                heldAnswer = Optional.of(answer);
+                services.journal().sendFailed(facts.requestId(), endpoint, "failed_by_endpoint");
+                sendOrGiveUp();
+            } else {
+                deliver(answer, endpointFailed ? "endpoint_failed" : "answered");
+            }
+        }
+
+        private void endStream() {
+            if (events.isMidEvent()) {
+                failed(SendFailure.CONNECTION_LOST);
+                return;
+            }
+            closed = true;
+            execution = Execution.RAN;
+            ticket.answered(false);
+            services.versions().answered(endpoint, route.get().name(), facts.session(), false, elapsed());
+            if (!streaming) {
+                caller.startStream(status, services.dialect().toCaller(headers));
+            }
+            caller.endStream();
+            finish("answered", status);
+        }
+
+        private long elapsed() {
+            return services.nowMillis().getAsLong() - sentAtMillis;
+        }
+
+        private void notRun(String reason) {
+            closed = true;
+            ticket.rejected();
+            services.journal().sendFailed(facts.requestId(), endpoint, reason);
+            exchange.cancel();
+            sendOrGiveUp();
+        }
+
+        private void failed(SendFailure failure) {
+            exchange.cancel();
+            onFailure(failure);
+        }
+
+        @Override
+        public void onFailure(SendFailure failure) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+            ticket.lost();
+            services.journal()
+                    .sendFailed(facts.requestId(), endpoint, failure.name().toLowerCase(java.util.Locale.ROOT));
+            if (!failure.mayHaveRun()) {
+                sendOrGiveUp();
+                return;
+            }
+            execution = Execution.MAY_HAVE_RUN;
+            runs++;
+            services.versions().answered(endpoint, route.get().name(), facts.session(), true, elapsed());
+            if (failure == SendFailure.CONNECTION_LOST && !firstOutput) {
+                services.crashes().connectionLost(request, accountName(), endpoint);
+            }
+            if (route.get().isRepeatable()) {
+                sendOrGiveUp();
+            } else {
+                giveUp();
+            }
+        }
+    }
+}
--- a/router/src/main/java/baobabcroft/retry/RetryBudget.java
+++ b/router/src/main/java/baobabcroft/retry/RetryBudget.java
@@ -15,9 +15,10 @@
     private final double maxTokens;
     private double tokens;
 
-    private RetryBudget(double share, double maxTokens) {
+    private RetryBudget(double share, double maxTokens, double tokens) {
         this.share = share;
         this.maxTokens = maxTokens;
+        this.tokens = tokens;
     }
 
     /**
@@ -37,9 +38,22 @@
      * @return a new, empty budget
      */
     public static RetryBudget of(double share, double maxTokens) {
+        return of(share, maxTokens, 0);
+    }
+
+    /**
+     * Returns a budget of the given share with some retries at the start.
+     *
+     * @param share retries allowed a request
+     * @param maxTokens retries that may be saved up
+     * @param tokens retries saved up at the start
+     * @return a new budget
+     */
+    public static RetryBudget of(double share, double maxTokens, double tokens) {
         checkArgument(share >= 0, "negative share: %s", share);
         checkArgument(maxTokens >= 1, "maxTokens under one: %s", maxTokens);
-        return new RetryBudget(share, maxTokens);
+        checkArgument(tokens >= 0 && tokens <= maxTokens, "tokens out of range: %s", tokens);
+        return new RetryBudget(share, maxTokens, tokens);
     }
 
     /** Counts a first attempt. */
--- a/router/src/main/java/baobabcroft/serve/LiveListPoller.java
+++ b/router/src/main/java/baobabcroft/serve/LiveListPoller.java
@@ -4,12 +4,12 @@
 
 import baobabcroft.balance.EndpointPool;
 import baobabcroft.common.Scheduler;
+import baobabcroft.external.LiveEntry;
+import baobabcroft.external.LiveList;
+import baobabcroft.external.LiveListResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.membership.Members;
-import baobabcroft.platform.LiveEntry;
-import baobabcroft.platform.LiveList;
-import baobabcroft.platform.LiveListResult;
 import com.google.common.base.Ticker;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
--- a/router/src/main/java/baobabcroft/slot/SegmentCache.java
+++ b/router/src/main/java/baobabcroft/slot/SegmentCache.java
@@ -1,9 +1,9 @@
 package baobabcroft.slot;
 
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.ReadResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.ReadResult;
 import com.google.common.cache.Cache;
 import com.google.common.cache.CacheBuilder;
 import com.google.common.collect.ImmutableList;
--- a/router/src/main/java/baobabcroft/slot/SlotCommitter.java
+++ b/router/src/main/java/baobabcroft/slot/SlotCommitter.java
@@ -1,13 +1,13 @@
 package baobabcroft.slot;
 
+import baobabcroft.external.Backoff;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.OutageDetector;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.platform.Backoff;
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.OutageDetector;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WriteResult;
 import com.google.common.collect.ImmutableList;
 import com.google.common.util.concurrent.MoreExecutors;
 import com.google.protobuf.InvalidProtocolBufferException;
--- a/router/src/main/java/baobabcroft/slot/SlotLog.java
+++ b/router/src/main/java/baobabcroft/slot/SlotLog.java
@@ -2,12 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.external.OutageDetector;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WatchListener;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.platform.OutageDetector;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WatchListener;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
--- a/router/src/main/java/baobabcroft/slot/SlotSealer.java
+++ b/router/src/main/java/baobabcroft/slot/SlotSealer.java
@@ -1,8 +1,8 @@
 package baobabcroft.slot;
 
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WriteResult;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.util.OptionalLong;
--- a/router/src/test/java/baobabcroft/claim/ClaimWorld.java
+++ b/router/src/test/java/baobabcroft/claim/ClaimWorld.java
@@ -3,11 +3,11 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import baobabcroft.billing.Bill;
+import baobabcroft.external.KeyValueStore;
 import baobabcroft.fake.BlindStore;
 import baobabcroft.fake.FakeMachines;
 import baobabcroft.fake.FakeMachines.Machine;
 import baobabcroft.fake.VirtualTime;
-import baobabcroft.platform.KeyValueStore;
 import baobabcroft.slot.SlotLog;
 import baobabcroft.slot.SlotLogContext;
 import baobabcroft.slot.SlotLogSettings;
--- a/router/src/test/java/baobabcroft/platform/HttpLiveListTest.java
+++ b/router/src/test/java/baobabcroft/external/HttpLiveListTest.java
@@ -1,4 +1,4 @@
-package baobabcroft.platform;
+package baobabcroft.external;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
--- a/router/src/test/java/baobabcroft/fake/BlindStore.java
+++ b/router/src/test/java/baobabcroft/fake/BlindStore.java
@@ -1,11 +1,11 @@
 package baobabcroft.fake;
 
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.LeaseResult;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WatchListener;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.LeaseResult;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WatchListener;
+import baobabcroft.external.WriteResult;
 import com.google.protobuf.ByteString;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
--- a/router/src/test/java/baobabcroft/fake/FakeStore.java
+++ b/router/src/test/java/baobabcroft/fake/FakeStore.java
@@ -3,8 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WriteResult;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/router/src/test/java/baobabcroft/fake/FakeStoreClient.java
+++ b/router/src/test/java/baobabcroft/fake/FakeStoreClient.java
@@ -2,12 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.LeaseResult;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.Versioned;
-import baobabcroft.platform.WatchListener;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.LeaseResult;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WatchListener;
+import baobabcroft.external.WriteResult;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
 import java.util.List;
--- a/router/src/test/java/baobabcroft/fake/FakeStoreTest.java
+++ b/router/src/test/java/baobabcroft/fake/FakeStoreTest.java
@@ -4,9 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import baobabcroft.platform.KeyValueStore;
-import baobabcroft.platform.ReadResult;
-import baobabcroft.platform.WriteResult;
+import baobabcroft.external.KeyValueStore;
+import baobabcroft.external.ReadResult;
+import baobabcroft.external.WriteResult;
 import com.google.protobuf.ByteString;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletionStage;
--- a/router/src/test/java/baobabcroft/session/SessionFuzzTest.java
+++ b/router/src/test/java/baobabcroft/session/SessionFuzzTest.java
@@ -3,11 +3,11 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import baobabcroft.external.KeyValueStore;
 import baobabcroft.fake.BlindStore;
 import baobabcroft.fake.Disturbance;
 import baobabcroft.fake.FakeMachines;
 import baobabcroft.fake.FakeMachines.Machine;
-import baobabcroft.platform.KeyValueStore;
 import baobabcroft.rules.VersionId;
 import baobabcroft.slot.SlotLog;
 import baobabcroft.slot.SlotLogContext;
--- a/standins/src/main/java/baobabcroft/standin/ServeCommands.java
+++ b/standins/src/main/java/baobabcroft/standin/ServeCommands.java
@@ -1,6 +1,6 @@
 package baobabcroft.standin;
 
-import baobabcroft.platform.LiveEntry;
+import baobabcroft.external.LiveEntry;
 import baobabcroft.rules.ParsedRules;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.RulesParser;
--- a/standins/src/main/java/baobabcroft/standin/kv/KeyRange.java
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyRange.java
@@ -1,6 +1,6 @@
 package baobabcroft.standin.kv;
 
-import baobabcroft.platform.etcd.EtcdMessages;
+import baobabcroft.external.etcd.EtcdMessages;
 import com.google.protobuf.ByteString;
 import java.util.Comparator;
 
--- a/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyValueStandin.java
@@ -1,7 +1,7 @@
 package baobabcroft.standin.kv;
 
-import baobabcroft.platform.etcd.EtcdJson;
-import baobabcroft.platform.etcd.EtcdMessages;
+import baobabcroft.external.etcd.EtcdJson;
+import baobabcroft.external.etcd.EtcdMessages;
 import baobabcroft.standin.http.Exchange;
 import baobabcroft.standin.http.HttpStandin;
 import baobabcroft.standin.http.Later;
--- a/standins/src/main/java/baobabcroft/standin/kv/KeyValueState.java
+++ b/standins/src/main/java/baobabcroft/standin/kv/KeyValueState.java
@@ -1,8 +1,8 @@
 package baobabcroft.standin.kv;
 
-import static baobabcroft.platform.etcd.EtcdMessages.CompareTarget;
+import static baobabcroft.external.etcd.EtcdMessages.CompareTarget;
 
-import baobabcroft.platform.etcd.EtcdMessages;
+import baobabcroft.external.etcd.EtcdMessages;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
--- a/standins/src/main/java/baobabcroft/standin/live/LiveListStandin.java
+++ b/standins/src/main/java/baobabcroft/standin/live/LiveListStandin.java
@@ -1,6 +1,6 @@
 package baobabcroft.standin.live;
 
-import baobabcroft.platform.LiveEntry;
+import baobabcroft.external.LiveEntry;
 import baobabcroft.standin.http.Exchange;
 import baobabcroft.standin.http.HttpStandin;
 import baobabcroft.standin.http.Later;
--- a/standins/src/main/java/baobabcroft/standin/rating/RatingStandin.java
+++ b/standins/src/main/java/baobabcroft/standin/rating/RatingStandin.java
@@ -1,6 +1,6 @@
 package baobabcroft.standin.rating;
 
-import baobabcroft.platform.RatingRequest;
+import baobabcroft.external.RatingRequest;
 import baobabcroft.standin.engine.AnswerText;
 import baobabcroft.standin.http.Exchange;
 import baobabcroft.standin.http.HttpStandin;
--- a/standins/src/test/java/baobabcroft/standin/StandinsTest.java
+++ b/standins/src/test/java/baobabcroft/standin/StandinsTest.java
@@ -3,10 +3,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-import baobabcroft.platform.HttpLiveList;
-import baobabcroft.platform.LiveEntry;
-import baobabcroft.platform.LiveList;
-import baobabcroft.platform.LiveListResult;
+import baobabcroft.external.HttpLiveList;
+import baobabcroft.external.LiveEntry;
+import baobabcroft.external.LiveList;
+import baobabcroft.external.LiveListResult;
 import baobabcroft.rules.ParsedRules;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.RulesParser;
--- a/standins/src/test/java/baobabcroft/standin/rating/RatingStandinTest.java
+++ b/standins/src/test/java/baobabcroft/standin/rating/RatingStandinTest.java
@@ -3,9 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
-import baobabcroft.platform.HttpRatingService;
-import baobabcroft.platform.RatingRequest;
-import baobabcroft.platform.RatingResult;
+import baobabcroft.external.HttpRatingService;
+import baobabcroft.external.RatingRequest;
+import baobabcroft.external.RatingResult;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
