Roll out without a leader, keep crashing requests apart, ask the smallest model first

Change: ServiceRollout moves a service through HOLDING, TRYING, MOVING to COMPLETE or REVERTED; each stage is one conditional write, made by whichever instance gets to it first. SharedCrashes counts endpoints that died under a request. ConfidenceCascade asks the smallest model and goes to the largest when the first doubts its answer.

Ruled out: a leased leader (renewals and one more failure mode; a condition on the record suffices); always the largest model.

--- a/router/src/main/java/baobabcroft/external/SharedState.java
+++ b/router/src/main/java/baobabcroft/external/SharedState.java
@@ -60,4 +60,12 @@
      * @param then receives what became of the write
      */
     void compareAndSwap(String key, long expectedRevision, ByteString value, Consumer<WriteResult> then);
+
+    /**
+     * Writes a key that only this instance writes. A write that fails is logged and not repeated.
+     *
+     * @param key the key
+     * @param value the new value
+     */
+    void put(String key, ByteString value);
 }
--- a/router/src/main/java/baobabcroft/front/EndpointConnections.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnections.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiPredicate;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 
 /**
@@ -77,6 +78,21 @@
         }
     }
 
+    /**
+     * Asks whether an endpoint accepts connections.
+     *
+     * @param endpoint the endpoint
+     * @param then receives the answer on the event loop
+     */
+    public void probe(EndpointEntry endpoint, Consumer<Boolean> then) {
+        ChannelFuture connecting = NettyChannels.client(loop, CONNECT_TIMEOUT_MILLIS, List::of)
+                .connect(endpoint.address().getHost(), endpoint.address().getPort());
+        connecting.addListener(done -> {
+            connecting.channel().close();
+            then.accept(done.isSuccess());
+        });
+    }
+
     private void connect(EndpointEntry endpoint, String key, PendingExchange exchange) {
         EndpointConnection connection = new EndpointConnection(isAnswerTo, kept -> putIdle(key, kept), this::forget);
         connection.key = key;
--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -5,6 +5,8 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.external.SharedState;
+import baobabcroft.external.Versioned;
 import baobabcroft.front.EndpointConnections;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
@@ -12,13 +14,15 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
+import baobabcroft.relay.ConfidenceCascade;
 import baobabcroft.relay.EndpointChooser;
 import baobabcroft.relay.EndpointLoads;
-import baobabcroft.relay.ModelChooser;
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RelayedRequest;
 import baobabcroft.relay.RequestDialect;
 import baobabcroft.retry.RetryBudget;
+import baobabcroft.rollout.FleetRollouts;
+import baobabcroft.rollout.RolloutAnnouncer;
 import baobabcroft.routing.CallerLimits;
 import baobabcroft.routing.RoutingInForce;
 import baobabcroft.routing.RoutingTable;
@@ -41,6 +45,8 @@
     private static final long KILL_MARGIN_MILLIS = 700;
 
     private static final long DRAIN_POLL_MILLIS = 50;
+    /** Time between looks at what is due, in milliseconds: a fraction of the shortest bound that they serve. */
+    private static final long TICK_MILLIS = 250;
     /** Share of the fleet's ratio of repeated sends that one instance uses. */
     private static final double RETRY_RATIO_SHARE = 0.7;
     /** Repeated sends that one instance may save up for a service. */
@@ -55,6 +61,9 @@
     private final EndpointConnections connections;
     private final EndpointLoads loads;
     private final EndpointLedger endpoints;
+    private final SharedKeys sharedKeys;
+    private final FleetRollouts rollouts;
+    private final SharedCrashes crashes;
     private final RelayServices services;
     private final EventLoopGroup loop;
     private final EventLog log = EventLog.of(EntryInstance.class);
@@ -63,7 +72,12 @@
     private boolean endpointsKnown;
     private boolean stopping;
 
-    private EntryInstance(EntrySettings settings, RequestDialect dialect, EventLoopGroup loop) {
+    private EntryInstance(
+            EntrySettings settings,
+            RequestDialect dialect,
+            SharedState store,
+            RolloutAnnouncer announcer,
+            EventLoopGroup loop) {
         this.settings = checkNotNull(settings);
         this.loop = checkNotNull(loop);
         this.scheduler = Scheduler.over(loop.next());
@@ -71,6 +85,14 @@
         this.connections = new EndpointConnections(loop.next(), dialect::isAnswerTo, request -> false);
         this.loads = EndpointLoads.create(nowMillis);
         this.endpoints = new EndpointLedger(directory, scheduler, nowMillis, this::endpointGone);
+        this.sharedKeys = new SharedKeys(settings.instance(), store, announcer);
+        this.rollouts = new FleetRollouts(
+                sharedKeys,
+                nowMillis,
+                System::currentTimeMillis,
+                random,
+                settings.bounds().exposureShare());
+        this.crashes = new SharedCrashes(scheduler, nowMillis, connections::probe, sharedKeys::writeCrashes);
         this.services = new RelayServices(
                 nowMillis,
                 scheduler,
@@ -80,10 +102,10 @@
                 directory,
                 loads,
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, random),
-                ModelChooser.largest(),
+                ConfidenceCascade.of(settings.keepFromPercent()),
                 this::budgetOf,
-                new OpenGate(),
-                new NoCrashes(),
+                rollouts,
+                crashes,
                 connections,
                 LoggedRelay.create());
     }
@@ -93,11 +115,18 @@
      *
      * @param settings its settings
      * @param dialect the words of its wire
+     * @param store what instances share
+     * @param announcer tells operators of roll-outs
      * @param loop one thread that runs all of it
      * @return the instance
      */
-    public static EntryInstance create(EntrySettings settings, RequestDialect dialect, EventLoopGroup loop) {
-        return new EntryInstance(settings, dialect, loop);
+    public static EntryInstance create(
+            EntrySettings settings,
+            RequestDialect dialect,
+            SharedState store,
+            RolloutAnnouncer announcer,
+            EventLoopGroup loop) {
+        return new EntryInstance(settings, dialect, store, announcer, loop);
     }
 
     /** Listens. The instance is ready once it knows configuration and endpoints. */
@@ -105,6 +134,7 @@
         StatusServer.start(
                 loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness, "/metrics", this::metrics));
         front = FrontServer.start(loop, settings.callers(), this::limits, this::relay);
+        loop.execute(this::tick);
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), "none");
     }
 
@@ -128,6 +158,31 @@
         return endpoints;
     }
 
+    /**
+     * Returns the roll-outs, to be told of operators' orders.
+     *
+     * @return the roll-outs
+     */
+    public FleetRollouts rollouts() {
+        return rollouts;
+    }
+
+    /**
+     * Takes a key that is not the platform's; other products' keys are ignored.
+     *
+     * @param entry the key
+     */
+    public void shared(Versioned entry) {
+        if (entry.key().startsWith(SharedKeys.PREFIX)) {
+            sharedKeys.seen(entry, rollouts, crashes);
+        }
+    }
+
+    private void tick() {
+        rollouts.tick();
+        scheduler.schedule(TICK_MILLIS, this::tick);
+    }
+
     /** The list of endpoints was read once. */
     public void endpointsRead() {
         endpointsKnown = true;
--- a/router/src/main/java/baobabcroft/instance/EntrySettings.java
+++ b/router/src/main/java/baobabcroft/instance/EntrySettings.java
@@ -14,6 +14,7 @@
  * @param callers where callers connect
  * @param readiness where the balancer asks whether it is ready
  * @param metricsPort port of the metrics on the readiness address's host
+ * @param keepFromPercent least confidence with which an answer of a smaller model is kept
  * @param bounds the deployment's bounds
  */
 public record EntrySettings(
@@ -23,6 +24,7 @@
         HostAndPort callers,
         HostAndPort readiness,
         int metricsPort,
+        int keepFromPercent,
         EntryBounds bounds) {
     /** Checks the parts. */
     public EntrySettings {
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/SharedKeys.java
@@ -0,0 +1,98 @@
+package baobabcroft.instance;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.external.SharedState;
+import baobabcroft.external.Versioned;
+import baobabcroft.external.WriteResult;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.rollout.FleetRollouts;
+import baobabcroft.rollout.RolloutAnnouncer;
+import baobabcroft.rollout.RolloutRecord;
+import baobabcroft.rollout.RolloutWriter;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.google.common.base.Splitter;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * The keys that instances share through the store, as JSON under one prefix: a record for each roll-out, and each
+ * instance's counts and crashes. Not thread-safe.
+ */
+final class SharedKeys implements RolloutWriter {
+    /** Before all keys of the product. */
+    static final String PREFIX = "baobabcroft/";
+
+    private static final String ROLLOUT = "rollout";
+    private static final String COUNTS = "counts";
+    private static final String CRASHES = "crashes";
+
+    private final String instance;
+    private final SharedState store;
+    private final RolloutAnnouncer announcer;
+    private final ObjectMapper json = new ObjectMapper();
+    private final EventLog log = EventLog.of(SharedKeys.class);
+
+    SharedKeys(String instance, SharedState store, RolloutAnnouncer announcer) {
+        this.instance = checkNotNull(instance);
+        this.store = checkNotNull(store);
+        this.announcer = checkNotNull(announcer);
+    }
+
+    /** Hands a key to whom it concerns. Keys of a kind that is not known are ignored: a later release may write them. */
+    void seen(Versioned entry, FleetRollouts rollouts, SharedCrashes crashes) {
+        List<String> parts = Splitter.on('/').splitToList(entry.key().substring(PREFIX.length()));
+        try {
+            if (parts.get(0).equals(ROLLOUT) && parts.size() == 2) {
+                rollouts.recorded(parts.get(1), read(entry, RolloutRecord.class), entry.revision());
+            } else if (parts.get(0).equals(COUNTS)
+                    && parts.size() == 3
+                    && !parts.get(2).equals(instance)) {
+                rollouts.heard(parts.get(1), parts.get(2), read(entry, RolloutCounts.class));
+            } else if (parts.get(0).equals(CRASHES)
+                    && parts.size() == 2
+                    && !parts.get(1).equals(instance)) {
+                crashes.heard(read(entry, CrashNotice.class));
+            }
+        } catch (IOException unreadable) {
+            log.log(LogEvent.SHARED_KEY_UNREADABLE, entry.key(), unreadable.getMessage());
+        }
+    }
+
+    private <T> T read(Versioned entry, Class<T> type) throws IOException {
+        return json.readValue(entry.value().toByteArray(), type);
+    }
+
+    private ByteString write(Object value) {
+        try {
+            return ByteString.copyFrom(json.writeValueAsBytes(value));
+        } catch (JsonProcessingException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+    }
+
+    @Override
+    public void writeRecord(String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> then) {
+        store.compareAndSwap(PREFIX + ROLLOUT + '/' + service, expectedRevision, write(record), then);
+    }
+
+    @Override
+    public void announce(String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> then) {
+        announcer.announce(service, expectedRevision, record, then);
+    }
+
+    @Override
+    public void writeEvidence(String service, RolloutCounts counts) {
+        store.put(PREFIX + COUNTS + '/' + service + '/' + instance, write(counts));
+    }
+
+    /** Writes the crashes that this instance has seen. */
+    void writeCrashes(CrashNotice notice) {
+        store.put(PREFIX + CRASHES + '/' + instance, write(notice));
+    }
+}
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -57,6 +57,10 @@
     STORE_UNAVAILABLE(3001, WARN, "key-value service unavailable", "reason"),
     /** The key-value service answers again. */
     STORE_BACK(3002, INFO, "key-value service answers again", "outageMillis"),
+    /** A write of this instance's own key failed. */
+    STORE_WRITE_FAILED(3005, WARN, "own key not written", "key", "reason"),
+    /** A key that instances share cannot be read. */
+    SHARED_KEY_UNREADABLE(3006, WARN, "shared key cannot be read; ignored", "key", "fault"),
     /** The list of live instances and endpoints cannot be read. */
     LIVE_LIST_UNAVAILABLE(3003, WARN, "live list unavailable; last one kept", "reason"),
     /** The service that rates answers does not answer. */
@@ -79,8 +83,12 @@
     ENDPOINT_BACK(5002, INFO, "endpoint back in service", "endpoint"),
     /** An entry of the endpoint list cannot be read. */
     ENDPOINT_UNREADABLE(5010, WARN, "endpoint entry unreadable; it names no endpoint", "endpoint", "fault"),
+    /** An endpoint died while it held requests that had no output yet. */
+    ENDPOINT_CRASHED(5012, WARN, "endpoint crashed under requests", "endpoint", "digests"),
     /** A version gets no new sessions because its figures turned bad. */
     VERSION_STOPPED(5003, ERROR, "version stopped automatically", "version", "reason", "requests"),
+    /** A roll-out has come to another stage. */
+    ROLLOUT_STAGE(5011, INFO, "roll-out stage", "service", "target", "stage", "elapsedMillis"),
     /** A request that made several endpoints fail is not tried again. */
     POISON_REQUEST_STOPPED(5004, ERROR, "poison request stopped", "digest", "endpoint"),
 
--- a/router/src/main/java/baobabcroft/poison/CrashLedger.java
+++ b/router/src/main/java/baobabcroft/poison/CrashLedger.java
@@ -20,11 +20,13 @@
 
     private final long retentionMillis;
     private final int maxRequests;
+    private final int poisonEndpoints;
     private final Map<String, Map<String, Long>> crashes = new LinkedHashMap<>();
 
-    private CrashLedger(long retentionMillis, int maxRequests) {
+    private CrashLedger(long retentionMillis, int maxRequests, int poisonEndpoints) {
         this.retentionMillis = retentionMillis;
         this.maxRequests = maxRequests;
+        this.poisonEndpoints = poisonEndpoints;
     }
 
     /**
@@ -35,9 +37,22 @@
      * @return the ledger
      */
     public static CrashLedger create(long retentionMillis, int maxRequests) {
+        return create(retentionMillis, maxRequests, POISON_ENDPOINTS);
+    }
+
+    /**
+     * Returns an empty ledger.
+     *
+     * @param retentionMillis how long a crash counts, in milliseconds
+     * @param maxRequests requests kept; the ones first seen go first
+     * @param poisonEndpoints distinct endpoints that must have died under a request
+     * @return the ledger
+     */
+    public static CrashLedger create(long retentionMillis, int maxRequests, int poisonEndpoints) {
         checkArgument(retentionMillis > 0, "retentionMillis not positive: %s", retentionMillis);
         checkArgument(maxRequests > 0, "maxRequests not positive: %s", maxRequests);
-        return new CrashLedger(retentionMillis, maxRequests);
+        checkArgument(poisonEndpoints > 0, "poisonEndpoints not positive: %s", poisonEndpoints);
+        return new CrashLedger(retentionMillis, maxRequests, poisonEndpoints);
     }
 
     /**
@@ -69,14 +84,23 @@
      *
      * @param requestDigest digest of the request
      * @param nowEpochMillis the wall clock, in milliseconds since the epoch
-     * @return true once two distinct endpoints have died under it
+     * @return true once enough distinct endpoints have died under it
      */
     public synchronized boolean isPoison(String requestDigest, long nowEpochMillis) {
         Map<String, Long> endpoints = crashes.getOrDefault(requestDigest, Map.of());
         long counted = endpoints.values().stream()
                 .filter(atEpochMillis -> counts(atEpochMillis, nowEpochMillis))
                 .count();
-        return counted >= POISON_ENDPOINTS;
+        return counted >= poisonEndpoints;
+    }
+
+    /**
+     * Returns whether no crash was ever added.
+     *
+     * @return true if no request is suspect
+     */
+    public synchronized boolean isEmpty() {
+        return crashes.isEmpty();
     }
 
     /**
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -62,6 +62,7 @@
     private int sends;
     private int runs;
     private boolean streaming;
+    private boolean budgetTaken;
     private boolean done;
     private Scheduler.Cancellable deadline = () -> {};
 
@@ -143,7 +144,7 @@
         deadlineAtMillis = arrivedAtMillis + waitMillis;
         deadline = services.scheduler().schedule(waitMillis, this::onDeadline);
         service = route.get().pickService(services.random().nextDouble());
-        model = facts.modelLeftOpen() ? services.models().choose(route.get(), facts.prompt()) : Optional.empty();
+        model = facts.modelLeftOpen() ? services.models().first(route.get(), facts.prompt()) : Optional.empty();
         lastEvent = facts.resumeAfter();
         services.budgets().apply(service).requestStarted();
         sendOrGiveUp();
@@ -161,13 +162,20 @@
                 .allowed(service, services.directory().open(service), facts.session(), facts.requestId());
         Optional<ServiceProfile> profile = table.get().service(service);
         Optional<EndpointEntry> chosen = services.chooser().choose(open, used, profile, model, facts.prompt());
-        if (chosen.isEmpty() || (sends > 0 && !services.budgets().apply(service).tryTake())) {
+        if (chosen.isEmpty() || !isPaidFor()) {
             giveUp();
             return;
         }
         send(chosen.get(), profile.map(ServiceProfile::cacheTokens).orElse(0L));
     }
 
+    private boolean isPaidFor() {
+        boolean paid =
+                sends == 0 || budgetTaken || services.budgets().apply(service).tryTake();
+        budgetTaken = false;
+        return paid;
+    }
+
     private boolean maySendAgain() {
         return runs < route.get().maxEndpoints() && sends < route.get().maxEndpoints() + MAX_EXTRA_SENDS;
     }
@@ -303,6 +311,33 @@
                 return;
             }
             eventStream = success && route.get().kind() == RouteKind.STREAMING;
+            if (success) {
+                askLargerModel(answer);
+            }
+        }
+
+        /** Drops the answer in favour of a larger model's while the caller has received none of it. */
+        private void askLargerModel(AnswerFacts answer) {
+            if (streaming || model.isEmpty() || runs + 1 >= route.get().maxEndpoints()) {
+                return;
+            }
+            Optional<String> larger =
+                    services.models().instead(route.get(), facts.prompt(), model.get(), answer.confidencePercent());
+            if (larger.isEmpty() || !services.budgets().apply(service).tryTake()) {
+                return;
+            }
+            closed = true;
+            execution = Execution.MAY_HAVE_RUN;
+            runs++;
+            ticket.promptRead();
+            ticket.answered(false);
+            services.versions().answered(endpoint, route.get().name(), facts.session(), false, elapsed());
+            services.journal().sendFailed(facts.requestId(), endpoint, "asked_larger_model");
+            exchange.cancel();
+            model = larger;
+            used.remove(endpoint.id());
+            budgetTaken = true;
+            sendOrGiveUp();
         }
 
         @Override
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rollout/RolloutAnnouncer.java
@@ -0,0 +1,18 @@
+package baobabcroft.rollout;
+
+import baobabcroft.external.WriteResult;
+import java.util.function.Consumer;
+
+/** Tells operators how far a roll-out has come, in the words of their platform. */
+@FunctionalInterface
+public interface RolloutAnnouncer {
+    /**
+     * Tells operators the stage if what they were told is still at the revision.
+     *
+     * @param service name of the service
+     * @param expectedRevision revision last seen; 0 if there is none
+     * @param record the record
+     * @param then receives what became of the write
+     */
+    void announce(String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> then);
+}
--- /dev/null
+++ b/router/src/main/java/baobabcroft/rollout/RolloutWriter.java
@@ -0,0 +1,37 @@
+package baobabcroft.rollout;
+
+import baobabcroft.external.WriteResult;
+import java.util.Map;
+import java.util.function.Consumer;
+
+/** Writes what instances share of roll-outs. Calls back on the caller's thread. */
+public interface RolloutWriter extends RolloutAnnouncer {
+    /**
+     * Writes a roll-out's record if it is still at the revision.
+     *
+     * @param service name of the service
+     * @param expectedRevision revision last seen; 0 if there is none
+     * @param record the new record
+     * @param then receives what became of the write
+     */
+    void writeRecord(String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> then);
+
+    /**
+     * Writes this instance's counts of the new version.
+     *
+     * @param service name of the service
+     * @param counts its counts by route
+     */
+    void writeEvidence(String service, RolloutCounts counts);
+
+    /**
+     * One instance's counts of a new version.
+     *
+     * @param orderRevision the order that they belong to
+     * @param answers answers by route
+     * @param failed failures by route
+     * @param slow slow answers by route
+     */
+    record RolloutCounts(
+            long orderRevision, Map<String, Long> answers, Map<String, Long> failed, Map<String, Long> slow) {}
+}
