Tell the instances of a failure domain the load on engines; test relayed requests

Cause: each instance chose engines by its own requests, a ninth of all, so that engines were loaded unevenly: exposure guides p99 3.8 s while the average engine read prompts a third of the time.

Change: LoadNotice datagrams within a failure domain (in-zone bytes cost nothing), gathered for 25 ms; time to read a token learned from own observations.

--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -10,6 +10,8 @@
 import baobabcroft.front.EndpointConnections;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
+import baobabcroft.load.LoadExchange;
+import baobabcroft.load.SharedLoads;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.relay.CallerExchange;
@@ -27,9 +29,11 @@
 import baobabcroft.routing.RoutingInForce;
 import baobabcroft.routing.RoutingTable;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
@@ -59,6 +63,7 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final Map<String, RetryBudget> budgets = new HashMap<>();
     private final EndpointConnections connections;
+    private final SharedLoads othersLoads;
     private final EndpointLoads loads;
     private final EndpointLedger endpoints;
     private final SharedKeys sharedKeys;
@@ -68,6 +73,7 @@
     private final EventLoopGroup loop;
     private final EventLog log = EventLog.of(EntryInstance.class);
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
+    private Optional<LoadExchange> exchange = Optional.empty();
     private FrontServer front;
     private boolean endpointsKnown;
     private boolean stopping;
@@ -83,7 +89,8 @@
         this.scheduler = Scheduler.over(loop.next());
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
         this.connections = new EndpointConnections(loop.next(), dialect::isAnswerTo, request -> false);
-        this.loads = EndpointLoads.create(nowMillis);
+        this.othersLoads = SharedLoads.create(nowMillis);
+        this.loads = EndpointLoads.create(nowMillis, othersLoads, this::loadChanged);
         this.endpoints = new EndpointLedger(directory, scheduler, nowMillis, this::endpointGone);
         this.sharedKeys = new SharedKeys(settings.instance(), store, announcer);
         this.rollouts = new FleetRollouts(
@@ -135,7 +142,9 @@
                 loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness, "/metrics", this::metrics));
         front = FrontServer.start(loop, settings.callers(), this::limits, this::relay);
         loop.execute(this::tick);
-        log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), "none");
+        exchange = Optional.of(
+                LoadExchange.start(loop.next(), settings.instance(), settings.peers(), othersLoads, loads::own));
+        log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
     }
 
     /**
@@ -174,10 +183,25 @@
      */
     public void shared(Versioned entry) {
         if (entry.key().startsWith(SharedKeys.PREFIX)) {
-            sharedKeys.seen(entry, rollouts, crashes);
+            sharedKeys.seen(entry, rollouts, crashes, this::peerSeen);
         }
     }
 
+    /** The store answers: the other instances are told where this one listens. */
+    public void storeAnswers() {
+        sharedKeys.writePresence(new InstancePlace(settings.peers().toString(), settings.failureDomain()));
+    }
+
+    private void peerSeen(String name, InstancePlace place) {
+        if (place.failureDomain().equals(settings.failureDomain())) {
+            exchange.ifPresent(peers -> peers.peer(name, HostAndPort.fromString(place.address())));
+        }
+    }
+
+    private void loadChanged() {
+        exchange.ifPresent(LoadExchange::changed);
+    }
+
     private void tick() {
         rollouts.tick();
         scheduler.schedule(TICK_MILLIS, this::tick);
--- a/router/src/main/java/baobabcroft/instance/EntrySettings.java
+++ b/router/src/main/java/baobabcroft/instance/EntrySettings.java
@@ -14,6 +14,7 @@
  * @param callers where callers connect
  * @param readiness where the balancer asks whether it is ready
  * @param metricsPort port of the metrics on the readiness address's host
+ * @param peers where the instance listens for datagrams of other instances
  * @param keepFromPercent least confidence with which an answer of a smaller model is kept
  * @param bounds the deployment's bounds
  */
@@ -24,6 +25,7 @@
         HostAndPort callers,
         HostAndPort readiness,
         int metricsPort,
+        HostAndPort peers,
         int keepFromPercent,
         EntryBounds bounds) {
     /** Checks the parts. */
@@ -33,6 +35,7 @@
         checkNotNull(regions);
         checkNotNull(callers);
         checkNotNull(readiness);
+        checkNotNull(peers);
         checkNotNull(bounds);
     }
 }
--- a/router/src/main/java/baobabcroft/instance/SharedKeys.java
+++ b/router/src/main/java/baobabcroft/instance/SharedKeys.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
@@ -31,6 +32,7 @@
     private static final String ROLLOUT = "rollout";
     private static final String COUNTS = "counts";
     private static final String CRASHES = "crashes";
+    private static final String INSTANCES = "instances";
 
     private final String instance;
     private final SharedState store;
@@ -45,7 +47,11 @@
     }
 
     /** Hands a key to whom it concerns. Keys of a kind that is not known are ignored: a later release may write them. */
-    void seen(Versioned entry, FleetRollouts rollouts, SharedCrashes crashes) {
+    void seen(
+            Versioned entry,
+            FleetRollouts rollouts,
+            SharedCrashes crashes,
+            BiConsumer<String, InstancePlace> peerSeen) {
         List<String> parts = Splitter.on('/').splitToList(entry.key().substring(PREFIX.length()));
         try {
             if (parts.get(0).equals(ROLLOUT) && parts.size() == 2) {
@@ -58,6 +64,8 @@
                     && parts.size() == 2
                     && !parts.get(1).equals(instance)) {
                 crashes.heard(read(entry, CrashNotice.class));
+            } else if (parts.get(0).equals(INSTANCES) && parts.size() == 2) {
+                peerSeen.accept(parts.get(1), read(entry, InstancePlace.class));
             }
         } catch (IOException unreadable) {
             log.log(LogEvent.SHARED_KEY_UNREADABLE, entry.key(), unreadable.getMessage());
@@ -91,6 +99,11 @@
         store.put(PREFIX + COUNTS + '/' + service + '/' + instance, write(counts));
     }
 
+    /** Writes where this instance listens. */
+    void writePresence(InstancePlace place) {
+        store.put(PREFIX + INSTANCES + '/' + instance, write(place));
+    }
+
     /** Writes the crashes that this instance has seen. */
     void writeCrashes(CrashNotice notice) {
         store.put(PREFIX + CRASHES + '/' + instance, write(notice));
--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.load.SharedLoads;
 import baobabcroft.routing.ServiceProfile;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -24,8 +25,6 @@
     private static final double SAME_REGION_MILLIS = 2;
     /** Round trip between regions, in milliseconds, and as much again for the traffic that is paid for. */
     private static final double OTHER_REGION_MILLIS = 120;
-    /** Prompt tokens that an engine reads in a millisecond with a large model: order of magnitude of the engines. */
-    private static final double TOKENS_PER_MILLI = 14;
     /** Delay that one more running request brings to the others of an engine, in milliseconds. */
     private static final double ENGINE_REQUEST_MILLIS = 10;
     /** Delay that a request under way brings to a plain service with one slot, in milliseconds. */
@@ -89,15 +88,17 @@
             Prompt prompt,
             boolean isHome) {
         EndpointLoads.State state = loads.of(candidate);
+        SharedLoads.Load load = state.load();
         double millis = distanceMillis(candidate) + random.nextDouble() * JITTER_MILLIS;
         millis += state.failureRate() * FAILURE_MILLIS + (state.isEjected() ? 2 * FAILURE_MILLIS : 0);
         if (profile.isPresent() && profile.get().isEngine()) {
             double ownTokens = state.tokensToRead(model, prompt) * (isHome ? 1 - RENDEZVOUS_KEPT : 1);
             return millis
-                    + (ownTokens + state.unreadTokens()) / TOKENS_PER_MILLI
-                    + state.inFlight() * ENGINE_REQUEST_MILLIS;
+                    + ownTokens * loads.tokenMillis(model)
+                    + load.unreadMillis()
+                    + load.inFlight() * ENGINE_REQUEST_MILLIS;
         }
-        return millis + state.inFlight() * SLOT_MILLIS / candidate.slots();
+        return millis + load.inFlight() * SLOT_MILLIS / candidate.slots();
     }
 
     private double distanceMillis(EndpointEntry candidate) {
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -3,6 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.load.SharedLoads;
+import baobabcroft.load.SharedLoads.Load;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -23,21 +25,55 @@
     /** Longest time without requests after connection failures in a row, in milliseconds. */
     private static final long MAX_EJECTION_MILLIS = 4_000;
 
+    /** Time to read a token before any was observed, in milliseconds: order of magnitude of the engines. */
+    private static final double DEFAULT_TOKEN_MILLIS = 0.07;
+    /** Weight of a new observation of that time. */
+    private static final double PACE_SMOOTHING = 0.1;
+    /** Fewest tokens from which that time is observed; shorter prompts show other delays. */
+    private static final int MIN_PACE_TOKENS = 400;
+
     private final LongSupplier nowMillis;
+    private final SharedLoads others;
+    private final Runnable onChange;
     private final Map<String, State> states = new HashMap<>();
+    private final Map<String, Double> tokenMillis = new HashMap<>();
 
-    private EndpointLoads(LongSupplier nowMillis) {
+    private EndpointLoads(LongSupplier nowMillis, SharedLoads others, Runnable onChange) {
         this.nowMillis = nowMillis;
+        this.others = others;
+        this.onChange = onChange;
     }
 
     /**
      * Returns loads without any request.
      *
      * @param nowMillis steady clock, in milliseconds
+     * @param others what other instances have under way
+     * @param onChange told when this instance's load changes
      * @return the loads
      */
-    public static EndpointLoads create(LongSupplier nowMillis) {
-        return new EndpointLoads(checkNotNull(nowMillis));
+    public static EndpointLoads create(LongSupplier nowMillis, SharedLoads others, Runnable onChange) {
+        return new EndpointLoads(checkNotNull(nowMillis), checkNotNull(others), checkNotNull(onChange));
+    }
+
+    /**
+     * Returns this instance's own load.
+     *
+     * @return the loads by endpoint, those that are zero left out
+     */
+    public Map<String, Load> own() {
+        Map<String, Load> own = new HashMap<>();
+        states.forEach((endpoint, state) -> {
+            if (state.inFlight > 0) {
+                own.put(endpoint, new Load(state.inFlight, state.unreadMillis));
+            }
+        });
+        return own;
+    }
+
+    /** Returns the time in which an engine reads a token with a model, in milliseconds, as observed. */
+    double tokenMillis(Optional<String> model) {
+        return tokenMillis.getOrDefault(model.orElse(""), DEFAULT_TOKEN_MILLIS);
     }
 
     /**
@@ -56,7 +92,7 @@
     State of(EndpointEntry endpoint) {
         State state = states.get(endpoint.id());
         if (state == null || state.startedAtEpochMillis != endpoint.startedAtEpochMillis()) {
-            state = new State(endpoint.startedAtEpochMillis());
+            state = new State(endpoint.id(), endpoint.startedAtEpochMillis());
             states.put(endpoint.id(), state);
         }
         return state;
@@ -64,28 +100,25 @@
 
     /** One endpoint as seen from here. */
     final class State {
+        private final String endpointId;
         private final long startedAtEpochMillis;
         private final LinkedHashMap<String, Integer> keptParts = new LinkedHashMap<>(16, 0.75f, true);
         private long keptTokens;
         private int inFlight;
-        private int unreadTokens;
+        private double unreadMillis;
         private double failureRate;
         private long failureRateAtMillis;
         private int connectionFailures;
         private long ejectedUntilMillis = Long.MIN_VALUE;
 
-        private State(long startedAtEpochMillis) {
+        private State(String endpointId, long startedAtEpochMillis) {
+            this.endpointId = endpointId;
             this.startedAtEpochMillis = startedAtEpochMillis;
         }
 
-        /** Returns the requests under way from here. */
-        int inFlight() {
-            return inFlight;
-        }
-
-        /** Returns the prompt tokens sent from here and not yet read, as far as is known. */
-        int unreadTokens() {
-            return unreadTokens;
+        /** Returns what all instances have under way, as far as is known. */
+        Load load() {
+            return new Load(inFlight, unreadMillis).plus(others.at(endpointId));
         }
 
         /** Returns the share of failures of late, from zero to one. */
@@ -114,9 +147,12 @@
         /** Counts a request that is sent now. */
         Ticket begin(Optional<String> model, Prompt prompt, long cacheTokens) {
             int tokensToRead = tokensToRead(model, prompt);
+            double readMillis = tokensToRead * tokenMillis(model);
+            boolean alone = load().unreadMillis() == 0;
             inFlight++;
-            unreadTokens += tokensToRead;
-            return new Ticket(this, model, prompt, tokensToRead, cacheTokens);
+            unreadMillis += readMillis;
+            onChange.run();
+            return new Ticket(this, model, prompt, tokensToRead, readMillis, alone, cacheTokens);
         }
 
         private void keep(Optional<String> model, Prompt prompt, long cacheTokens) {
@@ -149,29 +185,58 @@
     }
 
     /** One request under way at an endpoint. */
-    static final class Ticket {
+    final class Ticket {
         private final State state;
         private final Optional<String> model;
         private final Prompt prompt;
         private final int tokensToRead;
+        private final double readMillis;
+        private final boolean alone;
         private final long cacheTokens;
+        private final long sentAtMillis = nowMillis.getAsLong();
         private boolean read;
         private boolean ended;
 
-        private Ticket(State state, Optional<String> model, Prompt prompt, int tokensToRead, long cacheTokens) {
+        private Ticket(
+                State state,
+                Optional<String> model,
+                Prompt prompt,
+                int tokensToRead,
+                double readMillis,
+                boolean alone,
+                long cacheTokens) {
             this.state = state;
             this.model = model;
             this.prompt = prompt;
             this.tokensToRead = tokensToRead;
+            this.readMillis = readMillis;
+            this.alone = alone;
             this.cacheTokens = cacheTokens;
         }
 
         /** The endpoint has read the prompt: its first output is here. */
         void promptRead() {
-            if (!read) {
-                read = true;
-                state.unreadTokens -= tokensToRead;
+            if (markRead()) {
                 state.keep(model, prompt, cacheTokens);
+                observePace();
+            }
+        }
+
+        private boolean markRead() {
+            if (read) {
+                return false;
+            }
+            read = true;
+            state.unreadMillis = Math.max(0, state.unreadMillis - readMillis);
+            onChange.run();
+            return true;
+        }
+
+        private void observePace() {
+            if (alone && tokensToRead >= MIN_PACE_TOKENS) {
+                double observed = (double) (nowMillis.getAsLong() - sentAtMillis) / tokensToRead;
+                double before = EndpointLoads.this.tokenMillis(model);
+                tokenMillis.put(model.orElse(""), before + PACE_SMOOTHING * (observed - before));
             }
         }
 
@@ -207,10 +272,8 @@
             }
             ended = true;
             state.inFlight--;
-            if (!read) {
-                read = true;
-                state.unreadTokens -= tokensToRead;
-            }
+            markRead();
+            onChange.run();
             return true;
         }
     }
--- /dev/null
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -0,0 +1,330 @@
+package baobabcroft.relay;
+
+import baobabcroft.common.ErrorCode;
+import baobabcroft.common.Execution;
+import baobabcroft.directory.EndpointDirectory;
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.fake.VirtualTime;
+import baobabcroft.load.SharedLoads;
+import baobabcroft.retry.RetryBudget;
+import baobabcroft.routing.AccountProfile;
+import baobabcroft.routing.CallerLimits;
+import baobabcroft.routing.Route;
+import baobabcroft.routing.RouteKind;
+import baobabcroft.routing.RouteTarget;
+import baobabcroft.routing.RoutingInForce;
+import baobabcroft.routing.RoutingTable;
+import baobabcroft.routing.ServiceProfile;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.net.HostAndPort;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** A relay without network: endpoints are lists of sends, time moves by hand, one thread. */
+final class RelayFixture {
+    static final long SEED = 7;
+
+    final RoutingInForce routing = new RoutingInForce();
+    final EndpointDirectory directory = new EndpointDirectory();
+    final List<Send> sends = new ArrayList<>();
+    final List<RelaySummary> finished = new ArrayList<>();
+    final List<String> lost = new ArrayList<>();
+    final SharedLoads others = SharedLoads.create(this::now);
+    final EndpointLoads loads = EndpointLoads.create(this::now, others, () -> {});
+    private final VirtualTime time = new VirtualTime();
+    RetryBudget budget = RetryBudget.of(1, 100, 100);
+    ModelChooser models = ConfidenceCascade.of(50);
+    boolean poison;
+
+    /** One send to an endpoint. */
+    static final class Send {
+        final EndpointEntry endpoint;
+        final EndpointRequest request;
+        final ExchangeListener listener;
+        boolean cancelled;
+
+        private Send(EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
+            this.endpoint = endpoint;
+            this.request = request;
+            this.listener = listener;
+        }
+
+        void head(int status, Header... headers) {
+            listener.onHead(status, Headers.copyOf(ImmutableList.copyOf(headers)));
+        }
+
+        void event(long id) {
+            data("id: " + id + "\ndata: piece " + id + "\n\n");
+        }
+
+        void data(String text) {
+            listener.onData(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        void answer(int status, String body, Header... headers) {
+            head(status, headers);
+            data(body);
+            listener.onEnd();
+        }
+    }
+
+    /** What a caller received. */
+    static final class Caller implements CallerExchange {
+        int status;
+        int answers;
+        String body = "";
+        boolean ended;
+        boolean broken;
+        Headers headers = Headers.EMPTY;
+
+        @Override
+        public void answer(int answerStatus, Headers answerHeaders, byte[] answerBody) {
+            answers++;
+            status = answerStatus;
+            headers = answerHeaders;
+            body = new String(answerBody, StandardCharsets.UTF_8);
+            ended = true;
+        }
+
+        @Override
+        public void startStream(int streamStatus, Headers streamHeaders) {
+            answers++;
+            status = streamStatus;
+            headers = streamHeaders;
+        }
+
+        @Override
+        public void streamData(byte[] data) {
+            body += new String(data, StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public void endStream() {
+            ended = true;
+        }
+
+        @Override
+        public void breakOff() {
+            broken = true;
+        }
+    }
+
+    /** Plain words for a wire: "wait", "key", "model" and so on. */
+    private static final class PlainDialect implements RequestDialect {
+        @Override
+        public CallerFacts readCaller(CallerRequest request) {
+            Headers headers = request.headers();
+            OptionalLong wait = headers.first("wait")
+                    .map(text -> OptionalLong.of(Long.parseLong(text)))
+                    .orElse(OptionalLong.empty());
+            return new CallerFacts(
+                    headers.first("id").orElse("r-1"),
+                    wait,
+                    headers.first("key"),
+                    Prompt.NONE,
+                    headers.first("model").filter("*"::equals).isPresent(),
+                    OptionalLong.empty(),
+                    headers.first("session"));
+        }
+
+        @Override
+        public Headers toEndpoint(CallerRequest request, SendOrder order) {
+            List<Header> lines = new ArrayList<>();
+            order.model().ifPresent(model -> lines.add(new Header("model", model)));
+            order.resumeAfter().ifPresent(event -> lines.add(new Header("resume-after", Long.toString(event))));
+            order.account().ifPresent(account -> lines.add(new Header("account", account)));
+            lines.add(new Header("left", Long.toString(order.remainingMillis())));
+            return Headers.copyOf(lines);
+        }
+
+        @Override
+        public AnswerFacts readAnswer(int status, Headers headers) {
+            OptionalInt confidence = headers.first("confidence")
+                    .map(text -> OptionalInt.of(Integer.parseInt(text)))
+                    .orElse(OptionalInt.empty());
+            return new AnswerFacts(
+                    headers.first("not-run").isPresent(),
+                    false,
+                    headers.first("no-receipt").isEmpty(),
+                    false,
+                    confidence);
+        }
+
+        @Override
+        public boolean isAnswerTo(String requestId, Headers headers) {
+            return true;
+        }
+
+        @Override
+        public Headers toCaller(Headers headers) {
+            return headers;
+        }
+
+        @Override
+        public int statusOf(Refusal refusal) {
+            if (refusal.execution() != Execution.NOT_RUN) {
+                return refusal.code() == ErrorCode.DEADLINE_EXCEEDED ? 504 : 502;
+            }
+            return refusal.code().httpStatus();
+        }
+
+        @Override
+        public Headers headersOf(Refusal refusal) {
+            return refusal.retryAfterMillis().isEmpty()
+                    ? Headers.EMPTY
+                    : Headers.copyOf(ImmutableList.of(new Header(
+                            "retry-after-millis",
+                            Long.toString(refusal.retryAfterMillis().getAsLong()))));
+        }
+    }
+
+    private final class Journal implements RelayJournal {
+        @Override
+        public void sent(String requestId, EndpointEntry endpoint, Optional<String> model, int attempt) {}
+
+        @Override
+        public void sendFailed(String requestId, EndpointEntry endpoint, String reason) {}
+
+        @Override
+        public void finished(RelaySummary summary) {
+            finished.add(summary);
+        }
+    }
+
+    private final class Crashes implements CrashWatch {
+        @Override
+        public boolean isPoison(CallerRequest request, String account) {
+            return poison;
+        }
+
+        @Override
+        public void connectionLost(CallerRequest request, String account, EndpointEntry endpoint) {
+            lost.add(endpoint.id());
+        }
+    }
+
+    private static final class AllVersions implements VersionGate {
+        @Override
+        public ImmutableList<EndpointEntry> allowed(
+                String service, ImmutableList<EndpointEntry> open, Optional<String> session, String requestId) {
+            return open;
+        }
+
+        @Override
+        public void answered(
+                EndpointEntry endpoint, String route, Optional<String> session, boolean failed, long firstMillis) {}
+    }
+
+    /** Returns a fixture with the routes /chat/, /order/ and /lookup/ and the endpoints e-1 to e-3 of each service. */
+    static RelayFixture create() {
+        RelayFixture fixture = new RelayFixture();
+        fixture.routing.offer(table(1));
+        for (String service : List.of("engines", "orders")) {
+            for (int i = 1; i <= 3; i++) {
+                fixture.directory.put(endpoint(service, i));
+            }
+        }
+        return fixture;
+    }
+
+    static EndpointEntry endpoint(String service, int number) {
+        return new EndpointEntry(
+                service + "-" + number,
+                service,
+                HostAndPort.fromParts("127.0.0.1", 9_000 + number),
+                "domain-" + number,
+                "v1",
+                6,
+                false,
+                1);
+    }
+
+    static RoutingTable table(long version) {
+        Route chat = route("chat", RouteKind.STREAMING, 3, true, ImmutableList.of("small", "large"), "engines");
+        Route order = route("order", RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders");
+        Route lookup = route("lookup", RouteKind.IDEMPOTENT, 2, false, ImmutableList.of(), "orders");
+        ServiceProfile engines = new ServiceProfile("engines", 300, 64, 300_000, ImmutableMap.of());
+        return RoutingTable.of(
+                version,
+                List.of(chat, order, lookup),
+                ImmutableMap.of("engines", engines),
+                CallerLimits.DEFAULT,
+                ImmutableMap.of("secret", new AccountProfile("kamera", OptionalInt.empty())),
+                true);
+    }
+
+    private static Route route(
+            String name,
+            RouteKind kind,
+            int maxEndpoints,
+            boolean resumable,
+            ImmutableList<String> models,
+            String service) {
+        return new Route(
+                name,
+                "shop.example",
+                "/" + name + "/",
+                kind,
+                5_000,
+                1_000,
+                1,
+                maxEndpoints,
+                false,
+                resumable,
+                models,
+                ImmutableList.of(new RouteTarget(service, 1)));
+    }
+
+    long now() {
+        return time.nowMillis();
+    }
+
+    RelayedRequest start(String path, Caller caller, Header... extra) {
+        List<Header> headers = new ArrayList<>(List.of(extra));
+        headers.add(new Header("key", "secret"));
+        return start(new CallerRequest("POST", path, "shop.example", Headers.copyOf(headers), new byte[0]), caller);
+    }
+
+    RelayedRequest start(CallerRequest request, Caller caller) {
+        EndpointChooser chooser = new EndpointChooser(
+                "domain-1", ImmutableMap.of(), loads, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED));
+        RelayServices services = new RelayServices(
+                this::now,
+                time.scheduler(),
+                RandomSource.XO_RO_SHI_RO_128_PP.create(SEED),
+                new PlainDialect(),
+                routing,
+                directory,
+                loads,
+                chooser,
+                models,
+                service -> budget,
+                new AllVersions(),
+                new Crashes(),
+                this::send,
+                new Journal());
+        return RelayedRequest.start(services, request, caller);
+    }
+
+    private EndpointTransport.Exchange send(
+            EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
+        Send send = new Send(endpoint, request, listener);
+        sends.add(send);
+        return () -> send.cancelled = true;
+    }
+
+    Send lastSend() {
+        return sends.get(sends.size() - 1);
+    }
+
+    /** Lets time pass and runs what is due. */
+    void pass(long millis) {
+        time.advance(millis);
+    }
+}
