Ask the larger model only in time; read short prompts first; notices to other regions

Change: the larger model is asked only if its first output is expected within what is left of the goal; the rank that an engine sees is the operators' plus one for each size class of what must be read; loads are told to up to six instances elsewhere every 300 ms.

--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -193,9 +193,8 @@
     }
 
     private void peerSeen(String name, InstancePlace place) {
-        if (place.failureDomain().equals(settings.failureDomain())) {
-            exchange.ifPresent(peers -> peers.peer(name, HostAndPort.fromString(place.address())));
-        }
+        boolean isNear = place.failureDomain().equals(settings.failureDomain());
+        exchange.ifPresent(peers -> peers.peer(name, HostAndPort.fromString(place.address()), isNear));
     }
 
     private void loadChanged() {
--- a/router/src/main/java/baobabcroft/load/LoadExchange.java
+++ b/router/src/main/java/baobabcroft/load/LoadExchange.java
@@ -17,8 +17,13 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
@@ -30,14 +35,21 @@
     /** Time after which unchanged loads are told again, in milliseconds: a third of a peer's memory. */
     private static final long REPEAT_MILLIS = 1_000;
 
+    /** Time between notices to other failure domains, in milliseconds. */
+    private static final long FAR_MILLIS = 300;
+    /** Instances of other failure domains that are told at a time, drawn anew each time. */
+    private static final int MAX_FAR_PEERS = 6;
+
     private final EventLoop loop;
     private final String instance;
     private final SharedLoads others;
     private final Supplier<Map<String, Load>> own;
-    private final Map<String, InetSocketAddress> peers = new HashMap<>();
+    private final Map<String, InetSocketAddress> near = new HashMap<>();
+    private final Map<String, InetSocketAddress> far = new HashMap<>();
     private Channel channel;
     private long sequence = System.currentTimeMillis() << SEQUENCE_BITS;
     private boolean pending;
+    private boolean farChanged;
     private boolean idleTold = true;
 
     /** Notices that one instance sends in a millisecond at the most, as a power of two. */
@@ -71,6 +83,7 @@
                 .syncUninterruptibly()
                 .channel();
         loop.scheduleWithFixedDelay(exchange::repeat, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(exchange::tellFar, FAR_MILLIS, FAR_MILLIS, TimeUnit.MILLISECONDS);
         return exchange;
     }
 
@@ -79,16 +92,19 @@
      *
      * @param name name of the instance
      * @param address where it listens
+     * @param isNear whether it stands in the same failure domain; others are told less often, as those bytes are paid
+     *     for
      */
-    public void peer(String name, HostAndPort address) {
+    public void peer(String name, HostAndPort address, boolean isNear) {
         if (!name.equals(instance)) {
-            peers.put(name, new InetSocketAddress(address.getHost(), address.getPort()));
+            (isNear ? near : far).put(name, new InetSocketAddress(address.getHost(), address.getPort()));
         }
     }
 
     /** This instance's loads have changed. */
     public void changed() {
-        if (!pending && !peers.isEmpty()) {
+        farChanged = true;
+        if (!pending && !near.isEmpty()) {
             pending = true;
             loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
         }
@@ -104,6 +120,19 @@
         pending = false;
         Map<String, Load> loads = own.get();
         idleTold = loads.isEmpty();
+        send(loads, near.values());
+    }
+
+    private void tellFar() {
+        if (farChanged && !far.isEmpty()) {
+            farChanged = false;
+            List<InetSocketAddress> some = new ArrayList<>(far.values());
+            Collections.shuffle(some, ThreadLocalRandom.current());
+            send(own.get(), some.subList(0, Math.min(some.size(), MAX_FAR_PEERS)));
+        }
+    }
+
+    private void send(Map<String, Load> loads, Collection<InetSocketAddress> receivers) {
         LoadNotice.Builder notice =
                 LoadNotice.newBuilder().setInstance(instance).setSequence(++sequence);
         loads.forEach((endpoint, load) -> notice.addLoads(EndpointLoad.newBuilder()
@@ -111,7 +140,7 @@
                 .setInFlight(load.inFlight())
                 .setUnreadMillis((int) load.unreadMillis())));
         byte[] bytes = notice.build().toByteArray();
-        peers.values().forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
+        receivers.forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
         channel.flush();
     }
 
--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -57,8 +57,16 @@
         this.random = checkNotNull(random);
     }
 
+    /**
+     * An endpoint and what is expected of it.
+     *
+     * @param endpoint the endpoint
+     * @param firstOutputMillis expected time to the first output, in milliseconds, with what a failure would cost
+     */
+    record Choice(EndpointEntry endpoint, double firstOutputMillis) {}
+
     /** Returns the best of the candidates that was not used yet, or empty if none is left. */
-    Optional<EndpointEntry> choose(
+    Optional<Choice> choose(
             Collection<EndpointEntry> candidates,
             Set<String> used,
             Optional<ServiceProfile> profile,
@@ -78,7 +86,7 @@
                 best = candidate;
             }
         }
-        return Optional.ofNullable(best);
+        return best == null ? Optional.empty() : Optional.of(new Choice(best, bestMillis));
     }
 
     private double expectedMillis(
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -5,6 +5,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.load.SharedLoads;
 import baobabcroft.load.SharedLoads.Load;
+import com.google.common.collect.ImmutableList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -32,6 +33,9 @@
     /** Fewest tokens from which that time is observed; shorter prompts show other delays. */
     private static final int MIN_PACE_TOKENS = 400;
 
+    /** Tokens to read above which a request stands one rank further back: a chunk of reading, and several. */
+    private static final ImmutableList<Integer> SIZE_RANK_TOKENS = ImmutableList.of(1_000, 4_000, 10_000, 20_000);
+
     private final LongSupplier nowMillis;
     private final SharedLoads others;
     private final Runnable onChange;
@@ -144,6 +148,19 @@
             return Math.max(0, prompt.promptTokens() - kept);
         }
 
+        /**
+         * Returns how far a prompt's size puts a request behind others of its rank: an engine that reads short prompts
+         * first lets most requests begin soonest.
+         */
+        int sizeRank(Optional<String> model, Prompt prompt) {
+            int tokens = tokensToRead(model, prompt);
+            int rank = 0;
+            for (int bound : SIZE_RANK_TOKENS) {
+                rank += tokens > bound ? 1 : 0;
+            }
+            return rank;
+        }
+
         /** Counts a request that is sent now. */
         Ticket begin(Optional<String> model, Prompt prompt, long cacheTokens) {
             int tokensToRead = tokensToRead(model, prompt);
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -17,6 +17,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -158,10 +159,8 @@
             giveUp();
             return;
         }
-        ImmutableList<EndpointEntry> open = services.versions()
-                .allowed(service, services.directory().open(service), facts.session(), facts.requestId());
         Optional<ServiceProfile> profile = table.get().service(service);
-        Optional<EndpointEntry> chosen = services.chooser().choose(open, used, profile, model, facts.prompt());
+        Optional<EndpointEntry> chosen = choose(model).map(EndpointChooser.Choice::endpoint);
         if (chosen.isEmpty() || !isPaidFor()) {
             giveUp();
             return;
@@ -169,6 +168,13 @@
         send(chosen.get(), profile.map(ServiceProfile::cacheTokens).orElse(0L));
     }
 
+    private Optional<EndpointChooser.Choice> choose(Optional<String> wantedModel) {
+        ImmutableList<EndpointEntry> open = services.versions()
+                .allowed(service, services.directory().open(service), facts.session(), facts.requestId());
+        Optional<ServiceProfile> profile = table.get().service(service);
+        return services.chooser().choose(open, used, profile, wantedModel, facts.prompt());
+    }
+
     private boolean isPaidFor() {
         boolean paid =
                 sends == 0 || budgetTaken || services.budgets().apply(service).tryTake();
@@ -188,9 +194,7 @@
                 account.map(AccountProfile::name),
                 remainingMillis(),
                 model,
-                account.map(AccountProfile::priority)
-                        .orElse(java.util.OptionalInt.empty())
-                        .orElse(route.get().priority()),
+                rank() + services.loads().of(endpoint).sizeRank(model, facts.prompt()),
                 lastEvent);
         Headers headers = services.dialect().toEndpoint(request, order);
         EndpointRequest outgoing =
@@ -202,6 +206,12 @@
         next.exchange = services.transport().send(endpoint, outgoing, next);
     }
 
+    private int rank() {
+        return account.map(AccountProfile::priority)
+                .orElse(OptionalInt.empty())
+                .orElse(route.get().priority());
+    }
+
     private void onDeadline() {
         if (done) {
             return;
@@ -323,7 +333,9 @@
             }
             Optional<String> larger =
                     services.models().instead(route.get(), facts.prompt(), model.get(), answer.confidencePercent());
-            if (larger.isEmpty() || !services.budgets().apply(service).tryTake()) {
+            if (larger.isEmpty()
+                    || !isInTime(larger)
+                    || !services.budgets().apply(service).tryTake()) {
                 return;
             }
             closed = true;
@@ -438,6 +450,16 @@
             finish("answered", status);
         }
 
+        /** Returns whether a larger model's answer would begin within the goal. A late one would only hold up others. */
+        private boolean isInTime(Optional<String> larger) {
+            long goalLeftMillis = arrivedAtMillis
+                    + route.get().goalMillis()
+                    - services.nowMillis().getAsLong();
+            return choose(larger)
+                    .filter(choice -> choice.firstOutputMillis() < goalLeftMillis)
+                    .isPresent();
+        }
+
         private long elapsed() {
             return services.nowMillis().getAsLong() - sentAtMillis;
         }
