Hold a request for a quarter of a second until the first configuration is read

Ruled out: listening only after the first configuration (callers would be refused by the kernel, without a time). Conclusion: an eighth of the shortest stream goal is held at the most, then the refusal is final.

--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -39,6 +39,10 @@
     private static final int MAX_EXTRA_SENDS = 3;
     /** When to come back after no endpoint could take a request, in milliseconds. */
     private static final long FULL_RETRY_MILLIS = 400;
+    /** Longest wait for the first configuration, in milliseconds: an eighth of the goals of a few seconds. */
+    private static final long CONFIG_WAIT_MILLIS = 250;
+
+    private static final long CONFIG_POLL_MILLIS = 25;
     /** When to come back to an instance that has no configuration yet, in milliseconds. */
     private static final long STALE_RETRY_MILLIS = 1_000;
     /** When to come back with a request under which endpoints died, in milliseconds. */
@@ -111,9 +115,12 @@
     }
 
     private void begin() {
+        if (done) {
+            return;
+        }
         table = services.routing().current();
         if (table.isEmpty()) {
-            refuse(Refusal.comeBack(ErrorCode.CONFIG_STALE, STALE_RETRY_MILLIS));
+            awaitConfiguration();
             return;
         }
         try {
@@ -139,6 +146,15 @@
         admit();
     }
 
+    /** An instance that has just started reads its configuration within a moment; a refusal would cost the caller more. */
+    private void awaitConfiguration() {
+        if (services.nowMillis().getAsLong() - arrivedAtMillis < CONFIG_WAIT_MILLIS) {
+            services.scheduler().schedule(CONFIG_POLL_MILLIS, this::begin);
+        } else {
+            refuse(Refusal.comeBack(ErrorCode.CONFIG_STALE, STALE_RETRY_MILLIS));
+        }
+    }
+
     private void admit() {
         long waitMillis =
                 Math.min(route.get().timeoutMillis(), facts.waitMillis().orElse(Long.MAX_VALUE));
