--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -23,7 +23,7 @@
 public final class FleetRollouts implements VersionGate {
     /** Share of the contract's exposure that is tried before the move. */
     private static final double TRIED_SHARE = 0.9;
-    /** Time after which a version without an order counts as ordinary, in milliseconds: the order's notice is on its way. */
+    /** Time after which a version without an order counts as ordinary, in milliseconds: a notice takes less. */
     private static final long UNORDERED_MILLIS = 2_000;
 
     private final RolloutWriter writer;
@@ -96,8 +96,7 @@
      * Takes what operators were told last.
      *
      * @param service name of the service
-     * @param stage the stage; {@link RolloutStage#HOLDING} for all that are under way; empty if unreadable or of another
-     *     roll-out
+     * @param stage the stage; {@link RolloutStage#HOLDING} for all that are under way; empty if unreadable
      * @param target the version that it speaks of
      * @param revision its revision
      */
