--- a/router/src/main/java/baobabcroft/external/SharedState.java
+++ b/router/src/main/java/baobabcroft/external/SharedState.java
@@ -42,6 +42,9 @@
 
         /** The service answers again, or for the first time. */
         void onContact();
+
+        /** The service has answered, also if nothing has changed. */
+        void onAnswer();
     }
 
     /**
--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -14,6 +14,7 @@
 import baobabcroft.load.SharedLoads;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.ConfidenceCascade;
@@ -71,10 +72,13 @@
     private final SharedCrashes crashes;
     private final RelayServices services;
     private final EventLoopGroup loop;
+    private final RouterMetrics metrics = RouterMetrics.create();
     private final EventLog log = EventLog.of(EntryInstance.class);
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private Optional<LoadExchange> exchange = Optional.empty();
     private FrontServer front;
+    private long storeSeenAtMillis;
+    private boolean presenceWritten;
     private boolean endpointsKnown;
     private boolean stopping;
 
@@ -114,7 +118,7 @@
                 rollouts,
                 crashes,
                 connections,
-                LoggedRelay.create());
+                new RelayRecorder(metrics, this::listAgeMillis));
     }
 
     /**
@@ -138,8 +142,9 @@
 
     /** Listens. The instance is ready once it knows configuration and endpoints. */
     public void listen() {
-        StatusServer.start(
-                loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness, "/metrics", this::metrics));
+        StatusServer.start(loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness));
+        StatusServer.start(loop, settings.metrics(), ImmutableMap.of("/metrics", this::metricsPage));
+        registerGauges();
         front = FrontServer.start(loop, settings.callers(), this::limits, this::relay);
         loop.execute(this::tick);
         exchange = Optional.of(
@@ -187,9 +192,13 @@
         }
     }
 
-    /** The store answers: the other instances are told where this one listens. */
-    public void storeAnswers() {
-        sharedKeys.writePresence(new InstancePlace(settings.peers().toString(), settings.failureDomain()));
+    /** The store has answered: what is known is as old as this. */
+    public void storeSeen() {
+        storeSeenAtMillis = nowMillis.getAsLong();
+        if (!presenceWritten) {
+            presenceWritten = true;
+            sharedKeys.writePresence(new InstancePlace(settings.peers().toString(), settings.failureDomain()));
+        }
     }
 
     private void peerSeen(String name, InstancePlace place) {
@@ -261,8 +270,21 @@
         return ready ? new StatusServer.Page(200, "ready") : new StatusServer.Page(503, "not ready");
     }
 
-    private StatusServer.Page metrics() {
-        return new StatusServer.Page(200, "");
+    private StatusServer.Page metricsPage() {
+        return new StatusServer.Page(200, metrics.expose());
+    }
+
+    private void registerGauges() {
+        metrics.gauge(
+                "config.version",
+                () -> routing.current().map(RoutingTable::version).orElse(0L));
+        metrics.gauge("endpoints.listed", directory::size);
+        metrics.gauge("endpoints.list_age_millis", this::listAgeMillis);
+        metrics.gauge("callers.busy_connections", () -> front.busyConnections());
+    }
+
+    private long listAgeMillis() {
+        return nowMillis.getAsLong() - storeSeenAtMillis;
     }
 
     private RetryBudget budgetOf(String service) {
--- a/router/src/main/java/baobabcroft/instance/EntrySettings.java
+++ b/router/src/main/java/baobabcroft/instance/EntrySettings.java
@@ -13,7 +13,7 @@
  * @param regions the region of each failure domain
  * @param callers where callers connect
  * @param readiness where the balancer asks whether it is ready
- * @param metricsPort port of the metrics on the readiness address's host
+ * @param metrics where the metrics are served
  * @param peers where the instance listens for datagrams of other instances
  * @param keepFromPercent least confidence with which an answer of a smaller model is kept
  * @param bounds the deployment's bounds
@@ -24,7 +24,7 @@
         ImmutableMap<String, String> regions,
         HostAndPort callers,
         HostAndPort readiness,
-        int metricsPort,
+        HostAndPort metrics,
         HostAndPort peers,
         int keepFromPercent,
         EntryBounds bounds) {
@@ -35,6 +35,7 @@
         checkNotNull(regions);
         checkNotNull(callers);
         checkNotNull(readiness);
+        checkNotNull(metrics);
         checkNotNull(peers);
         checkNotNull(bounds);
     }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/RelayRecorder.java
@@ -0,0 +1,93 @@
+package baobabcroft.instance;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.relay.RelayJournal;
+import baobabcroft.relay.RelaySummary;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Counts each decision on a request and logs those of requests that were refused, failed, repeated or slow, and of a
+ * sample of the others. The lines of a request are held until its end, so that an ordinary one costs no log line.
+ */
+final class RelayRecorder implements RelayJournal {
+    /** One in so many ordinary requests is logged. */
+    private static final int SAMPLE = 50;
+    /** Time from which a request is logged as slow, in milliseconds: the shortest goal of streams. */
+    private static final long SLOW_MILLIS = 2_000;
+
+    private static final String ANSWERED = "answered";
+
+    private final EventLog log = EventLog.of(RelayRecorder.class);
+    private final RouterMetrics metrics;
+    private final LongSupplier listAgeMillis;
+    private final Map<String, List<Line>> held = new HashMap<>();
+    private long ordinary;
+
+    private record Line(LogEvent event, List<Object> values) {}
+
+    RelayRecorder(RouterMetrics metrics, LongSupplier listAgeMillis) {
+        this.metrics = checkNotNull(metrics);
+        this.listAgeMillis = checkNotNull(listAgeMillis);
+    }
+
+    @Override
+    public void sent(String requestId, EndpointEntry endpoint, Optional<String> model, int attempt) {
+        metrics.count(attempt == 1 ? "relay.first_sends" : "relay.repeated_sends");
+        hold(
+                requestId,
+                LogEvent.REQUEST_SENT,
+                requestId,
+                endpoint.id(),
+                endpoint.version(),
+                model.orElse("none"),
+                attempt,
+                listAgeMillis.getAsLong());
+    }
+
+    @Override
+    public void sendFailed(String requestId, EndpointEntry endpoint, String reason) {
+        metrics.retried(reason);
+        hold(requestId, LogEvent.SEND_FAILED, requestId, endpoint.id(), reason);
+    }
+
+    private void hold(String requestId, LogEvent event, Object... values) {
+        held.computeIfAbsent(requestId, unused -> new ArrayList<>()).add(new Line(event, List.of(values)));
+    }
+
+    @Override
+    public void finished(RelaySummary summary) {
+        metrics.count("relay.outcome." + summary.outcome());
+        metrics.total(TimeUnit.MILLISECONDS.toNanos(summary.elapsedMillis()));
+        List<Line> lines = Optional.ofNullable(held.remove(summary.requestId())).orElse(List.of());
+        if (!isNotable(summary) && ++ordinary % SAMPLE != 0) {
+            return;
+        }
+        lines.forEach(line -> log.log(line.event(), line.values().toArray()));
+        log.log(
+                LogEvent.REQUEST_FINISHED,
+                summary.requestId(),
+                summary.route().orElse("none"),
+                summary.account().orElse("none"),
+                summary.outcome(),
+                summary.status(),
+                summary.execution(),
+                summary.sends(),
+                summary.elapsedMillis(),
+                summary.configVersion());
+    }
+
+    private static boolean isNotable(RelaySummary summary) {
+        return !summary.outcome().equals(ANSWERED) || summary.sends() > 1 || summary.elapsedMillis() >= SLOW_MILLIS;
+    }
+}
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -12,7 +12,7 @@
  * Catalogue of log events. A number is never used again for another event.
  *
  * <p>Thousands group the numbers: 1 the process, 2 configuration, 3 the platform's services, 4 other instances, 5
- * endpoints and versions, 6 claims and bills.
+ * endpoints and versions, 6 claims and bills, 7 relayed requests.
  */
 public enum LogEvent {
     /** The instance takes requests. */
@@ -105,7 +105,26 @@
     /** A journal segment was written by another instance. */
     JOURNAL_TAKEN(6006, ERROR, "journal segment written by another; going on in a new one", "key"),
     /** The watch on a slot is down; it is opened again. */
-    SLOT_WATCH_BROKEN(6007, DEBUG, "watch of a slot broken", "slot", "reason");
+    SLOT_WATCH_BROKEN(6007, DEBUG, "watch of a slot broken", "slot", "reason"),
+
+    /** A request was sent to an endpoint. */
+    REQUEST_SENT(7001, INFO, "request sent", "request", "endpoint", "version", "model", "attempt", "listAgeMillis"),
+    /** A send of a request brought no answer for its caller. */
+    SEND_FAILED(7002, INFO, "send without answer", "request", "endpoint", "reason"),
+    /** A request has its final answer. */
+    REQUEST_FINISHED(
+            7003,
+            INFO,
+            "request finished",
+            "request",
+            "route",
+            "account",
+            "outcome",
+            "status",
+            "execution",
+            "sends",
+            "elapsedMillis",
+            "configVersion");
 
     private final int number;
     private final Level level;
