Go on elsewhere when an endpoint falls silent; send orders on fresh connections

Cause: channels may go silent without a reset and then show nothing but time; a repeatable request on one waited for its whole deadline, an order on a kept silent channel never ran and ended in 504. Change: a repeatable send without output goes elsewhere after its goal and two fifths of the time left; a stream after four times its pause goal, two seconds at least; requests that may not be repeated never use a kept connection. Ruled out: TCP probes alone (they are not sent while data is unacknowledged).

--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -92,7 +92,7 @@
         this.loop = checkNotNull(loop);
         this.scheduler = Scheduler.over(loop.next());
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.connections = new EndpointConnections(loop.next(), dialect::isAnswerTo, request -> false);
+        this.connections = new EndpointConnections(loop.next(), dialect::isAnswerTo, request -> !request.repeatable());
         this.othersLoads = SharedLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, othersLoads, this::loadChanged);
         this.endpoints = new EndpointLedger(directory, scheduler, nowMillis, this::endpointGone);
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -39,6 +39,12 @@
     private static final int MAX_EXTRA_SENDS = 3;
     /** When to come back after no endpoint could take a request, in milliseconds. */
     private static final long FULL_RETRY_MILLIS = 400;
+    /** Share of the time left after which a send without output is repeated elsewhere, if its goal is past. */
+    private static final double SILENT_SHARE = 0.4;
+    /** Pauses of a stream, against its goal for them, after which it goes on elsewhere. */
+    private static final int SILENT_GAPS = 4;
+    /** Shortest pause that counts as silence, in milliseconds: a caller gives up a stream after two seconds or more. */
+    private static final long MIN_SILENT_GAP_MILLIS = 2_000;
     /** Longest wait for the first configuration, in milliseconds: an eighth of the goals of a few seconds. */
     private static final long CONFIG_WAIT_MILLIS = 250;
 
@@ -213,13 +219,19 @@
                 rank() + services.loads().of(endpoint).sizeRank(model, facts.prompt()),
                 lastEvent);
         Headers headers = services.dialect().toEndpoint(request, order);
-        EndpointRequest outgoing =
-                new EndpointRequest(facts.requestId(), request.method(), request.target(), headers, request.body());
+        EndpointRequest outgoing = new EndpointRequest(
+                facts.requestId(),
+                route.get().isRepeatable(),
+                request.method(),
+                request.target(),
+                headers,
+                request.body());
         services.journal().sent(facts.requestId(), endpoint, model, sends);
         EndpointLoads.Ticket ticket = services.loads().of(endpoint).begin(model, facts.prompt(), cacheTokens);
         Attempt next = new Attempt(endpoint, ticket);
         attempt = Optional.of(next);
         next.exchange = services.transport().send(endpoint, outgoing, next);
+        next.expectOutput();
     }
 
     private int rank() {
@@ -304,15 +316,55 @@
         private boolean eventStream;
         private boolean firstOutput;
         private boolean closed;
+        private Scheduler.Cancellable silence = () -> {};
 
         private Attempt(EndpointEntry endpoint, EndpointLoads.Ticket ticket) {
             this.endpoint = endpoint;
             this.ticket = ticket;
         }
 
+        /** A repeatable request whose endpoint falls silent goes elsewhere: only time shows a channel that is dead. */
+        private void expectOutput() {
+            if (route.get().isRepeatable() && !closed) {
+                long waitMillis =
+                        Math.max(route.get().goalMillis(), (long) (SILENT_SHARE * Math.max(0, remainingMillis())));
+                silence = services.scheduler().schedule(waitMillis, this::silent);
+            }
+        }
+
+        private void expectNextEvent() {
+            silence.cancel();
+            if (route.get().isRepeatable()) {
+                long waitMillis = Math.max(
+                        MIN_SILENT_GAP_MILLIS, SILENT_GAPS * route.get().maxGapMillis());
+                silence = services.scheduler().schedule(waitMillis, this::silent);
+            }
+        }
+
+        private void silent() {
+            if (closed
+                    || runs + 1 >= route.get().maxEndpoints()
+                    || choose(model).isEmpty()) {
+                return;
+            }
+            close();
+            execution = Execution.MAY_HAVE_RUN;
+            runs++;
+            ticket.answered(true);
+            services.versions().answered(endpoint, route.get().name(), facts.session(), true, elapsed());
+            services.journal().sendFailed(facts.requestId(), endpoint, "silent");
+            exchange.cancel();
+            sendOrGiveUp();
+        }
+
+        private void close() {
+            closed = true;
+            silence.cancel();
+        }
+
         private void abandon() {
             if (!closed) {
-                closed = true;
+                close();
                 execution = Execution.MAY_HAVE_RUN;
                 ticket.abandoned();
                 exchange.cancel();
@@ -354,7 +406,7 @@
                     || !services.budgets().apply(service).tryTake()) {
                 return;
             }
-            closed = true;
+            close();
             execution = Execution.MAY_HAVE_RUN;
             runs++;
             ticket.promptRead();
@@ -404,6 +456,7 @@
                 lastEvent = event.id();
             }
             markFirstOutput();
+            expectNextEvent();
             if (!streaming) {
                 streaming = true;
                 caller.startStream(status, services.dialect().toCaller(headers));
@@ -431,7 +484,7 @@
                 endStream();
                 return;
             }
-            closed = true;
+            close();
             execution = Execution.RAN;
             runs++;
             boolean endpointFailed = status >= 500;
@@ -455,7 +508,7 @@
                 failed(SendFailure.CONNECTION_LOST);
                 return;
             }
-            closed = true;
+            close();
             execution = Execution.RAN;
             ticket.answered(false);
             services.versions().answered(endpoint, route.get().name(), facts.session(), false, elapsed());
@@ -481,7 +534,7 @@
         }
 
         private void notRun(String reason) {
-            closed = true;
+            close();
             ticket.rejected();
             services.journal().sendFailed(facts.requestId(), endpoint, reason);
             exchange.cancel();
@@ -498,7 +551,7 @@
             if (closed) {
                 return;
             }
-            closed = true;
+            close();
             ticket.lost();
             services.journal()
                     .sendFailed(facts.requestId(), endpoint, failure.name().toLowerCase(java.util.Locale.ROOT));
--- a/router/src/main/java/baobabcroft/routing/Route.java
+++ b/router/src/main/java/baobabcroft/routing/Route.java
@@ -16,6 +16,7 @@
  * @param goalMillis time within which an answer is on time, in milliseconds
  * @param priority rank, 0 first
  * @param maxEndpoints most endpoints on which one caller attempt may run
+ * @param maxGapMillis longest pause between events with which a stream is on time, in milliseconds; 0 if not stated
  * @param publicAccess whether callers need no key
  * @param resumable whether a stream may go on at another endpoint
  * @param models the models that may answer, smallest first; empty where callers name the model
@@ -30,6 +31,7 @@
         long goalMillis,
         int priority,
         int maxEndpoints,
+        long maxGapMillis,
         boolean publicAccess,
         boolean resumable,
         ImmutableList<String> models,
@@ -42,6 +44,7 @@
         checkNotNull(kind);
         checkArgument(timeoutMillis > 0, "timeoutMillis not positive: %s", timeoutMillis);
         checkArgument(maxEndpoints > 0, "maxEndpoints not positive: %s", maxEndpoints);
+        checkArgument(maxGapMillis >= 0, "negative maxGapMillis: %s", maxGapMillis);
         checkArgument(!targets.isEmpty(), "route %s has no target", name);
     }
 
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -275,6 +275,7 @@
                 1_000,
                 1,
                 maxEndpoints,
+                800,
                 false,
                 resumable,
                 models,
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -116,6 +116,15 @@
             assertEquals(502, caller.status);
         }
 
+        @Test
+        void waitsForASilentEndpointWithAnOrder() {
+            relay.start("/order/1", caller);
+            relay.pass(4_000);
+
+            assertEquals(1, relay.sends.size());
+            assertFalse(caller.ended);
+        }
+
         @Test
         void saysAtTheDeadlineThatASentOrderMayHaveRun() {
             relay.start("/order/1", caller, new Header("wait", "800"));
@@ -138,6 +147,17 @@
             assertEquals(2, relay.sends.size());
         }
 
+        /** Pattern: a kept channel goes silent without a reset; the request on it is never answered. */
+        @Test
+        void triesElsewhereWhenAnEndpointIsSilentBeyondTheGoal() {
+            relay.start("/lookup/1", caller);
+            relay.pass(2_500);
+            relay.lastSend().answer(200, "found");
+
+            assertTrue(relay.sends.get(0).cancelled);
+            assertEquals("found", caller.body);
+        }
+
         @Test
         void deliversTheLastFailureWhenNoEndpointIsLeft() {
             relay.start("/lookup/1", caller);
@@ -194,6 +214,22 @@
             assertEquals(2, relay.sends.size());
         }
 
+        /** Pattern: a worker stops in the middle of a stream and its connection stays open. */
+        @Test
+        void goesOnElsewhereWhenAStreamFallsSilent() {
+            relay.start("/chat/1", caller);
+            relay.lastSend().head(200);
+            relay.lastSend().event(1);
+            relay.pass(3_300);
+            relay.lastSend().head(200);
+            relay.lastSend().event(2);
+            relay.lastSend().listener.onEnd();
+
+            assertEquals(2, relay.sends.size());
+            assertTrue(relay.sends.get(0).cancelled);
+            assertTrue(caller.ended);
+        }
+
         @Test
         void dropsEventsThatTheCallerHasAlready() {
             relay.start("/chat/1", caller);
