--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -102,7 +102,7 @@
         if (profile.isPresent() && profile.get().isEngine()) {
             double ownTokens = state.tokensToRead(model, prompt) * (isHome ? 1 - RENDEZVOUS_KEPT : 1);
             return millis
-                    + ownTokens * loads.tokenMillis(model)
+                    + loads.readMillis(model, prompt, ownTokens)
                     + load.unreadMillis()
                     + load.inFlight() * ENGINE_REQUEST_MILLIS;
         }
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -28,6 +28,8 @@
 
     /** Time to read a token before any was observed, in milliseconds: order of magnitude of the engines. */
     private static final double DEFAULT_TOKEN_MILLIS = 0.07;
+    /** Context at which a token takes twice as long to read as without any: order of magnitude of the engines. */
+    private static final double ATTENTION_TOKENS = 24_000;
     /** Weight of a new observation of that time. */
     private static final double PACE_SMOOTHING = 0.1;
     /** Fewest tokens from which that time is observed; shorter prompts show other delays. */
@@ -75,11 +77,22 @@
         return own;
     }
 
-    /** Returns the time in which an engine reads a token with a model, in milliseconds, as observed. */
-    double tokenMillis(Optional<String> model) {
+    /** Returns the time in which an engine reads a token of a short prompt, in milliseconds, as observed. */
+    private double tokenMillis(Optional<String> model) {
         return tokenMillis.getOrDefault(model.orElse(""), DEFAULT_TOKEN_MILLIS);
     }
 
+    /** Returns the time in which an engine reads the last tokens of a prompt, in milliseconds. */
+    double readMillis(Optional<String> model, Prompt prompt, double tokensToRead) {
+        return tokensToRead * lengthFactor(prompt, tokensToRead) * tokenMillis(model);
+    }
+
+    /** Each token attends to all before it, so that the tokens of a long prompt take longer. */
+    private static double lengthFactor(Prompt prompt, double tokensToRead) {
+        double meanContextTokens = Math.max(0, prompt.promptTokens() - tokensToRead / 2);
+        return 1 + meanContextTokens / ATTENTION_TOKENS;
+    }
+
     /**
      * Forgets endpoints that are no longer listed, once their requests have ended.
      *
@@ -164,7 +177,7 @@
         /** Counts a request that is sent now. */
         Ticket begin(Optional<String> model, Prompt prompt, long cacheTokens) {
             int tokensToRead = tokensToRead(model, prompt);
-            double readMillis = tokensToRead * tokenMillis(model);
+            double readMillis = EndpointLoads.this.readMillis(model, prompt, tokensToRead);
             boolean alone = load().unreadMillis() == 0;
             inFlight++;
             unreadMillis += readMillis;
@@ -251,7 +264,8 @@
 
         private void observePace() {
             if (alone && tokensToRead >= MIN_PACE_TOKENS) {
-                double observed = (double) (nowMillis.getAsLong() - sentAtMillis) / tokensToRead;
+                double observed =
+                        (nowMillis.getAsLong() - sentAtMillis) / (tokensToRead * lengthFactor(prompt, tokensToRead));
                 double before = EndpointLoads.this.tokenMillis(model);
                 tokenMillis.put(model.orElse(""), before + PACE_SMOOTHING * (observed - before));
             }
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -39,6 +39,8 @@
     private static final int MAX_EXTRA_SENDS = 3;
     /** When to come back after no endpoint could take a request, in milliseconds. */
     private static final long FULL_RETRY_MILLIS = 400;
+    /** Share of the goal's rest within which a larger model's first output must be expected: the rest is for error. */
+    private static final double LARGER_GOAL_SHARE = 0.8;
     /** Share of the time left after which a send without output is repeated elsewhere, if its goal is past. */
     private static final double SILENT_SHARE = 0.4;
     /** Pauses of a stream, against its goal for them, after which it goes on elsewhere. */
@@ -262,12 +264,17 @@
         } else if (heldAnswer.isPresent()) {
             deliver(heldAnswer.get(), "endpoint_failed");
         } else if (execution == Execution.NOT_RUN) {
-            refuse(Refusal.comeBack(ErrorCode.POOL_EXHAUSTED, FULL_RETRY_MILLIS));
+            refuse(Refusal.comeBack(ErrorCode.POOL_EXHAUSTED, spread(FULL_RETRY_MILLIS)));
         } else {
             refuse(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED));
         }
     }
 
+    /** Returns a time around the given one, so that callers that are refused together do not come back together. */
+    private long spread(long millis) {
+        return (long) (millis * (0.6 + 0.8 * services.random().nextDouble()));
+    }
+
     private void deliver(HeldAnswer answer, String outcome) {
         caller.answer(answer.status(), services.dialect().toCaller(answer.headers()), answer.body());
         finish(outcome, answer.status());
@@ -525,7 +532,7 @@
                     + route.get().goalMillis()
                     - services.nowMillis().getAsLong();
             return choose(larger)
-                    .filter(choice -> choice.firstOutputMillis() < goalLeftMillis)
+                    .filter(choice -> choice.firstOutputMillis() < LARGER_GOAL_SHARE * goalLeftMillis)
                     .isPresent();
         }
 
