--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -62,8 +62,9 @@
      *
      * @param endpoint the endpoint
      * @param firstOutputMillis expected time to the first output, in milliseconds, with what a failure would cost
+     * @param waitMillis the part of it that other requests cause, in milliseconds
      */
-    record Choice(EndpointEntry endpoint, double firstOutputMillis) {}
+    record Choice(EndpointEntry endpoint, double firstOutputMillis, double waitMillis) {}
 
     /** Returns the best of the candidates that was not used yet, or empty if none is left. */
     Optional<Choice> choose(
@@ -86,7 +87,10 @@
                 best = candidate;
             }
         }
-        return best == null ? Optional.empty() : Optional.of(new Choice(best, bestMillis));
+        return best == null
+                ? Optional.empty()
+                : Optional.of(
+                        new Choice(best, bestMillis, waitMillis(loads.of(best).load())));
     }
 
     private double expectedMillis(
@@ -101,14 +105,15 @@
         millis += state.failureRate() * FAILURE_MILLIS + (state.isEjected() ? 2 * FAILURE_MILLIS : 0);
         if (profile.isPresent() && profile.get().isEngine()) {
             double ownTokens = state.tokensToRead(model, prompt) * (isHome ? 1 - RENDEZVOUS_KEPT : 1);
-            return millis
-                    + loads.readMillis(model, prompt, ownTokens)
-                    + load.unreadMillis()
-                    + load.inFlight() * ENGINE_REQUEST_MILLIS;
+            return millis + loads.readMillis(model, prompt, ownTokens) + waitMillis(load);
         }
         return millis + load.inFlight() * SLOT_MILLIS / candidate.slots();
     }
 
+    private static double waitMillis(SharedLoads.Load load) {
+        return load.unreadMillis() + load.inFlight() * ENGINE_REQUEST_MILLIS;
+    }
+
     private double distanceMillis(EndpointEntry candidate) {
         if (candidate.failureDomain().equals(failureDomain)) {
             return 0;
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -4,11 +4,9 @@
 
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.Execution;
-import baobabcroft.common.RouterException;
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.routing.AccountProfile;
-import baobabcroft.routing.Route;
 import baobabcroft.routing.RouteKind;
 import baobabcroft.routing.RoutingTable;
 import baobabcroft.routing.ServiceProfile;
@@ -17,7 +15,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 
@@ -39,8 +36,10 @@
     private static final int MAX_EXTRA_SENDS = 3;
     /** When to come back after no endpoint could take a request, in milliseconds. */
     private static final long FULL_RETRY_MILLIS = 400;
-    /** Share of the goal's rest within which a larger model's first output must be expected: the rest is for error. */
-    private static final double LARGER_GOAL_SHARE = 0.8;
+    /** Of the goal's rest, the time that a larger model may take at an idle engine: late answers still have worth. */
+    private static final double IDLE_GOAL_SHARE = 2.5;
+    /** Of the goal's rest, the wait up to which an engine counts as idle. */
+    private static final double IDLE_WAIT_SHARE = 0.15;
     /** Share of the time left after which a send without output is repeated elsewhere, if its goal is past. */
     private static final double SILENT_SHARE = 0.4;
     /** Pauses of a stream, against its goal for them, after which it goes on elsewhere. */
@@ -53,21 +52,16 @@
     private static final long CONFIG_POLL_MILLIS = 25;
     /** When to come back to an instance that has no configuration yet, in milliseconds. */
     private static final long STALE_RETRY_MILLIS = 1_000;
-    /** When to come back with a request under which endpoints died, in milliseconds. */
-    private static final long POISON_RETRY_MILLIS = 10_000;
 
     private final RelayServices services;
     private final CallerRequest request;
     private final CallerExchange caller;
     private final long arrivedAtMillis;
     private final Set<String> used = new HashSet<>();
-    private Optional<RoutingTable> table = Optional.empty();
-    private Optional<Route> route = Optional.empty();
-    private Optional<AccountProfile> account = Optional.empty();
     private Optional<String> model = Optional.empty();
     private Optional<HeldAnswer> heldAnswer = Optional.empty();
     private Optional<Attempt> attempt = Optional.empty();
-    private CallerFacts facts;
+    private Admission.Admitted admitted;
     private String service = "";
     private Execution execution = Execution.NOT_RUN;
     private OptionalLong lastEvent = OptionalLong.empty();
@@ -126,32 +120,18 @@
         if (done) {
             return;
         }
-        table = services.routing().current();
+        Optional<RoutingTable> table = services.routing().current();
         if (table.isEmpty()) {
             awaitConfiguration();
             return;
         }
-        try {
-            facts = services.dialect().readCaller(request);
-        } catch (RouterException malformed) {
-            refuse(Refusal.of(malformed.code()));
-            return;
-        }
-        route = table.get().find(request.host(), request.path());
-        if (route.isEmpty()) {
-            refuse(Refusal.of(ErrorCode.NOT_FOUND));
-            return;
+        Admission.Result result = Admission.decide(services, table.get(), request);
+        if (result instanceof Admission.Refused refused) {
+            refuse(refused.refusal());
+        } else if (result instanceof Admission.Admitted allowed) {
+            admitted = allowed;
+            admit();
         }
-        account = facts.key().flatMap(table.get()::accountOf);
-        if (account.isEmpty() && table.get().needsKey(route.get())) {
-            refuse(Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
-            return;
-        }
-        if (services.crashes().isPoison(request, accountName())) {
-            refuse(Refusal.comeBack(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
-            return;
-        }
-        admit();
     }
 
     /** An instance that has just started reads its configuration within a moment; a refusal would cost the caller more. */
@@ -164,12 +144,11 @@
     }
 
     private void admit() {
-        long waitMillis =
-                Math.min(route.get().timeoutMillis(), facts.waitMillis().orElse(Long.MAX_VALUE));
-        deadlineAtMillis = arrivedAtMillis + waitMillis;
-        deadline = services.scheduler().schedule(waitMillis, this::onDeadline);
-        service = route.get().pickService(services.random().nextDouble());
-        model = facts.modelLeftOpen() ? services.models().first(route.get(), facts.prompt()) : Optional.empty();
+        CallerFacts facts = admitted.facts();
+        deadlineAtMillis = arrivedAtMillis + admitted.waitMillis();
+        deadline = services.scheduler().schedule(admitted.waitMillis(), this::onDeadline);
+        service = admitted.route().pickService(services.random().nextDouble());
+        model = facts.modelLeftOpen() ? services.models().first(admitted.route(), facts.prompt()) : Optional.empty();
         lastEvent = facts.resumeAfter();
         services.budgets().apply(service).requestStarted();
         sendOrGiveUp();
@@ -183,7 +162,7 @@
             giveUp();
             return;
         }
-        Optional<ServiceProfile> profile = table.get().service(service);
+        Optional<ServiceProfile> profile = admitted.profile(service);
         Optional<EndpointEntry> chosen = choose(model).map(EndpointChooser.Choice::endpoint);
         if (chosen.isEmpty() || !isPaidFor()) {
             giveUp();
@@ -194,9 +173,14 @@
 
     private Optional<EndpointChooser.Choice> choose(Optional<String> wantedModel) {
         ImmutableList<EndpointEntry> open = services.versions()
-                .allowed(service, services.directory().open(service), facts.session(), facts.requestId());
-        Optional<ServiceProfile> profile = table.get().service(service);
-        return services.chooser().choose(open, used, profile, wantedModel, facts.prompt());
+                .allowed(
+                        service,
+                        services.directory().open(service),
+                        admitted.facts().session(),
+                        admitted.facts().requestId());
+        Optional<ServiceProfile> profile = admitted.profile(service);
+        return services.chooser()
+                .choose(open, used, profile, wantedModel, admitted.facts().prompt());
     }
 
     private boolean isPaidFor() {
@@ -207,7 +191,8 @@
     }
 
     private boolean maySendAgain() {
-        return runs < route.get().maxEndpoints() && sends < route.get().maxEndpoints() + MAX_EXTRA_SENDS;
+        return runs < admitted.route().maxEndpoints()
+                && sends < admitted.route().maxEndpoints() + MAX_EXTRA_SENDS;
     }
 
     private void send(EndpointEntry endpoint, long cacheTokens) {
@@ -215,33 +200,31 @@
         sends++;
         SendOrder order = new SendOrder(
                 endpoint.id(),
-                account.map(AccountProfile::name),
+                admitted.account().map(AccountProfile::name),
                 remainingMillis(),
                 model,
-                rank() + services.loads().of(endpoint).sizeRank(model, facts.prompt()),
+                admitted.rank()
+                        + services.loads()
+                                .of(endpoint)
+                                .sizeRank(model, admitted.facts().prompt()),
                 lastEvent);
         Headers headers = services.dialect().toEndpoint(request, order);
         EndpointRequest outgoing = new EndpointRequest(
-                facts.requestId(),
-                route.get().isRepeatable(),
+                admitted.facts().requestId(),
+                admitted.route().isRepeatable(),
                 request.method(),
                 request.target(),
                 headers,
                 request.body());
-        services.journal().sent(facts.requestId(), endpoint, model, sends);
-        EndpointLoads.Ticket ticket = services.loads().of(endpoint).begin(model, facts.prompt(), cacheTokens);
+        services.journal().sent(admitted.facts().requestId(), endpoint, model, sends);
+        EndpointLoads.Ticket ticket =
+                services.loads().of(endpoint).begin(model, admitted.facts().prompt(), cacheTokens);
         Attempt next = new Attempt(endpoint, ticket);
         attempt = Optional.of(next);
         next.exchange = services.transport().send(endpoint, outgoing, next);
         next.expectOutput();
     }
 
-    private int rank() {
-        return account.map(AccountProfile::priority)
-                .orElse(OptionalInt.empty())
-                .orElse(route.get().priority());
-    }
-
     private void onDeadline() {
         if (done) {
             return;
@@ -289,27 +272,24 @@
     private void finish(String outcome, int status) {
         done = true;
         deadline.cancel();
+        Optional<Admission.Admitted> known = Optional.ofNullable(admitted);
         services.journal()
                 .finished(new RelaySummary(
-                        facts == null ? "" : facts.requestId(),
-                        route.map(Route::name),
-                        account.map(AccountProfile::name),
+                        known.map(request -> request.facts().requestId()).orElse(""),
+                        known.map(request -> request.route().name()),
+                        known.flatMap(Admission.Admitted::account).map(AccountProfile::name),
                         outcome,
                         status,
                         execution,
                         sends,
                         services.nowMillis().getAsLong() - arrivedAtMillis,
-                        table.map(RoutingTable::version).orElse(0L)));
+                        known.map(request -> request.table().version()).orElse(0L)));
     }
 
     private long remainingMillis() {
         return deadlineAtMillis - services.nowMillis().getAsLong();
     }
 
-    private String accountName() {
-        return account.map(AccountProfile::name).orElse("");
-    }
-
     /** One send to one endpoint. */
     private final class Attempt implements ExchangeListener {
         private final EndpointEntry endpoint;
@@ -332,25 +312,25 @@
 
         /** A repeatable request whose endpoint falls silent goes elsewhere: only time shows a channel that is dead. */
         private void expectOutput() {
-            if (route.get().isRepeatable() && !closed) {
+            if (admitted.route().isRepeatable() && !closed) {
                 long waitMillis =
-                        Math.max(route.get().goalMillis(), (long) (SILENT_SHARE * Math.max(0, remainingMillis())));
+                        Math.max(admitted.route().goalMillis(), (long) (SILENT_SHARE * Math.max(0, remainingMillis())));
                 silence = services.scheduler().schedule(waitMillis, this::silent);
             }
         }
 
         private void expectNextEvent() {
             silence.cancel();
-            if (route.get().isRepeatable()) {
+            if (admitted.route().isRepeatable()) {
                 long waitMillis = Math.max(
-                        MIN_SILENT_GAP_MILLIS, SILENT_GAPS * route.get().maxGapMillis());
+                        MIN_SILENT_GAP_MILLIS, SILENT_GAPS * admitted.route().maxGapMillis());
                 silence = services.scheduler().schedule(waitMillis, this::silent);
             }
         }
 
         private void silent() {
             if (closed
-                    || runs + 1 >= route.get().maxEndpoints()
+                    || runs + 1 >= admitted.route().maxEndpoints()
                     || choose(model).isEmpty()) {
                 return;
             }
@@ -358,8 +338,10 @@
             execution = Execution.MAY_HAVE_RUN;
             runs++;
             ticket.answered(true);
-            services.versions().answered(endpoint, route.get().name(), facts.session(), true, elapsed());
-            services.journal().sendFailed(facts.requestId(), endpoint, "silent");
+            services.versions()
+                    .answered(
+                            endpoint, admitted.route().name(), admitted.facts().session(), true, elapsed());
+            services.journal().sendFailed(admitted.facts().requestId(), endpoint, "silent");
             exchange.cancel();
             sendOrGiveUp();
         }
@@ -395,7 +377,7 @@
                 failed(SendFailure.ANSWER_MALFORMED);
                 return;
             }
-            eventStream = success && route.get().kind() == RouteKind.STREAMING;
+            eventStream = success && admitted.route().kind() == RouteKind.STREAMING;
             if (success) {
                 askLargerModel(answer);
             }
@@ -403,11 +385,11 @@
 
         /** Drops the answer in favour of a larger model's while the caller has received none of it. */
         private void askLargerModel(AnswerFacts answer) {
-            if (streaming || model.isEmpty() || runs + 1 >= route.get().maxEndpoints()) {
+            if (streaming || model.isEmpty() || runs + 1 >= admitted.route().maxEndpoints()) {
                 return;
             }
-            Optional<String> larger =
-                    services.models().instead(route.get(), facts.prompt(), model.get(), answer.confidencePercent());
+            Optional<String> larger = services.models()
+                    .instead(admitted.route(), admitted.facts().prompt(), model.get(), answer.confidencePercent());
             if (larger.isEmpty()
                     || !isInTime(larger)
                     || !services.budgets().apply(service).tryTake()) {
@@ -418,8 +400,10 @@
             runs++;
             ticket.promptRead();
             ticket.answered(false);
-            services.versions().answered(endpoint, route.get().name(), facts.session(), false, elapsed());
-            services.journal().sendFailed(facts.requestId(), endpoint, "asked_larger_model");
+            services.versions()
+                    .answered(
+                            endpoint, admitted.route().name(), admitted.facts().session(), false, elapsed());
+            services.journal().sendFailed(admitted.facts().requestId(), endpoint, "asked_larger_model");
             exchange.cancel();
             model = larger;
             used.remove(endpoint.id());
@@ -496,14 +480,16 @@
             runs++;
             boolean endpointFailed = status >= 500;
             ticket.answered(endpointFailed);
-            services.versions().answered(endpoint, route.get().name(), facts.session(), endpointFailed, elapsed());
+            services.versions()
+                    .answered(
+                            endpoint, admitted.route().name(), admitted.facts().session(), endpointFailed, elapsed());
             HeldAnswer answer = new HeldAnswer(status, headers, body.toByteArray());
             if (streaming) {
-                services.journal().sendFailed(facts.requestId(), endpoint, "failed_by_endpoint");
+                services.journal().sendFailed(admitted.facts().requestId(), endpoint, "failed_by_endpoint");
                 sendOrGiveUp();
-            } else if (endpointFailed && route.get().isRepeatable()) {
+            } else if (endpointFailed && admitted.route().isRepeatable()) {
                 heldAnswer = Optional.of(answer);
-                services.journal().sendFailed(facts.requestId(), endpoint, "failed_by_endpoint");
+                services.journal().sendFailed(admitted.facts().requestId(), endpoint, "failed_by_endpoint");
                 sendOrGiveUp();
             } else {
                 deliver(answer, endpointFailed ? "endpoint_failed" : "answered");
@@ -518,7 +504,9 @@
             close();
             execution = Execution.RAN;
             ticket.answered(false);
-            services.versions().answered(endpoint, route.get().name(), facts.session(), false, elapsed());
+            services.versions()
+                    .answered(
+                            endpoint, admitted.route().name(), admitted.facts().session(), false, elapsed());
             if (!streaming) {
                 caller.startStream(status, services.dialect().toCaller(headers));
             }
@@ -526,13 +514,18 @@
             finish("answered", status);
         }
 
-        /** Returns whether a larger model's answer would begin within the goal. A late one would only hold up others. */
+        /**
+         * Returns whether a larger model is worth asking: its answer would begin within the goal, or an engine is idle
+         * and would be late only because the prompt is long. A late one at a busy engine would hold up others.
+         */
         private boolean isInTime(Optional<String> larger) {
             long goalLeftMillis = arrivedAtMillis
-                    + route.get().goalMillis()
+                    + admitted.route().goalMillis()
                     - services.nowMillis().getAsLong();
             return choose(larger)
-                    .filter(choice -> choice.firstOutputMillis() < LARGER_GOAL_SHARE * goalLeftMillis)
+                    .filter(choice -> choice.firstOutputMillis() < goalLeftMillis
+                            || (choice.firstOutputMillis() < IDLE_GOAL_SHARE * goalLeftMillis
+                                    && choice.waitMillis() < IDLE_WAIT_SHARE * goalLeftMillis))
                     .isPresent();
         }
 
@@ -543,7 +536,7 @@
         private void notRun(String reason) {
             close();
             ticket.rejected();
-            services.journal().sendFailed(facts.requestId(), endpoint, reason);
+            services.journal().sendFailed(admitted.facts().requestId(), endpoint, reason);
             exchange.cancel();
             sendOrGiveUp();
         }
@@ -561,18 +554,23 @@
             close();
             ticket.lost();
             services.journal()
-                    .sendFailed(facts.requestId(), endpoint, failure.name().toLowerCase(java.util.Locale.ROOT));
+                    .sendFailed(
+                            admitted.facts().requestId(),
+                            endpoint,
+                            failure.name().toLowerCase(java.util.Locale.ROOT));
             if (!failure.mayHaveRun()) {
                 sendOrGiveUp();
                 return;
             }
             execution = Execution.MAY_HAVE_RUN;
             runs++;
-            services.versions().answered(endpoint, route.get().name(), facts.session(), true, elapsed());
+            services.versions()
+                    .answered(
+                            endpoint, admitted.route().name(), admitted.facts().session(), true, elapsed());
             if (failure == SendFailure.CONNECTION_LOST && !firstOutput) {
-                services.crashes().connectionLost(request, accountName(), endpoint);
+                services.crashes().connectionLost(request, admitted.accountName(), endpoint);
             }
-            if (route.get().isRepeatable()) {
+            if (admitted.route().isRepeatable()) {
                 sendOrGiveUp();
             } else {
                 giveUp();
