--- a/router/src/main/java/baobabcroft/instance/SharedKeys.java
+++ b/router/src/main/java/baobabcroft/instance/SharedKeys.java
@@ -46,7 +46,7 @@
         this.announcer = checkNotNull(announcer);
     }
 
-    /** Hands a key to whom it concerns. Keys of a kind that is not known are ignored: a later release may write them. */
+    /** Hands a key to whom it concerns. Keys of an unknown kind are ignored: a later release may write them. */
     void seen(
             Versioned entry,
             FleetRollouts rollouts,
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -134,7 +134,7 @@
         }
     }
 
-    /** An instance that has just started reads its configuration within a moment; a refusal would cost the caller more. */
+    /** An instance that has just started reads its configuration within a moment; a refusal would cost more. */
     private void awaitConfiguration() {
         if (services.nowMillis().getAsLong() - arrivedAtMillis < CONFIG_WAIT_MILLIS) {
             services.scheduler().schedule(CONFIG_POLL_MILLIS, this::begin);
