--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -6,9 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.common.Execution;
+import baobabcroft.load.SharedLoads;
 import baobabcroft.relay.RelayFixture.Caller;
 import baobabcroft.relay.RelayFixture.Send;
 import baobabcroft.retry.RetryBudget;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -318,6 +320,20 @@
             assertEquals(1, caller.answers);
         }
 
+        /** Pattern: a burst of long prompts; each larger answer would begin after its goal and hold up all others. */
+        @Test
+        void keepsADoubtfulAnswerWhileAllEnginesAreBusyBeyondTheGoal() {
+            for (int i = 1; i <= 3; i++) {
+                relay.others.told("instance-" + i, 1, Map.of("engines-" + i, new SharedLoads.Load(20, 9_000)));
+            }
+            relay.start("/chat/1", caller, open);
+            relay.lastSend().head(200, new Header("confidence", "20"));
+            relay.lastSend().event(1);
+
+            assertEquals(1, relay.sends.size());
+            assertEquals(200, caller.status);
+        }
+
         @Test
         void keepsADoubtfulAnswerWhenTheBudgetIsSpent() {
             relay.budget = RetryBudget.of(0, 1);
