Send late chats side by side in the scenario of a planned stop

The first one met the 200 ms of notice and was rightly served; it took longer than all open streams, so that no chat met the seconds of refusal. Ruled out: the product (all streams whole, exit status 0, the other replies answered or without listener, as allowed). Change: the next chat is sent after 50 ms at the latest. The checks are unchanged. Conclusion: the scenario no longer depends on one chat's length.

--- a/acceptance/src/test/java/baobabcroft/acceptance/ChatSteps.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/ChatSteps.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
 
 /** Steps of chats. */
@@ -18,6 +19,9 @@
     private static final String MODEL = "paper";
     private static final String VERSION = "paper@1";
 
+    /** Time between chats that are sent while an instance stops, in milliseconds; engines take seconds for one. */
+    private static final long LATE_SPACING_MILLIS = 50;
+
     private final Deployment deployment;
     private final List<CompletableFuture<Reply>> streams = new ArrayList<>();
     private final List<Reply> late = new ArrayList<>();
@@ -40,10 +44,21 @@
 
     @When("chats are sent through instance {int} until it has ended")
     public void sendUntilEnd(int instance) {
+        List<CompletableFuture<Reply>> sent = new ArrayList<>();
         for (int n = 0; deployment.instance(instance).isRunning(); n++) {
-            late.add(deployment.chat(instance, MODEL, "late " + n).join());
+            CompletableFuture<Reply> chat = deployment.chat(instance, MODEL, "late " + n);
+            sent.add(chat);
+            awaitAtMost(chat, LATE_SPACING_MILLIS);
         }
         exitStatus = deployment.instance(instance).awaitExit();
+        sent.forEach(chat -> late.add(chat.join()));
+    }
+
+    /** One chat that is served to its end must not keep the next from meeting the instance while it refuses. */
+    private static void awaitAtMost(CompletableFuture<Reply> chat, long millis) {
+        chat.thenApply(reply -> true)
+                .completeOnTimeout(false, millis, TimeUnit.MILLISECONDS)
+                .join();
     }
 
     @Then("the process has exited with {int}")
