--- a/router/src/main/java/baobabcroft/cli/CommandLine.java
+++ b/router/src/main/java/baobabcroft/cli/CommandLine.java
@@ -28,6 +28,7 @@
                 .addAll(RulesFileCommands.all())
                 .addAll(RulesChangeCommands.all())
                 .addAll(InstanceCommands.all())
+                .add(TraceCommand.create())
                 .build();
     }
 
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -14,6 +14,7 @@
 import baobabcroft.endpoint.EndpointReply.Answered;
 import baobabcroft.endpoint.EndpointReply.Failed;
 import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.retry.RequestSends;
 import baobabcroft.retry.RetryBudget;
 import baobabcroft.retry.RetryDecision;
 import baobabcroft.retry.RetryDecision.Retry;
@@ -21,7 +22,6 @@
 import baobabcroft.retry.RetryFacts;
 import baobabcroft.retry.RetryPolicy;
 import com.google.common.base.Ticker;
-import com.google.common.collect.ImmutableSet;
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -90,26 +90,14 @@
     CompletionStage<Delivery> dispatch(Order order) {
         retryBudget.requestStarted();
         rerouteBudget.requestStarted();
-        return attempt(order, Progress.start());
+        return attempt(order, new Progress(RequestSends.create(order.repeatable(), 0), Optional.empty()));
     }
 
-    /** What earlier attempts of a request have left behind. */
-    private record Progress(
-            int attempts, Execution execution, ImmutableSet<String> tried, Optional<String> avoidedFailureDomain) {
-        static Progress start() {
-            return new Progress(0, Execution.NOT_RUN, ImmutableSet.of(), Optional.empty());
-        }
-
+    /** What earlier attempts of a request have left behind. Its stages run one after the other. */
+    private record Progress(RequestSends sends, Optional<String> avoidedFailureDomain) {
         Progress after(Room room, Execution verdict) {
-            ImmutableSet<String> allTried = ImmutableSet.<String>builder()
-                    .addAll(tried)
-                    .add(room.endpoint().name())
-                    .build();
-            return new Progress(
-                    attempts + 1,
-                    execution.and(verdict),
-                    allTried,
-                    Optional.of(room.endpoint().failureDomain()));
+            sends.ended(verdict);
+            return new Progress(sends, Optional.of(room.endpoint().failureDomain()));
         }
     }
 
@@ -122,7 +110,7 @@
     }
 
     private static RouterException withVerdict(RouterException refusal, Progress progress) {
-        Execution verdict = progress.execution().and(refusal.execution());
+        Execution verdict = progress.sends().execution().and(refusal.execution());
         return verdict == refusal.execution()
                 ? refusal
                 : RouterException.of(refusal.code(), verdict, refusal.getMessage());
@@ -133,7 +121,10 @@
         RulesSnapshot planned = freshRules();
         Target target = order.target().apply(planned);
         RequestFacts facts = new RequestFacts(
-                order.prefixDigest(), remainingMillis(order), progress.tried(), progress.avoidedFailureDomain());
+                order.prefixDigest(),
+                remainingMillis(order),
+                progress.sends().tried(),
+                progress.avoidedFailureDomain());
         return rooms.enter(order.caller(), target, facts, order.tokenBound())
                 .handle((room, failure) -> failure == null
                         ? send(order, progress, planned, target, room)
@@ -173,6 +164,7 @@
             return CompletableFuture.failedFuture(withVerdict(refusal, progress));
         }
         long sentNanos = ticker.read();
+        progress.sends().sent(room.endpoint().name());
         return client.send(call)
                 .thenCompose(reply -> evaluate(
                         order,
@@ -304,12 +296,8 @@
         if (refusal.execution() == Execution.NOT_RUN) {
             order.permit().giveBack();
         }
-        RetryFacts facts = new RetryFacts(
-                progress.execution(),
-                order.repeatable(),
-                progress.attempts(),
-                order.caller().remainingMillis(ticker.read()),
-                0);
+        RetryFacts facts =
+                progress.sends().factsAfter(refusal.execution(), order.caller().remainingMillis(ticker.read()), 0);
         RetryDecision decision = retryPolicy.decide(facts, budget, random.get());
         if (decision instanceof Stop stop) {
             metrics.count("retry_stopped." + stop.reason().name().toLowerCase(Locale.ROOT));
--- a/router/src/main/java/baobabcroft/instance/EndpointLedger.java
+++ b/router/src/main/java/baobabcroft/instance/EndpointLedger.java
@@ -3,9 +3,12 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -23,6 +26,7 @@
     private final LongSupplier nowMillis;
     private final Consumer<EndpointEntry> onGone;
     private final Map<String, Scheduler.Cancellable> vanishing = new HashMap<>();
+    private final EventLog log = EventLog.of(EndpointLedger.class);
     private long undisturbedSinceMillis;
 
     EndpointLedger(
@@ -41,10 +45,17 @@
      */
     public void listed(EndpointEntry entry) {
         stopVanishing(entry.id());
-        directory
-                .find(entry.id())
-                .filter(former -> !former.isSameIncarnation(entry))
-                .ifPresent(onGone);
+        Optional<EndpointEntry> known = directory.find(entry.id());
+        if (!known.equals(Optional.of(entry))) {
+            log.log(
+                    LogEvent.ENDPOINT_LISTED,
+                    entry.id(),
+                    entry.address(),
+                    entry.failureDomain(),
+                    entry.version(),
+                    entry.leaving());
+        }
+        known.filter(former -> !former.isSameIncarnation(entry)).ifPresent(onGone);
         directory.put(entry);
     }
 
@@ -81,8 +92,11 @@
 
     private void remove(String id) {
         stopVanishing(id);
-        directory.find(id).ifPresent(onGone);
-        directory.remove(id);
+        directory.find(id).ifPresent(endpoint -> {
+            log.log(LogEvent.ENDPOINT_UNLISTED, id, nowMillis.getAsLong() - undisturbedSinceMillis);
+            directory.remove(id);
+            onGone.accept(endpoint);
+        });
     }
 
     private void stopVanishing(String id) {
--- a/router/src/main/java/baobabcroft/instance/EntryBounds.java
+++ b/router/src/main/java/baobabcroft/instance/EntryBounds.java
@@ -9,16 +9,13 @@
  * @param retryRatio repeated sends to a service for each request, over all instances
  * @param retrySlack repeated sends beyond that in a window, over all instances
  * @param exposureShare share of a service's requests that a bad version may get
- * @param sessionMillis longest pause within a session, in milliseconds
  */
-public record EntryBounds(
-        long graceMillis, double retryRatio, double retrySlack, double exposureShare, long sessionMillis) {
+public record EntryBounds(long graceMillis, double retryRatio, double retrySlack, double exposureShare) {
     /** Checks the values. */
     public EntryBounds {
         checkArgument(graceMillis > 0, "graceMillis not positive: %s", graceMillis);
         checkArgument(retryRatio >= 0, "negative retryRatio: %s", retryRatio);
         checkArgument(retrySlack >= 0, "negative retrySlack: %s", retrySlack);
         checkArgument(exposureShare >= 0 && exposureShare <= 1, "exposureShare: %s", exposureShare);
-        checkArgument(sessionMillis > 0, "sessionMillis not positive: %s", sessionMillis);
     }
 }
--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -10,11 +10,12 @@
 import baobabcroft.front.EndpointConnections;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
-import baobabcroft.load.LoadExchange;
 import baobabcroft.load.SharedLoads;
+import baobabcroft.log.BoundedAppender;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.notice.NoticeExchange;
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.ConfidenceCascade;
@@ -26,6 +27,7 @@
 import baobabcroft.retry.RetryBudget;
 import baobabcroft.rollout.FleetRollouts;
 import baobabcroft.rollout.RolloutAnnouncer;
+import baobabcroft.rollout.SharedTrials;
 import baobabcroft.routing.CallerLimits;
 import baobabcroft.routing.RoutingInForce;
 import baobabcroft.routing.RoutingTable;
@@ -54,10 +56,10 @@
     private static final long TICK_MILLIS = 250;
     /** Share of the fleet's ratio of repeated sends that one instance uses. */
     private static final double RETRY_RATIO_SHARE = 0.7;
-    /** Repeated sends that one instance may save up for a service. */
-    private static final double SAVED_RETRIES = 4;
+    /** Share of the fleet's repeated sends beyond the ratio that all instances together may save up. */
+    private static final double RETRY_SLACK_SHARE = 0.7;
 
-    private final EntrySettings settings;
+    private EntrySettings settings;
     private final Scheduler scheduler;
     private final LongSupplier nowMillis = EntryInstance::steadyMillis;
     private final RoutingInForce routing = new RoutingInForce();
@@ -66,6 +68,7 @@
     private final EndpointConnections connections;
     private final SharedLoads othersLoads;
     private final EndpointLoads loads;
+    private final SharedTrials trials = new SharedTrials();
     private final EndpointLedger endpoints;
     private final SharedKeys sharedKeys;
     private final FleetRollouts rollouts;
@@ -75,7 +78,7 @@
     private final RouterMetrics metrics = RouterMetrics.create();
     private final EventLog log = EventLog.of(EntryInstance.class);
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
-    private Optional<LoadExchange> exchange = Optional.empty();
+    private Optional<NoticeExchange> exchange = Optional.empty();
     private FrontServer front;
     private long storeSeenAtMillis;
     private boolean presenceWritten;
@@ -96,13 +99,14 @@
         this.othersLoads = SharedLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, othersLoads, this::loadChanged);
         this.endpoints = new EndpointLedger(directory, scheduler, nowMillis, this::endpointGone);
-        this.sharedKeys = new SharedKeys(settings.instance(), store, announcer);
+        this.sharedKeys = new SharedKeys(settings.instance(), store, announcer, trials);
         this.rollouts = new FleetRollouts(
                 sharedKeys,
                 nowMillis,
                 System::currentTimeMillis,
                 random,
-                settings.bounds().exposureShare());
+                settings.bounds().exposureShare(),
+                this::instances);
         this.crashes = new SharedCrashes(scheduler, nowMillis, connections::probe, sharedKeys::writeCrashes);
         this.services = new RelayServices(
                 nowMillis,
@@ -113,12 +117,12 @@
                 directory,
                 loads,
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, random),
-                ConfidenceCascade.of(settings.keepFromPercent()),
+                ConfidenceCascade.following(() -> this.settings.keepFromPercent()),
                 this::budgetOf,
                 rollouts,
                 crashes,
                 connections,
-                new RelayRecorder(metrics, this::listAgeMillis));
+                new RelayRecorder(metrics, this::listAgeMillis, othersLoads::silentMillis));
     }
 
     /**
@@ -147,8 +151,12 @@
         registerGauges();
         front = FrontServer.start(loop, settings.callers(), this::limits, this::relay);
         loop.execute(this::tick);
-        exchange = Optional.of(
-                LoadExchange.start(loop.next(), settings.instance(), settings.peers(), othersLoads, loads::own));
+        exchange = Optional.of(NoticeExchange.start(
+                loop.next(),
+                settings.instance(),
+                settings.failureDomain(),
+                settings.peers(),
+                new FleetKnowledge(loads, othersLoads, trials, rollouts)));
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
     }
 
@@ -202,12 +210,11 @@
     }
 
     private void peerSeen(String name, InstancePlace place) {
-        boolean isNear = place.failureDomain().equals(settings.failureDomain());
-        exchange.ifPresent(peers -> peers.peer(name, HostAndPort.fromString(place.address()), isNear));
+        exchange.ifPresent(peers -> peers.peer(name, HostAndPort.fromString(place.address()), place.failureDomain()));
     }
 
     private void loadChanged() {
-        exchange.ifPresent(LoadExchange::changed);
+        exchange.ifPresent(NoticeExchange::changed);
     }
 
     private void tick() {
@@ -220,6 +227,25 @@
         endpointsKnown = true;
     }
 
+    /**
+     * Takes over what has changed in the settings and can change while the instance runs.
+     *
+     * @param read the settings as they are now
+     */
+    public void reconfigure(EntrySettings read) {
+        EntrySettings changed = settings.withChangeable(read);
+        if (!changed.equals(read)) {
+            log.log(LogEvent.SETTINGS_CHANGED, "others", "kept until the next start");
+        }
+        if (!changed.equals(settings)) {
+            settings = changed;
+            log.log(
+                    LogEvent.SETTINGS_CHANGED,
+                    "cascade and bounds",
+                    changed.keepFromPercent() + " " + changed.bounds());
+        }
+    }
+
     /** Begins a planned stop: not ready, requests under way are finished, then {@link #whenStopped} completes. */
     public void stop() {
         loop.execute(() -> {
@@ -281,6 +307,9 @@
         metrics.gauge("endpoints.listed", directory::size);
         metrics.gauge("endpoints.list_age_millis", this::listAgeMillis);
         metrics.gauge("callers.busy_connections", () -> front.busyConnections());
+        metrics.gauge("loads.age_millis", othersLoads::silentMillis);
+        metrics.gauge("log.dropped_lines", BoundedAppender::droppedLines);
+        metrics.gauge("log.left_out_lines", BoundedAppender::leftOutLines);
     }
 
     private long listAgeMillis() {
@@ -290,8 +319,18 @@
     private RetryBudget budgetOf(String service) {
         return budgets.computeIfAbsent(
                 service,
-                unused -> RetryBudget.of(
-                        RETRY_RATIO_SHARE * settings.bounds().retryRatio(), SAVED_RETRIES, SAVED_RETRIES));
+                unused -> RetryBudget.following(
+                        () -> RETRY_RATIO_SHARE * settings.bounds().retryRatio(), this::savedRetries));
+    }
+
+    /** Each instance saves up its part of what the contract allows all of them. */
+    private double savedRetries() {
+        return RETRY_SLACK_SHARE * settings.bounds().retrySlack() / instances();
+    }
+
+    /** Returns how many instances there are, as far as is known. */
+    private int instances() {
+        return exchange.map(NoticeExchange::instances).orElse(1);
     }
 
     private void endpointGone(EndpointEntry endpoint) {
--- a/router/src/main/java/baobabcroft/instance/EntrySettings.java
+++ b/router/src/main/java/baobabcroft/instance/EntrySettings.java
@@ -39,4 +39,17 @@
         checkNotNull(peers);
         checkNotNull(bounds);
     }
+
+    /**
+     * Returns these settings with those of another file that a running instance can take over.
+     *
+     * @param read the other settings
+     * @return a copy with the other's cascade and bounds, but this one's exposure: roll-outs under way keep to it
+     */
+    EntrySettings withChangeable(EntrySettings read) {
+        EntryBounds changed = new EntryBounds(
+                read.bounds.graceMillis(), read.bounds.retryRatio(), read.bounds.retrySlack(), bounds.exposureShare());
+        return new EntrySettings(
+                instance, failureDomain, regions, callers, readiness, metrics, peers, read.keepFromPercent, changed);
+    }
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/FleetKnowledge.java
@@ -0,0 +1,50 @@
+package baobabcroft.instance;
+
+import baobabcroft.load.SharedLoads;
+import baobabcroft.notice.NoticeContents;
+import baobabcroft.notice.SharedKnowledge;
+import baobabcroft.relay.EndpointLoads;
+import baobabcroft.rollout.FleetRollouts;
+import baobabcroft.rollout.SharedTrials;
+import com.google.common.collect.ImmutableMap;
+
+/** Joins what an instance knows of loads and of new versions' answers. Not thread-safe. */
+final class FleetKnowledge implements SharedKnowledge {
+    /** Tells a failure domain from an instance of the same name. */
+    private static final String DOMAIN_PREFIX = "failure domain ";
+
+    private final EndpointLoads ownLoads;
+    private final SharedLoads othersLoads;
+    private final SharedTrials trials;
+    private final FleetRollouts rollouts;
+
+    FleetKnowledge(EndpointLoads ownLoads, SharedLoads othersLoads, SharedTrials trials, FleetRollouts rollouts) {
+        this.ownLoads = ownLoads;
+        this.othersLoads = othersLoads;
+        this.trials = trials;
+        this.rollouts = rollouts;
+    }
+
+    @Override
+    public NoticeContents own() {
+        return new NoticeContents(ImmutableMap.copyOf(ownLoads.own()), trials.own());
+    }
+
+    @Override
+    public NoticeContents ofOwnDomain() {
+        return new NoticeContents(othersLoads.ofOwnDomain(ownLoads.own()), trials.ofOwnDomain());
+    }
+
+    @Override
+    public void told(String instance, long sequence, NoticeContents contents) {
+        othersLoads.told(instance, sequence, contents.loads());
+        trials.told(instance, contents.trials());
+        contents.trials().forEach((service, counts) -> rollouts.heard(service, instance, counts));
+    }
+
+    @Override
+    public void toldOfDomain(String failureDomain, NoticeContents contents) {
+        othersLoads.toldOfDomain(failureDomain, contents.loads());
+        contents.trials().forEach((service, counts) -> rollouts.heard(service, DOMAIN_PREFIX + failureDomain, counts));
+    }
+}
--- a/router/src/main/java/baobabcroft/instance/RelayRecorder.java
+++ b/router/src/main/java/baobabcroft/instance/RelayRecorder.java
@@ -8,6 +8,7 @@
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.relay.RelayJournal;
 import baobabcroft.relay.RelaySummary;
+import baobabcroft.relay.SendNote;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -27,32 +28,39 @@
     private static final long SLOW_MILLIS = 2_000;
 
     private static final String ANSWERED = "answered";
+    private static final String NONE = "none";
 
     private final EventLog log = EventLog.of(RelayRecorder.class);
     private final RouterMetrics metrics;
     private final LongSupplier listAgeMillis;
+    private final LongSupplier loadAgeMillis;
     private final Map<String, List<Line>> held = new HashMap<>();
     private long ordinary;
 
     private record Line(LogEvent event, List<Object> values) {}
 
-    RelayRecorder(RouterMetrics metrics, LongSupplier listAgeMillis) {
+    RelayRecorder(RouterMetrics metrics, LongSupplier listAgeMillis, LongSupplier loadAgeMillis) {
         this.metrics = checkNotNull(metrics);
         this.listAgeMillis = checkNotNull(listAgeMillis);
+        this.loadAgeMillis = checkNotNull(loadAgeMillis);
     }
 
     @Override
-    public void sent(String requestId, EndpointEntry endpoint, Optional<String> model, int attempt) {
-        metrics.count(attempt == 1 ? "relay.first_sends" : "relay.repeated_sends");
+    public void sent(String requestId, SendNote send) {
+        metrics.count(send.attempt() == 1 ? "relay.first_sends" : "relay.repeated_sends");
         hold(
                 requestId,
                 LogEvent.REQUEST_SENT,
                 requestId,
-                endpoint.id(),
-                endpoint.version(),
-                model.orElse("none"),
-                attempt,
-                listAgeMillis.getAsLong());
+                send.endpoint().id(),
+                send.endpoint().version(),
+                send.model().orElse(NONE),
+                send.attempt(),
+                send.expectedMillis(),
+                send.waitMillis(),
+                send.resumeAfter().isPresent() ? send.resumeAfter().getAsLong() : NONE,
+                listAgeMillis.getAsLong(),
+                loadAgeMillis.getAsLong());
     }
 
     @Override
@@ -68,6 +76,7 @@
     @Override
     public void finished(RelaySummary summary) {
         metrics.count("relay.outcome." + summary.outcome());
+        summary.stopReason().ifPresent(reason -> metrics.count("retry_stopped." + reason));
         metrics.total(TimeUnit.MILLISECONDS.toNanos(summary.elapsedMillis()));
         List<Line> lines = Optional.ofNullable(held.remove(summary.requestId())).orElse(List.of());
         if (!isNotable(summary) && ++ordinary % SAMPLE != 0) {
@@ -77,9 +86,10 @@
         log.log(
                 LogEvent.REQUEST_FINISHED,
                 summary.requestId(),
-                summary.route().orElse("none"),
-                summary.account().orElse("none"),
+                summary.route().orElse(NONE),
+                summary.account().orElse(NONE),
                 summary.outcome(),
+                summary.stopReason().orElse(NONE),
                 summary.status(),
                 summary.execution(),
                 summary.sends(),
--- a/router/src/main/java/baobabcroft/instance/SharedKeys.java
+++ b/router/src/main/java/baobabcroft/instance/SharedKeys.java
@@ -9,8 +9,10 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.rollout.FleetRollouts;
 import baobabcroft.rollout.RolloutAnnouncer;
+import baobabcroft.rollout.RolloutCounts;
 import baobabcroft.rollout.RolloutRecord;
 import baobabcroft.rollout.RolloutWriter;
+import baobabcroft.rollout.SharedTrials;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.base.Splitter;
@@ -23,27 +25,28 @@
 
 /**
  * The keys that instances share through the store, as JSON under one prefix: a record for each roll-out, and each
- * instance's counts and crashes. Not thread-safe.
+ * instance's place and crashes. Counts of answers go by notices. Not thread-safe.
  */
 final class SharedKeys implements RolloutWriter {
     /** Before all keys of the product. */
     static final String PREFIX = "baobabcroft/";
 
     private static final String ROLLOUT = "rollout";
-    private static final String COUNTS = "counts";
     private static final String CRASHES = "crashes";
     private static final String INSTANCES = "instances";
 
     private final String instance;
     private final SharedState store;
     private final RolloutAnnouncer announcer;
+    private final SharedTrials trials;
     private final ObjectMapper json = new ObjectMapper();
     private final EventLog log = EventLog.of(SharedKeys.class);
 
-    SharedKeys(String instance, SharedState store, RolloutAnnouncer announcer) {
+    SharedKeys(String instance, SharedState store, RolloutAnnouncer announcer, SharedTrials trials) {
         this.instance = checkNotNull(instance);
         this.store = checkNotNull(store);
         this.announcer = checkNotNull(announcer);
+        this.trials = checkNotNull(trials);
     }
 
     /** Hands a key to whom it concerns. Keys of an unknown kind are ignored: a later release may write them. */
@@ -56,10 +59,6 @@
         try {
             if (parts.get(0).equals(ROLLOUT) && parts.size() == 2) {
                 rollouts.recorded(parts.get(1), read(entry, RolloutRecord.class), entry.revision());
-            } else if (parts.get(0).equals(COUNTS)
-                    && parts.size() == 3
-                    && !parts.get(2).equals(instance)) {
-                rollouts.heard(parts.get(1), parts.get(2), read(entry, RolloutCounts.class));
             } else if (parts.get(0).equals(CRASHES)
                     && parts.size() == 2
                     && !parts.get(1).equals(instance)) {
@@ -96,7 +95,7 @@
 
     @Override
     public void writeEvidence(String service, RolloutCounts counts) {
-        store.put(PREFIX + COUNTS + '/' + service + '/' + instance, write(counts));
+        trials.counted(service, counts);
     }
 
     /** Writes where this instance listens. */
--- a/router/src/main/java/baobabcroft/load/SharedLoads.java
+++ b/router/src/main/java/baobabcroft/load/SharedLoads.java
@@ -7,16 +7,21 @@
 import java.util.Map;
 import java.util.function.LongSupplier;
 
-/** What other instances have under way at endpoints. Forgets instances that fall silent. Not thread-safe. */
+/**
+ * What other instances have under way at endpoints: of each instance of the own failure domain, and of each other
+ * failure domain as a whole. Forgets those that fall silent. Not thread-safe.
+ */
 public final class SharedLoads {
-    /** Silence after which an instance's load counts no more, in milliseconds: several notices lost in a row. */
+    /** Silence after which a load counts no more, in milliseconds: several notices lost in a row. */
     private static final long SILENCE_MILLIS = 3_000;
 
     private final LongSupplier nowMillis;
     private final Map<String, Told> byInstance = new HashMap<>();
+    private final Map<String, Told> byFailureDomain = new HashMap<>();
+    private long lastToldAtMillis;
 
     /**
-     * What an instance has under way at one endpoint.
+     * What is under way at one endpoint.
      *
      * @param inFlight requests under way
      * @param unreadMillis expected time to read the prompts that wait there, in milliseconds
@@ -36,10 +41,11 @@
         }
     }
 
-    private record Told(long sequence, long atMillis, ImmutableMap<String, Load> loads) {}
+    private record Told(long sequence, long atMillis, ImmutableMap<EndpointKey, Load> loads) {}
 
     private SharedLoads(LongSupplier nowMillis) {
         this.nowMillis = nowMillis;
+        this.lastToldAtMillis = nowMillis.getAsLong();
     }
 
     /**
@@ -59,27 +65,72 @@
      * @param sequence grows with each notice of the instance
      * @param loads its loads by endpoint
      */
-    public void told(String instance, long sequence, Map<String, Load> loads) {
+    public void told(String instance, long sequence, Map<EndpointKey, Load> loads) {
+        lastToldAtMillis = nowMillis.getAsLong();
         Told last = byInstance.get(instance);
         if (last == null || last.sequence() < sequence) {
-            byInstance.put(instance, new Told(sequence, nowMillis.getAsLong(), ImmutableMap.copyOf(loads)));
+            byInstance.put(instance, new Told(sequence, lastToldAtMillis, ImmutableMap.copyOf(loads)));
         }
     }
 
+    /**
+     * Takes the loads of a whole failure domain. Any of its instances may tell them; the last one is believed.
+     *
+     * @param failureDomain the failure domain
+     * @param loads the sum of its instances' loads by endpoint
+     */
+    public void toldOfDomain(String failureDomain, Map<EndpointKey, Load> loads) {
+        lastToldAtMillis = nowMillis.getAsLong();
+        byFailureDomain.put(failureDomain, new Told(0, lastToldAtMillis, ImmutableMap.copyOf(loads)));
+    }
+
+    /**
+     * Returns the loads of the own failure domain.
+     *
+     * @param own this instance's loads
+     * @return the sum of them and of the instances heard lately, by endpoint
+     */
+    public ImmutableMap<EndpointKey, Load> ofOwnDomain(Map<EndpointKey, Load> own) {
+        Map<EndpointKey, Load> sum = new HashMap<>(own);
+        for (Told told : byInstance.values()) {
+            if (isFresh(told)) {
+                told.loads().forEach((endpoint, load) -> sum.merge(endpoint, load, Load::plus));
+            }
+        }
+        return ImmutableMap.copyOf(sum);
+    }
+
+    /**
+     * Returns how long no instance has told anything.
+     *
+     * @return the age of what is known of other instances, in milliseconds
+     */
+    public long silentMillis() {
+        return nowMillis.getAsLong() - lastToldAtMillis;
+    }
+
     /**
      * Returns what the other instances have under way at an endpoint.
      *
-     * @param endpointId the endpoint
-     * @return the sum over the instances heard lately
+     * @param endpoint the endpoint
+     * @return the sum over the instances and failure domains heard lately
      */
-    public Load at(String endpointId) {
-        long since = nowMillis.getAsLong() - SILENCE_MILLIS;
+    public Load at(EndpointKey endpoint) {
+        return sumAt(endpoint, byInstance).plus(sumAt(endpoint, byFailureDomain));
+    }
+
+    private Load sumAt(EndpointKey endpoint, Map<String, Told> tellers) {
         Load sum = Load.NONE;
-        for (Told told : byInstance.values()) {
-            if (told.atMillis() >= since) {
-                sum = sum.plus(told.loads().getOrDefault(endpointId, Load.NONE));
+        for (Told told : tellers.values()) {
+            Load load = told.loads().get(endpoint);
+            if (load != null && isFresh(told)) {
+                sum = sum.plus(load);
             }
         }
         return sum;
     }
+
+    private boolean isFresh(Told told) {
+        return told.atMillis() >= nowMillis.getAsLong() - SILENCE_MILLIS;
+    }
 }
--- a/router/src/main/java/baobabcroft/log/EventLog.java
+++ b/router/src/main/java/baobabcroft/log/EventLog.java
@@ -57,7 +57,8 @@
         }
     }
 
-    private static String render(LogEvent event, Object... values) {
+    /** Returns an event as one line. */
+    static String render(LogEvent event, Object... values) {
         StringBuilder line = new StringBuilder(event.code()).append(' ').append(event.message());
         for (int i = 0; i < event.keys().size(); i++) {
             Object value = i < values.length ? values[i] : MISSING;
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -29,6 +29,10 @@
     INTERNAL_FAULT(1006, ERROR, "unexpected fault", "component"),
     /** An operator gave a command that changes something. */
     OPERATOR_COMMAND(1007, INFO, "operator command", "operator", "command"),
+    /** Lines of one event came so often that some were left out. */
+    LINES_LEFT_OUT(1008, WARN, "log lines left out", "event", "lines"),
+    /** The settings file has changed. */
+    SETTINGS_CHANGED(1009, INFO, "settings changed", "setting", "value"),
 
     /** The instance applies a configuration. */
     CONFIG_APPLIED(2001, INFO, "configuration applied", "number", "changeId", "author", "source"),
@@ -83,6 +87,10 @@
     ENDPOINT_BACK(5002, INFO, "endpoint back in service", "endpoint"),
     /** An entry of the endpoint list cannot be read. */
     ENDPOINT_UNREADABLE(5010, WARN, "endpoint entry unreadable; it names no endpoint", "endpoint", "fault"),
+    /** The platform lists an endpoint, or its entry has changed. */
+    ENDPOINT_LISTED(5013, INFO, "endpoint listed", "endpoint", "address", "failureDomain", "version", "leaving"),
+    /** The platform no longer lists an endpoint. */
+    ENDPOINT_UNLISTED(5014, INFO, "endpoint no longer listed", "endpoint", "storeUndisturbedMillis"),
     /** An endpoint died while it held requests that had no output yet. */
     ENDPOINT_CRASHED(5012, WARN, "endpoint crashed under requests", "endpoint", "digests"),
     /** A version gets no new sessions because its figures turned bad. */
@@ -108,7 +116,20 @@
     SLOT_WATCH_BROKEN(6007, DEBUG, "watch of a slot broken", "slot", "reason"),
 
     /** A request was sent to an endpoint. */
-    REQUEST_SENT(7001, INFO, "request sent", "request", "endpoint", "version", "model", "attempt", "listAgeMillis"),
+    REQUEST_SENT(
+            7001,
+            INFO,
+            "request sent",
+            "request",
+            "endpoint",
+            "version",
+            "model",
+            "attempt",
+            "expectedMillis",
+            "waitMillis",
+            "resumeAfter",
+            "listAgeMillis",
+            "loadAgeMillis"),
     /** A send of a request brought no answer for its caller. */
     SEND_FAILED(7002, INFO, "send without answer", "request", "endpoint", "reason"),
     /** A request has its final answer. */
@@ -120,6 +141,7 @@
             "route",
             "account",
             "outcome",
+            "stopped",
             "status",
             "execution",
             "sends",
--- /dev/null
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -0,0 +1,63 @@
+package baobabcroft.notice;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.load.EndpointKey;
+import baobabcroft.load.SharedLoads.Load;
+import baobabcroft.notice.proto.EndpointLoad;
+import baobabcroft.notice.proto.PeerNotice;
+import baobabcroft.notice.proto.RouteAnswers;
+import baobabcroft.notice.proto.VersionAnswers;
+import baobabcroft.rollout.RolloutCounts;
+import baobabcroft.rollout.RouteTrials;
+import com.google.common.collect.ImmutableMap;
+
+/**
+ * What one notice tells.
+ *
+ * @param loads requests under way, by endpoint
+ * @param trials answers of versions that are being rolled out, by service
+ */
+public record NoticeContents(ImmutableMap<EndpointKey, Load> loads, ImmutableMap<String, RolloutCounts> trials) {
+    /** Checks the parts. */
+    public NoticeContents {
+        checkNotNull(loads);
+        checkNotNull(trials);
+    }
+
+    /** Writes the contents into a notice. */
+    void addTo(PeerNotice.Builder notice) {
+        loads.forEach((endpoint, load) -> notice.addLoads(EndpointLoad.newBuilder()
+                .setEndpointHash(endpoint.hash())
+                .setInFlight(load.inFlight())
+                .setUnreadMillis((int) load.unreadMillis())));
+        trials.forEach((service, counts) -> {
+            VersionAnswers.Builder answers =
+                    VersionAnswers.newBuilder().setService(service).setOrderRevision(counts.orderRevision());
+            counts.routes()
+                    .forEach((route, trial) -> answers.addRoutes(RouteAnswers.newBuilder()
+                            .setRoute(route)
+                            .setAnswers(trial.answers())
+                            .setFailed(trial.failed())
+                            .setSlow(trial.slow())));
+            notice.addAnswers(answers);
+        });
+    }
+
+    /** Returns the contents of a notice. */
+    static NoticeContents of(PeerNotice notice) {
+        ImmutableMap.Builder<EndpointKey, Load> loads = ImmutableMap.builder();
+        for (EndpointLoad load : notice.getLoadsList()) {
+            loads.put(new EndpointKey(load.getEndpointHash()), new Load(load.getInFlight(), load.getUnreadMillis()));
+        }
+        ImmutableMap.Builder<String, RolloutCounts> trials = ImmutableMap.builder();
+        for (VersionAnswers answers : notice.getAnswersList()) {
+            ImmutableMap.Builder<String, RouteTrials> routes = ImmutableMap.builder();
+            for (RouteAnswers route : answers.getRoutesList()) {
+                routes.put(route.getRoute(), new RouteTrials(route.getAnswers(), route.getFailed(), route.getSlow()));
+            }
+            trials.put(answers.getService(), new RolloutCounts(answers.getOrderRevision(), routes.buildKeepingLast()));
+        }
+        return new NoticeContents(loads.buildKeepingLast(), trials.buildKeepingLast());
+    }
+}
--- a/router/src/main/java/baobabcroft/load/LoadExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -1,10 +1,8 @@
-package baobabcroft.load;
+package baobabcroft.notice;
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.load.SharedLoads.Load;
-import baobabcroft.load.proto.EndpointLoad;
-import baobabcroft.load.proto.LoadNotice;
+import baobabcroft.notice.proto.PeerNotice;
 import com.google.common.net.HostAndPort;
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.bootstrap.Bootstrap;
@@ -25,11 +23,10 @@
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 
-/** Tells peers this instance's loads when they change, and hears theirs. Used on its event loop only. */
+/** Tells other instances what is known here, and hears them. Used on its event loop only. */
 @SuppressWarnings("FutureReturnValueIgnored") // A datagram that cannot be sent is as good as lost.
-public final class LoadExchange {
+public final class NoticeExchange {
     /** Pause in which changes are gathered into one notice, in milliseconds: a fraction of a prompt's reading. */
     private static final long GATHER_MILLIS = 25;
     /** Time after which unchanged loads are told again, in milliseconds: a third of a peer's memory. */
@@ -37,29 +34,34 @@
 
     /** Time between notices to other failure domains, in milliseconds. */
     private static final long FAR_MILLIS = 300;
-    /** Instances of other failure domains that are told at a time, drawn anew each time. */
-    private static final int MAX_FAR_PEERS = 6;
+    /**
+     * Notices that an instance elsewhere is to hear of this failure domain in that time, on average. Instances are
+     * drawn anew each time, so that one of seven hears none; what it heard before is believed for ten times as long.
+     */
+    private static final double FAR_NOTICES = 2;
+    /** Time after the start in which an instance cannot speak for its failure domain, in milliseconds. */
+    private static final long HEARING_MILLIS = REPEAT_MILLIS + FAR_MILLIS;
 
     private final EventLoop loop;
     private final String instance;
-    private final SharedLoads others;
-    private final Supplier<Map<String, Load>> own;
+    private final String failureDomain;
+    private final SharedKnowledge knowledge;
     private final Map<String, InetSocketAddress> near = new HashMap<>();
     private final Map<String, InetSocketAddress> far = new HashMap<>();
     private Channel channel;
     private long sequence = System.currentTimeMillis() << SEQUENCE_BITS;
     private boolean pending;
-    private boolean farChanged;
     private boolean idleTold = true;
+    private boolean domainIdleTold = true;
 
     /** Notices that one instance sends in a millisecond at the most, as a power of two. */
     private static final int SEQUENCE_BITS = 8;
 
-    private LoadExchange(EventLoop loop, String instance, SharedLoads others, Supplier<Map<String, Load>> own) {
+    private NoticeExchange(EventLoop loop, String instance, String failureDomain, SharedKnowledge knowledge) {
         this.loop = loop;
         this.instance = instance;
-        this.others = others;
-        this.own = own;
+        this.failureDomain = failureDomain;
+        this.knowledge = knowledge;
     }
 
     /**
@@ -67,14 +69,15 @@
      *
      * @param loop runs it
      * @param instance name of this instance
+     * @param failureDomain where it stands
      * @param address where to listen for datagrams
-     * @param others receives what is heard
-     * @param own the loads of this instance, those that are zero left out
+     * @param knowledge what is told and heard
      * @return the exchange, without peers
      */
-    public static LoadExchange start(
-            EventLoop loop, String instance, HostAndPort address, SharedLoads others, Supplier<Map<String, Load>> own) {
-        LoadExchange exchange = new LoadExchange(loop, checkNotNull(instance), checkNotNull(others), checkNotNull(own));
+    public static NoticeExchange start(
+            EventLoop loop, String instance, String failureDomain, HostAndPort address, SharedKnowledge knowledge) {
+        NoticeExchange exchange =
+                new NoticeExchange(loop, checkNotNull(instance), checkNotNull(failureDomain), checkNotNull(knowledge));
         exchange.channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
@@ -83,7 +86,7 @@
                 .syncUninterruptibly()
                 .channel();
         loop.scheduleWithFixedDelay(exchange::repeat, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(exchange::tellFar, FAR_MILLIS, FAR_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(exchange::tellFar, HEARING_MILLIS, FAR_MILLIS, TimeUnit.MILLISECONDS);
         return exchange;
     }
 
@@ -92,18 +95,27 @@
      *
      * @param name name of the instance
      * @param address where it listens
-     * @param isNear whether it stands in the same failure domain; others are told less often, as those bytes are paid
-     *     for
+     * @param peerDomain where it stands; instances of other failure domains are told less often and of this one as a
+     *     whole, as those bytes are paid for
      */
-    public void peer(String name, HostAndPort address, boolean isNear) {
+    public void peer(String name, HostAndPort address, String peerDomain) {
         if (!name.equals(instance)) {
+            boolean isNear = peerDomain.equals(failureDomain);
             (isNear ? near : far).put(name, new InetSocketAddress(address.getHost(), address.getPort()));
         }
     }
 
+    /**
+     * Returns how many instances are known.
+     *
+     * @return the count, with this one
+     */
+    public int instances() {
+        return 1 + near.size() + far.size();
+    }
+
     /** This instance's loads have changed. */
     public void changed() {
-        farChanged = true;
         if (!pending && !near.isEmpty()) {
             pending = true;
             loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
@@ -118,27 +130,41 @@
 
     private void tell() {
         pending = false;
-        Map<String, Load> loads = own.get();
-        idleTold = loads.isEmpty();
-        send(loads, near.values());
+        NoticeContents contents = knowledge.own();
+        idleTold = contents.loads().isEmpty();
+        send(notice(contents), near.values());
     }
 
     private void tellFar() {
-        if (farChanged && !far.isEmpty()) {
-            farChanged = false;
-            List<InetSocketAddress> some = new ArrayList<>(far.values());
-            Collections.shuffle(some, ThreadLocalRandom.current());
-            send(own.get(), some.subList(0, Math.min(some.size(), MAX_FAR_PEERS)));
+        NoticeContents contents = knowledge.ofOwnDomain();
+        if (far.isEmpty() || (contents.loads().isEmpty() && domainIdleTold)) {
+            return;
         }
+        domainIdleTold = contents.loads().isEmpty();
+        List<InetSocketAddress> some = new ArrayList<>(far.values());
+        Collections.shuffle(some, ThreadLocalRandom.current());
+        send(
+                notice(contents).setFailureDomain(failureDomain),
+                some.subList(0, receiversElsewhere(far.size(), near.size())));
     }
 
-    private void send(Map<String, Load> loads, Collection<InetSocketAddress> receivers) {
-        LoadNotice.Builder notice =
-                LoadNotice.newBuilder().setInstance(instance).setSequence(++sequence);
-        loads.forEach((endpoint, load) -> notice.addLoads(EndpointLoad.newBuilder()
-                .setEndpoint(endpoint)
-                .setInFlight(load.inFlight())
-                .setUnreadMillis((int) load.unreadMillis())));
+    /**
+     * Returns how many instances of other failure domains one instance tells at a time. All instances of its domain
+     * tell the same, so that each needs to tell a share of the others only.
+     */
+    static int receiversElsewhere(int farInstances, int nearInstances) {
+        double share = FAR_NOTICES * farInstances / (1 + nearInstances);
+        return (int) Math.min(farInstances, Math.ceil(share));
+    }
+
+    private PeerNotice.Builder notice(NoticeContents contents) {
+        PeerNotice.Builder notice =
+                PeerNotice.newBuilder().setInstance(instance).setSequence(++sequence);
+        contents.addTo(notice);
+        return notice;
+    }
+
+    private void send(PeerNotice.Builder notice, Collection<InetSocketAddress> receivers) {
         byte[] bytes = notice.build().toByteArray();
         receivers.forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
         channel.flush();
@@ -159,15 +185,18 @@
     }
 
     private void hear(byte[] bytes) {
+        PeerNotice notice;
         try {
-            LoadNotice notice = LoadNotice.parseFrom(bytes);
-            Map<String, Load> loads = new HashMap<>();
-            notice.getLoadsList()
-                    .forEach(load ->
-                            loads.put(load.getEndpoint(), new Load(load.getInFlight(), load.getUnreadMillis())));
-            others.told(notice.getInstance(), notice.getSequence(), loads);
+            notice = PeerNotice.parseFrom(bytes);
         } catch (InvalidProtocolBufferException malformed) {
             // Not a notice: nothing is known from it.
+            return;
+        }
+        NoticeContents contents = NoticeContents.of(notice);
+        if (notice.getFailureDomain().isEmpty()) {
+            knowledge.told(notice.getInstance(), notice.getSequence(), contents);
+        } else {
+            knowledge.toldOfDomain(notice.getFailureDomain(), contents);
         }
     }
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/notice/SharedKnowledge.java
@@ -0,0 +1,35 @@
+package baobabcroft.notice;
+
+/** What an instance tells others and hears from them. Called on the exchange's thread. */
+public interface SharedKnowledge {
+    /**
+     * Returns what this instance has to tell to its failure domain.
+     *
+     * @return its own contents
+     */
+    NoticeContents own();
+
+    /**
+     * Returns what this instance has to tell elsewhere.
+     *
+     * @return the contents of its failure domain as a whole
+     */
+    NoticeContents ofOwnDomain();
+
+    /**
+     * Hears an instance of the same failure domain.
+     *
+     * @param instance its name
+     * @param sequence grows with each of its notices
+     * @param contents its own contents
+     */
+    void told(String instance, long sequence, NoticeContents contents);
+
+    /**
+     * Hears of another failure domain.
+     *
+     * @param failureDomain the failure domain
+     * @param contents its contents as a whole
+     */
+    void toldOfDomain(String failureDomain, NoticeContents contents);
+}
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -29,12 +29,14 @@
     /**
      * The request may be served.
      *
+     * @param request the request
      * @param table the configuration that it goes by
      * @param route its route
      * @param account its client account, if it showed a key
      * @param facts what its headers say
      */
-    record Admitted(RoutingTable table, Route route, Optional<AccountProfile> account, CallerFacts facts)
+    record Admitted(
+            CallerRequest request, RoutingTable table, Route route, Optional<AccountProfile> account, CallerFacts facts)
             implements Result {
         /** Returns the rank, 0 first: the client account's if it has one, else the route's. */
         int rank() {
@@ -73,7 +75,7 @@
         if (account.isEmpty() && table.needsKey(route.get())) {
             return new Refused(Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
         }
-        Admitted admitted = new Admitted(table, route.get(), account, facts);
+        Admitted admitted = new Admitted(request, table, route.get(), account, facts);
         if (services.crashes().isPoison(request, admitted.accountName())) {
             return new Refused(Refusal.comeBack(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
         }
--- a/router/src/main/java/baobabcroft/relay/ConfidenceCascade.java
+++ b/router/src/main/java/baobabcroft/relay/ConfidenceCascade.java
@@ -1,11 +1,13 @@
 package baobabcroft.relay;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.routing.Route;
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.function.IntSupplier;
 
 /**
  * Asks the smallest model first and the largest one instead where the first doubts its answer.
@@ -14,9 +16,9 @@
  * costs the caller little time.
  */
 public final class ConfidenceCascade implements ModelChooser {
-    private final int keepFromPercent;
+    private final IntSupplier keepFromPercent;
 
-    private ConfidenceCascade(int keepFromPercent) {
+    private ConfidenceCascade(IntSupplier keepFromPercent) {
         this.keepFromPercent = keepFromPercent;
     }
 
@@ -28,7 +30,17 @@
      */
     public static ConfidenceCascade of(int keepFromPercent) {
         checkArgument(keepFromPercent >= 0 && keepFromPercent <= 101, "keepFromPercent: %s", keepFromPercent);
-        return new ConfidenceCascade(keepFromPercent);
+        return new ConfidenceCascade(() -> keepFromPercent);
+    }
+
+    /**
+     * Returns a cascade whose threshold may change.
+     *
+     * @param keepFromPercent least confidence with which an answer of a smaller model is kept, at present
+     * @return the cascade
+     */
+    public static ConfidenceCascade following(IntSupplier keepFromPercent) {
+        return new ConfidenceCascade(checkNotNull(keepFromPercent));
     }
 
     @Override
@@ -40,7 +52,7 @@
     public Optional<String> instead(Route route, Prompt prompt, String model, OptionalInt confidencePercent) {
         ImmutableList<String> models = route.models();
         boolean largest = models.isEmpty() || models.get(models.size() - 1).equals(model);
-        if (largest || confidencePercent.isEmpty() || confidencePercent.getAsInt() >= keepFromPercent) {
+        if (largest || confidencePercent.isEmpty() || confidencePercent.getAsInt() >= keepFromPercent.getAsInt()) {
             return Optional.empty();
         }
         return Optional.of(models.get(models.size() - 1));
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.load.EndpointKey;
 import baobabcroft.load.SharedLoads;
 import baobabcroft.load.SharedLoads.Load;
 import com.google.common.collect.ImmutableList;
@@ -67,11 +68,11 @@
      *
      * @return the loads by endpoint, those that are zero left out
      */
-    public Map<String, Load> own() {
-        Map<String, Load> own = new HashMap<>();
-        states.forEach((endpoint, state) -> {
+    public Map<EndpointKey, Load> own() {
+        Map<EndpointKey, Load> own = new HashMap<>();
+        states.values().forEach(state -> {
             if (state.inFlight > 0) {
-                own.put(endpoint, new Load(state.inFlight, state.unreadMillis));
+                own.put(state.key, new Load(state.inFlight, state.unreadMillis));
             }
         });
         return own;
@@ -117,7 +118,7 @@
 
     /** One endpoint as seen from here. */
     final class State {
-        private final String endpointId;
+        private final EndpointKey key;
         private final long startedAtEpochMillis;
         private final LinkedHashMap<String, Integer> keptParts = new LinkedHashMap<>(16, 0.75f, true);
         private long keptTokens;
@@ -129,13 +130,13 @@
         private long ejectedUntilMillis = Long.MIN_VALUE;
 
         private State(String endpointId, long startedAtEpochMillis) {
-            this.endpointId = endpointId;
+            this.key = EndpointKey.of(endpointId);
             this.startedAtEpochMillis = startedAtEpochMillis;
         }
 
         /** Returns what all instances have under way, as far as is known. */
         Load load() {
-            return new Load(inFlight, unreadMillis).plus(others.at(endpointId));
+            return new Load(inFlight, unreadMillis).plus(others.at(key));
         }
 
         /** Returns the share of failures of late, from zero to one. */
--- a/router/src/main/java/baobabcroft/relay/RelayJournal.java
+++ b/router/src/main/java/baobabcroft/relay/RelayJournal.java
@@ -1,7 +1,6 @@
 package baobabcroft.relay;
 
 import baobabcroft.directory.EndpointEntry;
-import java.util.Optional;
 
 /** Told of each decision on a request. Must not block. */
 public interface RelayJournal {
@@ -9,11 +8,9 @@
      * A request is sent to an endpoint.
      *
      * @param requestId id of the caller attempt
-     * @param endpoint the endpoint
-     * @param model the model chosen, if any
-     * @param attempt number of the send, from one
+     * @param send where to, and what decided on it
      */
-    void sent(String requestId, EndpointEntry endpoint, Optional<String> model, int attempt);
+    void sent(String requestId, SendNote send);
 
     /**
      * A send ended without an answer for the caller.
--- a/router/src/main/java/baobabcroft/relay/RelaySummary.java
+++ b/router/src/main/java/baobabcroft/relay/RelaySummary.java
@@ -10,6 +10,7 @@
  * @param route name of the route, if one was found
  * @param account the client account, if any
  * @param outcome lower-case words joined by underscores
+ * @param stopReason why it was not sent again, as lower-case words joined by underscores, if it would have been
  * @param status the status that the caller received; 0 if none
  * @param execution whether it may have run
  * @param sends how often it was sent to endpoints
@@ -21,6 +22,7 @@
         Optional<String> route,
         Optional<String> account,
         String outcome,
+        Optional<String> stopReason,
         int status,
         Execution execution,
         int sends,
--- a/router/src/main/java/baobabcroft/retry/RetryBudget.java
+++ b/router/src/main/java/baobabcroft/retry/RetryBudget.java
@@ -1,6 +1,9 @@
 package baobabcroft.retry;
 
 import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.function.DoubleSupplier;
 
 /**
  * Token bucket that bounds retries and hedges to a share of first attempts.
@@ -11,11 +14,11 @@
     private static final double DEFAULT_SHARE = 0.1;
     private static final double DEFAULT_MAX_TOKENS = 100;
 
-    private final double share;
-    private final double maxTokens;
+    private final DoubleSupplier share;
+    private final DoubleSupplier maxTokens;
     private double tokens;
 
-    private RetryBudget(double share, double maxTokens, double tokens) {
+    private RetryBudget(DoubleSupplier share, DoubleSupplier maxTokens, double tokens) {
         this.share = share;
         this.maxTokens = maxTokens;
         this.tokens = tokens;
@@ -53,12 +56,23 @@
         checkArgument(share >= 0, "negative share: %s", share);
         checkArgument(maxTokens >= 1, "maxTokens under one: %s", maxTokens);
         checkArgument(tokens >= 0 && tokens <= maxTokens, "tokens out of range: %s", tokens);
-        return new RetryBudget(share, maxTokens, tokens);
+        return new RetryBudget(() -> share, () -> maxTokens, tokens);
+    }
+
+    /**
+     * Returns a budget whose bounds may change, with one retry at the start.
+     *
+     * @param share retries allowed a request, at present
+     * @param maxTokens retries that may be saved up, at present; less than one counts as one
+     * @return a new budget
+     */
+    public static RetryBudget following(DoubleSupplier share, DoubleSupplier maxTokens) {
+        return new RetryBudget(checkNotNull(share), checkNotNull(maxTokens), 1);
     }
 
     /** Counts a first attempt. */
     public synchronized void requestStarted() {
-        tokens = Math.min(maxTokens, tokens + share);
+        tokens = Math.min(Math.max(1, maxTokens.getAsDouble()), tokens + share.getAsDouble());
     }
 
     /**
--- a/router/src/main/java/baobabcroft/retry/RetryDecision.java
+++ b/router/src/main/java/baobabcroft/retry/RetryDecision.java
@@ -26,6 +26,8 @@
         ATTEMPTS_USED,
         /** Another attempt would end past the deadline. */
         DEADLINE,
+        /** No other endpoint can take it. */
+        NO_ENDPOINT,
         /** The budget of retries is used up. */
         BUDGET
     }
--- a/router/src/main/java/baobabcroft/retry/RetryFacts.java
+++ b/router/src/main/java/baobabcroft/retry/RetryFacts.java
@@ -10,7 +10,7 @@
  *
  * @param execution whether the request may have run
  * @param idempotent whether it may be repeated
- * @param attempt attempts so far, from one
+ * @param attempt attempts so far; zero if no send counted as one
  * @param remainingMillis time until the answer is due, in milliseconds
  * @param expectedMillis expected time of another attempt, in milliseconds
  */
@@ -19,7 +19,7 @@
     /** Checks the values. */
     public RetryFacts {
         checkNotNull(execution);
-        checkArgument(attempt >= 1, "attempt under one: %s", attempt);
+        checkArgument(attempt >= 0, "negative attempt: %s", attempt);
         checkArgument(expectedMillis >= 0, "negative expectedMillis: %s", expectedMillis);
     }
 }
--- a/router/src/main/java/baobabcroft/retry/RetryPolicy.java
+++ b/router/src/main/java/baobabcroft/retry/RetryPolicy.java
@@ -34,6 +34,16 @@
         return new RetryPolicy(3, 25, 1_000);
     }
 
+    /**
+     * Returns a policy that sends again at once: for a router of many endpoints, where another one is free.
+     *
+     * @param maxAttempts attempts of one request in all
+     * @return the policy
+     */
+    public static RetryPolicy immediate(int maxAttempts) {
+        return new RetryPolicy(maxAttempts, 0, 0);
+    }
+
     /**
      * Decides whether to try a request again. A retry is taken from the budget.
      *
--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -4,13 +4,13 @@
 
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.relay.VersionGate;
-import baobabcroft.rollout.RolloutWriter.RolloutCounts;
 import com.google.common.collect.ImmutableList;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -31,6 +31,7 @@
     private final LongSupplier epochMillis;
     private final UniformRandomProvider random;
     private final double triedShare;
+    private final IntSupplier instances;
     private final Map<String, ServiceRollout> rollouts = new HashMap<>();
     private final Map<String, Map<String, Long>> versionsSince = new HashMap<>();
     private final Map<String, Recorded> lastRecords = new HashMap<>();
@@ -50,17 +51,20 @@
      * @param epochMillis wall clock, in milliseconds since the epoch
      * @param random spreads the writes of all instances
      * @param exposureShare share of a service's requests that a bad version may get
+     * @param instances how many instances there are, as far as is known
      */
     public FleetRollouts(
             RolloutWriter writer,
             LongSupplier nowMillis,
             LongSupplier epochMillis,
             UniformRandomProvider random,
-            double exposureShare) {
+            double exposureShare,
+            IntSupplier instances) {
         this.writer = checkNotNull(writer);
         this.nowMillis = nowMillis;
         this.epochMillis = epochMillis;
         this.random = random;
+        this.instances = checkNotNull(instances);
         this.triedShare = exposureShare * TRIED_SHARE;
     }
 
@@ -72,7 +76,7 @@
     public void ordered(RolloutOrder order) {
         ServiceRollout present = rollouts.get(order.service());
         if (present == null || present.order().revision() < order.revision()) {
-            rollouts.put(order.service(), new ServiceRollout(order, writer, nowMillis, epochMillis, random));
+            rollouts.put(order.service(), new ServiceRollout(order, writer, nowMillis, epochMillis, random, instances));
             Optional.ofNullable(lastRecords.get(order.service()))
                     .ifPresent(last -> recorded(order.service(), last.record(), last.revision()));
             Optional.ofNullable(lastAnnounced.get(order.service()))
@@ -108,10 +112,10 @@
     }
 
     /**
-     * Takes another instance's counts.
+     * Takes the counts of another instance, or of another failure domain as a whole.
      *
      * @param service name of the service
-     * @param instance the instance
+     * @param instance name of the instance or of the failure domain, by a prefix of its own
      * @param counts its counts
      */
     public void heard(String service, String instance, RolloutCounts counts) {
--- a/router/src/main/java/baobabcroft/rollout/RolloutWriter.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutWriter.java
@@ -1,7 +1,6 @@
 package baobabcroft.rollout;
 
 import baobabcroft.external.WriteResult;
-import java.util.Map;
 import java.util.function.Consumer;
 
 /** Writes what instances share of roll-outs. Calls back on the caller's thread. */
@@ -17,21 +16,10 @@
     void writeRecord(String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> then);
 
     /**
-     * Writes this instance's counts of the new version.
+     * Tells the other instances this one's counts of the new version.
      *
      * @param service name of the service
-     * @param counts its counts by route
+     * @param counts its counts; those told later hold them too
      */
     void writeEvidence(String service, RolloutCounts counts);
-
-    /**
-     * One instance's counts of a new version.
-     *
-     * @param orderRevision the order that they belong to
-     * @param answers answers by route
-     * @param failed failures by route
-     * @param slow slow answers by route
-     */
-    record RolloutCounts(
-            long orderRevision, Map<String, Long> answers, Map<String, Long> failed, Map<String, Long> slow) {}
 }
--- a/router/src/main/java/baobabcroft/rollout/RouteTrials.java
+++ b/router/src/main/java/baobabcroft/rollout/RouteTrials.java
@@ -7,10 +7,17 @@
  * @param failed failures among them
  * @param slow answers among them that took several times as long as the old version's do
  */
-record RouteTrials(long answers, long failed, long slow) {
-    static final RouteTrials NONE = new RouteTrials(0, 0, 0);
+public record RouteTrials(long answers, long failed, long slow) {
+    /** No answers. */
+    public static final RouteTrials NONE = new RouteTrials(0, 0, 0);
 
-    RouteTrials plus(RouteTrials other) {
+    /**
+     * Returns the sum of two counts.
+     *
+     * @param other other counts
+     * @return the sum
+     */
+    public RouteTrials plus(RouteTrials other) {
         return new RouteTrials(answers + other.answers, failed + other.failed, slow + other.slow);
     }
 
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -5,10 +5,11 @@
 import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.rollout.RolloutWriter.RolloutCounts;
+import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -19,14 +20,12 @@
  * record is as it saw it. The first write wins; the others see it and stay silent. Not thread-safe.
  */
 final class ServiceRollout {
-    /** Random pause before a stage is written, in milliseconds: several times a write and its notice. */
-    private static final long STAGE_SPREAD_MILLIS = 1_200;
-    /** Random pause before a bad version is stopped, in milliseconds. */
-    private static final long REVERT_SPREAD_MILLIS = 300;
+    /** Scale of the pause before a stage is written, in milliseconds: longer than a write and its notice. */
+    private static final double STAGE_SCALE_MILLIS = 550;
+    /** Scale of the pause before a bad version is stopped, in milliseconds: a conflict costs less than a failure. */
+    private static final double REVERT_SCALE_MILLIS = 140;
     /** Pause after a write whose outcome is not known, in milliseconds: the store's answers are seconds late. */
     private static final long RETRY_MILLIS = 700;
-    /** Least time between two writes of counts, in milliseconds. */
-    private static final long EVIDENCE_MILLIS = 700;
     /** An answer is slow when it takes as many times as long as the old version's do on average. */
     private static final double SLOW_FACTOR = 4;
     /** Weight of a new answer in the average. */
@@ -37,6 +36,7 @@
     private final LongSupplier nowMillis;
     private final LongSupplier epochMillis;
     private final UniformRandomProvider random;
+    private final IntSupplier instances;
     private final EventLog log = EventLog.of(ServiceRollout.class);
     private final Map<String, RouteTrials> ownTarget = new HashMap<>();
     private final Map<String, RouteTrials> ownBase = new HashMap<>();
@@ -51,7 +51,6 @@
     private Optional<RolloutStage> planned = Optional.empty();
     private long writeAtMillis;
     private long announceAtMillis;
-    private long evidenceAtMillis = Long.MIN_VALUE / 2;
     private boolean evidenceChanged;
     private boolean writing;
     private boolean bad;
@@ -61,12 +60,14 @@
             RolloutWriter writer,
             LongSupplier nowMillis,
             LongSupplier epochMillis,
-            UniformRandomProvider random) {
+            UniformRandomProvider random,
+            IntSupplier instances) {
         this.order = checkNotNull(order);
         this.writer = checkNotNull(writer);
         this.nowMillis = nowMillis;
         this.epochMillis = epochMillis;
         this.random = random;
+        this.instances = instances;
         this.startedAtMillis = nowMillis.getAsLong();
         this.stageSinceMillis = startedAtMillis;
     }
@@ -96,7 +97,7 @@
         if (advanced) {
             planned = Optional.empty();
             stageSinceMillis = nowMillis.getAsLong();
-            announceAtMillis = stageSinceMillis + pause(STAGE_SPREAD_MILLIS);
+            announceAtMillis = stageSinceMillis + pause(STAGE_SCALE_MILLIS);
             log.log(LogEvent.ROLLOUT_STAGE, order.service(), order.target(), newRecord.stage(), elapsedMillis());
         }
     }
@@ -135,8 +136,8 @@
             return;
         }
         ownTarget.merge(route, RouteTrials.NONE.plusAnswer(failed, slow), RouteTrials::plus);
+        evidenceChanged = true;
         if (failed || slow) {
-            evidenceChanged = true;
             judge();
         }
     }
@@ -147,14 +148,7 @@
         }
         Map<String, RouteTrials> target = new HashMap<>(ownTarget);
         for (RolloutCounts counts : othersTarget.values()) {
-            counts.answers()
-                    .forEach((route, answers) -> target.merge(
-                            route,
-                            new RouteTrials(
-                                    answers,
-                                    counts.failed().getOrDefault(route, 0L),
-                                    counts.slow().getOrDefault(route, 0L)),
-                            RouteTrials::plus));
+            counts.routes().forEach((route, trials) -> target.merge(route, trials, RouteTrials::plus));
         }
         if (VersionTrial.isBad(target, ownBase)) {
             bad = true;
@@ -165,7 +159,7 @@
     /** Does what is due. Called several times a second while the roll-out is under way. */
     void tick() {
         long now = nowMillis.getAsLong();
-        shareEvidence(now);
+        shareEvidence();
         if (writing) {
             return;
         }
@@ -199,30 +193,17 @@
         return stage.isFinal() ? stage : RolloutStage.HOLDING;
     }
 
-    private void shareEvidence(long now) {
-        if (evidenceChanged && now - evidenceAtMillis >= EVIDENCE_MILLIS) {
+    private void shareEvidence() {
+        if (evidenceChanged) {
             evidenceChanged = false;
-            evidenceAtMillis = now;
-            writer.writeEvidence(order.service(), counts());
+            writer.writeEvidence(order.service(), new RolloutCounts(order.revision(), ImmutableMap.copyOf(ownTarget)));
         }
     }
 
-    private RolloutCounts counts() {
-        Map<String, Long> answers = new HashMap<>();
-        Map<String, Long> failed = new HashMap<>();
-        Map<String, Long> slow = new HashMap<>();
-        ownTarget.forEach((route, trials) -> {
-            answers.put(route, trials.answers());
-            failed.put(route, trials.failed());
-            slow.put(route, trials.slow());
-        });
-        return new RolloutCounts(order.revision(), answers, failed, slow);
-    }
-
     private void plan(RolloutStage due, long now) {
         if (!planned.equals(Optional.of(due))) {
             planned = Optional.of(due);
-            writeAtMillis = now + pause(due == RolloutStage.REVERTED ? REVERT_SPREAD_MILLIS : STAGE_SPREAD_MILLIS);
+            writeAtMillis = now + pause(due == RolloutStage.REVERTED ? REVERT_SCALE_MILLIS : STAGE_SCALE_MILLIS);
         }
         if (now >= writeAtMillis) {
             write(due);
@@ -261,8 +242,12 @@
         });
     }
 
-    private long pause(long spreadMillis) {
-        return (long) (random.nextDouble() * spreadMillis);
+    /**
+     * Returns a random pause after which a few instances of a fleet of any size are the first, and the many are late
+     * enough to hear of them: the number whose pause has passed grows exponentially, by e in a scale.
+     */
+    private long pause(double scaleMillis) {
+        return (long) (scaleMillis * Math.log1p(random.nextDouble() * Math.max(1, instances.getAsInt() - 1)));
     }
 
     private long elapsedMillis() {
--- a/router/src/test/java/baobabcroft/cli/CommandLineTest.java
+++ b/router/src/test/java/baobabcroft/cli/CommandLineTest.java
@@ -79,6 +79,10 @@
                 status                 | admin
                 rules check a --jsno   | jsno
                 rules diff a           | cannot be read
+                trace r-1              | at least one log file
+                trace --account kamera a.log | --account and --at together
+                trace --account kamera --at noon a.log | cannot be read
+                trace r-1 none.log     | cannot be read
                 status --admin x --admin-key-file pom.xml | --admin is 'x'
                 rules show x --admin http://127.0.0.1:1 --admin-key-file pom.xml | number is 'x'
                 """)
@@ -129,6 +133,44 @@
         }
     }
 
+    @Nested
+    final class Trace {
+        private String log() throws IOException {
+            return file(
+                    "north-1.log",
+                    """
+                    {"timestamp":5000,"message":"BC7001 request sent request=r-9 endpoint=e-1 attempt=1"}
+                    {"timestamp":5900,"message":"BC7003 request finished request=r-9 account=kamera outcome=lost"}
+                    {"timestamp":5901,"mess
+                    """);
+        }
+
+        @Test
+        void tellsARequestsStoryAndCountsDamagedLines() throws IOException {
+            assertEquals(0, run("trace", "r-9", log()), err());
+            assertTrue(out().contains("cause   lost"), out());
+            assertTrue(err().contains("1 damaged lines"), err());
+        }
+
+        @Test
+        void findsRequestsByAccountAndTime() throws IOException {
+            assertEquals(0, run("trace", "--account", "kamera", "--at", "1970-01-01T00:00:06Z", log()), err());
+            assertTrue(out().contains("request r-9"), out());
+        }
+
+        @Test
+        void printsJson() throws IOException {
+            assertEquals(0, run("trace", "r-9", "--json", log()), err());
+            assertTrue(out().contains("\"request\""), out());
+        }
+
+        @Test
+        void saysThatNoLineNamesARequest() throws IOException {
+            assertEquals(3, run("trace", "r-1", log()));
+            assertTrue(err().contains("no line of request r-1"), err());
+        }
+    }
+
     @Nested
     final class Offline {
         @Test
--- /dev/null
+++ b/router/src/test/java/baobabcroft/load/SharedLoadsTest.java
@@ -0,0 +1,51 @@
+package baobabcroft.load;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import baobabcroft.load.SharedLoads.Load;
+import com.google.common.collect.ImmutableMap;
+import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SharedLoadsTest {
+    private static final EndpointKey ENGINE = EndpointKey.of("engine-1");
+
+    private long nowMillis = 1_000;
+    private final SharedLoads loads = SharedLoads.create(() -> nowMillis);
+
+    @Nested
+    class Sums {
+        @Test
+        void addNeighboursAndOtherFailureDomains() {
+            loads.told("neighbour", 1, Map.of(ENGINE, new Load(2, 30)));
+            loads.toldOfDomain("elsewhere", Map.of(ENGINE, new Load(5, 100)));
+
+            assertEquals(new Load(7, 130), loads.at(ENGINE));
+        }
+
+        @Test
+        void takeTheLastWordOnAFailureDomain() {
+            loads.toldOfDomain("elsewhere", Map.of(ENGINE, new Load(5, 100)));
+            loads.toldOfDomain("elsewhere", Map.of());
+
+            assertEquals(Load.NONE, loads.at(ENGINE));
+        }
+
+        @Test
+        void leaveOutWhoFellSilent() {
+            loads.toldOfDomain("elsewhere", Map.of(ENGINE, new Load(5, 100)));
+            nowMillis += 3_001;
+
+            assertEquals(Load.NONE, loads.at(ENGINE));
+        }
+
+        @Test
+        void ofTheOwnDomainLeaveOutTheOthers() {
+            loads.told("neighbour", 1, Map.of(ENGINE, new Load(2, 30)));
+            loads.toldOfDomain("elsewhere", Map.of(ENGINE, new Load(5, 100)));
+
+            assertEquals(ImmutableMap.of(ENGINE, new Load(3, 40)), loads.ofOwnDomain(Map.of(ENGINE, new Load(1, 10))));
+        }
+    }
+}
--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.load.EndpointKey;
 import baobabcroft.load.SharedLoads;
 import baobabcroft.load.SharedLoads.Load;
 import baobabcroft.routing.ServiceProfile;
@@ -126,25 +127,25 @@
         void countsWhatOtherInstancesHaveUnderWay() {
             EndpointEntry busy = endpoint("busy", "here");
             EndpointEntry idle = endpoint("idle", "here");
-            others.told("instance-2", 1, Map.of("busy", new Load(5, 3_000)));
+            others.told("instance-2", 1, Map.of(EndpointKey.of("busy"), new Load(5, 3_000)));
 
             assertEquals("idle", choose(ImmutableList.of(busy, idle), ENGINE, Prompt.NONE));
         }
 
         @Test
         void forgetsInstancesThatFellSilent() {
-            others.told("instance-2", 1, Map.of("busy", new Load(5, 3_000)));
+            others.told("instance-2", 1, Map.of(EndpointKey.of("busy"), new Load(5, 3_000)));
             nowMillis += 10_000;
 
-            assertEquals(Load.NONE, others.at("busy"));
+            assertEquals(Load.NONE, others.at(EndpointKey.of("busy")));
         }
 
         @Test
         void ignoresNoticesThatArriveLate() {
             others.told("instance-2", 2, Map.of());
-            others.told("instance-2", 1, Map.of("busy", new Load(5, 3_000)));
+            others.told("instance-2", 1, Map.of(EndpointKey.of("busy"), new Load(5, 3_000)));
 
-            assertEquals(Load.NONE, others.at("busy"));
+            assertEquals(Load.NONE, others.at(EndpointKey.of("busy")));
         }
 
         /** Pattern: nine instances, 200 requests in a burst, eight engines; against each knowing only its own. */
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -30,6 +30,7 @@
 final class RelayFixture {
     static final long SEED = 7;
 
+    private final VirtualTime time = new VirtualTime();
     final RoutingInForce routing = new RoutingInForce();
     final EndpointDirectory directory = new EndpointDirectory();
     final List<Send> sends = new ArrayList<>();
@@ -37,7 +38,6 @@
     final List<String> lost = new ArrayList<>();
     final SharedLoads others = SharedLoads.create(this::now);
     final EndpointLoads loads = EndpointLoads.create(this::now, others, () -> {});
-    private final VirtualTime time = new VirtualTime();
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
@@ -186,7 +186,7 @@
 
     private final class Journal implements RelayJournal {
         @Override
-        public void sent(String requestId, EndpointEntry endpoint, Optional<String> model, int attempt) {}
+        public void sent(String requestId, SendNote send) {}
 
         @Override
         public void sendFailed(String requestId, EndpointEntry endpoint, String reason) {}
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.common.Execution;
+import baobabcroft.load.EndpointKey;
 import baobabcroft.load.SharedLoads;
 import baobabcroft.relay.RelayFixture.Caller;
 import baobabcroft.relay.RelayFixture.Send;
@@ -160,6 +161,35 @@
             assertEquals("found", caller.body);
         }
 
+        @Test
+        void deliversAFailureItHoldsWhenTheDeadlineComes() {
+            relay.start("/lookup/1", caller);
+            relay.lastSend().answer(500, "first");
+            relay.pass(10_000);
+
+            assertEquals(500, caller.status);
+            assertEquals("first", caller.body);
+        }
+
+        @Test
+        void waitsOnASilentEndpointWhenTheBudgetIsSpent() {
+            relay.budget = RetryBudget.of(0, 1, 0);
+            relay.start("/lookup/1", caller);
+            relay.pass(4_000);
+            relay.lastSend().answer(200, "late");
+
+            assertEquals("late", caller.body);
+        }
+
+        @Test
+        void tellsTheJournalWhyItWasNotSentAgain() {
+            relay.budget = RetryBudget.of(0, 1, 0);
+            relay.start("/lookup/1", caller);
+            relay.lastSend().answer(500, "broken");
+
+            assertEquals(Optional.of("budget"), relay.finished.get(0).stopReason());
+        }
+
         @Test
         void deliversTheLastFailureWhenNoEndpointIsLeft() {
             relay.start("/lookup/1", caller);
@@ -324,7 +354,8 @@
         @Test
         void keepsADoubtfulAnswerWhileAllEnginesAreBusyBeyondTheGoal() {
             for (int i = 1; i <= 3; i++) {
-                relay.others.told("instance-" + i, 1, Map.of("engines-" + i, new SharedLoads.Load(20, 9_000)));
+                relay.others.told(
+                        "instance-" + i, 1, Map.of(EndpointKey.of("engines-" + i), new SharedLoads.Load(20, 9_000)));
             }
             relay.start("/chat/1", caller, open);
             relay.lastSend().head(200, new Header("confidence", "20"));
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -39,6 +39,7 @@
     private long revision = 10;
     private double lostReplies;
     private boolean storeDown;
+    private int attempts;
 
     /** One instance; the store's notices reach it unless it is cut off. */
     private final class Instance implements RolloutWriter {
@@ -53,7 +54,8 @@
                     time::nowMillis,
                     () -> 1_700_000_000_000L + time.nowMillis(),
                     RandomSource.XO_RO_SHI_RO_128_PP.create(seed),
-                    EXPOSURE);
+                    EXPOSURE,
+                    fleet::size);
         }
 
         @Override
@@ -88,6 +90,7 @@
 
     private void write(
             Instance writer, String key, long expectedRevision, Consumer<WriteResult> then, Consumer<Long> apply) {
+        attempts++;
         if (writer.cutOff || storeDown) {
             later(REPLY_MILLIS, () -> then.accept(new WriteResult.Unavailable("down")));
             return;
@@ -178,6 +181,17 @@
             assertEquals(RolloutStage.COMPLETE, told.get(told.size() - 1));
         }
 
+        /** Pattern: 82 instances see each stage due at once; against a pause drawn evenly from 1,200 ms. */
+        @Test
+        void isMovedOnByAFewOfManyInstances() {
+            order(82);
+            run(DURATION_MILLIS, () -> {});
+
+            assertEquals(RolloutStage.COMPLETE, told.get(told.size() - 1));
+            // Evenly drawn, 24 of them write a stage within a notice's time, and as many announce it.
+            assertTrue(attempts < (recorded.size() + told.size()) * 10, "attempts: " + attempts);
+        }
+
         @Test
         void movesNoSessionInTheFirstHalfAndNoneBack() {
             order(3);
