Tell other failure domains only what would change a choice; share failures and delays of endpoints

Notices elsewhere each 500 ms, one for each receiver on average, at most 12 receivers, without endpoints whose load is under half of the way between regions. Counts of a version are told until its roll-out is over, and not after. A zone of the same region costs 15 ms in the choice (2 ms are real). Notices carry the failure rate and the delay of first outputs at each endpoint; an instance trusts three own outcomes more than others' word.

Ruled out: telling single loads to fewer instances (82 instances then know a part of the fleet's load, NoticeTest).

--- a/router/src/main/java/baobabcroft/load/SharedLoads.java
+++ b/router/src/main/java/baobabcroft/load/SharedLoads.java
@@ -15,29 +15,53 @@
     /** Silence after which a load counts no more, in milliseconds: several notices lost in a row. */
     private static final long SILENCE_MILLIS = 3_000;
 
+    /** Reading time that matters elsewhere, in milliseconds: half of the way between regions. */
+    private static final double ELSEWHERE_UNREAD_MILLIS = 60;
+    /** Requests under way that matter elsewhere: as much as that time, at an engine or a service of a few slots. */
+    private static final int ELSEWHERE_IN_FLIGHT = 4;
+
     private final LongSupplier nowMillis;
     private final Map<String, Told> byInstance = new HashMap<>();
     private final Map<String, Told> byFailureDomain = new HashMap<>();
     private long lastToldAtMillis;
 
     /**
-     * What is under way at one endpoint.
+     * What is under way at one endpoint, and how it did of late.
      *
      * @param inFlight requests under way
      * @param unreadMillis expected time to read the prompts that wait there, in milliseconds
+     * @param failureRate share of failures of late, from zero to one
+     * @param lateMillis by how much first outputs came later than expected of late, in milliseconds
      */
-    public record Load(int inFlight, double unreadMillis) {
+    public record Load(int inFlight, double unreadMillis, double failureRate, double lateMillis) {
         /** No load. */
         public static final Load NONE = new Load(0, 0);
 
+        /** Creates the load of an endpoint that did well. */
+        public Load(int inFlight, double unreadMillis) {
+            this(inFlight, unreadMillis, 0, 0);
+        }
+
+        private boolean mattersElsewhere() {
+            return inFlight >= ELSEWHERE_IN_FLIGHT
+                    || unreadMillis >= ELSEWHERE_UNREAD_MILLIS
+                    || failureRate > 0
+                    || lateMillis > 0;
+        }
+
         /**
-         * Returns the sum of two loads.
+         * Returns what two tellers together say: the sum of what is under way, and the worse of how it did. An endpoint
+         * may fail some callers only, so that one teller's word is enough to be careful.
          *
          * @param other another load
          * @return the sum
          */
         public Load plus(Load other) {
-            return new Load(inFlight + other.inFlight, unreadMillis + other.unreadMillis);
+            return new Load(
+                    inFlight + other.inFlight,
+                    unreadMillis + other.unreadMillis,
+                    Math.max(failureRate, other.failureRate),
+                    Math.max(lateMillis, other.lateMillis));
         }
     }
 
@@ -85,10 +109,11 @@
     }
 
     /**
-     * Returns the loads of the own failure domain.
+     * Returns the loads of the own failure domain that would change a choice elsewhere.
      *
      * @param own this instance's loads
-     * @return the sum of them and of the instances heard lately, by endpoint
+     * @return the sum of them and of the instances heard lately, by endpoint, without those that are too light to
+     * matter
      */
     public ImmutableMap<EndpointKey, Load> ofOwnDomain(Map<EndpointKey, Load> own) {
         Map<EndpointKey, Load> sum = new HashMap<>(own);
@@ -97,7 +122,9 @@
                 told.loads().forEach((endpoint, load) -> sum.merge(endpoint, load, Load::plus));
             }
         }
-        return ImmutableMap.copyOf(sum);
+        return sum.entrySet().stream()
+                .filter(entry -> entry.getValue().mattersElsewhere())
+                .collect(ImmutableMap.toImmutableMap(Map.Entry::getKey, Map.Entry::getValue));
     }
 
     /**
--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -19,6 +19,8 @@
  * @param trials answers of versions that are being rolled out, by service
  */
 public record NoticeContents(ImmutableMap<EndpointKey, Load> loads, ImmutableMap<String, RolloutCounts> trials) {
+    private static final double PERCENT = 100;
+
     /** Checks the parts. */
     public NoticeContents {
         checkNotNull(loads);
@@ -30,7 +32,9 @@
         loads.forEach((endpoint, load) -> notice.addLoads(EndpointLoad.newBuilder()
                 .setEndpointHash(endpoint.hash())
                 .setInFlight(load.inFlight())
-                .setUnreadMillis((int) load.unreadMillis())));
+                .setUnreadMillis((int) load.unreadMillis())
+                .setFailurePercent((int) Math.round(load.failureRate() * PERCENT))
+                .setLateMillis((int) load.lateMillis())));
         trials.forEach((service, counts) -> {
             VersionAnswers.Builder answers =
                     VersionAnswers.newBuilder().setService(service).setOrderRevision(counts.orderRevision());
@@ -48,7 +52,13 @@
     static NoticeContents of(PeerNotice notice) {
         ImmutableMap.Builder<EndpointKey, Load> loads = ImmutableMap.builder();
         for (EndpointLoad load : notice.getLoadsList()) {
-            loads.put(new EndpointKey(load.getEndpointHash()), new Load(load.getInFlight(), load.getUnreadMillis()));
+            loads.put(
+                    new EndpointKey(load.getEndpointHash()),
+                    new Load(
+                            load.getInFlight(),
+                            load.getUnreadMillis(),
+                            load.getFailurePercent() / PERCENT,
+                            load.getLateMillis()));
         }
         ImmutableMap.Builder<String, RolloutCounts> trials = ImmutableMap.builder();
         for (VersionAnswers answers : notice.getAnswersList()) {
--- a/router/src/main/java/baobabcroft/notice/NoticeExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -32,13 +32,15 @@
     /** Time after which unchanged loads are told again, in milliseconds: a third of a peer's memory. */
     private static final long REPEAT_MILLIS = 1_000;
 
-    /** Time between notices to other failure domains, in milliseconds. */
-    private static final long FAR_MILLIS = 300;
+    /** Time between notices to other failure domains, in milliseconds: half of what a far endpoint's prompts take. */
+    private static final long FAR_MILLIS = 500;
     /**
      * Notices that an instance elsewhere is to hear of this failure domain in that time, on average. Instances are
-     * drawn anew each time, so that one of seven hears none; what it heard before is believed for ten times as long.
+     * drawn anew each time, so that one of three hears none; what it heard before is believed for six times as long.
      */
-    private static final double FAR_NOTICES = 2;
+    private static final double FAR_NOTICES = 1;
+    /** Instances elsewhere that one instance tells at a time: digests of many endpoints fill thin links. */
+    private static final int MAX_FAR_RECEIVERS = 12;
     /** Time after the start in which an instance cannot speak for its failure domain, in milliseconds. */
     private static final long HEARING_MILLIS = REPEAT_MILLIS + FAR_MILLIS;
 
@@ -154,7 +156,7 @@
      */
     static int receiversElsewhere(int farInstances, int nearInstances) {
         double share = FAR_NOTICES * farInstances / (1 + nearInstances);
-        return (int) Math.min(farInstances, Math.ceil(share));
+        return (int) Math.min(Math.min(farInstances, MAX_FAR_RECEIVERS), Math.ceil(share));
     }
 
     private PeerNotice.Builder notice(NoticeContents contents) {
--- a/router/src/main/java/baobabcroft/notice/proto/EndpointLoad.java
+++ b/router/src/main/java/baobabcroft/notice/proto/EndpointLoad.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Requests at one endpoint.
+ * Requests at one endpoint, and how it did of late.
  * </pre>
  *
  * Protobuf type {@code baobabcroft.notice.EndpointLoad}
@@ -97,6 +97,36 @@
     return unreadMillis_;
   }
 
+  public static final int FAILURE_PERCENT_FIELD_NUMBER = 4;
+  private int failurePercent_ = 0;
+  /**
+   * <pre>
+   * Share of failures of late, in percent.
+   * </pre>
+   *
+   * <code>uint32 failure_percent = 4;</code>
+   * @return The failurePercent.
+   */
+  @java.lang.Override
+  public int getFailurePercent() {
+    return failurePercent_;
+  }
+
+  public static final int LATE_MILLIS_FIELD_NUMBER = 5;
+  private int lateMillis_ = 0;
+  /**
+   * <pre>
+   * By how much first outputs came later than expected of late, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 late_millis = 5;</code>
+   * @return The lateMillis.
+   */
+  @java.lang.Override
+  public int getLateMillis() {
+    return lateMillis_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -120,6 +150,12 @@
     if (unreadMillis_ != 0) {
       output.writeUInt32(3, unreadMillis_);
     }
+    if (failurePercent_ != 0) {
+      output.writeUInt32(4, failurePercent_);
+    }
+    if (lateMillis_ != 0) {
+      output.writeUInt32(5, lateMillis_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -141,6 +177,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(3, unreadMillis_);
     }
+    if (failurePercent_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(4, failurePercent_);
+    }
+    if (lateMillis_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(5, lateMillis_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -162,6 +206,10 @@
         != other.getInFlight()) return false;
     if (getUnreadMillis()
         != other.getUnreadMillis()) return false;
+    if (getFailurePercent()
+        != other.getFailurePercent()) return false;
+    if (getLateMillis()
+        != other.getLateMillis()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -179,6 +227,10 @@
     hash = (53 * hash) + getInFlight();
     hash = (37 * hash) + UNREAD_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getUnreadMillis();
+    hash = (37 * hash) + FAILURE_PERCENT_FIELD_NUMBER;
+    hash = (53 * hash) + getFailurePercent();
+    hash = (37 * hash) + LATE_MILLIS_FIELD_NUMBER;
+    hash = (53 * hash) + getLateMillis();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -278,7 +330,7 @@
   }
   /**
    * <pre>
-   * Requests at one endpoint.
+   * Requests at one endpoint, and how it did of late.
    * </pre>
    *
    * Protobuf type {@code baobabcroft.notice.EndpointLoad}
@@ -317,6 +369,8 @@
       endpointHash_ = 0;
       inFlight_ = 0;
       unreadMillis_ = 0;
+      failurePercent_ = 0;
+      lateMillis_ = 0;
       return this;
     }
 
@@ -359,6 +413,12 @@
       if (((from_bitField0_ & 0x00000004) != 0)) {
         result.unreadMillis_ = unreadMillis_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.failurePercent_ = failurePercent_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.lateMillis_ = lateMillis_;
+      }
     }
 
     @java.lang.Override
@@ -382,6 +442,12 @@
       if (other.getUnreadMillis() != 0) {
         setUnreadMillis(other.getUnreadMillis());
       }
+      if (other.getFailurePercent() != 0) {
+        setFailurePercent(other.getFailurePercent());
+      }
+      if (other.getLateMillis() != 0) {
+        setLateMillis(other.getLateMillis());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -423,6 +489,16 @@
               bitField0_ |= 0x00000004;
               break;
             } // case 24
+            case 32: {
+              failurePercent_ = input.readUInt32();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 40: {
+              lateMillis_ = input.readUInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -572,6 +648,94 @@
       return this;
     }
 
+    private int failurePercent_ ;
+    /**
+     * <pre>
+     * Share of failures of late, in percent.
+     * </pre>
+     *
+     * <code>uint32 failure_percent = 4;</code>
+     * @return The failurePercent.
+     */
+    @java.lang.Override
+    public int getFailurePercent() {
+      return failurePercent_;
+    }
+    /**
+     * <pre>
+     * Share of failures of late, in percent.
+     * </pre>
+     *
+     * <code>uint32 failure_percent = 4;</code>
+     * @param value The failurePercent to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFailurePercent(int value) {
+
+      failurePercent_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Share of failures of late, in percent.
+     * </pre>
+     *
+     * <code>uint32 failure_percent = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFailurePercent() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      failurePercent_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private int lateMillis_ ;
+    /**
+     * <pre>
+     * By how much first outputs came later than expected of late, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 late_millis = 5;</code>
+     * @return The lateMillis.
+     */
+    @java.lang.Override
+    public int getLateMillis() {
+      return lateMillis_;
+    }
+    /**
+     * <pre>
+     * By how much first outputs came later than expected of late, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 late_millis = 5;</code>
+     * @param value The lateMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLateMillis(int value) {
+
+      lateMillis_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * By how much first outputs came later than expected of late, in milliseconds.
+     * </pre>
+     *
+     * <code>uint32 late_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLateMillis() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      lateMillis_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.EndpointLoad)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/EndpointLoadOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/EndpointLoadOrBuilder.java
@@ -39,4 +39,24 @@
    * @return The unreadMillis.
    */
   int getUnreadMillis();
+
+  /**
+   * <pre>
+   * Share of failures of late, in percent.
+   * </pre>
+   *
+   * <code>uint32 failure_percent = 4;</code>
+   * @return The failurePercent.
+   */
+  int getFailurePercent();
+
+  /**
+   * <pre>
+   * By how much first outputs came later than expected of late, in milliseconds.
+   * </pre>
+   *
+   * <code>uint32 late_millis = 5;</code>
+   * @return The lateMillis.
+   */
+  int getLateMillis();
 }
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
@@ -173,7 +173,7 @@
   private java.util.List<baobabcroft.notice.proto.EndpointLoad> loads_;
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -184,7 +184,7 @@
   }
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -196,7 +196,7 @@
   }
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -207,7 +207,7 @@
   }
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -218,7 +218,7 @@
   }
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1034,7 +1034,7 @@
 
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1048,7 +1048,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1062,7 +1062,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1076,7 +1076,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1097,7 +1097,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1115,7 +1115,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1135,7 +1135,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1156,7 +1156,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1174,7 +1174,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1192,7 +1192,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1211,7 +1211,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1228,7 +1228,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1245,7 +1245,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1256,7 +1256,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1270,7 +1270,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1285,7 +1285,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1296,7 +1296,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -1308,7 +1308,7 @@
     }
     /**
      * <pre>
-     * Endpoints with requests under way; all others have none.
+     * Endpoints with requests under way or with failures or delays of late; all others have none.
      * </pre>
      *
      * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
@@ -64,7 +64,7 @@
 
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -73,7 +73,7 @@
       getLoadsList();
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -81,7 +81,7 @@
   baobabcroft.notice.proto.EndpointLoad getLoads(int index);
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -89,7 +89,7 @@
   int getLoadsCount();
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
@@ -98,7 +98,7 @@
       getLoadsOrBuilderList();
   /**
    * <pre>
-   * Endpoints with requests under way; all others have none.
+   * Endpoints with requests under way or with failures or delays of late; all others have none.
    * </pre>
    *
    * <code>repeated .baobabcroft.notice.EndpointLoad loads = 4;</code>
--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -21,8 +21,8 @@
  * endpoint that rendezvous hashing names, so that all instances of a region send it to the same one. Not thread-safe.
  */
 public final class EndpointChooser {
-    /** Round trip between failure domains of one region, in milliseconds: the deployments' bound of a few. */
-    private static final double SAME_REGION_MILLIS = 2;
+    /** Round trip between failure domains of one region, in milliseconds, and more for the traffic that is paid for. */
+    private static final double SAME_REGION_MILLIS = 15;
     /** Round trip between regions, in milliseconds, and as much again for the traffic that is paid for. */
     private static final double OTHER_REGION_MILLIS = 120;
     /** Delay that one more running request brings to the others of an engine, in milliseconds. */
@@ -102,7 +102,8 @@
         EndpointLoads.State state = loads.of(candidate);
         SharedLoads.Load load = state.load();
         double millis = distanceMillis(candidate) + random.nextDouble() * JITTER_MILLIS;
-        millis += state.failureRate() * FAILURE_MILLIS + (state.isEjected() ? 2 * FAILURE_MILLIS : 0);
+        millis += load.failureRate() * FAILURE_MILLIS + load.lateMillis();
+        millis += state.isEjected() ? 2 * FAILURE_MILLIS : 0;
         if (profile.isPresent() && profile.get().isEngine()) {
             double ownTokens = state.tokensToRead(model, prompt) * (isHome ? 1 - RENDEZVOUS_KEPT : 1);
             return millis + loads.readMillis(model, prompt, ownTokens) + waitMillis(load);
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -22,6 +22,24 @@
     private static final double FAILURE_MEMORY_MILLIS = 4_000;
     /** Share of a new outcome in the failure rate. */
     private static final double FAILURE_SMOOTHING = 0.2;
+    /** Outcomes of late from which what other instances tell of an endpoint's failures no longer counts. */
+    private static final double OWN_OUTCOMES = 3;
+    /**
+     * Weight of what other instances tell of failures and delays, before own outcomes: they may not concern this one.
+     */
+    private static final double TOLD_SHARE = 0.7;
+    /** Rate of failures that is worth telling. */
+    private static final double TOLD_FAILURE_RATE = 0.05;
+    /** Delay that is worth telling, in milliseconds. */
+    private static final double TOLD_LATE_MILLIS = 50;
+    /** Times the expected time to the first output, beyond which it is late. */
+    private static final double LATE_FACTOR = 2;
+    /** Least time beyond the expected one from which an output is late, in milliseconds: steps and a round trip. */
+    private static final double MIN_LATE_MILLIS = 300;
+    /** Longest delay that counts, in milliseconds: the goal of the longest requests. */
+    private static final double MAX_LATE_MILLIS = 3_000;
+    /** Weight of a new first output in an endpoint's delay. */
+    private static final double LATE_SMOOTHING = 0.3;
     /** Shortest time without requests after a connection failure, in milliseconds. */
     private static final long MIN_EJECTION_MILLIS = 500;
     /** Longest time without requests after connection failures in a row, in milliseconds. */
@@ -64,15 +82,15 @@
     }
 
     /**
-     * Returns this instance's own load.
+     * Returns this instance's own load, and how endpoints did of late.
      *
-     * @return the loads by endpoint, those that are zero left out
+     * @return the loads by endpoint, those with nothing to tell left out
      */
     public Map<EndpointKey, Load> own() {
         Map<EndpointKey, Load> own = new HashMap<>();
         states.values().forEach(state -> {
-            if (state.inFlight > 0) {
-                own.put(state.key, new Load(state.inFlight, state.unreadMillis));
+            if (state.inFlight > 0 || state.isSuspect()) {
+                own.put(state.key, state.own());
             }
         });
         return own;
@@ -125,7 +143,9 @@
         private int inFlight;
         private double unreadMillis;
         private double failureRate;
-        private long failureRateAtMillis;
+        private double lateMillis;
+        private double outcomes;
+        private long countedAtMillis;
         private int connectionFailures;
         private long ejectedUntilMillis = Long.MIN_VALUE;
 
@@ -134,15 +154,33 @@
             this.startedAtEpochMillis = startedAtEpochMillis;
         }
 
-        /** Returns what all instances have under way, as far as is known. */
+        /**
+         * Returns what all instances have under way, as far as is known, and how the endpoint did of late: by what this
+         * instance saw if that was often, else also by what others tell.
+         */
         Load load() {
-            return new Load(inFlight, unreadMillis).plus(others.at(key));
+            Load own = own();
+            Load told = others.at(key);
+            double toldWeight = TOLD_SHARE * Math.max(0, 1 - outcomes * faded() / OWN_OUTCOMES);
+            return new Load(
+                    own.inFlight() + told.inFlight(),
+                    own.unreadMillis() + told.unreadMillis(),
+                    Math.max(own.failureRate(), toldWeight * told.failureRate()),
+                    Math.max(own.lateMillis(), toldWeight * told.lateMillis()));
+        }
+
+        /** Returns this instance's part of the load. */
+        private Load own() {
+            return new Load(inFlight, unreadMillis, failureRate * faded(), lateMillis * faded());
+        }
+
+        private boolean isSuspect() {
+            return failureRate * faded() >= TOLD_FAILURE_RATE || lateMillis * faded() >= TOLD_LATE_MILLIS;
         }
 
-        /** Returns the share of failures of late, from zero to one. */
-        double failureRate() {
-            double elapsedMillis = nowMillis.getAsLong() - failureRateAtMillis;
-            return failureRate * Math.exp(-elapsedMillis / FAILURE_MEMORY_MILLIS);
+        /** Returns what is left of the weight of what was counted last. */
+        private double faded() {
+            return Math.exp((countedAtMillis - nowMillis.getAsLong()) / FAILURE_MEMORY_MILLIS);
         }
 
         /** Returns whether connections failed so lately that the endpoint is to be left alone. */
@@ -179,11 +217,13 @@
         Ticket begin(Optional<String> model, Prompt prompt, long cacheTokens) {
             int tokensToRead = tokensToRead(model, prompt);
             double readMillis = EndpointLoads.this.readMillis(model, prompt, tokensToRead);
-            boolean alone = load().unreadMillis() == 0;
+            Load before = load();
+            boolean alone = before.unreadMillis() == 0;
             inFlight++;
             unreadMillis += readMillis;
             onChange.run();
-            return new Ticket(this, model, prompt, tokensToRead, readMillis, alone, cacheTokens);
+            double expectedMillis = readMillis + before.unreadMillis();
+            return new Ticket(this, model, prompt, tokensToRead, readMillis, expectedMillis, alone, cacheTokens);
         }
 
         private void keep(Optional<String> model, Prompt prompt, long cacheTokens) {
@@ -199,9 +239,22 @@
         }
 
         private void count(boolean failed) {
-            double before = failureRate();
-            failureRateAtMillis = nowMillis.getAsLong();
-            failureRate = before + FAILURE_SMOOTHING * ((failed ? 1 : 0) - before);
+            fade();
+            outcomes++;
+            failureRate += FAILURE_SMOOTHING * ((failed ? 1 : 0) - failureRate);
+        }
+
+        private void countDelay(double millis) {
+            fade();
+            lateMillis += LATE_SMOOTHING * (Math.min(millis, MAX_LATE_MILLIS) - lateMillis);
+        }
+
+        private void fade() {
+            double faded = faded();
+            failureRate *= faded;
+            lateMillis *= faded;
+            outcomes *= faded;
+            countedAtMillis = nowMillis.getAsLong();
         }
 
         private void connectionFailed() {
@@ -222,6 +275,7 @@
         private final Prompt prompt;
         private final int tokensToRead;
         private final double readMillis;
+        private final double expectedMillis;
         private final boolean alone;
         private final long cacheTokens;
         private final long sentAtMillis = nowMillis.getAsLong();
@@ -234,6 +288,7 @@
                 Prompt prompt,
                 int tokensToRead,
                 double readMillis,
+                double expectedMillis,
                 boolean alone,
                 long cacheTokens) {
             this.state = state;
@@ -241,6 +296,7 @@
             this.prompt = prompt;
             this.tokensToRead = tokensToRead;
             this.readMillis = readMillis;
+            this.expectedMillis = expectedMillis;
             this.alone = alone;
             this.cacheTokens = cacheTokens;
         }
@@ -250,6 +306,7 @@
             if (markRead()) {
                 state.keep(model, prompt, cacheTokens);
                 observePace();
+                observeDelay();
             }
         }
 
@@ -263,6 +320,14 @@
             return true;
         }
 
+        /** Only engines read prompts in a time that can be foreseen. */
+        private void observeDelay() {
+            if (prompt.promptTokens() > 0) {
+                double boundMillis = Math.max(LATE_FACTOR * expectedMillis, expectedMillis + MIN_LATE_MILLIS);
+                state.countDelay(Math.max(0, nowMillis.getAsLong() - sentAtMillis - boundMillis));
+            }
+        }
+
         private void observePace() {
             if (alone && tokensToRead >= MIN_PACE_TOKENS) {
                 double observed =
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -130,6 +130,9 @@
     void answered(boolean ofTarget, String route, boolean failed, long millis) {
         double average = baseMillis.getOrDefault(route, (double) millis);
         boolean slow = !failed && millis > SLOW_FACTOR * average;
+        if (stage().isFinal()) {
+            return;
+        }
         if (!ofTarget) {
             baseMillis.put(route, average + AVERAGE_WEIGHT * (millis - average));
             ownBase.merge(route, RouteTrials.NONE.plusAnswer(failed, slow), RouteTrials::plus);
@@ -194,6 +197,13 @@
     }
 
     private void shareEvidence() {
+        if (stage().isFinal()
+                && !ownTarget.isEmpty()
+                && record.isPresent()
+                && record.get().stage().isFinal()) {
+            ownTarget.clear();
+            evidenceChanged = true;
+        }
         if (evidenceChanged) {
             evidenceChanged = false;
             writer.writeEvidence(order.service(), new RolloutCounts(order.revision(), ImmutableMap.copyOf(ownTarget)));
--- a/router/src/main/java/baobabcroft/rollout/SharedTrials.java
+++ b/router/src/main/java/baobabcroft/rollout/SharedTrials.java
@@ -19,10 +19,14 @@
      * Takes this instance's counts.
      *
      * @param service name of the service
-     * @param counts its counts
+     * @param counts its counts; none once the roll-out is over
      */
     public void counted(String service, RolloutCounts counts) {
-        own.put(service, counts);
+        if (counts.routes().isEmpty()) {
+            own.remove(service);
+        } else {
+            own.put(service, counts);
+        }
     }
 
     /**
--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -207,6 +207,54 @@
             assertEquals("broken", choose(ImmutableList.of(broken), PLAIN, Prompt.NONE));
         }
 
+        @Test
+        void leavesAnEndpointThatOthersSeeFail() {
+            EndpointEntry failing = endpoint("failing", "here");
+            others.told("neighbour", 1, Map.of(EndpointKey.of("failing"), new Load(0, 0, 0.4, 0)));
+
+            assertEquals("sound", choose(ImmutableList.of(failing, endpoint("sound", "away")), PLAIN, Prompt.NONE));
+        }
+
+        @Test
+        void trustsItsOwnOutcomesMoreThanOthers() {
+            EndpointEntry endpoint = endpoint("endpoint", "here");
+            for (int i = 0; i < 4; i++) {
+                loads.of(endpoint).begin(MODEL, Prompt.NONE, 0).answered(false);
+            }
+            others.told("neighbour", 1, Map.of(EndpointKey.of("endpoint"), new Load(0, 0, 1, 0)));
+
+            assertEquals("endpoint", choose(ImmutableList.of(endpoint, endpoint("other", "away")), PLAIN, Prompt.NONE));
+        }
+
+        /** Pattern: one engine of two in the own domain turns eight times as slow for 6 s, load stays low. */
+        @Test
+        void leavesAnEngineWhoseOutputsComeLate() {
+            EndpointEntry slow = endpoint("slow", "here");
+            EndpointEntry sound = endpoint("sound", "here");
+            for (int i = 0; i < 4; i++) {
+                EndpointLoads.Ticket ticket = loads.of(slow).begin(MODEL, prompt("subject", 1_000, 0), 50_000);
+                nowMillis += 900;
+                ticket.promptRead();
+                ticket.answered(false);
+            }
+
+            assertEquals("sound", choose(ImmutableList.of(slow, sound), ENGINE, prompt("subject", 1_000, 0)));
+        }
+
+        @Test
+        void comesBackToAnEngineThatWasLateAWhileAgo() {
+            EndpointEntry slow = endpoint("slow", "here");
+            EndpointLoads.Ticket ticket = loads.of(slow).begin(MODEL, prompt("subject", 1_000, 0), 50_000);
+            nowMillis += 2_000;
+            ticket.promptRead();
+            ticket.answered(false);
+            nowMillis += 20_000;
+
+            assertEquals(
+                    "slow",
+                    choose(ImmutableList.of(slow, endpoint("cold", "here")), ENGINE, prompt("subject", 1_000, 0)));
+        }
+
         @Test
         void knowsNothingOfAnEndpointThatStartedAgain() {
             EndpointEntry broken = endpoint("engine", "here");
