Ask a larger model up to one and a half times the goal's rest; gather changes longer in large fleets; times in traces

(2) Each change in the store wakes all watches; a call costs as much in a fleet of 82 as of 9. (3) A request's lines are written at its end, so that `trace` showed one time for all; refusals at admission had no request id.

Change. isWorthAsking takes 1.5 times the goal's rest. The pause between watches grows by 25 ms an instance from 350 to 900 ms. Lines that were held say how long ago they happened; refusals name the request.

--- a/router/src/main/java/baobabcroft/external/SharedState.java
+++ b/router/src/main/java/baobabcroft/external/SharedState.java
@@ -45,6 +45,13 @@
 
         /** The service has answered, also if nothing has changed. */
         void onAnswer();
+
+        /**
+         * Returns how long changes are gathered before the next look, in milliseconds.
+         *
+         * @return the pause, less than any bound on the spread of a change
+         */
+        long pauseMillis();
     }
 
     /**
--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -52,6 +52,14 @@
     private static final long KILL_MARGIN_MILLIS = 700;
 
     private static final long DRAIN_POLL_MILLIS = 50;
+    /** Shortest pause in which changes in the store are gathered, in milliseconds. Bounds on them are seconds. */
+    private static final long MIN_WATCH_PAUSE_MILLIS = 350;
+    /**
+     * Longest such pause, in milliseconds: with a watch that the store forgot (3.9 s) under the bound of 5 s contact.
+     */
+    private static final long MAX_WATCH_PAUSE_MILLIS = 900;
+    /** Pause for each instance, in milliseconds: a change wakes all of them, and the store bears so many calls. */
+    private static final long WATCH_PAUSE_MILLIS_PER_INSTANCE = 25;
     /** Time between looks at what is due, in milliseconds: a fraction of the shortest bound that they serve. */
     private static final long TICK_MILLIS = 250;
     /** Share of the fleet's ratio of repeated sends that one instance uses. */
@@ -209,6 +217,22 @@
         }
     }
 
+    /**
+     * Returns how long changes in the store are gathered before the next look: longer in a large fleet, where each
+     * change costs a call of every instance.
+     *
+     * @return the pause, in milliseconds
+     */
+    public long watchPauseMillis() {
+        return watchPauseMillis(instances());
+    }
+
+    /** Returns the pause in a fleet of so many instances, in milliseconds. */
+    static long watchPauseMillis(int instances) {
+        long scaledMillis = WATCH_PAUSE_MILLIS_PER_INSTANCE * instances;
+        return Math.max(MIN_WATCH_PAUSE_MILLIS, Math.min(MAX_WATCH_PAUSE_MILLIS, scaledMillis));
+    }
+
     private void peerSeen(String name, InstancePlace place) {
         exchange.ifPresent(peers -> peers.peer(name, HostAndPort.fromString(place.address()), place.failureDomain()));
     }
--- a/router/src/main/java/baobabcroft/instance/RelayRecorder.java
+++ b/router/src/main/java/baobabcroft/instance/RelayRecorder.java
@@ -9,6 +9,7 @@
 import baobabcroft.relay.RelayJournal;
 import baobabcroft.relay.RelaySummary;
 import baobabcroft.relay.SendNote;
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -37,7 +38,7 @@
     private final Map<String, List<Line>> held = new HashMap<>();
     private long ordinary;
 
-    private record Line(LogEvent event, List<Object> values) {}
+    private record Line(LogEvent event, List<Object> values, long atNanos) {}
 
     RelayRecorder(RouterMetrics metrics, LongSupplier listAgeMillis, LongSupplier loadAgeMillis) {
         this.metrics = checkNotNull(metrics);
@@ -70,7 +71,8 @@
     }
 
     private void hold(String requestId, LogEvent event, Object... values) {
-        held.computeIfAbsent(requestId, unused -> new ArrayList<>()).add(new Line(event, List.of(values)));
+        held.computeIfAbsent(requestId, unused -> new ArrayList<>())
+                .add(new Line(event, List.of(values), System.nanoTime()));
     }
 
     @Override
@@ -82,7 +84,7 @@
         if (!isNotable(summary) && ++ordinary % SAMPLE != 0) {
             return;
         }
-        lines.forEach(line -> log.log(line.event(), line.values().toArray()));
+        lines.forEach(this::logHeld);
         log.log(
                 LogEvent.REQUEST_FINISHED,
                 summary.requestId(),
@@ -97,6 +99,18 @@
                 summary.configVersion());
     }
 
+    /** Logs a line with how long ago it was held, so that a reader can put it where it belongs. */
+    private void logHeld(Line line) {
+        long agoMillis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - line.atNanos());
+        log.log(
+                line.event(),
+                ImmutableList.builder()
+                        .addAll(line.values())
+                        .add(agoMillis)
+                        .build()
+                        .toArray());
+    }
+
     private static boolean isNotable(RelaySummary summary) {
         return !summary.outcome().equals(ANSWERED) || summary.sends() > 1 || summary.elapsedMillis() >= SLOW_MILLIS;
     }
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -129,9 +129,10 @@
             "waitMillis",
             "resumeAfter",
             "listAgeMillis",
-            "loadAgeMillis"),
+            "loadAgeMillis",
+            "agoMillis"),
     /** A send of a request brought no answer for its caller. */
-    SEND_FAILED(7002, INFO, "send without answer", "request", "endpoint", "reason"),
+    SEND_FAILED(7002, INFO, "send without answer", "request", "endpoint", "reason", "agoMillis"),
     /** A request has its final answer. */
     REQUEST_FINISHED(
             7003,
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -22,9 +22,10 @@
     /**
      * The request is refused.
      *
+     * @param requestId id of the caller attempt, or empty text if it had none
      * @param refusal the answer
      */
-    record Refused(Refusal refusal) implements Result {}
+    record Refused(String requestId, Refusal refusal) implements Result {}
 
     /**
      * The request may be served.
@@ -65,19 +66,19 @@
         try {
             facts = services.dialect().readCaller(request);
         } catch (RouterException malformed) {
-            return new Refused(Refusal.of(malformed.code()));
+            return new Refused("", Refusal.of(malformed.code()));
         }
         Optional<Route> route = table.find(request.host(), request.path());
         if (route.isEmpty()) {
-            return new Refused(Refusal.of(ErrorCode.NOT_FOUND));
+            return new Refused(facts.requestId(), Refusal.of(ErrorCode.NOT_FOUND));
         }
         Optional<AccountProfile> account = facts.key().flatMap(table::accountOf);
         if (account.isEmpty() && table.needsKey(route.get())) {
-            return new Refused(Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
+            return new Refused(facts.requestId(), Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
         }
         Admitted admitted = new Admitted(request, table, route.get(), account, facts);
         if (services.crashes().isPoison(request, admitted.accountName())) {
-            return new Refused(Refusal.comeBack(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
+            return new Refused(facts.requestId(), Refusal.comeBack(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
         }
         return admitted;
     }
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -35,6 +35,11 @@
     private static final int MAX_EXTRA_SENDS = 3;
     /** When to come back after no endpoint could take a request, in milliseconds. */
     private static final long FULL_RETRY_MILLIS = 400;
+    /**
+     * Of the goal's rest, the expected time that a larger model may take. More than all of it: engines read parts of
+     * several prompts at a time, which the expectation counts one after the other.
+     */
+    private static final double GOAL_SHARE = 1.5;
     /** Of the goal's rest, the time that a larger model may take at an idle engine: late answers still have worth. */
     private static final double IDLE_GOAL_SHARE = 2.5;
     /** Of the goal's rest, the wait up to which an engine counts as idle. */
@@ -54,6 +59,7 @@
     private RequestSends sends = RequestSends.create(false, MAX_EXTRA_SENDS);
     private RetryPolicy retryPolicy;
     private CallerStream stream;
+    private String requestId = "";
     private String service = "";
     private Optional<String> model = Optional.empty();
     private Optional<EndpointSend> current = Optional.empty();
@@ -119,6 +125,7 @@
         }
         Admission.Result result = Admission.decide(services, table.get(), request);
         if (result instanceof Admission.Refused refused) {
+            requestId = refused.requestId();
             refuse(refused.refusal());
         } else if (result instanceof Admission.Admitted allowed) {
             admit(allowed);
@@ -137,6 +144,7 @@
     private void admit(Admission.Admitted allowed) {
         admitted = allowed;
         CallerFacts facts = allowed.facts();
+        requestId = facts.requestId();
         deadlineAtMillis = arrivedAtMillis + allowed.waitMillis();
         deadline = services.scheduler().schedule(allowed.waitMillis(), this::onDeadline);
         sends = RequestSends.create(allowed.route().isRepeatable(), MAX_EXTRA_SENDS);
@@ -238,7 +246,7 @@
         long goalLeftMillis = arrivedAtMillis
                 + admitted.route().goalMillis()
                 - services.nowMillis().getAsLong();
-        return choice.firstOutputMillis() < goalLeftMillis
+        return choice.firstOutputMillis() < GOAL_SHARE * goalLeftMillis
                 || (choice.firstOutputMillis() < IDLE_GOAL_SHARE * goalLeftMillis
                         && choice.waitMillis() < IDLE_WAIT_SHARE * goalLeftMillis);
     }
@@ -353,7 +361,7 @@
         Optional<Admission.Admitted> known = Optional.ofNullable(admitted);
         services.journal()
                 .finished(new RelaySummary(
-                        known.map(request -> request.facts().requestId()).orElse(""),
+                        requestId,
                         known.map(request -> request.route().name()),
                         known.flatMap(Admission.Admitted::account).map(AccountProfile::name),
                         outcome,
--- a/router/src/main/java/baobabcroft/trace/LogLine.java
+++ b/router/src/main/java/baobabcroft/trace/LogLine.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.primitives.Longs;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -16,7 +17,7 @@
  * One event of an instance's log.
  *
  * @param instance the instance that wrote it
- * @param epochMillis its wall clock then, in milliseconds since the epoch
+ * @param epochMillis its wall clock when it happened, in milliseconds since the epoch
  * @param code the event's number, as {@code BC7003}
  * @param message the event's words
  * @param values the event's values by key, in their order
@@ -58,8 +59,15 @@
         if (!event.matches()) {
             return Optional.empty();
         }
-        return Optional.of(new LogLine(
-                instance, line.path("timestamp").asLong(), event.group(1), event.group(2), pairs(event.group(3))));
+        ImmutableMap<String, String> values = pairs(event.group(3));
+        long happenedAtMillis = line.path("timestamp").asLong() - agoMillis(values);
+        return Optional.of(new LogLine(instance, happenedAtMillis, event.group(1), event.group(2), values));
+    }
+
+    /** Lines of a request are held until its end; they say how long ago they happened. */
+    private static long agoMillis(Map<String, String> values) {
+        return Optional.ofNullable(Longs.tryParse(values.getOrDefault("agoMillis", "0")))
+                .orElse(0L);
     }
 
     private static ImmutableMap<String, String> pairs(String text) {
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -56,6 +56,7 @@
             relay.start(new CallerRequest("POST", "/order/1", "shop.example", Headers.EMPTY, new byte[0]), caller);
 
             assertEquals(401, caller.status);
+            assertEquals("r-1", relay.finished.get(0).requestId());
         }
 
         @Test
--- a/router/src/test/java/baobabcroft/trace/RequestStoryTest.java
+++ b/router/src/test/java/baobabcroft/trace/RequestStoryTest.java
@@ -138,6 +138,13 @@
                     LogFiles.read(List.of(quoted)).lines().get(0).value("reason"));
         }
 
+        @Test
+        void putsLinesThatWereHeldWhereTheyBelong() throws IOException {
+            Path held = file("a.log", json(5_000, "BC7001 request sent request=r-9 endpoint=e-1 agoMillis=900"));
+
+            assertEquals(4_100, LogFiles.read(List.of(held)).lines().get(0).epochMillis());
+        }
+
         @Test
         void failsOnAMissingFile() {
             assertThrows(NoSuchFileException.class, () -> LogFiles.read(List.of(directory.resolve("none.log"))));
