--- a/router/src/main/java/baobabcroft/load/SharedLoads.java
+++ b/router/src/main/java/baobabcroft/load/SharedLoads.java
@@ -17,8 +17,8 @@
 
     /** Reading time that matters elsewhere, in milliseconds: half of the way between regions. */
     private static final double ELSEWHERE_UNREAD_MILLIS = 60;
-    /** Requests under way that matter elsewhere: as much as that time, at an engine or a service of a few slots. */
-    private static final int ELSEWHERE_IN_FLIGHT = 4;
+    /** Requests under way that matter elsewhere: as much as that time, at a service of a few slots. */
+    private static final int ELSEWHERE_IN_FLIGHT = 2;
 
     private final LongSupplier nowMillis;
     private final Map<String, Told> byInstance = new HashMap<>();
--- a/router/src/main/java/baobabcroft/notice/NoticeExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -32,17 +32,21 @@
     /** Time after which unchanged loads are told again, in milliseconds: a third of a peer's memory. */
     private static final long REPEAT_MILLIS = 1_000;
 
-    /** Time between notices to other failure domains, in milliseconds: half of what a far endpoint's prompts take. */
-    private static final long FAR_MILLIS = 500;
+    /** Shortest time between notices to other failure domains, in milliseconds: about that of one prompt. */
+    private static final long MIN_FAR_MILLIS = 300;
+    /** Longest such time, in milliseconds: a third of the time for which a notice is believed. */
+    private static final long MAX_FAR_MILLIS = 1_000;
+    /** Such time for each instance elsewhere, in milliseconds: all of them are told, over links that are paid for. */
+    private static final long FAR_MILLIS_PER_INSTANCE = 15;
     /**
      * Notices that an instance elsewhere is to hear of this failure domain in that time, on average. Instances are
-     * drawn anew each time, so that one of three hears none; what it heard before is believed for six times as long.
+     * drawn anew each time, so that one of seven hears none.
      */
-    private static final double FAR_NOTICES = 1;
+    private static final double FAR_NOTICES = 2;
     /** Instances elsewhere that one instance tells at a time: digests of many endpoints fill thin links. */
     private static final int MAX_FAR_RECEIVERS = 12;
     /** Time after the start in which an instance cannot speak for its failure domain, in milliseconds. */
-    private static final long HEARING_MILLIS = REPEAT_MILLIS + FAR_MILLIS;
+    private static final long HEARING_MILLIS = REPEAT_MILLIS + MIN_FAR_MILLIS;
 
     private final EventLoop loop;
     private final String instance;
@@ -88,7 +92,7 @@
                 .syncUninterruptibly()
                 .channel();
         loop.scheduleWithFixedDelay(exchange::repeat, REPEAT_MILLIS, REPEAT_MILLIS, TimeUnit.MILLISECONDS);
-        loop.scheduleWithFixedDelay(exchange::tellFar, HEARING_MILLIS, FAR_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(exchange::tellFar, HEARING_MILLIS, TimeUnit.MILLISECONDS);
         return exchange;
     }
 
@@ -137,7 +141,13 @@
         send(notice(contents), near.values());
     }
 
+    /** Returns the time between notices to so many instances elsewhere, in milliseconds. */
+    static long farMillis(int farInstances) {
+        return Math.max(MIN_FAR_MILLIS, Math.min(MAX_FAR_MILLIS, FAR_MILLIS_PER_INSTANCE * farInstances));
+    }
+
     private void tellFar() {
+        loop.schedule(this::tellFar, farMillis(far.size()), TimeUnit.MILLISECONDS);
         NoticeContents contents = knowledge.ofOwnDomain();
         if (far.isEmpty() || (contents.loads().isEmpty() && domainIdleTold)) {
             return;
