Let an instance save six repeated sends in a fleet of any size

Change: at least six are saved, earned by the instance's own requests; one stands at its start (82 of the contract's 204 at a common start; it was four a service).

Ruled out: notices (loads of other instances only order endpoints), the longer pause between watches.

--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -64,6 +64,11 @@
     private static final long TICK_MILLIS = 250;
     /** Share of the fleet's ratio of repeated sends that one instance uses. */
     private static final double RETRY_RATIO_SHARE = 0.7;
+    /**
+     * Repeated sends that an instance may save up for a service in a fleet of any size. They are earned by its own
+     * requests before, of which the contract counts the last two windows; only the one at its start is not.
+     */
+    private static final double MIN_SAVED_RETRIES = 6;
     /** Share of the fleet's repeated sends beyond the ratio that all instances together may save up. */
     private static final double RETRY_SLACK_SHARE = 0.7;
 
@@ -347,9 +352,13 @@
                         () -> RETRY_RATIO_SHARE * settings.bounds().retryRatio(), this::savedRetries));
     }
 
-    /** Each instance saves up its part of what the contract allows all of them. */
     private double savedRetries() {
-        return RETRY_SLACK_SHARE * settings.bounds().retrySlack() / instances();
+        return savedRetries(settings.bounds().retrySlack(), instances());
+    }
+
+    /** Returns how many repeated sends one of so many instances may save up for a service. */
+    static double savedRetries(double retrySlack, int instances) {
+        return Math.max(MIN_SAVED_RETRIES, RETRY_SLACK_SHARE * retrySlack / instances);
     }
 
     /** Returns how many instances there are, as far as is known. */
