Weigh others' counts of a version when they matter; tell none once a roll-out is over

Cause: found on reading. An instance that heard the last stage and its announcement together never dropped its counts, and told them for good.

Change: counts that differ are weighed at the next look at the stage or the next tick. A roll-out is settled once its own counts are dropped.

Ruled out: weighing at ticks alone (a request within the 250 ms would still go to a version known to be bad).

--- a/router/src/main/java/baobabcroft/notice/NoticeExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -48,6 +48,9 @@
     /** Time after the start in which an instance cannot speak for its failure domain, in milliseconds. */
     private static final long HEARING_MILLIS = REPEAT_MILLIS + MIN_FAR_MILLIS;
 
+    /** Notices that one instance sends in a millisecond at the most, as a power of two. */
+    private static final int SEQUENCE_BITS = 8;
+
     private final EventLoop loop;
     private final String instance;
     private final String failureDomain;
@@ -60,9 +63,6 @@
     private boolean idleTold = true;
     private boolean domainIdleTold = true;
 
-    /** Notices that one instance sends in a millisecond at the most, as a power of two. */
-    private static final int SEQUENCE_BITS = 8;
-
     private NoticeExchange(EventLoop loop, String instance, String failureDomain, SharedKnowledge knowledge) {
         this.loop = loop;
         this.instance = instance;
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -157,7 +157,7 @@
             giveUp(StopReason.DEADLINE);
             return;
         }
-        choose(model, sends.tried()).ifPresentOrElse(this::send, () -> giveUp(StopReason.NO_ENDPOINT));
+        choose(model, sends.tried()).ifPresentOrElse(this::sendTo, () -> giveUp(StopReason.NO_ENDPOINT));
     }
 
     private RetryBudget budget() {
@@ -184,11 +184,11 @@
         } else if (decide(Execution.NOT_RUN) instanceof Stop stop) {
             giveUp(stop.reason());
         } else {
-            send(next.get());
+            sendTo(next.get());
         }
     }
 
-    private void send(EndpointChooser.Choice choice) {
+    private void sendTo(EndpointChooser.Choice choice) {
         EndpointEntry endpoint = choice.endpoint();
         EndpointLoads.State state = services.loads().of(endpoint);
         CallerFacts facts = admitted.facts();
@@ -235,7 +235,7 @@
         sends.ended(Execution.MAY_HAVE_RUN);
         sends.allowAgain(send.endpoint().id());
         model = larger;
-        send(choice.get());
+        sendTo(choice.get());
     }
 
     /**
@@ -299,7 +299,7 @@
         }
         send.drop("silent", true);
         sends.ended(Execution.MAY_HAVE_RUN);
-        send(next.get());
+        sendTo(next.get());
     }
 
     private void onDeadline() {
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -52,6 +52,7 @@
     private long writeAtMillis;
     private long announceAtMillis;
     private boolean evidenceChanged;
+    private boolean othersChanged;
     private boolean writing;
     private boolean bad;
 
@@ -78,6 +79,7 @@
 
     /** Returns the stage to act on: what is shared, or less if this instance has seen the version fail. */
     RolloutStage stage() {
+        judgeOthers();
         RolloutStage shared = record.map(RolloutRecord::stage).orElse(RolloutStage.HOLDING);
         return bad && !shared.isFinal() ? RolloutStage.REVERTED : shared;
     }
@@ -121,7 +123,15 @@
     /** Takes another instance's counts. */
     void heard(String instance, RolloutCounts counts) {
         if (counts.orderRevision() == order.revision()) {
-            othersTarget.put(instance, counts);
+            RolloutCounts before = othersTarget.put(instance, counts);
+            othersChanged |= !counts.equals(before);
+        }
+    }
+
+    /** Weighs what others told when it matters, as they tell it many times a second. */
+    private void judgeOthers() {
+        if (othersChanged) {
+            othersChanged = false;
             judge();
         }
     }
@@ -162,6 +172,7 @@
     /** Does what is due. Called several times a second while the roll-out is under way. */
     void tick() {
         long now = nowMillis.getAsLong();
+        judgeOthers();
         shareEvidence();
         if (writing) {
             return;
@@ -186,7 +197,8 @@
 
     /** Returns whether nothing is left to do. */
     boolean isSettled() {
-        return record.isPresent()
+        return ownTarget.isEmpty()
+                && record.isPresent()
                 && record.get().stage().isFinal()
                 && announced.equals(Optional.of(record.get().stage()));
     }
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -40,6 +40,7 @@
     private double lostReplies;
     private boolean storeDown;
     private int attempts;
+    private final Map<String, RolloutCounts> evidence = new HashMap<>();
 
     /** One instance; the store's notices reach it unless it is cut off. */
     private final class Instance implements RolloutWriter {
@@ -78,6 +79,7 @@
 
         @Override
         public void writeEvidence(String service, RolloutCounts counts) {
+            evidence.put(name, counts);
             if (!cutOff && !storeDown) {
                 tellAll(instance -> {
                     if (instance != this) {
@@ -192,6 +194,16 @@
             assertTrue(attempts < (recorded.size() + told.size()) * 10, "attempts: " + attempts);
         }
 
+        @Test
+        void isNoMoreTalkedOfWhenItIsComplete() {
+            order(3);
+            run(DURATION_MILLIS + 2_000, () -> fleet.forEach(instance -> answer(instance, "session", false)));
+
+            assertEquals(RolloutStage.COMPLETE, told.get(told.size() - 1));
+            assertEquals(3, evidence.size());
+            evidence.values().forEach(counts -> assertTrue(counts.routes().isEmpty(), counts.toString()));
+        }
+
         @Test
         void movesNoSessionInTheFirstHalfAndNoneBack() {
             order(3);
