--- a/router/src/main/java/baobabcroft/instance/EntryInstance.java
+++ b/router/src/main/java/baobabcroft/instance/EntryInstance.java
@@ -54,9 +54,7 @@
     private static final long DRAIN_POLL_MILLIS = 50;
     /** Shortest pause in which changes in the store are gathered, in milliseconds. Bounds on them are seconds. */
     private static final long MIN_WATCH_PAUSE_MILLIS = 350;
-    /**
-     * Longest such pause, in milliseconds: with a watch that the store forgot (3.9 s) under the bound of 5 s contact.
-     */
+    /** Longest such pause, in milliseconds: a fraction of the bounds on the spread of a change. */
     private static final long MAX_WATCH_PAUSE_MILLIS = 900;
     /** Pause for each instance, in milliseconds: a change wakes all of them, and the store bears so many calls. */
     private static final long WATCH_PAUSE_MILLIS_PER_INSTANCE = 25;
