--- a/router/src/main/java/baobabcroft/front/NettyChannels.java
+++ b/router/src/main/java/baobabcroft/front/NettyChannels.java
@@ -15,7 +15,7 @@
 import jdk.net.ExtendedSocketOptions;
 
 /** Creates bootstraps with the socket options that all channels share. */
-final class NettyChannels {
+public final class NettyChannels {
     private static final int KEEP_ALIVE_IDLE_SECONDS = 2;
     private static final int KEEP_ALIVE_INTERVAL_SECONDS = 1;
     /** Unanswered probes before a connection counts as lost; with the times above, within the required 4 s. */
@@ -25,8 +25,18 @@
 
     private NettyChannels() {}
 
-    /** Returns a bootstrap for client channels; each channel gets its own handlers. */
-    static Bootstrap client(EventLoopGroup loop, int connectTimeoutMillis, Supplier<List<ChannelHandler>> handlers) {
+    /**
+     * Returns a bootstrap for client channels; each channel gets its own handlers.
+     *
+     * @param loop event loop of the channels
+     * @param connectTimeoutMillis longest time in which a connection is established, in milliseconds
+     * @param handlers supplies the handlers of one channel
+     * @return the bootstrap
+     */
+    public static Bootstrap client(
+            EventLoopGroup loop,
+            int connectTimeoutMillis,
+            Supplier<? extends List<? extends ChannelHandler>> handlers) {
         return new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -39,8 +49,15 @@
                 .handler(initializer(handlers));
     }
 
-    /** Returns a bootstrap for server channels; each accepted channel gets its own handlers. */
-    static ServerBootstrap server(EventLoopGroup loop, Supplier<List<ChannelHandler>> handlers) {
+    /**
+     * Returns a bootstrap for server channels; each accepted channel gets its own handlers.
+     *
+     * @param loop event loop of the channels
+     * @param handlers supplies the handlers of one channel
+     * @return the bootstrap
+     */
+    public static ServerBootstrap server(
+            EventLoopGroup loop, Supplier<? extends List<? extends ChannelHandler>> handlers) {
         return new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -51,7 +68,8 @@
                 .childHandler(initializer(handlers));
     }
 
-    private static ChannelInitializer<Channel> initializer(Supplier<List<ChannelHandler>> handlers) {
+    private static ChannelInitializer<Channel> initializer(
+            Supplier<? extends List<? extends ChannelHandler>> handlers) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel channel) {
--- a/router/src/main/java/baobabcroft/front/PooledHttpClient.java
+++ b/router/src/main/java/baobabcroft/front/PooledHttpClient.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.relay.Headers;
 import com.google.common.net.HostAndPort;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -58,10 +59,11 @@
          * The server responded.
          *
          * @param status HTTP status
+         * @param headers response headers
          * @param body response body, may be empty
          */
         @SuppressWarnings("ArrayRecordComponent")
-        record Response(int status, byte[] body) implements Result {}
+        record Response(int status, Headers headers, byte[] body) implements Result {}
 
         /**
          * No valid response was received.
@@ -149,8 +151,10 @@
             } else {
                 channel.close();
             }
-            pendingCallback.accept(
-                    new Result.Response(response.status().code(), NettyHeaders.bytes(response.content())));
+            pendingCallback.accept(new Result.Response(
+                    response.status().code(),
+                    NettyHeaders.toRelay(response.headers()),
+                    NettyHeaders.bytes(response.content())));
         }
 
         private void fail(String reason) {
--- a/router/src/main/java/baobabcroft/instance/CrashTracker.java
+++ b/router/src/main/java/baobabcroft/instance/CrashTracker.java
@@ -88,12 +88,7 @@
         log.log(LogEvent.ENDPOINT_CRASHED, incarnation, digests.size());
         for (String digest : digests) {
             ledger.add(new Crash(digest, incarnation, nowMillis.getAsLong()));
-            crashesByDigest.computeIfAbsent(digest, unused -> new ArrayList<>()).add(incarnation);
-        }
-        while (crashesByDigest.size() > MAX_PUBLISHED_REQUESTS) {
-            var oldest = crashesByDigest.keySet().iterator();
-            oldest.next();
-            oldest.remove();
+            remember(digest, incarnation);
         }
         if (!publishPending) {
             publishPending = true;
@@ -106,11 +101,31 @@
         publisher.accept(new CrashRecord(Map.copyOf(crashesByDigest)));
     }
 
-    /** Adds the crashes that another instance has published. */
-    void addFromPeer(CrashRecord record) {
-        record.endpointsByDigest()
-                .forEach((digest, endpoints) ->
-                        endpoints.forEach(endpoint -> ledger.add(new Crash(digest, endpoint, nowMillis.getAsLong()))));
+    /**
+     * Adds the crashes that an instance has published.
+     *
+     * @param record the published record
+     * @param own whether this instance has published it, before a restart or before the store lost a later one
+     */
+    void onPublished(CrashRecord record, boolean own) {
+        record.endpointsByDigest().forEach((digest, endpoints) -> {
+            endpoints.forEach(endpoint -> ledger.add(new Crash(digest, endpoint, nowMillis.getAsLong())));
+            if (own) {
+                endpoints.forEach(endpoint -> remember(digest, endpoint));
+            }
+        });
+    }
+
+    private void remember(String digest, String incarnation) {
+        List<String> crashed = crashesByDigest.computeIfAbsent(digest, unused -> new ArrayList<>());
+        if (!crashed.contains(incarnation)) {
+            crashed.add(incarnation);
+        }
+        while (crashesByDigest.size() > MAX_PUBLISHED_REQUESTS) {
+            var oldest = crashesByDigest.keySet().iterator();
+            oldest.next();
+            oldest.remove();
+        }
     }
 
     private static String digest(CallerRequest request, String account) {
--- a/router/src/main/java/baobabcroft/instance/EndpointListUpdater.java
+++ b/router/src/main/java/baobabcroft/instance/EndpointListUpdater.java
@@ -1,53 +1,88 @@
 package baobabcroft.instance;
 
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import com.google.common.collect.ImmutableSet;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
- * Applies the platform's endpoint list to the directory. An endpoint that disappears from the list shortly after the
- * store was lost is removed with a delay, because live endpoints register again. Not thread-safe.
+ * Applies the platform's endpoint list to the directory.
+ *
+ * <p>An endpoint that disappears from the list around an outage of the store is removed with a delay, because live
+ * endpoints register again. When the store has returned from a copy, entries in its first contents that are older than
+ * what is known are ignored: an endpoint that was leaving or gone does not receive requests again. Not thread-safe.
  */
 public final class EndpointListUpdater {
-    /** Time in which live endpoints register again after an outage of the store. */
+    /** Time after an outage of the store in which live endpoints register again. */
     private static final long REREGISTRATION_MILLIS = 2_300;
+    /** Removed endpoints that are remembered, to recognize their entries in a copy. */
+    private static final int MAX_REMOVED = 1_000;
 
     private final EndpointDirectory directory;
     private final Scheduler scheduler;
     private final LongSupplier nowMillis;
+    private final long contactMillis;
     private final Consumer<EndpointEntry> onRemoved;
-    private final Map<String, Scheduler.Cancellable> pendingRemovals = new HashMap<>();
+    private final Map<String, Long> reportNumbers = new HashMap<>();
+    private final Map<String, Scheduler.Cancellable> unlisted = new HashMap<>();
+    private final Map<String, Removed> removed = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Removed> eldest) {
+            return size() > MAX_REMOVED;
+        }
+    };
     private final EventLog log = EventLog.of(EndpointListUpdater.class);
-    private long storeLostAtMillis;
+    private long graceUntilMillis;
+    private long undisturbedSinceMillis;
+    private boolean storeLost;
+    private boolean readingCopy;
+
+    /** The last entry of an endpoint that is gone. */
+    private record Removed(EndpointEntry entry, long reportNumber) {}
 
     EndpointListUpdater(
             EndpointDirectory directory,
             Scheduler scheduler,
             LongSupplier nowMillis,
+            long contactMillis,
             Consumer<EndpointEntry> onRemoved) {
-        this.directory = directory;
-        this.scheduler = scheduler;
-        this.nowMillis = nowMillis;
-        this.onRemoved = onRemoved;
-        this.storeLostAtMillis = nowMillis.getAsLong();
+        checkArgument(contactMillis > 0, "contactMillis not positive: %s", contactMillis);
+        this.directory = checkNotNull(directory);
+        this.scheduler = checkNotNull(scheduler);
+        this.nowMillis = checkNotNull(nowMillis);
+        this.contactMillis = contactMillis;
+        this.onRemoved = checkNotNull(onRemoved);
+        this.undisturbedSinceMillis = nowMillis.getAsLong();
+        this.graceUntilMillis = undisturbedSinceMillis + REREGISTRATION_MILLIS;
     }
 
     /**
      * Adds or updates an endpoint. A new incarnation replaces the former one, which is reported as removed.
      *
      * @param entry current entry of the endpoint
+     * @param reportNumber number of the endpoint's report; 0 if unknown
      */
-    public void onListed(EndpointEntry entry) {
-        cancelPendingRemoval(entry.id());
+    public void onListed(EndpointEntry entry, long reportNumber) {
+        if (readingCopy && isOutdated(entry, reportNumber)) {
+            log.log(LogEvent.ENDPOINT_OUTDATED, entry.id(), reportNumber);
+            return;
+        }
+        cancelRemoval(entry.id());
+        removed.remove(entry.id());
+        reportNumbers.put(entry.id(), reportNumber);
         Optional<EndpointEntry> known = directory.find(entry.id());
         if (!known.equals(Optional.of(entry))) {
             log.log(
@@ -62,52 +97,94 @@
         directory.put(entry);
     }
 
+    /** Returns whether an entry of a copy is older than what is known of the endpoint. */
+    private boolean isOutdated(EndpointEntry entry, long reportNumber) {
+        Removed gone = removed.get(entry.id());
+        if (gone != null) {
+            return isNotNewer(entry, reportNumber, gone.entry(), gone.reportNumber());
+        }
+        Optional<EndpointEntry> known = directory.find(entry.id());
+        boolean returnsToService = known.filter(EndpointEntry::leaving).isPresent() && !entry.leaving();
+        boolean otherIncarnation =
+                known.filter(other -> !other.isSameIncarnation(entry)).isPresent();
+        return (returnsToService || otherIncarnation)
+                && isNotNewer(entry, reportNumber, known.get(), reportNumbers.getOrDefault(entry.id(), 0L));
+    }
+
+    private static boolean isNotNewer(EndpointEntry entry, long number, EndpointEntry known, long knownNumber) {
+        return entry.isSameIncarnation(known)
+                ? number <= knownNumber
+                : entry.startedAtEpochMillis() < known.startedAtEpochMillis();
+    }
+
     /**
-     * Removes an endpoint that is no longer listed or whose entry cannot be read; with a delay if the store was lost
-     * shortly before.
+     * Removes an endpoint that is no longer listed or whose entry cannot be read; with a delay if the store was lost or
+     * has returned from a copy shortly before.
      *
      * @param id id of the endpoint
      */
     public void onUnlisted(String id) {
-        if (nowMillis.getAsLong() - storeLostAtMillis >= REREGISTRATION_MILLIS) {
+        if (directory.find(id).isEmpty() || unlisted.containsKey(id)) {
+            return;
+        }
+        long graceMillis = graceUntilMillis - nowMillis.getAsLong();
+        if (storeLost) {
+            unlisted.put(id, () -> {});
+        } else if (graceMillis <= 0) {
             remove(id);
-        } else if (directory.find(id).isPresent() && !pendingRemovals.containsKey(id)) {
-            pendingRemovals.put(id, scheduler.schedule(REREGISTRATION_MILLIS, () -> remove(id)));
+        } else {
+            unlisted.put(id, scheduler.schedule(graceMillis, () -> remove(id)));
         }
     }
 
-    /**
-     * Treats every known endpoint that the complete list does not contain as unlisted.
-     *
-     * @param ids ids of all listed endpoints
-     */
-    public void onCompleteList(Set<String> ids) {
-        Set<String> missing = new HashSet<>(directory.ids());
-        missing.removeAll(ids);
-        missing.forEach(this::onUnlisted);
+    /** Called when the store stops responding. Endpoints that are about to be removed are kept until it returns. */
+    public void onStoreLost() {
+        storeLost = true;
+        unlisted.values().forEach(Scheduler.Cancellable::cancel);
+        unlisted.replaceAll((id, cancelled) -> () -> {});
     }
 
-    /**
-     * Called when the store stops responding. Cancels pending removals, because leases lapse during an outage and live
-     * endpoints register again after it.
-     */
-    public void onStoreLost() {
-        storeLostAtMillis = nowMillis.getAsLong();
-        pendingRemovals.values().forEach(Scheduler.Cancellable::cancel);
-        pendingRemovals.clear();
+    /** Called when the store responds again. Endpoints that are not listed have some time to register again. */
+    public void onStoreRecovered() {
+        if (storeLost) {
+            storeLost = false;
+            undisturbedSinceMillis = nowMillis.getAsLong();
+            startGrace(REREGISTRATION_MILLIS);
+        }
+    }
+
+    /** Called when the store has returned from a copy, before the endpoints in the copy are reported. */
+    public void onEraStarted() {
+        readingCopy = true;
+        undisturbedSinceMillis = nowMillis.getAsLong();
+        startGrace(contactMillis);
+    }
+
+    /** Called when all endpoints in the store have been reported. */
+    public void onSnapshotEnd() {
+        readingCopy = false;
+    }
+
+    private void startGrace(long millis) {
+        graceUntilMillis = Math.max(graceUntilMillis, nowMillis.getAsLong() + millis);
+        ImmutableSet<String> ids = ImmutableSet.copyOf(unlisted.keySet());
+        ids.forEach(this::cancelRemoval);
+        ids.forEach(this::onUnlisted);
     }
 
     private void remove(String id) {
-        cancelPendingRemoval(id);
+        cancelRemoval(id);
         directory.find(id).ifPresent(endpoint -> {
-            log.log(LogEvent.ENDPOINT_UNLISTED, id, nowMillis.getAsLong() - storeLostAtMillis);
+            log.log(LogEvent.ENDPOINT_UNLISTED, id, nowMillis.getAsLong() - undisturbedSinceMillis);
+            Long reportNumber = reportNumbers.remove(id);
+            removed.put(id, new Removed(endpoint, reportNumber == null ? 0 : reportNumber));
             directory.remove(id);
             onRemoved.accept(endpoint);
         });
     }
 
-    private void cancelPendingRemoval(String id) {
-        Scheduler.Cancellable pending = pendingRemovals.remove(id);
+    private void cancelRemoval(String id) {
+        Scheduler.Cancellable pending = unlisted.remove(id);
         if (pending != null) {
             pending.cancel();
         }
--- a/router/src/main/java/baobabcroft/instance/InstanceSettings.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceSettings.java
@@ -44,12 +44,16 @@
      * Returns a copy of these settings with the values of another file that can change while an instance runs.
      *
      * @param read settings of the changed file
-     * @return a copy with the cascade and bounds of the file, except {@code exposureShare}, on which roll-outs in
-     *     progress depend
+     * @return a copy with the cascade and bounds of the file, except {@code contactMillis} and {@code exposureShare},
+     *     on which grace periods and rollouts in progress depend
      */
     InstanceSettings withReloadableOf(InstanceSettings read) {
         DeploymentBounds changed = new DeploymentBounds(
-                read.bounds.graceMillis(), read.bounds.retryRatio(), read.bounds.retrySlack(), bounds.exposureShare());
+                read.bounds.graceMillis(),
+                bounds.contactMillis(),
+                read.bounds.retryRatio(),
+                read.bounds.retrySlack(),
+                bounds.exposureShare());
         return new InstanceSettings(
                 instance, failureDomain, regions, callers, readiness, metrics, peers, read.keepFromPercent, changed);
     }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -5,8 +5,8 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
-import baobabcroft.external.PolledKeyValueStore;
-import baobabcroft.external.Versioned;
+import baobabcroft.feed.FeedClient;
+import baobabcroft.feed.FeedServer;
 import baobabcroft.front.EndpointConnectionPool;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
@@ -24,10 +24,11 @@
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RelayedRequest;
 import baobabcroft.relay.RequestDialect;
+import baobabcroft.replica.StoreCalls;
+import baobabcroft.replica.StoreReplica;
 import baobabcroft.retry.RetryBudget;
 import baobabcroft.rollout.DomainRolloutCounts;
 import baobabcroft.rollout.FleetRollouts;
-import baobabcroft.rollout.RolloutStatusWriter;
 import baobabcroft.routing.CallerLimits;
 import baobabcroft.routing.RoutingTable;
 import baobabcroft.routing.RoutingTableHolder;
@@ -52,12 +53,6 @@
     private static final long KILL_MARGIN_MILLIS = 700;
 
     private static final long DRAIN_POLL_MILLIS = 50;
-    /** Shortest pause between watch calls, in which changes are batched. The bounds on propagation are seconds. */
-    private static final long MIN_WATCH_PAUSE_MILLIS = 350;
-    /** Longest such pause: a fraction of the bounds on the propagation time of a change. */
-    private static final long MAX_WATCH_PAUSE_MILLIS = 900;
-    /** Pause per instance of the fleet: each change wakes all watches, and the store's call rate is limited. */
-    private static final long WATCH_PAUSE_MILLIS_PER_INSTANCE = 25;
     /** Interval of the roll-outs' periodic work: a fraction of the shortest bound that depends on it. */
     private static final long TICK_MILLIS = 250;
     /** Share of the contract's ratio of repeated sends that an instance uses. */
@@ -81,7 +76,8 @@
     private final PeerLoads peerLoads;
     private final EndpointLoads loads;
     private final DomainRolloutCounts rolloutCounts = new DomainRolloutCounts();
-    private final EndpointListUpdater endpointList;
+    private final StoreContents storeContents;
+    private final StoreReplica store;
     private final SharedStoreRecords sharedRecords;
     private final FleetRollouts rollouts;
     private final CrashTracker crashTracker;
@@ -92,16 +88,13 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private Optional<NoticeExchange> noticeExchange = Optional.empty();
     private FrontServer front;
-    private long lastStoreResponseMillis;
-    private boolean locationPublished;
-    private boolean endpointListRead;
     private boolean stopping;
 
     private RelayInstance(
             InstanceSettings settings,
             RequestDialect dialect,
-            PolledKeyValueStore store,
-            RolloutStatusWriter announcer,
+            StoreDialect storeDialect,
+            StoreCalls storeCalls,
             EventLoopGroup loop) {
         this.settings = checkNotNull(settings);
         this.loop = checkNotNull(loop);
@@ -111,8 +104,7 @@
                 new EndpointConnectionPool(loop.next(), dialect::isResponseTo, request -> !request.repeatable());
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
-        this.endpointList = new EndpointListUpdater(directory, scheduler, nowMillis, this::onEndpointRemoved);
-        this.sharedRecords = new SharedStoreRecords(settings.instance(), store, announcer, rolloutCounts);
+        this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
                 sharedRecords,
                 nowMillis,
@@ -121,6 +113,21 @@
                 settings.bounds().exposureShare(),
                 this::instanceCount);
         this.crashTracker = new CrashTracker(scheduler, nowMillis, connections::probe, sharedRecords::publishCrashes);
+        EndpointListUpdater endpointList = new EndpointListUpdater(
+                directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
+        this.storeContents = new StoreContents(storeDialect, routing, endpointList, rollouts, sharedRecords, nowMillis);
+        this.store = StoreReplica.create(
+                settings.instance(),
+                storeCalls,
+                new FeedClient(loop.next(), settings.instance()),
+                scheduler,
+                nowMillis,
+                random::nextDouble,
+                storeContents);
+        sharedRecords.connect(
+                store,
+                storeDialect.rolloutStatusWriter(store),
+                new SharedStoreRecords.Receivers(rollouts, crashTracker, new Peers()));
         this.services = new RelayServices(
                 nowMillis,
                 scheduler,
@@ -135,7 +142,7 @@
                 rollouts,
                 crashTracker,
                 connections,
-                new RelayRecorder(metrics, this::listAgeMillis, peerLoads::millisSinceLastUpdate));
+                new RelayRecorder(metrics, store::ageMillis, peerLoads::millisSinceLastUpdate));
     }
 
     /**
@@ -143,18 +150,18 @@
      *
      * @param settings settings of the instance
      * @param dialect headers and statuses of the platform
-     * @param store key-value store that the instances share
-     * @param announcer reports the progress of roll-outs to operators
+     * @param storeDialect keys that the platform defines in its store
+     * @param storeCalls calls of the store that the instances share
      * @param loop event loop group with one thread, which runs the whole instance
      * @return the instance, to be started by {@link #listen}
      */
     public static RelayInstance create(
             InstanceSettings settings,
             RequestDialect dialect,
-            PolledKeyValueStore store,
-            RolloutStatusWriter announcer,
+            StoreDialect storeDialect,
+            StoreCalls storeCalls,
             EventLoopGroup loop) {
-        return new RelayInstance(settings, dialect, store, announcer, loop);
+        return new RelayInstance(settings, dialect, storeDialect, storeCalls, loop);
     }
 
     /** Starts listening. The instance becomes ready when it has a configuration and has read the endpoint list. */
@@ -170,79 +177,34 @@
                 settings.failureDomain(),
                 settings.peers(),
                 new NoticeStateAdapter(loads, peerLoads, rolloutCounts, rollouts)));
+        FeedServer.start(loop, settings.peers(), store.feed());
+        loop.execute(this::startStore);
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
     }
 
-    /**
-     * Applies a configuration of the operators, unless it is older than the current one.
-     *
-     * @param table the configuration
-     */
-    public void onConfiguration(RoutingTable table) {
-        if (routing.updateIfNewer(table)) {
-            log.log(LogEvent.CONFIG_APPLIED, table.version(), "", "operators", "store");
-        }
-    }
-
-    /**
-     * Returns the receiver of changes in the platform's endpoint list.
-     *
-     * @return the receiver, to be used on the event loop
-     */
-    public EndpointListUpdater endpointList() {
-        return endpointList;
+    private void startStore() {
+        sharedRecords.publishLocation(new InstanceLocation(settings.peers().toString(), settings.failureDomain()));
+        store.start();
     }
 
-    /**
-     * Returns the roll-outs, which receive the operators' orders.
-     *
-     * @return the roll-outs of all services, to be used on the event loop
-     */
-    public FleetRollouts rollouts() {
-        return rollouts;
-    }
-
-    /**
-     * Processes a key that the platform does not define. Keys without the router's prefix are ignored.
-     *
-     * @param entry the key with its value
-     */
-    public void onSharedKey(Versioned entry) {
-        if (entry.key().startsWith(SharedStoreRecords.PREFIX)) {
-            sharedRecords.dispatch(entry, rollouts, crashTracker, this::onPeerLocation);
+    /** Keeps the addresses of the other instances, as published in the store. */
+    private final class Peers implements SharedStoreRecords.PeerLocations {
+        @Override
+        public void onLocation(String peer, InstanceLocation location) {
+            HostAndPort address = HostAndPort.fromString(location.address());
+            noticeExchange.ifPresent(notices -> notices.putPeer(peer, address, location.failureDomain()));
+            if (location.failureDomain().equals(settings.failureDomain())) {
+                store.putMember(peer, address);
+            }
         }
-    }
 
-    /** Called for each response of the store: the endpoint list is current. The first call publishes the location. */
-    public void onStoreResponse() {
-        lastStoreResponseMillis = nowMillis.getAsLong();
-        if (!locationPublished) {
-            locationPublished = true;
-            sharedRecords.publishLocation(new InstanceLocation(settings.peers().toString(), settings.failureDomain()));
+        @Override
+        public void onLocationDeleted(String peer) {
+            noticeExchange.ifPresent(notices -> notices.removePeer(peer));
+            store.removeMember(peer);
         }
     }
 
-    /**
-     * Returns the pause between two watch calls, in which changes of the store are batched. It is longer in a large
-     * fleet, where each change costs one call per instance.
-     *
-     * @return the pause, in milliseconds
-     */
-    public long watchPauseMillis() {
-        return watchPauseMillis(instanceCount());
-    }
-
-    /** Returns the pause between two watch calls in a fleet of the given size, in milliseconds. */
-    static long watchPauseMillis(int instances) {
-        long scaledMillis = WATCH_PAUSE_MILLIS_PER_INSTANCE * instances;
-        return Math.max(MIN_WATCH_PAUSE_MILLIS, Math.min(MAX_WATCH_PAUSE_MILLIS, scaledMillis));
-    }
-
-    private void onPeerLocation(String name, InstanceLocation location) {
-        noticeExchange.ifPresent(
-                peers -> peers.putPeer(name, HostAndPort.fromString(location.address()), location.failureDomain()));
-    }
-
     private void onLoadChanged() {
         noticeExchange.ifPresent(NoticeExchange::scheduleNotice);
     }
@@ -252,11 +214,6 @@
         scheduler.schedule(TICK_MILLIS, this::tick);
     }
 
-    /** Called when the complete endpoint list has been read, a condition of readiness. */
-    public void onEndpointListRead() {
-        endpointListRead = true;
-    }
-
     /**
      * Applies changed settings that can change while the instance runs. Changes of other settings are logged only.
      *
@@ -325,7 +282,7 @@
     }
 
     private StatusServer.Page readiness() {
-        boolean ready = routing.current().isPresent() && endpointListRead && !stopping;
+        boolean ready = routing.current().isPresent() && storeContents.isComplete() && !stopping;
         return ready ? new StatusServer.Page(200, "ready") : new StatusServer.Page(503, "not ready");
     }
 
@@ -338,17 +295,16 @@
                 "config.version",
                 () -> routing.current().map(RoutingTable::version).orElse(0L));
         metrics.gauge("endpoints.listed", directory::size);
-        metrics.gauge("endpoints.list_age_millis", this::listAgeMillis);
+        metrics.gauge("endpoints.list_age_millis", store::ageMillis);
+        metrics.gauge("store.era", store::era);
+        metrics.gauge("store.following", () -> store.isFollowing() ? 1 : 0);
+        metrics.gauge("store.followers", store::followerCount);
         metrics.gauge("callers.busy_connections", () -> front.busyConnections());
         metrics.gauge("loads.age_millis", peerLoads::millisSinceLastUpdate);
         metrics.gauge("log.dropped_lines", BoundedAppender::droppedLines);
         metrics.gauge("log.left_out_lines", BoundedAppender::suppressedLines);
     }
 
-    private long listAgeMillis() {
-        return nowMillis.getAsLong() - lastStoreResponseMillis;
-    }
-
     private RetryBudget retryBudget(String service) {
         return retryBudgets.computeIfAbsent(
                 service,
--- a/router/src/main/java/baobabcroft/instance/SharedStoreRecords.java
+++ b/router/src/main/java/baobabcroft/instance/SharedStoreRecords.java
@@ -2,11 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.external.PolledKeyValueStore;
-import baobabcroft.external.Versioned;
 import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import baobabcroft.replica.StoreEntry;
+import baobabcroft.replica.StoreReplica;
+import baobabcroft.replica.StoreRevision;
 import baobabcroft.rollout.DomainRolloutCounts;
 import baobabcroft.rollout.FleetRollouts;
 import baobabcroft.rollout.RolloutCounts;
@@ -14,69 +15,98 @@
 import baobabcroft.rollout.RolloutStatusWriter;
 import baobabcroft.rollout.RolloutWriter;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.base.Splitter;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.List;
-import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
 /**
  * Reads and writes the keys that instances share through the store, as JSON under one prefix: a record for each
- * roll-out, and the location and the observed crashes of each instance. Response counts are exchanged in notices. Not
+ * rollout, and the location and the observed crashes of each instance. Response counts are exchanged in notices. Not
  * thread-safe.
  */
 final class SharedStoreRecords implements RolloutWriter {
-    /** Prefix of all keys of the router. */
-    static final String PREFIX = "baobabcroft/";
-
+    private static final String PREFIX = "baobabcroft/";
     private static final String ROLLOUT = "rollout";
     private static final String CRASHES = "crashes";
     private static final String INSTANCES = "instances";
 
     private final String instance;
-    private final PolledKeyValueStore store;
-    private final RolloutStatusWriter announcer;
     private final DomainRolloutCounts rolloutCounts;
-    private final ObjectMapper json = new ObjectMapper();
+    private final ObjectMapper json = new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
     private final EventLog log = EventLog.of(SharedStoreRecords.class);
+    private Receivers receivers;
+    private StoreReplica store;
+    private RolloutStatusWriter statusWriter;
+
+    /** Receives what the instances share. */
+    interface PeerLocations {
+        /** Called when an instance has published its location. */
+        void onLocation(String peer, InstanceLocation location);
+
+        /** Called when the location of an instance was deleted. */
+        void onLocationDeleted(String peer);
+    }
 
-    SharedStoreRecords(
-            String instance,
-            PolledKeyValueStore store,
-            RolloutStatusWriter announcer,
-            DomainRolloutCounts rolloutCounts) {
+    /**
+     * Receivers of the records.
+     *
+     * @param rollouts receives the records of rollouts
+     * @param crashTracker receives the crashes that instances have observed
+     * @param locations receives the locations of instances
+     */
+    record Receivers(FleetRollouts rollouts, CrashTracker crashTracker, PeerLocations locations) {}
+
+    SharedStoreRecords(String instance, DomainRolloutCounts rolloutCounts) {
         this.instance = checkNotNull(instance);
-        this.store = checkNotNull(store);
-        this.announcer = checkNotNull(announcer);
         this.rolloutCounts = checkNotNull(rolloutCounts);
     }
 
+    /** Connects the records with the store and with their receivers; to be called once, before anything else. */
+    void connect(StoreReplica newStore, RolloutStatusWriter newStatusWriter, Receivers newReceivers) {
+        store = checkNotNull(newStore);
+        statusWriter = checkNotNull(newStatusWriter);
+        receivers = checkNotNull(newReceivers);
+    }
+
     /** Dispatches a key that was written. Keys of an unknown kind are ignored: a later release may write them. */
-    void dispatch(
-            Versioned entry,
-            FleetRollouts rollouts,
-            CrashTracker crashTracker,
-            BiConsumer<String, InstanceLocation> onPeerLocation) {
-        List<String> parts = Splitter.on('/').splitToList(entry.key().substring(PREFIX.length()));
+    void onPut(StoreEntry entry) {
+        List<String> parts = parts(entry.key());
+        if (parts.size() != 2) {
+            return;
+        }
+        String name = parts.get(1);
         try {
-            if (parts.get(0).equals(ROLLOUT) && parts.size() == 2) {
-                rollouts.onRecord(parts.get(1), parse(entry, RolloutRecord.class), entry.revision());
-            } else if (parts.get(0).equals(CRASHES)
-                    && parts.size() == 2
-                    && !parts.get(1).equals(instance)) {
-                crashTracker.addFromPeer(parse(entry, CrashRecord.class));
-            } else if (parts.get(0).equals(INSTANCES) && parts.size() == 2) {
-                onPeerLocation.accept(parts.get(1), parse(entry, InstanceLocation.class));
+            switch (parts.get(0)) {
+                case ROLLOUT ->
+                    receivers.rollouts().onRecord(name, parse(entry, RolloutRecord.class), entry.revision());
+                case CRASHES ->
+                    receivers.crashTracker().onPublished(parse(entry, CrashRecord.class), name.equals(instance));
+                case INSTANCES -> receivers.locations().onLocation(name, parse(entry, InstanceLocation.class));
+                default -> {}
             }
         } catch (IOException unreadable) {
             log.log(LogEvent.SHARED_KEY_UNREADABLE, entry.key(), unreadable.getMessage());
         }
     }
 
-    private <T> T parse(Versioned entry, Class<T> type) throws IOException {
+    /** Dispatches the deletion of a key. */
+    void onDelete(String key) {
+        List<String> parts = parts(key);
+        if (parts.size() == 2 && parts.get(0).equals(INSTANCES)) {
+            receivers.locations().onLocationDeleted(parts.get(1));
+        }
+    }
+
+    private static List<String> parts(String key) {
+        return key.startsWith(PREFIX) ? Splitter.on('/').splitToList(key.substring(PREFIX.length())) : List.of();
+    }
+
+    private <T> T parse(StoreEntry entry, Class<T> type) throws IOException {
         return json.readValue(entry.value().toByteArray(), type);
     }
 
@@ -90,14 +120,14 @@
 
     @Override
     public void writeRecord(
-            String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> callback) {
-        store.compareAndSwap(PREFIX + ROLLOUT + '/' + service, expectedRevision, toJson(record), callback);
+            String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
+        store.compareAndSwap(PREFIX + ROLLOUT + '/' + service, expected, toJson(record), callback);
     }
 
     @Override
     public void writeStatus(
-            String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> callback) {
-        announcer.writeStatus(service, expectedRevision, record, callback);
+            String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
+        statusWriter.writeStatus(service, expected, record, callback);
     }
 
     @Override
@@ -107,11 +137,11 @@
 
     /** Publishes the location of this instance. */
     void publishLocation(InstanceLocation location) {
-        store.put(PREFIX + INSTANCES + '/' + instance, toJson(location));
+        store.putOwnKey(PREFIX + INSTANCES + '/' + instance, toJson(location));
     }
 
     /** Publishes the crashes that this instance has observed. */
     void publishCrashes(CrashRecord crashes) {
-        store.put(PREFIX + CRASHES + '/' + instance, toJson(crashes));
+        store.putOwnKey(PREFIX + CRASHES + '/' + instance, toJson(crashes));
     }
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/StoreContents.java
@@ -0,0 +1,128 @@
+package baobabcroft.instance;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
+import baobabcroft.replica.ReplicaListener;
+import baobabcroft.replica.StoreEntry;
+import baobabcroft.replica.StoreRevision;
+import baobabcroft.rollout.FleetRollouts;
+import baobabcroft.rollout.RolloutOrder;
+import baobabcroft.rollout.RolloutStage;
+import baobabcroft.routing.RoutingTable;
+import baobabcroft.routing.RoutingTableHolder;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+/**
+ * Applies the contents of the store to what this instance believes. Nothing moves backwards when the store has returned
+ * from a copy: each receiver keeps what it knows better. Not thread-safe.
+ */
+final class StoreContents implements ReplicaListener, StoreDocuments {
+    private final StoreDialect dialect;
+    private final RoutingTableHolder routing;
+    private final EndpointListUpdater endpointList;
+    private final FleetRollouts rollouts;
+    private final SharedStoreRecords sharedRecords;
+    private final LongSupplier nowMillis;
+    private final EventLog log = EventLog.of(StoreContents.class);
+    private boolean complete;
+    private long unavailableSinceMillis;
+
+    StoreContents(
+            StoreDialect dialect,
+            RoutingTableHolder routing,
+            EndpointListUpdater endpointList,
+            FleetRollouts rollouts,
+            SharedStoreRecords sharedRecords,
+            LongSupplier nowMillis) {
+        this.dialect = checkNotNull(dialect);
+        this.routing = checkNotNull(routing);
+        this.endpointList = checkNotNull(endpointList);
+        this.rollouts = checkNotNull(rollouts);
+        this.sharedRecords = checkNotNull(sharedRecords);
+        this.nowMillis = checkNotNull(nowMillis);
+    }
+
+    /** Returns whether the complete contents were read once, a condition of readiness. */
+    boolean isComplete() {
+        return complete;
+    }
+
+    @Override
+    public void onEraStarted(long era) {
+        log.log(LogEvent.STORE_ERA_STARTED, era);
+        endpointList.onEraStarted();
+        rollouts.onEraStarted(era);
+    }
+
+    @Override
+    public void onPut(StoreEntry entry) {
+        dialect.read(entry, this);
+    }
+
+    @Override
+    public void onDelete(String key) {
+        dialect.readDeletion(key, this);
+    }
+
+    @Override
+    public void onSnapshotEnd() {
+        endpointList.onSnapshotEnd();
+        complete = true;
+    }
+
+    @Override
+    public void onUnavailable(String reason) {
+        unavailableSinceMillis = nowMillis.getAsLong();
+        endpointList.onStoreLost();
+        log.log(LogEvent.STORE_UNAVAILABLE, reason);
+    }
+
+    @Override
+    public void onAvailable() {
+        endpointList.onStoreRecovered();
+        if (complete) {
+            log.log(LogEvent.STORE_RECOVERED, nowMillis.getAsLong() - unavailableSinceMillis);
+        }
+    }
+
+    @Override
+    public void onConfiguration(RoutingTable table) {
+        if (routing.updateIfNewer(table)) {
+            log.log(LogEvent.CONFIG_APPLIED, table.version(), "", "operators", "store");
+        }
+    }
+
+    @Override
+    public void onEndpointListed(EndpointEntry entry, long reportNumber) {
+        endpointList.onListed(entry, reportNumber);
+    }
+
+    @Override
+    public void onEndpointUnlisted(String id) {
+        endpointList.onUnlisted(id);
+    }
+
+    @Override
+    public void onRolloutOrder(RolloutOrder order) {
+        rollouts.onOrder(order);
+    }
+
+    @Override
+    public void onRolloutStatus(String service, Optional<RolloutStage> stage, String target, StoreRevision revision) {
+        rollouts.onStatus(service, stage, target, revision);
+    }
+
+    @Override
+    public void onOtherKey(StoreEntry entry) {
+        sharedRecords.onPut(entry);
+    }
+
+    @Override
+    public void onOtherKeyDeleted(String key) {
+        sharedRecords.onDelete(key);
+    }
+}
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -65,6 +65,12 @@
     STORE_WRITE_FAILED(3005, WARN, "write to own key failed", "key", "reason"),
     /** A key shared by the instances cannot be parsed. */
     SHARED_KEY_UNREADABLE(3006, WARN, "shared key cannot be parsed; ignored", "key", "fault"),
+    /** The store has returned from a copy; what it lost is written again. */
+    STORE_ERA_STARTED(3007, WARN, "store returned from a copy; known state kept", "era"),
+    /** The instance follows another one instead of polling the store. */
+    REPLICA_SOURCE(3008, INFO, "store contents followed by way of another instance", "instance", "position"),
+    /** The followed instance was lost or is out of date. */
+    REPLICA_SOURCE_LOST(3009, INFO, "followed instance lost", "instance", "reason"),
     /** The live list cannot be fetched or is invalid. */
     LIVE_LIST_UNAVAILABLE(3003, WARN, "live list unavailable; previous list kept", "reason"),
     /** The rating service is unavailable. */
@@ -91,6 +97,8 @@
     ENDPOINT_LISTED(5013, INFO, "endpoint listed", "endpoint", "address", "failureDomain", "version", "leaving"),
     /** The platform no longer lists an endpoint. */
     ENDPOINT_UNLISTED(5014, INFO, "endpoint no longer listed", "endpoint", "storeUndisturbedMillis"),
+    /** The store's copy lists an endpoint as it was before a later report or its removal. */
+    ENDPOINT_OUTDATED(5015, INFO, "endpoint entry of the store's copy is out of date; ignored", "endpoint", "report"),
     /** An endpoint crashed while it processed requests that had no output yet. */
     ENDPOINT_CRASHED(5012, WARN, "endpoint crashed with requests in flight", "endpoint", "digests"),
     /** A version receives no new sessions because its error rate, latency or ratings became too bad. */
--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -8,6 +8,7 @@
 import baobabcroft.notice.proto.PeerNotice;
 import baobabcroft.notice.proto.RouteAnswers;
 import baobabcroft.notice.proto.VersionAnswers;
+import baobabcroft.replica.StoreRevision;
 import baobabcroft.rollout.RolloutCounts;
 import baobabcroft.rollout.RouteTrials;
 import com.google.common.collect.ImmutableMap;
@@ -36,8 +37,10 @@
                 .setFailurePercent((int) Math.round(load.failureRate() * PERCENT))
                 .setLateMillis((int) load.lateMillis())));
         rolloutCounts.forEach((service, counts) -> {
-            VersionAnswers.Builder answers =
-                    VersionAnswers.newBuilder().setService(service).setOrderRevision(counts.orderRevision());
+            VersionAnswers.Builder answers = VersionAnswers.newBuilder()
+                    .setService(service)
+                    .setOrderEra(counts.order().era())
+                    .setOrderRevision(counts.order().number());
             counts.routes()
                     .forEach((route, routeCounts) -> answers.addRoutes(RouteAnswers.newBuilder()
                             .setRoute(route)
@@ -67,7 +70,10 @@
                 routes.put(route.getRoute(), new RouteTrials(route.getAnswers(), route.getFailed(), route.getSlow()));
             }
             rolloutCounts.put(
-                    answers.getService(), new RolloutCounts(answers.getOrderRevision(), routes.buildKeepingLast()));
+                    answers.getService(),
+                    new RolloutCounts(
+                            new StoreRevision(answers.getOrderEra(), answers.getOrderRevision()),
+                            routes.buildKeepingLast()));
         }
         return new NoticeContents(loads.buildKeepingLast(), rolloutCounts.buildKeepingLast());
     }
--- a/router/src/main/java/baobabcroft/notice/NoticeExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -124,6 +124,16 @@
         }
     }
 
+    /**
+     * Removes a peer.
+     *
+     * @param name name of the instance
+     */
+    public void removePeer(String name) {
+        localPeers.remove(name);
+        remotePeers.remove(name);
+    }
+
     /**
      * Returns the number of known instances.
      *
--- a/router/src/main/java/baobabcroft/notice/proto/Notice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/Notice.java
@@ -63,13 +63,13 @@
       "sionAnswers\"}\n\014EndpointLoad\022\025\n\rendpoint_" +
       "hash\030\001 \001(\007\022\021\n\tin_flight\030\002 \001(\r\022\025\n\runread_" +
       "millis\030\003 \001(\r\022\027\n\017failure_percent\030\004 \001(\r\022\023\n" +
-      "\013late_millis\030\005 \001(\r\"k\n\016VersionAnswers\022\017\n\007" +
+      "\013late_millis\030\005 \001(\r\"~\n\016VersionAnswers\022\017\n\007" +
       "service\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\0220\n" +
       "\006routes\030\003 \003(\0132 .baobabcroft.notice.Route" +
-      "Answers\"L\n\014RouteAnswers\022\r\n\005route\030\001 \001(\t\022\017" +
-      "\n\007answers\030\002 \001(\004\022\016\n\006failed\030\003 \001(\004\022\014\n\004slow\030" +
-      "\004 \001(\004B\034\n\030baobabcroft.notice.protoP\001b\006pro" +
-      "to3"
+      "Answers\022\021\n\torder_era\030\004 \001(\003\"L\n\014RouteAnswe" +
+      "rs\022\r\n\005route\030\001 \001(\t\022\017\n\007answers\030\002 \001(\004\022\016\n\006fa" +
+      "iled\030\003 \001(\004\022\014\n\004slow\030\004 \001(\004B\034\n\030baobabcroft." +
+      "notice.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -92,7 +92,7 @@
     internal_static_baobabcroft_notice_VersionAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_VersionAnswers_descriptor,
-        new java.lang.String[] { "Service", "OrderRevision", "Routes", });
+        new java.lang.String[] { "Service", "OrderRevision", "Routes", "OrderEra", });
     internal_static_baobabcroft_notice_RouteAnswers_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_baobabcroft_notice_RouteAnswers_fieldAccessorTable = new
--- a/router/src/main/java/baobabcroft/notice/proto/VersionAnswers.java
+++ b/router/src/main/java/baobabcroft/notice/proto/VersionAnswers.java
@@ -105,7 +105,7 @@
   private long orderRevision_ = 0L;
   /**
    * <pre>
-   * Revision of the order.
+   * Revision number of the order, in the era of the store below.
    * </pre>
    *
    * <code>int64 order_revision = 2;</code>
@@ -177,6 +177,21 @@
     return routes_.get(index);
   }
 
+  public static final int ORDER_ERA_FIELD_NUMBER = 4;
+  private long orderEra_ = 0L;
+  /**
+   * <pre>
+   * Era of the store in which the order was first seen.
+   * </pre>
+   *
+   * <code>int64 order_era = 4;</code>
+   * @return The orderEra.
+   */
+  @java.lang.Override
+  public long getOrderEra() {
+    return orderEra_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -200,6 +215,9 @@
     for (int i = 0; i < routes_.size(); i++) {
       output.writeMessage(3, routes_.get(i));
     }
+    if (orderEra_ != 0L) {
+      output.writeInt64(4, orderEra_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -225,6 +243,10 @@
           }
           size += 1 * count;
         }
+    if (orderEra_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, orderEra_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -246,6 +268,8 @@
         != other.getOrderRevision()) return false;
     if (!getRoutesList()
         .equals(other.getRoutesList())) return false;
+    if (getOrderEra()
+        != other.getOrderEra()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -266,6 +290,9 @@
       hash = (37 * hash) + ROUTES_FIELD_NUMBER;
       hash = (53 * hash) + getRoutesList().hashCode();
     }
+    hash = (37 * hash) + ORDER_ERA_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getOrderEra());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -410,6 +437,7 @@
         routesBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      orderEra_ = 0L;
       return this;
     }
 
@@ -462,6 +490,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.orderRevision_ = orderRevision_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.orderEra_ = orderEra_;
+      }
     }
 
     @java.lang.Override
@@ -510,6 +541,9 @@
           }
         }
       }
+      if (other.getOrderEra() != 0L) {
+        setOrderEra(other.getOrderEra());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -559,6 +593,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              orderEra_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -671,7 +710,7 @@
     private long orderRevision_ ;
     /**
      * <pre>
-     * Revision of the order.
+     * Revision number of the order, in the era of the store below.
      * </pre>
      *
      * <code>int64 order_revision = 2;</code>
@@ -683,7 +722,7 @@
     }
     /**
      * <pre>
-     * Revision of the order.
+     * Revision number of the order, in the era of the store below.
      * </pre>
      *
      * <code>int64 order_revision = 2;</code>
@@ -699,7 +738,7 @@
     }
     /**
      * <pre>
-     * Revision of the order.
+     * Revision number of the order, in the era of the store below.
      * </pre>
      *
      * <code>int64 order_revision = 2;</code>
@@ -1024,6 +1063,50 @@
       return routesBuilder_;
     }
 
+    private long orderEra_ ;
+    /**
+     * <pre>
+     * Era of the store in which the order was first seen.
+     * </pre>
+     *
+     * <code>int64 order_era = 4;</code>
+     * @return The orderEra.
+     */
+    @java.lang.Override
+    public long getOrderEra() {
+      return orderEra_;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the order was first seen.
+     * </pre>
+     *
+     * <code>int64 order_era = 4;</code>
+     * @param value The orderEra to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrderEra(long value) {
+
+      orderEra_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Era of the store in which the order was first seen.
+     * </pre>
+     *
+     * <code>int64 order_era = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearOrderEra() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      orderEra_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.VersionAnswers)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/VersionAnswersOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/VersionAnswersOrBuilder.java
@@ -32,7 +32,7 @@
 
   /**
    * <pre>
-   * Revision of the order.
+   * Revision number of the order, in the era of the store below.
    * </pre>
    *
    * <code>int64 order_revision = 2;</code>
@@ -83,4 +83,14 @@
    */
   baobabcroft.notice.proto.RouteAnswersOrBuilder getRoutesOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * Era of the store in which the order was first seen.
+   * </pre>
+   *
+   * <code>int64 order_era = 4;</code>
+   * @return The orderEra.
+   */
+  long getOrderEra();
 }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/replica/StorePoller.java
@@ -0,0 +1,254 @@
+package baobabcroft.replica;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.common.Scheduler;
+import baobabcroft.external.Backoff;
+import baobabcroft.replica.StoreCalls.Changes;
+import baobabcroft.replica.StoreCalls.Freshness;
+import baobabcroft.replica.StoreCalls.HistoryGone;
+import baobabcroft.replica.StoreCalls.NoReply;
+import baobabcroft.replica.StoreCalls.Page;
+import baobabcroft.replica.StoreCalls.PageReply;
+import baobabcroft.replica.StoreCalls.WatchReply;
+import com.google.common.collect.Iterables;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+
+/**
+ * Keeps a replica up to date by polling the store: all keys once, then the changes. Reads all keys again if the store
+ * lacks the history, or returns in a later era. Not thread-safe.
+ */
+final class StorePoller {
+    /** Delay between a response and the next watch, in which changes are batched. */
+    private static final long BATCH_MILLIS = 300;
+    /**
+     * Delay before a watch plus its longest wait at the store. A store that did not respond for a while may have lost a
+     * watch, which shows only when the wait is over; the shortest bound on the time without contact is 4 s.
+     */
+    private static final long WATCH_ROUND_MILLIS = 3_300;
+    /** Wait of a watch that only confirms that the store responds. */
+    private static final long CONFIRMATION_WAIT_MILLIS = 1;
+    /** Delay between the first read and the first watch, in which another instance may be found to follow. */
+    private static final long FIRST_WATCH_DELAY_MILLIS = 600;
+
+    private static final long MIN_BACKOFF_MILLIS = 100;
+    private static final long MAX_BACKOFF_MILLIS = 1_000;
+    /** Delays after failures while another instance is followed that has no contact with the store either. */
+    private static final long MIN_STANDBY_BACKOFF_MILLIS = 2_000;
+
+    private static final long MAX_STANDBY_BACKOFF_MILLIS = 4_000;
+
+    /** Whether other instances depend on this one's polls. */
+    enum Role {
+        /** The replica of this instance, and of those that follow it, depends on its polls. */
+        SOURCE,
+        /** The followed instance has lost contact with the store; polls only find out whether the store is back. */
+        STANDBY
+    }
+
+    /** Receives the state of the contact with the store. */
+    interface Contact {
+        /** Called for each usable response. */
+        void onResponse();
+
+        /** Called after contents or changes were applied to the replica. */
+        void onApplied();
+
+        /** Called for each call without a usable response. */
+        void onFailure(String reason);
+    }
+
+    private final StoreCalls calls;
+    private final KeyReplica replica;
+    private final Scheduler scheduler;
+    private final LongSupplier nowMillis;
+    private final Backoff sourceBackoff;
+    private final Backoff standbyBackoff;
+    private final Contact contact;
+    private Optional<Role> role = Optional.empty();
+    /** Number of the current loop; replies to calls of an earlier one are ignored. */
+    private int loop;
+
+    private long highestEra;
+    private long respondedAtMillis;
+    private boolean responding;
+
+    StorePoller(
+            StoreCalls calls,
+            KeyReplica replica,
+            Scheduler scheduler,
+            LongSupplier nowMillis,
+            DoubleSupplier random,
+            Contact contact) {
+        this.calls = checkNotNull(calls);
+        this.replica = checkNotNull(replica);
+        this.scheduler = checkNotNull(scheduler);
+        this.nowMillis = checkNotNull(nowMillis);
+        this.sourceBackoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
+        this.standbyBackoff = new Backoff(MIN_STANDBY_BACKOFF_MILLIS, MAX_STANDBY_BACKOFF_MILLIS, random);
+        this.contact = checkNotNull(contact);
+    }
+
+    /** Starts polling, from the replica's position if it is loaded, or changes the role of the polls. */
+    void start(Role newRole) {
+        boolean wasRunning = isRunning();
+        role = Optional.of(newRole);
+        if (!wasRunning) {
+            sourceBackoff.reset();
+            standbyBackoff.reset();
+            continueFrom(Freshness.STALE_ALLOWED);
+        }
+    }
+
+    /** Stops polling. */
+    void stop() {
+        role = Optional.empty();
+        responding = false;
+        loop++;
+    }
+
+    boolean isRunning() {
+        return role.isPresent();
+    }
+
+    /** Returns whether other instances may follow this one. */
+    boolean isSource() {
+        return role.equals(Optional.of(Role.SOURCE));
+    }
+
+    /** Returns whether the last call was answered. */
+    boolean isResponding() {
+        return responding;
+    }
+
+    /** Returns the time since the store last responded, in milliseconds. */
+    long millisSinceResponse() {
+        return nowMillis.getAsLong() - respondedAtMillis;
+    }
+
+    /** Notes the era of any response of the store. A later era makes the current watch obsolete. */
+    void noteEra(long era) {
+        if (era > highestEra) {
+            highestEra = era;
+            if (isRunning() && replica.isLoaded() && replica.position().era() < era) {
+                readAll(Freshness.CURRENT);
+            }
+        }
+    }
+
+    private void continueFrom(Freshness firstRead) {
+        if (replica.isLoaded() && replica.position().era() >= highestEra) {
+            watch();
+        } else {
+            readAll(replica.isLoaded() ? Freshness.CURRENT : firstRead);
+        }
+    }
+
+    private void readAll(Freshness freshness) {
+        loop++;
+        readPage(Optional.empty(), freshness, new ArrayList<>(), Optional.empty());
+    }
+
+    private void readPage(
+            Optional<String> afterKey, Freshness freshness, List<StoreEntry> entries, Optional<StoreRevision> oldest) {
+        int call = loop;
+        calls.readPage(afterKey, freshness, reply -> {
+            if (call == loop && isRunning()) {
+                onPage(reply, freshness, entries, oldest);
+            }
+        });
+    }
+
+    private void onPage(
+            PageReply reply, Freshness freshness, List<StoreEntry> entries, Optional<StoreRevision> oldest) {
+        if (!(reply instanceof Page page)) {
+            retryLater(((NoReply) reply).reason());
+            return;
+        }
+        onResponse();
+        highestEra = Math.max(highestEra, page.position().era());
+        boolean otherEra = page.position().era() < highestEra
+                || oldest.filter(first -> first.era() != page.position().era()).isPresent();
+        if (otherEra) {
+            retryLater("page of an earlier era");
+            return;
+        }
+        entries.addAll(page.entries());
+        StoreRevision position =
+                oldest.filter(first -> page.position().isAfter(first)).orElse(page.position());
+        if (page.truncated() && !page.entries().isEmpty()) {
+            readPage(Optional.of(Iterables.getLast(page.entries()).key()), freshness, entries, Optional.of(position));
+            return;
+        }
+        boolean first = !replica.isLoaded();
+        if (replica.applySnapshot(position, entries)) {
+            contact.onApplied();
+            scheduleIfCurrent(first ? FIRST_WATCH_DELAY_MILLIS : BATCH_MILLIS, this::watch);
+        } else {
+            retryLater("contents older than the replica");
+        }
+    }
+
+    private void watch() {
+        int call = ++loop;
+        StoreRevision after = replica.position();
+        long waitMillis = responding ? WATCH_ROUND_MILLIS - BATCH_MILLIS : CONFIRMATION_WAIT_MILLIS;
+        calls.watch(after.number(), waitMillis, reply -> {
+            if (call == loop && isRunning()) {
+                onWatched(after, reply);
+            }
+        });
+    }
+
+    private void onWatched(StoreRevision after, WatchReply reply) {
+        if (reply instanceof NoReply none) {
+            retryLater(none.reason());
+            return;
+        }
+        onResponse();
+        if (reply instanceof HistoryGone) {
+            readAll(Freshness.CURRENT);
+            return;
+        }
+        Changes changes = (Changes) reply;
+        long era = changes.position().era();
+        if (era < after.era()) {
+            retryLater("changes of an earlier era");
+        } else if (era > after.era()) {
+            highestEra = Math.max(highestEra, era);
+            readAll(Freshness.CURRENT);
+        } else {
+            replica.applyChanges(changes.position(), changes.changes());
+            contact.onApplied();
+            scheduleIfCurrent(BATCH_MILLIS, this::watch);
+        }
+    }
+
+    private void onResponse() {
+        sourceBackoff.reset();
+        standbyBackoff.reset();
+        responding = true;
+        respondedAtMillis = nowMillis.getAsLong();
+        contact.onResponse();
+    }
+
+    private void retryLater(String reason) {
+        responding = false;
+        contact.onFailure(reason);
+        Backoff backoff = isSource() ? sourceBackoff : standbyBackoff;
+        scheduleIfCurrent(backoff.nextDelayMillis(), () -> continueFrom(Freshness.CURRENT));
+    }
+
+    private void scheduleIfCurrent(long delayMillis, Runnable task) {
+        int current = ++loop;
+        scheduler.schedule(delayMillis, () -> {
+            if (current == loop && isRunning()) {
+                task.run();
+            }
+        });
+    }
+}
--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -4,7 +4,10 @@
 
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.relay.VersionSelector;
+import baobabcroft.replica.StoreRevision;
+import com.google.common.collect.ArrayListMultimap;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ListMultimap;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -34,14 +37,15 @@
     private final IntSupplier instances;
     private final Map<String, ServiceRollout> rollouts = new HashMap<>();
     private final Map<String, Map<String, Long>> firstSeenMillis = new HashMap<>();
+    private final ListMultimap<String, RolloutOrder> superseded = ArrayListMultimap.create();
     private final Map<String, LastRecord> lastRecords = new HashMap<>();
     private final Map<String, LastStatus> lastStatuses = new HashMap<>();
 
     /** The last record received, kept in case its order is received later. */
-    private record LastRecord(RolloutRecord record, long revision) {}
+    private record LastRecord(RolloutRecord record, StoreRevision revision) {}
 
     /** The last status received, kept in case its order is received later. */
-    private record LastStatus(Optional<RolloutStage> stage, String target, long revision) {}
+    private record LastStatus(Optional<RolloutStage> stage, String target, StoreRevision revision) {}
 
     /**
      * Creates the state of an instance that has received no order.
@@ -69,19 +73,55 @@
     }
 
     /**
-     * Starts the rollout of an order, unless this or a later order of the service is known.
+     * Starts the rollout of an order, unless it is known.
+     *
+     * <p>An order with the content of a known one is the same order, written again, unless that one's rollout has ended
+     * in the same era of the store: after the store has returned from a copy, operators write their orders again, and
+     * an ended rollout must not start a second time. A superseded order that reappears in a later era comes from the
+     * copy and is ignored.
      *
      * @param order order read from the store
      */
     public void onOrder(RolloutOrder order) {
         ServiceRollout present = rollouts.get(order.service());
-        if (present == null || present.order().revision() < order.revision()) {
-            rollouts.put(order.service(), new ServiceRollout(order, writer, nowMillis, epochMillis, random, instances));
-            Optional.ofNullable(lastRecords.get(order.service()))
-                    .ifPresent(last -> onRecord(order.service(), last.record(), last.revision()));
-            Optional.ofNullable(lastStatuses.get(order.service()))
-                    .ifPresent(last -> onStatus(order.service(), last.stage(), last.target(), last.revision()));
+        if (present != null && !isNew(order, present)) {
+            return;
+        }
+        ServiceRollout started = new ServiceRollout(order, writer, nowMillis, epochMillis, random, instances);
+        if (present != null) {
+            superseded.put(order.service(), present.order());
+            started.ignoreRecordsUpTo(present.order().revision());
+        }
+        rollouts.put(order.service(), started);
+        Optional.ofNullable(lastRecords.get(order.service()))
+                .ifPresent(last -> onRecord(order.service(), last.record(), last.revision()));
+        Optional.ofNullable(lastStatuses.get(order.service()))
+                .ifPresent(last -> onStatus(order.service(), last.stage(), last.target(), last.revision()));
+    }
+
+    private boolean isNew(RolloutOrder order, ServiceRollout present) {
+        if (!order.revision().isAfter(present.order().revision())) {
+            return false;
+        }
+        boolean laterEra = order.revision().era() > present.order().revision().era();
+        if (order.hasSameContent(present.order())) {
+            return !laterEra && present.stage().isFinal();
         }
+        return superseded.get(order.service()).stream()
+                .noneMatch(former -> order.hasSameContent(former)
+                        && order.revision().era() > former.revision().era());
+    }
+
+    /**
+     * Handles the return of the store in a later era. What is known stays in force; what the store lacks is written
+     * again. To be called before the contents of the new era are reported.
+     *
+     * @param era the new era
+     */
+    public void onEraStarted(long era) {
+        lastRecords.clear();
+        lastStatuses.clear();
+        rollouts.values().forEach(rollout -> rollout.onEraStarted(era));
     }
 
     /**
@@ -91,7 +131,7 @@
      * @param record record read from the store
      * @param revision revision of the record in the store
      */
-    public void onRecord(String service, RolloutRecord record, long revision) {
+    public void onRecord(String service, RolloutRecord record, StoreRevision revision) {
         lastRecords.put(service, new LastRecord(record, revision));
         Optional.ofNullable(rollouts.get(service)).ifPresent(rollout -> rollout.onRecord(record, revision));
     }
@@ -105,7 +145,7 @@
      * @param target version that the status is about
      * @param revision revision of the status in the store
      */
-    public void onStatus(String service, Optional<RolloutStage> stage, String target, long revision) {
+    public void onStatus(String service, Optional<RolloutStage> stage, String target, StoreRevision revision) {
         lastStatuses.put(service, new LastStatus(stage, target, revision));
         Optional.ofNullable(rollouts.get(service))
                 .ifPresent(rollout -> rollout.onStatus(
--- a/router/src/main/java/baobabcroft/rollout/RolloutRecord.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutRecord.java
@@ -2,22 +2,52 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.replica.StoreRevision;
+
 /**
  * The stage of a rollout, as stored for all instances.
  *
- * @param orderRevision revision of the order that the rollout carries out
+ * @param orderEra era of the store in which the order was first seen; 0 in records of earlier releases
+ * @param orderRevision revision number of the order in that era
  * @param target name of the new version
+ * @param durationMillis duration of the order, in milliseconds; 0 in records of earlier releases
  * @param stage the current stage
  * @param startedAtEpochMillis wall-clock time of the start, in milliseconds since the epoch
  */
-public record RolloutRecord(long orderRevision, String target, RolloutStage stage, long startedAtEpochMillis) {
+public record RolloutRecord(
+        long orderEra,
+        long orderRevision,
+        String target,
+        long durationMillis,
+        RolloutStage stage,
+        long startedAtEpochMillis) {
     /** Rejects null components. */
     public RolloutRecord {
         checkNotNull(target);
         checkNotNull(stage);
     }
 
+    static RolloutRecord of(RolloutOrder order, RolloutStage stage, long startedAtEpochMillis) {
+        return new RolloutRecord(
+                order.revision().era(),
+                order.revision().number(),
+                order.target(),
+                order.durationMillis(),
+                stage,
+                startedAtEpochMillis);
+    }
+
+    /** Returns the revision that identifies the order. */
+    StoreRevision order() {
+        return new StoreRevision(orderEra, orderRevision);
+    }
+
+    /** Returns whether the record carries out an order with the content of the given one. */
+    boolean hasContentOf(RolloutOrder other) {
+        return target.equals(other.target()) && (durationMillis == 0 || durationMillis == other.durationMillis());
+    }
+
     RolloutRecord withStage(RolloutStage next) {
-        return new RolloutRecord(orderRevision, target, next, startedAtEpochMillis);
+        return new RolloutRecord(orderEra, orderRevision, target, durationMillis, next, startedAtEpochMillis);
     }
 }
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -5,6 +5,7 @@
 import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
 import java.util.Map;
@@ -23,8 +24,16 @@
 final class ServiceRollout {
     /** Scale of the delay before a stage is written, in milliseconds: longer than a write and its notification take. */
     private static final double STAGE_DELAY_SCALE_MILLIS = 550;
-    /** Scale of the delay before a bad version is stopped, in milliseconds: a conflict costs less than a failure. */
-    private static final double REVERT_DELAY_SCALE_MILLIS = 140;
+    /**
+     * Scale of the delay before a bad version is stopped or a lost record is written again, in milliseconds: a conflict
+     * costs less than a failure.
+     */
+    private static final double URGENT_DELAY_SCALE_MILLIS = 140;
+    /**
+     * Time after the store's return from a copy in which no stage is advanced, in milliseconds, so that an instance
+     * that knows a later one can write it again first.
+     */
+    private static final long ERA_SETTLING_MILLIS = 1_500;
     /** Delay before a retry after a write of unknown outcome, in milliseconds: replies may be seconds late. */
     private static final long RETRY_DELAY_MILLIS = 700;
     /** An answer is slow if it takes more than this multiple of the old version's average time. */
@@ -32,7 +41,7 @@
     /** Weight of a new answer in the moving average of response times. */
     private static final double AVERAGE_WEIGHT = 0.1;
 
-    private final RolloutOrder order;
+    private RolloutOrder order;
     private final RolloutWriter writer;
     private final LongSupplier nowMillis;
     private final LongSupplier epochMillis;
@@ -46,8 +55,16 @@
     private long startedAtMillis;
     private long stageSinceMillis;
     private Optional<RolloutRecord> record = Optional.empty();
-    private long recordRevision;
-    private long statusRevision;
+    /** The record in the store; behind {@code record} if the store has lost a write. */
+    private Optional<RolloutRecord> storedRecord = Optional.empty();
+
+    /** A record of another order of the service, found in the store in place of this one's. */
+    private Optional<RolloutRecord> otherRecord = Optional.empty();
+
+    private StoreRevision recordRevision;
+    private StoreRevision statusRevision;
+    private Optional<StoreRevision> formerOrder = Optional.empty();
+    private long advanceNotBeforeMillis = Long.MIN_VALUE;
     private Optional<RolloutStage> lastReportedStage = Optional.empty();
     private Optional<RolloutStage> scheduledStage = Optional.empty();
     private long stageWriteAtMillis;
@@ -72,6 +89,13 @@
         this.instances = instances;
         this.startedAtMillis = nowMillis.getAsLong();
         this.stageSinceMillis = startedAtMillis;
+        this.recordRevision = StoreRevision.absent(order.revision().era());
+        this.statusRevision = recordRevision;
+    }
+
+    /** Ignores records of an earlier order with the same content, whose rollout has ended. */
+    void ignoreRecordsUpTo(StoreRevision former) {
+        formerOrder = Optional.of(former);
     }
 
     RolloutOrder order() {
@@ -85,23 +109,70 @@
         return targetIsBad && !shared.isFinal() ? RolloutStage.REVERTED : shared;
     }
 
+    /** Handles the return of the store in a later era, which may have lost the record and the status. */
+    void onEraStarted(long era) {
+        recordRevision = StoreRevision.absent(era);
+        statusRevision = recordRevision;
+        storedRecord = Optional.empty();
+        otherRecord = Optional.empty();
+        lastReportedStage = Optional.empty();
+        scheduledStage = Optional.empty();
+        long now = nowMillis.getAsLong();
+        advanceNotBeforeMillis = now + ERA_SETTLING_MILLIS;
+        statusWriteAtMillis = now + randomDelayMillis(STAGE_DELAY_SCALE_MILLIS);
+    }
+
     /** Handles the stored record. */
-    void onRecord(RolloutRecord newRecord, long revision) {
-        if (newRecord.orderRevision() != order.revision() || revision <= recordRevision) {
-            recordRevision = Math.max(recordRevision, revision);
+    void onRecord(RolloutRecord newRecord, StoreRevision revision) {
+        if (!revision.isAfter(recordRevision)) {
+            return;
+        }
+        recordRevision = revision;
+        storedRecord = Optional.of(newRecord).filter(this::isOfThisOrder);
+        otherRecord = Optional.of(newRecord).filter(unused -> storedRecord.isEmpty());
+        if (otherRecord.isPresent()) {
+            return;
+        }
+        adoptOrder(newRecord.order());
+        if (record.isPresent() && !record.get().stage().isBefore(newRecord.stage())) {
             return;
         }
-        boolean advanced = record.isEmpty() || record.get().stage() != newRecord.stage();
         if (record.isEmpty()) {
             resumeElapsedTime(newRecord);
         }
         record = Optional.of(newRecord);
-        recordRevision = revision;
-        if (advanced) {
-            scheduledStage = Optional.empty();
-            stageSinceMillis = nowMillis.getAsLong();
-            statusWriteAtMillis = stageSinceMillis + randomDelayMillis(STAGE_DELAY_SCALE_MILLIS);
-            log.log(LogEvent.ROLLOUT_STAGE, order.service(), order.target(), newRecord.stage(), elapsedMillis());
+        scheduledStage = Optional.empty();
+        stageSinceMillis = nowMillis.getAsLong();
+        statusWriteAtMillis = stageSinceMillis + randomDelayMillis(STAGE_DELAY_SCALE_MILLIS);
+        log.log(LogEvent.ROLLOUT_STAGE, order.service(), order.target(), newRecord.stage(), elapsedMillis());
+    }
+
+    /**
+     * Returns whether a record carries out this order. An order that was written again has another revision, so the
+     * content decides, except that an ended rollout of the same content precedes an order of the same era.
+     */
+    private boolean isOfThisOrder(RolloutRecord newRecord) {
+        boolean former = formerOrder.isPresent() && !newRecord.order().isAfter(formerOrder.get());
+        return newRecord.order().equals(order.revision()) || (newRecord.hasContentOf(order) && !former);
+    }
+
+    /**
+     * Identifies the order as in a record of another instance, which may have seen it at another revision. All
+     * instances settle on the earliest revision. A later one of the same era is a new order with the same content,
+     * which other instances have started.
+     */
+    private void adoptOrder(StoreRevision other) {
+        boolean startedAgain = other.era() == order.revision().era() && other.isAfter(order.revision());
+        if (startedAgain) {
+            record = Optional.empty();
+            targetIsBad = false;
+            ownTargetCounts.clear();
+            peerTargetCounts.clear();
+            startedAtMillis = nowMillis.getAsLong();
+        }
+        if (startedAgain || order.revision().isAfter(other)) {
+            order = order.withRevision(other);
+            ownCountsChanged = true;
         }
     }
 
@@ -118,8 +189,8 @@
     }
 
     /** Handles the stored status. */
-    void onStatus(Optional<RolloutStage> stage, long revision) {
-        if (revision > statusRevision) {
+    void onStatus(Optional<RolloutStage> stage, StoreRevision revision) {
+        if (revision.isAfter(statusRevision)) {
             statusRevision = revision;
             lastReportedStage = stage;
         }
@@ -127,7 +198,7 @@
 
     /** Handles the counts of another instance. */
     void onCounts(String instance, RolloutCounts counts) {
-        if (counts.orderRevision() == order.revision()) {
+        if (counts.order().equals(order.revision())) {
             RolloutCounts before = peerTargetCounts.put(instance, counts);
             peerCountsChanged |= !counts.equals(before);
         }
@@ -179,7 +250,7 @@
         long now = nowMillis.getAsLong();
         evaluateIfPeerCountsChanged();
         publishChangedCounts();
-        if (writeInProgress) {
+        if (writeInProgress || otherRecord.filter(this::mayBeOfLaterOrder).isPresent()) {
             return;
         }
         if (record.isEmpty()) {
@@ -190,7 +261,11 @@
         if (lastReportedStage.isEmpty() || !lastReportedStage.get().equals(reportedStage(current))) {
             writeStatusWhenDue(now);
         }
-        if (current.isFinal()) {
+        if (isStoredRecordBehind()) {
+            writeStageWhenDue(current, now);
+            return;
+        }
+        if (current.isFinal() || now < advanceNotBeforeMillis) {
             return;
         }
         RolloutStage due = targetIsBad
@@ -201,11 +276,27 @@
         }
     }
 
+    /**
+     * Returns whether a record carries out an order that may be later than this one: by its revision, or because its
+     * order was lost when the store returned from a copy and is still to be written again.
+     */
+    private boolean mayBeOfLaterOrder(RolloutRecord other) {
+        boolean otherEra = other.orderEra() != order.revision().era();
+        return other.order().isAfter(order.revision())
+                || (otherEra && !other.stage().isFinal());
+    }
+
+    private boolean isStoredRecordBehind() {
+        return storedRecord.isEmpty()
+                || storedRecord.get().stage().isBefore(record.get().stage());
+    }
+
     /** Returns whether the rollout has ended and nothing is left to write. */
     boolean isSettled() {
         return ownTargetCounts.isEmpty()
                 && record.isPresent()
                 && record.get().stage().isFinal()
+                && !isStoredRecordBehind()
                 && lastReportedStage.equals(Optional.of(record.get().stage()));
     }
 
@@ -232,9 +323,8 @@
     private void writeStageWhenDue(RolloutStage due, long now) {
         if (!scheduledStage.equals(Optional.of(due))) {
             scheduledStage = Optional.of(due);
-            stageWriteAtMillis = now
-                    + randomDelayMillis(
-                            due == RolloutStage.REVERTED ? REVERT_DELAY_SCALE_MILLIS : STAGE_DELAY_SCALE_MILLIS);
+            boolean urgent = due == RolloutStage.REVERTED || now < advanceNotBeforeMillis;
+            stageWriteAtMillis = now + randomDelayMillis(urgent ? URGENT_DELAY_SCALE_MILLIS : STAGE_DELAY_SCALE_MILLIS);
         }
         if (now >= stageWriteAtMillis) {
             writeStage(due);
@@ -244,13 +334,13 @@
     private void writeStage(RolloutStage due) {
         writeInProgress = true;
         RolloutRecord next = record.map(current -> current.withStage(due))
-                .orElseGet(() -> new RolloutRecord(
-                        order.revision(), order.target(), due, epochMillis.getAsLong() - elapsedMillis()));
-        writer.writeRecord(order.service(), recordRevision, next, result -> {
+                .orElseGet(() -> RolloutRecord.of(order, due, epochMillis.getAsLong() - elapsedMillis()));
+        StoreRevision expected = recordRevision;
+        writer.writeRecord(order.service(), expected, next, result -> {
             writeInProgress = false;
             stageWriteAtMillis = nowMillis.getAsLong() + RETRY_DELAY_MILLIS;
             if (result instanceof WriteResult.Done done) {
-                onRecord(next, done.revision());
+                onRecord(next, new StoreRevision(expected.era(), done.revision()));
                 statusWriteAtMillis = nowMillis.getAsLong();
                 tick();
             }
@@ -264,11 +354,14 @@
         }
         writeInProgress = true;
         RolloutRecord current = record.get();
-        writer.writeStatus(order.service(), statusRevision, current, result -> {
+        StoreRevision expected = statusRevision;
+        writer.writeStatus(order.service(), expected, current, result -> {
             writeInProgress = false;
             statusWriteAtMillis = nowMillis.getAsLong() + RETRY_DELAY_MILLIS;
             if (result instanceof WriteResult.Done done) {
-                onStatus(Optional.of(reportedStage(current.stage())), done.revision());
+                onStatus(
+                        Optional.of(reportedStage(current.stage())),
+                        new StoreRevision(expected.era(), done.revision()));
             }
         });
     }
--- a/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
@@ -99,7 +99,7 @@
                 other.onConnectionLost(request("body"), "kamera", endpoint("e-" + i));
                 time.advance(PROBE_AND_PUBLISH_MILLIS);
             }
-            publishedByOthers.forEach(tracker::addFromPeer);
+            publishedByOthers.forEach(record -> tracker.onPublished(record, false));
 
             assertEquals(3, publishedByOthers.size());
             assertTrue(tracker.isPoison(request("body"), "kamera"));
--- a/router/src/test/java/baobabcroft/instance/EndpointListUpdaterTest.java
+++ b/router/src/test/java/baobabcroft/instance/EndpointListUpdaterTest.java
@@ -10,16 +10,17 @@
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class EndpointListUpdaterTest {
+    private static final long CONTACT_MILLIS = 4_000;
+
     private final VirtualTime time = new VirtualTime();
     private final EndpointDirectory directory = new EndpointDirectory();
     private final List<String> removed = new ArrayList<>();
     private final EndpointListUpdater updater = new EndpointListUpdater(
-            directory, time.scheduler(), time::nowMillis, endpoint -> removed.add(endpoint.id()));
+            directory, time.scheduler(), time::nowMillis, CONTACT_MILLIS, endpoint -> removed.add(endpoint.id()));
 
     private static EndpointEntry endpoint(String id, long startedAtEpochMillis) {
         return new EndpointEntry(
@@ -30,7 +31,7 @@
     class StoreAvailable {
         @Test
         void removesUnlistedEndpointImmediately() {
-            updater.onListed(endpoint("a", 1));
+            updater.onListed(endpoint("a", 1), 1);
             time.advance(10_000);
             updater.onUnlisted("a");
 
@@ -40,8 +41,8 @@
 
         @Test
         void reportsReplacedIncarnationAsRemoved() {
-            updater.onListed(endpoint("a", 1));
-            updater.onListed(endpoint("a", 2));
+            updater.onListed(endpoint("a", 1), 1);
+            updater.onListed(endpoint("a", 2), 1);
 
             assertEquals(List.of("a"), removed);
             assertEquals(2, directory.find("a").orElseThrow().startedAtEpochMillis());
@@ -53,12 +54,13 @@
         /** Leases lapse while the store is down; live endpoints register again within 2 s and must not be removed. */
         @Test
         void keepsEndpointsThatRegisterAgain() {
-            updater.onListed(endpoint("a", 1));
+            updater.onListed(endpoint("a", 1), 1);
             time.advance(10_000);
             updater.onStoreLost();
-            updater.onCompleteList(Set.of());
+            updater.onStoreRecovered();
+            updater.onUnlisted("a");
             time.advance(1_900);
-            updater.onListed(endpoint("a", 1));
+            updater.onListed(endpoint("a", 1), 2);
             time.advance(10_000);
 
             assertTrue(directory.find("a").isPresent());
@@ -67,26 +69,132 @@
 
         @Test
         void removesEndpointsThatDoNotRegisterAgain() {
-            updater.onListed(endpoint("a", 1));
+            updater.onListed(endpoint("a", 1), 1);
             time.advance(10_000);
             updater.onStoreLost();
-            updater.onCompleteList(Set.of());
+            updater.onStoreRecovered();
+            updater.onUnlisted("a");
             time.advance(2_400);
 
             assertFalse(directory.find("a").isPresent());
         }
 
+        /** The outage is longer than endpoints need to register again, which they can only after it. */
+        @Test
+        void countsDelayFromTheEndOfTheOutage() {
+            updater.onListed(endpoint("a", 1), 1);
+            time.advance(10_000);
+            updater.onStoreLost();
+            time.advance(6_000);
+            updater.onStoreRecovered();
+            updater.onUnlisted("a");
+            time.advance(1_900);
+
+            assertTrue(directory.find("a").isPresent());
+        }
+
         @Test
         void restartsDelayWhenStoreIsLostAgain() {
-            updater.onListed(endpoint("a", 1));
+            updater.onListed(endpoint("a", 1), 1);
             time.advance(10_000);
             updater.onStoreLost();
-            updater.onCompleteList(Set.of());
+            updater.onStoreRecovered();
+            updater.onUnlisted("a");
             time.advance(1_000);
             updater.onStoreLost();
             time.advance(2_000);
+            assertTrue(directory.find("a").isPresent());
+
+            updater.onStoreRecovered();
+            time.advance(2_400);
+            assertFalse(directory.find("a").isPresent());
+        }
+    }
+
+    @Nested
+    class StoreReturnedFromCopy {
+        private void returnFromCopy(Runnable contents) {
+            updater.onEraStarted();
+            contents.run();
+            updater.onSnapshotEnd();
+        }
+
+        private static EndpointEntry leaving(String id, long startedAtEpochMillis) {
+            return new EndpointEntry(
+                    id, "work", HostAndPort.fromParts("127.0.0.1", 1), "here", "v1", 4, true, startedAtEpochMillis);
+        }
+
+        @Test
+        void keepsEndpointThatTheCopyLacksForContactTime() {
+            updater.onListed(endpoint("a", 1), 1);
+            time.advance(10_000);
+            returnFromCopy(() -> updater.onUnlisted("a"));
+            time.advance(CONTACT_MILLIS - 1);
+            assertTrue(directory.find("a").isPresent());
+
+            time.advance(1);
+            assertFalse(directory.find("a").isPresent());
+        }
+
+        @Test
+        void keepsEndpointThatRegistersAgain() {
+            updater.onListed(endpoint("a", 1), 1);
+            time.advance(10_000);
+            returnFromCopy(() -> updater.onUnlisted("a"));
+            time.advance(1_200);
+            updater.onListed(endpoint("a", 1), 2);
+            time.advance(10_000);
 
             assertTrue(directory.find("a").isPresent());
         }
+
+        @Test
+        void doesNotReturnLeavingEndpointToService() {
+            updater.onListed(endpoint("a", 1), 1);
+            updater.onListed(leaving("a", 1), 2);
+            returnFromCopy(() -> updater.onListed(endpoint("a", 1), 1));
+
+            assertTrue(directory.find("a").orElseThrow().leaving());
+        }
+
+        @Test
+        void doesNotReturnRemovedEndpointToService() {
+            updater.onListed(endpoint("a", 1), 3);
+            time.advance(10_000);
+            updater.onUnlisted("a");
+            returnFromCopy(() -> updater.onListed(endpoint("a", 1), 3));
+
+            assertFalse(directory.find("a").isPresent());
+        }
+
+        @Test
+        void doesNotReturnToFormerIncarnation() {
+            updater.onListed(endpoint("a", 1), 50);
+            updater.onListed(endpoint("a", 2), 1);
+            returnFromCopy(() -> updater.onListed(endpoint("a", 1), 50));
+
+            assertEquals(2, directory.find("a").orElseThrow().startedAtEpochMillis());
+        }
+
+        /** The endpoint wrote its entry again before this instance read the store. */
+        @Test
+        void takesNewerReportOfRemovedEndpoint() {
+            updater.onListed(endpoint("a", 1), 3);
+            time.advance(10_000);
+            updater.onUnlisted("a");
+            returnFromCopy(() -> updater.onListed(endpoint("a", 1), 4));
+
+            assertTrue(directory.find("a").isPresent());
+        }
+
+        @Test
+        void takesChangesAfterTheCopy() {
+            updater.onListed(endpoint("a", 1), 1);
+            updater.onListed(leaving("a", 1), 2);
+            returnFromCopy(() -> updater.onListed(endpoint("a", 1), 1));
+            updater.onListed(endpoint("a", 1), 1);
+
+            assertFalse(directory.find("a").orElseThrow().leaving());
+        }
     }
 }
--- a/router/src/test/java/baobabcroft/instance/FleetShareTest.java
+++ b/router/src/test/java/baobabcroft/instance/FleetShareTest.java
@@ -1,6 +1,5 @@
 package baobabcroft.instance;
 
-import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.retry.RetryBudget;
@@ -8,7 +7,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.api.Test;
 
-/** Tests the share that one instance takes of limits on the whole fleet: repeated sends and calls to the store. */
+/** Tests the share that one instance takes of limits on the whole fleet. */
 class FleetShareTest {
     /**
      * In a fleet of 82 instances, two of five answers of the smallest model have a low confidence and are sent again.
@@ -37,20 +36,4 @@
         }
         return (double) refused / attempted;
     }
-
-    /** Every 100 ms for a minute, one of 98 endpoints updates its entry, and each update wakes 82 watches. */
-    @Test
-    void watchPauseHalvesStoreCallsOfLargeFleet() {
-        long callsPerInstance = 60_000 / RelayInstance.watchPauseMillis(82);
-
-        assertTrue(82 * callsPerInstance < 82 * 60_000 / 350 / 2, "calls: " + 82 * callsPerInstance);
-    }
-
-    @Test
-    void watchPauseIsBoundedForAnyFleetSize() {
-        assertEquals(350, RelayInstance.watchPauseMillis(1));
-        assertEquals(350, RelayInstance.watchPauseMillis(9));
-        assertEquals(500, RelayInstance.watchPauseMillis(20));
-        assertEquals(900, RelayInstance.watchPauseMillis(710));
-    }
 }
--- a/router/src/test/java/baobabcroft/notice/NoticeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeTest.java
@@ -7,6 +7,7 @@
 import baobabcroft.load.PeerLoads;
 import baobabcroft.load.PeerLoads.Load;
 import baobabcroft.notice.proto.PeerNotice;
+import baobabcroft.replica.StoreRevision;
 import baobabcroft.rollout.DomainRolloutCounts;
 import baobabcroft.rollout.RolloutCounts;
 import baobabcroft.rollout.RouteTrials;
@@ -25,7 +26,8 @@
     private long nowMillis = 1_000;
 
     private static RolloutCounts counts(long order, long answers, long failed) {
-        return new RolloutCounts(order, ImmutableMap.of("chat", new RouteTrials(answers, failed, 0)));
+        return new RolloutCounts(
+                new StoreRevision(1, order), ImmutableMap.of("chat", new RouteTrials(answers, failed, 0)));
     }
 
     @Nested
--- /dev/null
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -0,0 +1,223 @@
+package baobabcroft.replica;
+
+import baobabcroft.external.WriteResult;
+import baobabcroft.fake.VirtualTime;
+import com.google.common.net.HostAndPort;
+import com.google.protobuf.ByteString;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Instances of one failure domain with their replicas of a {@link SimulatedStore}, in virtual time. */
+final class SimulatedFleet {
+    private static final String PRESENCE = "presence/";
+    private static final long MESSAGE_MILLIS = 1;
+    private static final long CONNECT_TIMEOUT_MILLIS = 600;
+
+    private final VirtualTime time;
+    private final SimulatedStore store;
+    private final Map<String, Instance> instances = new LinkedHashMap<>();
+    private final Set<String> frozen = new HashSet<>();
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
+
+    SimulatedFleet(VirtualTime time, SimulatedStore store) {
+        this.time = time;
+        this.store = store;
+    }
+
+    /** An instance with what it was told of the store. */
+    final class Instance implements ReplicaListener {
+        private final String name;
+        private final StoreReplica replica;
+        private final List<String> events = new ArrayList<>();
+        private final Map<String, String> contents = new HashMap<>();
+        private final List<Runnable> whileFrozen = new ArrayList<>();
+        private boolean stopped;
+
+        private Instance(String name) {
+            this.name = name;
+            this.replica = StoreReplica.create(
+                    name,
+                    store.callsOfInstance(name),
+                    (address, position, observer) -> connect(this, address, position, observer),
+                    (delayMillis, task) -> time.scheduler().schedule(delayMillis, () -> run(task)),
+                    time::nowMillis,
+                    random::nextDouble,
+                    this);
+        }
+
+        private void run(Runnable task) {
+            if (frozen.contains(name)) {
+                whileFrozen.add(task);
+            } else if (!stopped) {
+                task.run();
+            }
+        }
+
+        String name() {
+            return name;
+        }
+
+        StoreReplica replica() {
+            return replica;
+        }
+
+        Map<String, String> contents() {
+            return contents;
+        }
+
+        List<String> events() {
+            return events;
+        }
+
+        @Override
+        public void onEraStarted(long era) {
+            events.add("era " + era);
+        }
+
+        @Override
+        public void onPut(StoreEntry entry) {
+            contents.put(entry.key(), entry.value().toStringUtf8());
+            events.add("put " + entry.key() + "=" + entry.value().toStringUtf8());
+            if (entry.key().startsWith(PRESENCE)) {
+                String member = entry.key().substring(PRESENCE.length());
+                replica.putMember(member, address(member));
+            }
+        }
+
+        @Override
+        public void onDelete(String key) {
+            contents.remove(key);
+            events.add("delete " + key);
+        }
+
+        @Override
+        public void onSnapshotEnd() {
+            events.add("snapshot");
+        }
+
+        @Override
+        public void onUnavailable(String reason) {
+            events.add("unavailable");
+        }
+
+        @Override
+        public void onAvailable() {
+            events.add("available");
+        }
+
+        void compareAndSwap(String key, StoreRevision expected, String value, Consumer<WriteResult> callback) {
+            replica.compareAndSwap(key, expected, ByteString.copyFromUtf8(value), callback);
+        }
+    }
+
+    private static HostAndPort address(String name) {
+        return HostAndPort.fromParts(name, 1);
+    }
+
+    Instance start(String name) {
+        Instance instance = new Instance(name);
+        instances.put(name, instance);
+        instance.replica.putOwnKey(PRESENCE + name, ByteString.copyFromUtf8(name));
+        instance.replica.start();
+        return instance;
+    }
+
+    /** Kills an instance: its connections are reset. */
+    void kill(Instance instance) {
+        instance.stopped = true;
+        instances.remove(instance.name);
+        instance.replica.feed().endAll("killed");
+    }
+
+    void freeze(Instance instance) {
+        frozen.add(instance.name);
+    }
+
+    void wake(Instance instance) {
+        frozen.remove(instance.name);
+        List<Runnable> tasks = new ArrayList<>(instance.whileFrozen);
+        instance.whileFrozen.clear();
+        tasks.forEach(task -> time.scheduler().schedule(0, () -> instance.run(task)));
+    }
+
+    List<Instance> polling() {
+        return instances.values().stream()
+                .filter(instance -> !instance.replica.isFollowing())
+                .toList();
+    }
+
+    private FeedTransport.Link connect(
+            Instance from, HostAndPort address, StoreRevision position, FeedTransport.Observer observer) {
+        Link link = new Link(from, observer);
+        Instance to = instances.get(address.getHost());
+        if (to == null) {
+            time.scheduler().schedule(CONNECT_TIMEOUT_MILLIS, () -> link.end("timeout"));
+        } else {
+            link.to = to;
+            time.scheduler()
+                    .schedule(
+                            MESSAGE_MILLIS,
+                            () -> to.run(() -> {
+                                if (!to.replica.feed().subscribe(link, position)) {
+                                    link.end("refused");
+                                }
+                            }));
+        }
+        return link;
+    }
+
+    private final class Link implements FeedTransport.Link, ReplicaFeed.Subscriber {
+        private final Instance from;
+        private final FeedTransport.Observer observer;
+        private Instance to;
+        private boolean closed;
+
+        private Link(Instance from, FeedTransport.Observer observer) {
+            this.from = from;
+            this.observer = observer;
+        }
+
+        @Override
+        public void send(FeedUpdate update) {
+            deliver(() -> observer.onUpdate(update));
+        }
+
+        @Override
+        public void end(String reason) {
+            deliver(() -> {
+                closed = true;
+                observer.onClosed(reason);
+            });
+        }
+
+        private void deliver(Runnable message) {
+            time.scheduler()
+                    .schedule(
+                            MESSAGE_MILLIS,
+                            () -> from.run(() -> {
+                                if (!closed) {
+                                    message.run();
+                                }
+                            }));
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+            if (to != null) {
+                time.scheduler()
+                        .schedule(
+                                MESSAGE_MILLIS,
+                                () -> to.run(() -> to.replica.feed().unsubscribe(this)));
+            }
+        }
+    }
+}
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -7,6 +7,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.external.WriteResult;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -34,14 +36,20 @@
     private final List<Instance> fleet = new ArrayList<>();
     private final List<RolloutStage> recordedStages = new ArrayList<>();
     private final List<RolloutStage> statuses = new ArrayList<>();
-    private final Map<String, Long> revisions = new HashMap<>();
+    /** Writes of the store's two keys, by key; the last one is current. */
+    private final Map<String, StoredWrite> stored = new HashMap<>();
+
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(3);
     private long revision = 10;
+    private long era;
     private double replyLossProbability;
     private boolean storeDown;
     private int writeAttempts;
     private final Map<String, RolloutCounts> publishedCounts = new HashMap<>();
 
+    /** A write of a key, and how an instance is notified of it. */
+    private record StoredWrite(StoreRevision revision, BiConsumer<Instance, StoreRevision> notification) {}
+
     /** One instance, which receives notifications of the store unless it is disconnected. */
     private final class Instance implements RolloutWriter {
         private final String name;
@@ -61,22 +69,31 @@
 
         @Override
         public void writeRecord(
-                String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> callback) {
-            write(this, "record", expectedRevision, callback, written -> {
-                recordedStages.add(record.stage());
-                notifyInstances(instance -> instance.rollouts.onRecord(service, record, written));
-            });
+                String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
+            write(
+                    this,
+                    "record",
+                    expected,
+                    callback,
+                    (instance, written) -> {
+                        instance.rollouts.onRecord(service, record, written);
+                    },
+                    () -> recordedStages.add(record.stage()));
         }
 
         @Override
         public void writeStatus(
-                String service, long expectedRevision, RolloutRecord record, Consumer<WriteResult> callback) {
-            write(this, "status", expectedRevision, callback, written -> {
-                RolloutStage stage = record.stage().isFinal() ? record.stage() : RolloutStage.HOLDING;
-                statuses.add(stage);
-                notifyInstances(
-                        instance -> instance.rollouts.onStatus(service, Optional.of(stage), record.target(), written));
-            });
+                String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
+            RolloutStage stage = record.stage().isFinal() ? record.stage() : RolloutStage.HOLDING;
+            write(
+                    this,
+                    "status",
+                    expected,
+                    callback,
+                    (instance, written) -> {
+                        instance.rollouts.onStatus(service, Optional.of(stage), record.target(), written);
+                    },
+                    () -> statuses.add(stage));
         }
 
         @Override
@@ -93,23 +110,45 @@
     }
 
     private void write(
-            Instance writer, String key, long expectedRevision, Consumer<WriteResult> callback, Consumer<Long> apply) {
+            Instance writer,
+            String key,
+            StoreRevision expected,
+            Consumer<WriteResult> callback,
+            BiConsumer<Instance, StoreRevision> notification,
+            Runnable onWritten) {
         writeAttempts++;
-        if (writer.disconnected || storeDown) {
+        if (writer.disconnected || storeDown || expected.era() != era) {
             schedule(REPLY_DELAY_MILLIS, () -> callback.accept(new WriteResult.Unavailable("down")));
             return;
         }
-        if (revisions.getOrDefault(key, 0L) != expectedRevision) {
+        StoredWrite present = stored.get(key);
+        StoreRevision current = present == null ? StoreRevision.absent(era) : present.revision();
+        if (!current.equals(expected)) {
             schedule(REPLY_DELAY_MILLIS, () -> callback.accept(new WriteResult.Conflict(Optional.empty())));
             return;
         }
-        long written = ++revision;
-        revisions.put(key, written);
-        apply.accept(written);
+        StoreRevision written = new StoreRevision(era, ++revision);
+        stored.put(key, new StoredWrite(written, notification));
+        onWritten.run();
+        notifyInstances(instance -> notification.accept(instance, written));
         boolean replyLost = random.nextDouble() < replyLossProbability;
         schedule(
                 REPLY_DELAY_MILLIS,
-                () -> callback.accept(replyLost ? new WriteResult.Unknown("lost") : new WriteResult.Done(written)));
+                () -> callback.accept(
+                        replyLost ? new WriteResult.Unknown("lost") : new WriteResult.Done(written.number())));
+    }
+
+    /** The store returns with the given writes of its keys; instances read them after a notification delay. */
+    private void returnFromCopy(Map<String, StoredWrite> copy) {
+        era++;
+        stored.clear();
+        copy.forEach((key, write) -> stored.put(
+                key, new StoredWrite(new StoreRevision(era, write.revision().number()), write.notification())));
+        Map<String, StoredWrite> contents = Map.copyOf(stored);
+        notifyInstances(instance -> {
+            instance.rollouts.onEraStarted(era);
+            contents.values().forEach(write -> write.notification().accept(instance, write.revision()));
+        });
     }
 
     private void schedule(long delayMillis, Runnable task) {
@@ -130,11 +169,15 @@
         return new EndpointEntry(id, SERVICE, HostAndPort.fromParts("127.0.0.1", 1), "here", version, 64, false, 1);
     }
 
+    private RolloutOrder order(long number) {
+        return new RolloutOrder(SERVICE, "v2", DURATION_MILLIS, new StoreRevision(era, number));
+    }
+
     private void startRollout(int instances) {
         for (int i = 0; i < instances; i++) {
             fleet.add(new Instance("instance-" + i, i));
         }
-        fleet.forEach(instance -> instance.rollouts.onOrder(new RolloutOrder(SERVICE, "v2", DURATION_MILLIS, 10)));
+        fleet.forEach(instance -> instance.rollouts.onOrder(order(10)));
     }
 
     private void run(long millis, Runnable eachTick) {
@@ -364,10 +407,151 @@
         @Test
         void appliesRecordReceivedBeforeItsOrder() {
             Instance late = new Instance("late", 1);
-            late.rollouts.onRecord(SERVICE, new RolloutRecord(10, "v2", RolloutStage.REVERTED, 0), 20);
-            late.rollouts.onOrder(new RolloutOrder(SERVICE, "v2", DURATION_MILLIS, 10));
+            late.rollouts.onRecord(
+                    SERVICE, new RolloutRecord(0, 10, "v2", 0, RolloutStage.REVERTED, 0), new StoreRevision(0, 20));
+            late.rollouts.onOrder(order(10));
 
             assertEquals("v1", versionFor(late, "session-1"));
         }
     }
+
+    /** The store returns from a copy some seconds old and has lost acknowledged writes. */
+    @Nested
+    class StoreReturnedFromCopy {
+        @Test
+        void completedRolloutIsNotStartedAgain() {
+            startRollout(5);
+            run(12_500, () -> {});
+            Map<String, StoredWrite> copy = Map.copyOf(stored);
+            run(11_500, () -> {});
+            assertEquals(RolloutStage.COMPLETE, statuses.get(statuses.size() - 1));
+            recordedStages.clear();
+            statuses.clear();
+            returnFromCopy(copy);
+            fleet.forEach(instance -> instance.rollouts.onOrder(order(10)));
+            run(5_000, () -> assertEquals("v2", versionFor(fleet.get(0), "session")));
+
+            assertEquals(List.of(RolloutStage.COMPLETE), recordedStages);
+            assertEquals(List.of(RolloutStage.COMPLETE), statuses);
+        }
+
+        @Test
+        void revertedRolloutIsNotStartedAgainByOrderWrittenAgain() {
+            startRollout(5);
+            run(15_000, () -> {});
+            Map<String, StoredWrite> copy = Map.copyOf(stored);
+            for (int i = 0; i < 30; i++) {
+                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+            }
+            run(2_000, () -> {});
+            assertEquals(RolloutStage.REVERTED, statuses.get(statuses.size() - 1));
+            recordedStages.clear();
+            returnFromCopy(copy);
+            fleet.forEach(instance -> instance.rollouts.onOrder(order(++revision)));
+            run(DURATION_MILLIS, () -> assertEquals("v1", versionFor(fleet.get(0), "session")));
+
+            assertEquals(List.of(RolloutStage.REVERTED), recordedStages);
+        }
+
+        @Test
+        void stageGoesOnWhenEverythingOfTheRolloutWasLost() {
+            startRollout(5);
+            run(14_000, () -> {});
+            returnFromCopy(Map.of());
+            fleet.forEach(instance -> instance.rollouts.onOrder(order(3)));
+            run(DURATION_MILLIS - 14_000, () -> {});
+
+            assertEquals(RolloutStage.COMPLETE, statuses.get(statuses.size() - 1));
+            assertFalse(recordedStages.subList(1, recordedStages.size()).contains(RolloutStage.HOLDING));
+        }
+
+        /** An instance that starts after the return sees the order at another revision than the others. */
+        @Test
+        void newInstanceTakesStageFromRecordWrittenAgain() {
+            startRollout(3);
+            run(14_000, () -> {});
+            returnFromCopy(Map.of());
+            run(1_000, () -> {});
+            Instance started = new Instance("started", 77);
+            StoredWrite record = stored.get("record");
+            record.notification().accept(started, record.revision());
+            started.rollouts.onOrder(order(3));
+            for (int session = 0; session < 100; session++) {
+                assertEquals(versionFor(fleet.get(0), "session-" + session), versionFor(started, "session-" + session));
+            }
+        }
+
+        @Test
+        void supersededOrderOfTheCopyIsIgnored() {
+            startRollout(3);
+            run(DURATION_MILLIS, () -> {});
+            RolloutOrder next = new RolloutOrder(SERVICE, "v3", DURATION_MILLIS, new StoreRevision(0, ++revision));
+            fleet.forEach(instance -> instance.rollouts.onOrder(next));
+            run(2_000, () -> {});
+            returnFromCopy(Map.of());
+            fleet.forEach(instance -> instance.rollouts.onOrder(order(10)));
+            run(2_000, () -> {});
+
+            assertEquals(RolloutStage.HOLDING, recordedStages.get(recordedStages.size() - 1));
+            assertEquals("v1", versionFor(fleet.get(0), "session"));
+        }
+
+        @Test
+        void newOrderOfTheNewEraIsTaken() {
+            startRollout(3);
+            run(DURATION_MILLIS, () -> {});
+            returnFromCopy(Map.of());
+            run(2_000, () -> {});
+            recordedStages.clear();
+            RolloutOrder next = new RolloutOrder(SERVICE, "v3", DURATION_MILLIS, new StoreRevision(era, ++revision));
+            fleet.forEach(instance -> instance.rollouts.onOrder(next));
+            run(DURATION_MILLIS, () -> {});
+
+            assertEquals(RolloutStage.COMPLETE, recordedStages.get(recordedStages.size() - 1));
+        }
+
+        @Test
+        void versionFoundBadStaysUnused() {
+            startRollout(2);
+            run(15_000, () -> {});
+            Map<String, StoredWrite> copy = Map.copyOf(stored);
+            for (int i = 0; i < 30; i++) {
+                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+            }
+            returnFromCopy(copy);
+            run(3_000, () -> assertEquals("v1", versionFor(fleet.get(0), "session")));
+
+            assertEquals(RolloutStage.REVERTED, statuses.get(statuses.size() - 1));
+        }
+    }
+
+    @Nested
+    class SameOrderAgain {
+        @Test
+        void isStartedAgainOnceEndedInTheSameEra() {
+            startRollout(3);
+            run(DURATION_MILLIS, () -> {});
+            recordedStages.clear();
+            RolloutOrder again = order(++revision);
+            fleet.forEach(instance -> instance.rollouts.onOrder(again));
+            run(DURATION_MILLIS, () -> {});
+
+            assertEquals(
+                    List.of(RolloutStage.HOLDING, RolloutStage.TRYING, RolloutStage.MOVING, RolloutStage.COMPLETE),
+                    recordedStages);
+        }
+
+        @Test
+        void isTheSameWhileItsRolloutRuns() {
+            startRollout(3);
+            run(14_000, () -> {});
+            RolloutOrder again = order(++revision);
+            fleet.forEach(instance -> instance.rollouts.onOrder(again));
+            run(DURATION_MILLIS - 14_000, () -> {});
+
+            assertEquals(
+                    List.of(RolloutStage.HOLDING, RolloutStage.TRYING, RolloutStage.MOVING, RolloutStage.COMPLETE),
+                    recordedStages);
+        }
+    }
 }
