--- a/acceptance/src/test/java/baobabcroft/acceptance/Deployment.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/Deployment.java
@@ -9,6 +9,7 @@
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.RulesParser;
 import baobabcroft.standin.Standins;
+import baobabcroft.testing.FreePorts;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.hash.Hashing;
 import java.io.IOException;
--- a/acceptance/src/test/java/baobabcroft/acceptance/RouterInstance.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/RouterInstance.java
@@ -1,5 +1,6 @@
 package baobabcroft.acceptance;
 
+import baobabcroft.testing.FreePorts;
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
 import java.io.UncheckedIOException;
--- a/acceptance/src/test/java/baobabcroft/acceptance/SampleRules.java
+++ b/acceptance/src/test/java/baobabcroft/acceptance/SampleRules.java
@@ -1,5 +1,6 @@
 package baobabcroft.acceptance;
 
+import baobabcroft.testing.FreePorts;
 import java.util.List;
 import java.util.stream.IntStream;
 
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -33,6 +33,8 @@
     LINES_SUPPRESSED(1008, WARN, "log lines suppressed", "event", "lines"),
     /** The settings file has changed. */
     SETTINGS_CHANGED(1009, INFO, "settings changed", "setting", "value"),
+    /** The instance cannot start; the process exits. */
+    START_FAILED(1010, ERROR, "start failed", "reason"),
 
     /** The instance applies a configuration. */
     CONFIG_APPLIED(2001, INFO, "configuration applied", "number", "changeId", "author", "source"),
--- a/acceptance/src/test/java/baobabcroft/acceptance/FreePorts.java
+++ b/router/src/test/java/baobabcroft/testing/FreePorts.java
@@ -1,4 +1,4 @@
-package baobabcroft.acceptance;
+package baobabcroft.testing;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -8,14 +8,18 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Finds unused ports below the system's ephemeral range, so that no client connection takes them. Not thread-safe. */
-final class FreePorts {
+public final class FreePorts {
     private static final int LOWEST = 15_000;
     private static final int HIGHEST = 30_000;
 
     private final Set<Integer> returnedPorts = new HashSet<>();
 
-    /** Returns an unused port that was not returned before. */
-    int next() {
+    /**
+     * Returns an unused port that was not returned before.
+     *
+     * @return the port, unused on the loopback interface at present
+     */
+    public int next() {
         while (true) {
             int port = ThreadLocalRandom.current().nextInt(LOWEST, HIGHEST);
             if (!returnedPorts.contains(port) && isFree(port)) {
--- /dev/null
+++ b/router/src/test/java/baobabcroft/testing/package-info.java
@@ -0,0 +1,2 @@
+/** Helpers of the tests of all modules. */
+package baobabcroft.testing;
--- a/standins/src/test/java/baobabcroft/standin/StandinsTest.java
+++ b/standins/src/test/java/baobabcroft/standin/StandinsTest.java
@@ -10,6 +10,7 @@
 import baobabcroft.rules.ParsedRules;
 import baobabcroft.rules.RuleSet;
 import baobabcroft.rules.RulesParser;
+import baobabcroft.testing.FreePorts;
 import com.google.common.net.HostAndPort;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -40,7 +41,8 @@
     }
 
     private static RuleSet rules() {
-        String text = RULES.formatted(FreePort.find(), FreePort.find());
+        FreePorts ports = new FreePorts();
+        String text = RULES.formatted(ports.next(), ports.next());
         return assertInstanceOf(ParsedRules.Valid.class, RulesParser.parse(text))
                 .rules();
     }
