--- a/router/src/main/java/baobabcroft/common/Scheduler.java
+++ b/router/src/main/java/baobabcroft/common/Scheduler.java
@@ -1,10 +1,12 @@
 package baobabcroft.common;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 
 /** Runs tasks after a delay. Code that waits takes a scheduler as a parameter, so that tests can use virtual time. */
 @FunctionalInterface
@@ -38,4 +40,23 @@
             return () -> future.cancel(false);
         };
     }
+
+    /**
+     * Returns a scheduler that runs tasks only at multiples of a period of the clock, so that tasks that are due
+     * shortly after one another run together: to wake a thread up costs more than most tasks.
+     *
+     * @param scheduler runs the tasks
+     * @param nowMillis monotonic clock, in milliseconds
+     * @param periodMillis the period, in milliseconds; a task runs up to this much later than its delay says
+     * @return the scheduler
+     */
+    static Scheduler aligned(Scheduler scheduler, LongSupplier nowMillis, long periodMillis) {
+        checkNotNull(scheduler);
+        checkArgument(periodMillis > 0, "periodMillis not positive: %s", periodMillis);
+        return (delayMillis, task) -> {
+            long now = nowMillis.getAsLong();
+            long periods = Math.floorDiv(now + delayMillis + periodMillis - 1, periodMillis);
+            return scheduler.schedule(periods * periodMillis - now, task);
+        };
+    }
 }
--- a/router/src/main/java/baobabcroft/front/EndpointConnection.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnection.java
@@ -1,5 +1,6 @@
 package baobabcroft.front;
 
+import baobabcroft.common.Scheduler;
 import baobabcroft.front.EndpointConnectionPool.PendingExchange;
 import baobabcroft.relay.EndpointRequest;
 import baobabcroft.relay.Headers;
@@ -41,9 +42,14 @@
     private static final double KEEP_ALIVE_SHARE = 0.6;
 
     private static final int MAX_HEADER_BYTES = 65_536;
+    /** Limits on responses that belong to other requests or are informational, before the awaited response. */
+    private static final int MAX_SKIPPED_RESPONSES = 16;
+
+    private static final long MAX_SKIPPED_BYTES = 16L << 20;
     private static final String KEEP_ALIVE_HEADER = "Keep-Alive";
     private static final String KEEP_ALIVE_TIMEOUT_PARAMETER = "timeout=";
 
+    private final Scheduler readScheduler;
     private final BiPredicate<String, Headers> isResponseTo;
     private final Consumer<EndpointConnection> onIdle;
     private final Consumer<EndpointConnection> onClosed;
@@ -53,16 +59,22 @@
     private ScheduledFuture<?> idleTimeout;
     private long idleMillis = MAX_IDLE_MILLIS;
     private boolean skippingResponse;
+    private int skippedResponses;
+    private long skippedBytes;
     private boolean headReceived;
     private boolean keepAlive;
+    /** Time between two reads, in milliseconds; 0 to read whenever bytes arrive. */
+    private long readIntervalMillis;
 
     /** Key of the connection in the pool. */
     String poolKey = "";
 
     EndpointConnection(
+            Scheduler readScheduler,
             BiPredicate<String, Headers> isResponseTo,
             Consumer<EndpointConnection> onIdle,
             Consumer<EndpointConnection> onClosed) {
+        this.readScheduler = readScheduler;
         this.isResponseTo = isResponseTo;
         this.onIdle = onIdle;
         this.onClosed = onClosed;
@@ -87,7 +99,10 @@
             idleTimeout.cancel(false);
         }
         exchange = next;
+        next.sentOn(this);
         skippingResponse = false;
+        skippedResponses = 0;
+        skippedBytes = 0;
         headReceived = false;
         EndpointRequest request = next.request();
         DefaultFullHttpRequest message = new DefaultFullHttpRequest(
@@ -102,6 +117,27 @@
         writeFuture = channel.writeAndFlush(message);
     }
 
+    /** Reads at intervals until the exchange ends. */
+    void readEvery(long intervalMillis) {
+        readIntervalMillis = intervalMillis;
+        channel.config().setAutoRead(false);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        if (exchange != null && !exchange.isDone()) {
+            exchange.listener().onReadComplete();
+        }
+        if (readIntervalMillis > 0) {
+            readScheduler.schedule(readIntervalMillis, () -> channel.read());
+        }
+    }
+
+    private void readAlways() {
+        readIntervalMillis = 0;
+        channel.config().setAutoRead(true);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -134,13 +170,13 @@
     }
 
     private void readHead(HttpResponse response) {
-        if (response.status().code() < 200) {
-            skippingResponse = true;
-            return;
-        }
         Headers headers = NettyHeaders.toRelay(response.headers());
-        skippingResponse = !isResponseTo.test(exchange.request().requestId(), headers);
+        boolean informational = response.status().code() < 200;
+        skippingResponse =
+                informational || !isResponseTo.test(exchange.request().requestId(), headers);
         if (skippingResponse) {
+            skippedResponses++;
+            failIfSkippedTooMuch();
             return;
         }
         headReceived = true;
@@ -167,9 +203,11 @@
         boolean last = content instanceof LastHttpContent;
         if (skippingResponse) {
             skippingResponse = !last;
+            skippedBytes += content.content().readableBytes();
+            failIfSkippedTooMuch();
             return;
         }
-        if (exchange.isDone()) {
+        if (exchange == null || exchange.isDone()) {
             channel.close();
             return;
         }
@@ -185,9 +223,16 @@
         }
     }
 
+    private void failIfSkippedTooMuch() {
+        if (skippedResponses > MAX_SKIPPED_RESPONSES || skippedBytes > MAX_SKIPPED_BYTES) {
+            fail(SendFailure.ANSWER_MALFORMED);
+        }
+    }
+
     private void complete() {
         PendingExchange completed = exchange;
         exchange = null;
+        readAlways();
         if (keepAlive && writeFuture.isSuccess() && idleMillis > 0 && channel.isActive()) {
             onIdle.accept(this);
             idleTimeout = channel.eventLoop().schedule(() -> channel.close(), idleMillis, TimeUnit.MILLISECONDS);
--- a/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.relay.EndpointRequest;
 import baobabcroft.relay.EndpointTransport;
@@ -34,6 +35,7 @@
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
 
     private final EventLoop loop;
+    private final Scheduler readScheduler;
     private final BiPredicate<String, Headers> isResponseTo;
     private final Predicate<EndpointRequest> needsFreshConnection;
     private final Map<String, Deque<EndpointConnection>> idleByKey = new HashMap<>();
@@ -42,14 +44,17 @@
      * Creates an empty pool.
      *
      * @param loop event loop of all connections
+     * @param readScheduler schedules the reads of answers that are read at intervals
      * @param isResponseTo whether the headers of a response belong to the request with the given id
      * @param needsFreshConnection whether a request must not use an idle connection, which the endpoint may be closing
      */
     public EndpointConnectionPool(
             EventLoop loop,
+            Scheduler readScheduler,
             BiPredicate<String, Headers> isResponseTo,
             Predicate<EndpointRequest> needsFreshConnection) {
         this.loop = checkNotNull(loop);
+        this.readScheduler = checkNotNull(readScheduler);
         this.isResponseTo = checkNotNull(isResponseTo);
         this.needsFreshConnection = checkNotNull(needsFreshConnection);
     }
@@ -60,7 +65,6 @@
         String key = keyOf(endpoint);
         EndpointConnection pooled = needsFreshConnection.test(request) ? null : takeIdle(key);
         if (pooled != null) {
-            exchange.channel = pooled.channel();
             pooled.send(exchange);
         } else {
             connect(endpoint, key, exchange);
@@ -97,7 +101,7 @@
 
     private void connect(EndpointEntry endpoint, String key, PendingExchange exchange) {
         EndpointConnection connection =
-                new EndpointConnection(isResponseTo, pooled -> putIdle(key, pooled), this::removeIdle);
+                new EndpointConnection(readScheduler, isResponseTo, pooled -> putIdle(key, pooled), this::removeIdle);
         connection.poolKey = key;
         Bootstrap bootstrap = NettyChannels.client(
                 loop,
@@ -155,9 +159,10 @@
         private final EndpointRequest request;
         private final ExchangeListener listener;
         private Channel channel;
+        private EndpointConnection connection;
         private boolean done;
 
-        private PendingExchange(EndpointRequest request, ExchangeListener listener) {
+        PendingExchange(EndpointRequest request, ExchangeListener listener) {
             this.request = request;
             this.listener = listener;
         }
@@ -188,6 +193,19 @@
             }
         }
 
+        /** Sets the connection that carries the request. */
+        void sentOn(EndpointConnection carrier) {
+            connection = carrier;
+            channel = carrier.channel();
+        }
+
+        @Override
+        public void readEvery(long intervalMillis) {
+            if (!done && connection != null) {
+                connection.readEvery(intervalMillis);
+            }
+        }
+
         @Override
         public void cancel() {
             if (!done) {
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -39,10 +39,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.core.source64.XoRoShiRo128PlusPlus;
 
 /** Composition root of one instance of the relay path. Everything in it runs on one event loop. */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes the channel; the close is handled.
@@ -55,6 +56,11 @@
     private static final long DRAIN_POLL_MILLIS = 50;
     /** Interval of the roll-outs' periodic work: a fraction of the shortest bound that depends on it. */
     private static final long TICK_MILLIS = 250;
+    /**
+     * Period at which streams are read, notices are sent and periodic work is done. An idle instance and one with a few
+     * streams spend most of their processor time on waking up.
+     */
+    private static final long WAKE_PERIOD_MILLIS = 50;
     /** Share of the contract's ratio of repeated sends that an instance uses. */
     private static final double RETRY_RATIO_SHARE = 0.7;
     /**
@@ -68,6 +74,9 @@
 
     private InstanceSettings settings;
     private final Scheduler scheduler;
+    /** Runs periodic work and other work that can wait a little. */
+    private final Scheduler aligned;
+
     private final LongSupplier nowMillis = RelayInstance::monotonicMillis;
     private final RoutingTableHolder routing = new RoutingTableHolder();
     private final EndpointDirectory directory = new EndpointDirectory();
@@ -99,9 +108,11 @@
         this.settings = checkNotNull(settings);
         this.loop = checkNotNull(loop);
         this.scheduler = Scheduler.onExecutor(loop.next());
-        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
-        this.connections =
-                new EndpointConnectionPool(loop.next(), dialect::isResponseTo, request -> !request.repeatable());
+        this.aligned = Scheduler.aligned(scheduler, nowMillis, WAKE_PERIOD_MILLIS);
+        UniformRandomProvider random =
+                new XoRoShiRo128PlusPlus(ThreadLocalRandom.current().nextLong(), System.nanoTime());
+        this.connections = new EndpointConnectionPool(
+                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable());
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
@@ -120,7 +131,7 @@
                 settings.instance(),
                 storeCalls,
                 new FeedClient(loop.next(), settings.instance()),
-                scheduler,
+                aligned,
                 nowMillis,
                 random::nextDouble,
                 storeContents);
@@ -136,7 +147,7 @@
                 routing,
                 directory,
                 loads,
-                new EndpointChooser(settings.failureDomain(), settings.regions(), loads, random),
+                new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
                 this::retryBudget,
                 rollouts,
@@ -173,6 +184,7 @@
         loop.execute(this::tick);
         noticeExchange = Optional.of(NoticeExchange.start(
                 loop.next(),
+                aligned,
                 settings.instance(),
                 settings.failureDomain(),
                 settings.peers(),
@@ -205,13 +217,17 @@
         }
     }
 
+    private void receiveNotices() {
+        noticeExchange.ifPresent(NoticeExchange::receive);
+    }
+
     private void onLoadChanged() {
         noticeExchange.ifPresent(NoticeExchange::scheduleNotice);
     }
 
     private void tick() {
         rollouts.tick();
-        scheduler.schedule(TICK_MILLIS, this::tick);
+        aligned.schedule(TICK_MILLIS, this::tick);
     }
 
     /**
--- /dev/null
+++ b/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
@@ -0,0 +1,127 @@
+package baobabcroft.instance;
+
+import baobabcroft.rollout.RolloutRecord;
+import baobabcroft.rollout.RolloutStage;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * JSON format of the records that instances share. Members are read one by one, because binding by reflection takes a
+ * tenth of the time of a start. Unknown members are ignored: a later release may write them.
+ */
+final class SharedRecordCodec {
+    private static final String ORDER_ERA = "orderEra";
+    private static final String ORDER_REVISION = "orderRevision";
+    private static final String TARGET = "target";
+    private static final String DURATION = "durationMillis";
+    private static final String STAGE = "stage";
+    private static final String STARTED_AT = "startedAtEpochMillis";
+    private static final String ENDPOINTS = "endpointsByDigest";
+    private static final String ADDRESS = "address";
+    private static final String FAILURE_DOMAIN = "failureDomain";
+
+    private final ObjectMapper json = new ObjectMapper();
+
+    SharedRecordCodec() {}
+
+    ByteString encode(RolloutRecord record) {
+        return bytes(json.createObjectNode()
+                .put(ORDER_ERA, record.orderEra())
+                .put(ORDER_REVISION, record.orderRevision())
+                .put(TARGET, record.target())
+                .put(DURATION, record.durationMillis())
+                .put(STAGE, record.stage().name())
+                .put(STARTED_AT, record.startedAtEpochMillis()));
+    }
+
+    /**
+     * Returns the record of a rollout.
+     *
+     * @throws IOException if a member is missing or malformed
+     */
+    RolloutRecord decodeRollout(ByteString text) throws IOException {
+        JsonNode document = read(text);
+        return new RolloutRecord(
+                document.path(ORDER_ERA).asLong(0),
+                member(document, ORDER_REVISION).asLong(),
+                member(document, TARGET).asText(),
+                document.path(DURATION).asLong(0),
+                stage(member(document, STAGE).asText()),
+                member(document, STARTED_AT).asLong());
+    }
+
+    private static RolloutStage stage(String name) throws IOException {
+        try {
+            return RolloutStage.valueOf(name);
+        } catch (IllegalArgumentException unknown) {
+            throw new IOException("unknown stage " + name, unknown);
+        }
+    }
+
+    ByteString encode(CrashRecord record) {
+        ObjectNode document = json.createObjectNode();
+        ObjectNode endpoints = document.putObject(ENDPOINTS);
+        record.endpointsByDigest().forEach((digest, incarnations) -> {
+            ArrayNode list = endpoints.putArray(digest);
+            incarnations.forEach(list::add);
+        });
+        return bytes(document);
+    }
+
+    /**
+     * Returns the crashes that an instance has published.
+     *
+     * @throws IOException if a member is missing or malformed
+     */
+    CrashRecord decodeCrashes(ByteString text) throws IOException {
+        Map<String, List<String>> endpoints = new HashMap<>();
+        member(read(text), ENDPOINTS).properties().forEach(digest -> {
+            List<String> incarnations = new ArrayList<>();
+            digest.getValue().forEach(incarnation -> incarnations.add(incarnation.asText()));
+            endpoints.put(digest.getKey(), incarnations);
+        });
+        return new CrashRecord(endpoints);
+    }
+
+    ByteString encode(InstanceLocation location) {
+        return bytes(
+                json.createObjectNode().put(ADDRESS, location.address()).put(FAILURE_DOMAIN, location.failureDomain()));
+    }
+
+    /**
+     * Returns the location that an instance has published.
+     *
+     * @throws IOException if a member is missing or malformed
+     */
+    InstanceLocation decodeLocation(ByteString text) throws IOException {
+        JsonNode document = read(text);
+        return new InstanceLocation(
+                member(document, ADDRESS).asText(),
+                member(document, FAILURE_DOMAIN).asText());
+    }
+
+    private JsonNode read(ByteString text) throws IOException {
+        return json.readTree(text.toByteArray());
+    }
+
+    private static JsonNode member(JsonNode document, String name) throws IOException {
+        JsonNode value = document.path(name);
+        if (value.isMissingNode() || value.isNull()) {
+            throw new IOException("no member \"" + name + "\"");
+        }
+        return value;
+    }
+
+    private static ByteString bytes(ObjectNode document) {
+        return ByteString.copyFrom(document.toString(), StandardCharsets.UTF_8);
+    }
+}
--- a/router/src/main/java/baobabcroft/instance/SharedStoreRecords.java
+++ b/router/src/main/java/baobabcroft/instance/SharedStoreRecords.java
@@ -14,13 +14,8 @@
 import baobabcroft.rollout.RolloutRecord;
 import baobabcroft.rollout.RolloutStatusWriter;
 import baobabcroft.rollout.RolloutWriter;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.DeserializationFeature;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.google.common.base.Splitter;
-import com.google.protobuf.ByteString;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.util.List;
 import java.util.function.Consumer;
 
@@ -37,7 +32,7 @@
 
     private final String instance;
     private final DomainRolloutCounts rolloutCounts;
-    private final ObjectMapper json = new ObjectMapper().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+    private final SharedRecordCodec codec = new SharedRecordCodec();
     private final EventLog log = EventLog.of(SharedStoreRecords.class);
     private Receivers receivers;
     private StoreReplica store;
@@ -83,10 +78,10 @@
         try {
             switch (parts.get(0)) {
                 case ROLLOUT ->
-                    receivers.rollouts().onRecord(name, parse(entry, RolloutRecord.class), entry.revision());
+                    receivers.rollouts().onRecord(name, codec.decodeRollout(entry.value()), entry.revision());
                 case CRASHES ->
-                    receivers.crashTracker().onPublished(parse(entry, CrashRecord.class), name.equals(instance));
-                case INSTANCES -> receivers.locations().onLocation(name, parse(entry, InstanceLocation.class));
+                    receivers.crashTracker().onPublished(codec.decodeCrashes(entry.value()), name.equals(instance));
+                case INSTANCES -> receivers.locations().onLocation(name, codec.decodeLocation(entry.value()));
                 default -> {}
             }
         } catch (IOException unreadable) {
@@ -106,22 +101,10 @@
         return key.startsWith(PREFIX) ? Splitter.on('/').splitToList(key.substring(PREFIX.length())) : List.of();
     }
 
-    private <T> T parse(StoreEntry entry, Class<T> type) throws IOException {
-        return json.readValue(entry.value().toByteArray(), type);
-    }
-
-    private ByteString toJson(Object value) {
-        try {
-            return ByteString.copyFrom(json.writeValueAsBytes(value));
-        } catch (JsonProcessingException impossible) {
-            throw new UncheckedIOException(impossible);
-        }
-    }
-
     @Override
     public void writeRecord(
             String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
-        store.compareAndSwap(PREFIX + ROLLOUT + '/' + service, expected, toJson(record), callback);
+        store.compareAndSwap(PREFIX + ROLLOUT + '/' + service, expected, codec.encode(record), callback);
     }
 
     @Override
@@ -137,11 +120,11 @@
 
     /** Publishes the location of this instance. */
     void publishLocation(InstanceLocation location) {
-        store.putOwnKey(PREFIX + INSTANCES + '/' + instance, toJson(location));
+        store.putOwnKey(PREFIX + INSTANCES + '/' + instance, codec.encode(location));
     }
 
     /** Publishes the crashes that this instance has observed. */
     void publishCrashes(CrashRecord crashes) {
-        store.putOwnKey(PREFIX + CRASHES + '/' + instance, toJson(crashes));
+        store.putOwnKey(PREFIX + CRASHES + '/' + instance, codec.encode(crashes));
     }
 }
--- a/router/src/main/java/baobabcroft/notice/NoticeExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -2,18 +2,11 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.common.Scheduler;
 import baobabcroft.notice.proto.PeerNotice;
 import com.google.common.net.HostAndPort;
 import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -22,13 +15,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.TimeUnit;
 
 /** Sends notices to other instances and receives theirs. Not thread-safe: to be used on its event loop only. */
-@SuppressWarnings("FutureReturnValueIgnored") // A datagram that cannot be sent counts as lost.
 public final class NoticeExchange {
-    /** Delay in which changes are batched into one notice, in milliseconds: a fraction of the time to read a prompt. */
-    private static final long BATCH_DELAY_MILLIS = 25;
+    /** Shortest delay in which changes are batched into one notice: to the next wake-up of the instance. */
+    private static final long BATCH_DELAY_MILLIS = 1;
+    /** Interval at which notices are read that no decision has asked for. */
+    private static final long READ_INTERVAL_MILLIS = 100;
+
     /** Interval at which unchanged loads are resent, in milliseconds: a third of the time for which peers keep them. */
     private static final long RESEND_INTERVAL_MILLIS = 1_000;
 
@@ -60,7 +54,8 @@
      */
     private static final int SEQUENCE_BITS = 8;
 
-    private final EventLoop loop;
+    private final NoticeSocket socket;
+    private final Scheduler scheduler;
     private final String instance;
     private final String failureDomain;
     private final NoticeDelegate delegate;
@@ -69,14 +64,15 @@
     /** Addresses of peers in other failure domains, by instance name. */
     private final Map<String, InetSocketAddress> remotePeers = new HashMap<>();
 
-    private Channel channel;
     private long sequence = System.currentTimeMillis() << SEQUENCE_BITS;
     private boolean noticePending;
     private boolean idleSent = true;
     private boolean domainIdleSent = true;
 
-    private NoticeExchange(EventLoop loop, String instance, String failureDomain, NoticeDelegate delegate) {
-        this.loop = loop;
+    private NoticeExchange(
+            NoticeSocket socket, Scheduler scheduler, String instance, String failureDomain, NoticeDelegate delegate) {
+        this.socket = socket;
+        this.scheduler = scheduler;
         this.instance = instance;
         this.failureDomain = failureDomain;
         this.delegate = delegate;
@@ -86,6 +82,7 @@
      * Binds a datagram socket and starts to send and receive notices. Blocks until the socket is bound.
      *
      * @param loop event loop on which the exchange runs
+     * @param scheduler runs timers on the event loop
      * @param instance name of this instance
      * @param failureDomain failure domain of this instance
      * @param address address to bind for datagrams
@@ -93,19 +90,22 @@
      * @return the exchange, without peers
      */
     public static NoticeExchange start(
-            EventLoop loop, String instance, String failureDomain, HostAndPort address, NoticeDelegate delegate) {
-        NoticeExchange exchange =
-                new NoticeExchange(loop, checkNotNull(instance), checkNotNull(failureDomain), checkNotNull(delegate));
-        exchange.channel = new Bootstrap()
-                .group(loop)
-                .channel(NioDatagramChannel.class)
-                .handler(exchange.receiver())
-                .bind(address.getHost(), address.getPort())
-                .syncUninterruptibly()
-                .channel();
-        loop.scheduleWithFixedDelay(
-                exchange::resend, RESEND_INTERVAL_MILLIS, RESEND_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-        loop.schedule(exchange::sendToRemotePeers, REMOTE_START_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            EventLoop loop,
+            Scheduler scheduler,
+            String instance,
+            String failureDomain,
+            HostAndPort address,
+            NoticeDelegate delegate) {
+        checkNotNull(loop);
+        NoticeExchange exchange = new NoticeExchange(
+                NoticeSocket.bind(loop, address),
+                checkNotNull(scheduler),
+                checkNotNull(instance),
+                checkNotNull(failureDomain),
+                checkNotNull(delegate));
+        loop.execute(exchange::receiveRepeatedly);
+        scheduler.schedule(RESEND_INTERVAL_MILLIS, exchange::resend);
+        scheduler.schedule(REMOTE_START_DELAY_MILLIS, exchange::sendToRemotePeers);
         return exchange;
     }
 
@@ -143,15 +143,28 @@
         return 1 + localPeers.size() + remotePeers.size();
     }
 
+    /** Reads the notices that have arrived. To be called before a decision that depends on them. */
+    public void receive() {
+        socket.receive(this::receive);
+    }
+
+    private void receiveRepeatedly() {
+        if (socket.isOpen()) {
+            receive();
+            scheduler.schedule(READ_INTERVAL_MILLIS, this::receiveRepeatedly);
+        }
+    }
+
     /** Schedules a notice about changed loads of this instance to the peers in its failure domain. */
     public void scheduleNotice() {
         if (!noticePending && !localPeers.isEmpty()) {
             noticePending = true;
-            loop.schedule(this::sendToLocalPeers, BATCH_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+            scheduler.schedule(BATCH_DELAY_MILLIS, this::sendToLocalPeers);
         }
     }
 
     private void resend() {
+        scheduler.schedule(RESEND_INTERVAL_MILLIS, this::resend);
         if (!noticePending && !idleSent) {
             sendToLocalPeers();
         }
@@ -172,7 +185,7 @@
     }
 
     private void sendToRemotePeers() {
-        loop.schedule(this::sendToRemotePeers, remoteIntervalMillis(remotePeers.size()), TimeUnit.MILLISECONDS);
+        scheduler.schedule(remoteIntervalMillis(remotePeers.size()), this::sendToRemotePeers);
         NoticeContents contents = delegate.domainContents();
         if (remotePeers.isEmpty() || (contents.loads().isEmpty() && domainIdleSent)) {
             return;
@@ -202,23 +215,7 @@
     }
 
     private void send(PeerNotice.Builder notice, Collection<InetSocketAddress> recipients) {
-        byte[] bytes = notice.build().toByteArray();
-        recipients.forEach(peer -> channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), peer)));
-        channel.flush();
-    }
-
-    private SimpleChannelInboundHandler<DatagramPacket> receiver() {
-        return new SimpleChannelInboundHandler<>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-                receive(ByteBufUtil.getBytes(packet.content()));
-            }
-
-            @Override
-            public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-                // An ICMP error from a peer's port without a listener; the store supplies the correct address.
-            }
-        };
+        socket.send(notice.build().toByteArray(), recipients);
     }
 
     private void receive(byte[] bytes) {
--- a/router/src/main/java/baobabcroft/relay/CallerStream.java
+++ b/router/src/main/java/baobabcroft/relay/CallerStream.java
@@ -1,5 +1,6 @@
 package baobabcroft.relay;
 
+import java.io.ByteArrayOutputStream;
 import java.util.OptionalLong;
 
 /**
@@ -8,6 +9,7 @@
  */
 final class CallerStream {
     private final CallerExchange caller;
+    private final ByteArrayOutputStream unsent = new ByteArrayOutputStream();
     private OptionalLong lastEvent;
     private boolean started;
 
@@ -48,12 +50,33 @@
         return id < expected ? Position.DUPLICATE : Position.GAP;
     }
 
-    /** Sends an event that is {@link Position#NEXT}. */
-    void send(EventSplitter.Event event) {
+    /** Adds an event that is {@link Position#NEXT}, to be sent by the next {@link #flush}. */
+    void add(EventSplitter.Event event) {
         if (event.id().isPresent()) {
             lastEvent = event.id();
         }
-        caller.streamData(event.bytes());
+        unsent.writeBytes(event.bytes());
+    }
+
+    /** Sends the events that were added. */
+    void flush() {
+        if (unsent.size() > 0) {
+            byte[] events = unsent.toByteArray();
+            unsent.reset();
+            caller.streamData(events);
+        }
+    }
+
+    /** Sends the events that were added and ends the stream as complete. */
+    void end() {
+        flush();
+        caller.endStream();
+    }
+
+    /** Sends the events that were added and closes the connection, so that the stream is seen to be incomplete. */
+    void abort() {
+        flush();
+        caller.abort();
     }
 
     /** Position of an event relative to the last one that the caller has. */
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -26,6 +26,11 @@
     private static final double INACTIVITY_DEADLINE_SHARE = 0.4;
     /** Multiple of the route's maximum gap between events after which a stream is inactive. */
     private static final int INACTIVITY_GAP_FACTOR = 4;
+    /**
+     * Shortest interval at which a stream is read once its first event was received, in milliseconds. Well below the
+     * gaps between events that callers notice; a read of one event costs about as much as a read of several.
+     */
+    private static final long EVENT_BATCH_MILLIS = 50;
     /** Minimum gap for an inactive stream, in milliseconds: callers abandon a stream after two seconds or more. */
     private static final long MIN_INACTIVITY_GAP_MILLIS = 2_000;
 
@@ -37,6 +42,9 @@
         /** Called with each complete event. Returns false if events before it are missing. */
         boolean onEvent(EndpointAttempt attempt, EventSplitter.Event event);
 
+        /** Called after all events that could be read at once were passed on. */
+        void onEventsRead();
+
         /** Called with a complete answer that is not a stream. */
         void onAnswer(EndpointAttempt attempt, EndpointAnswer answer);
 
@@ -63,10 +71,13 @@
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private EndpointTransport.Exchange exchange = () -> {};
     private Scheduler.Cancellable inactivityTimer = () -> {};
+    private long timerAtMillis = Long.MAX_VALUE;
+    private long inactiveAtMillis;
     private int status;
     private Headers headers = Headers.EMPTY;
     private boolean eventStream;
     private boolean firstOutput;
+    private long lastEventId = -1;
     private boolean ended;
 
     private EndpointAttempt(
@@ -147,14 +158,30 @@
     }
 
     private void restartInactivityTimer(long waitMillis) {
+        inactiveAtMillis = services.nowMillis().getAsLong() + waitMillis;
+        if (inactiveAtMillis < timerAtMillis) {
+            armInactivityTimer();
+        }
+    }
+
+    /** Arms the timer for the current deadline. A deadline that is later by then re-arms it. */
+    private void armInactivityTimer() {
         inactivityTimer.cancel();
         if (route().isRepeatable() && !ended) {
-            inactivityTimer = services.scheduler().schedule(waitMillis, this::onInactivityTimeout);
+            timerAtMillis = inactiveAtMillis;
+            long waitMillis = inactiveAtMillis - services.nowMillis().getAsLong();
+            inactivityTimer = services.scheduler().schedule(waitMillis, this::onInactivityTimer);
         }
     }
 
-    private void onInactivityTimeout() {
-        if (!ended) {
+    private void onInactivityTimer() {
+        timerAtMillis = Long.MAX_VALUE;
+        if (ended) {
+            return;
+        }
+        if (services.nowMillis().getAsLong() < inactiveAtMillis) {
+            armInactivityTimer();
+        } else {
             owner.onInactivity(this);
         }
     }
@@ -215,18 +242,39 @@
                 onFailure(SendFailure.ANSWER_MALFORMED);
                 return;
             }
-            markFirstOutput();
-            awaitNextEvent();
+            if (isProgress(event)) {
+                markFirstOutput();
+                awaitNextEvent();
+            }
         }
         if (events.pendingBytes() > MAX_EVENT_BYTES) {
             onFailure(SendFailure.ANSWER_TOO_LARGE);
         }
     }
 
+    /** Comments, empty events and repetitions are none: an endpoint that sends only these has stalled. */
+    private boolean isProgress(EventSplitter.Event event) {
+        if (event.id().isEmpty()) {
+            return event.hasData();
+        }
+        long id = event.id().getAsLong();
+        boolean isNew = id > lastEventId;
+        lastEventId = Math.max(lastEventId, id);
+        return isNew && event.hasData();
+    }
+
     private void markFirstOutput() {
         if (!firstOutput) {
             firstOutput = true;
             inFlightRequest.firstOutputReceived();
+            exchange.readEvery(EVENT_BATCH_MILLIS);
+        }
+    }
+
+    @Override
+    public void onReadComplete() {
+        if (!ended) {
+            owner.onEventsRead();
         }
     }
 
--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -40,6 +40,7 @@
     private final String failureDomain;
     private final Map<String, String> regions;
     private final EndpointLoads loads;
+    private final Runnable refreshLoads;
     private final UniformRandomProvider random;
 
     /**
@@ -48,13 +49,19 @@
      * @param failureDomain the failure domain of this instance
      * @param regions region by failure domain; a failure domain that is not listed is a region of its own
      * @param loads state of the endpoints
+     * @param refreshLoads run before each choice; takes in what other instances have reported of their loads
      * @param random source of the jitter that breaks ties
      */
     public EndpointChooser(
-            String failureDomain, Map<String, String> regions, EndpointLoads loads, UniformRandomProvider random) {
+            String failureDomain,
+            Map<String, String> regions,
+            EndpointLoads loads,
+            Runnable refreshLoads,
+            UniformRandomProvider random) {
         this.failureDomain = checkNotNull(failureDomain);
         this.regions = Map.copyOf(regions);
         this.loads = checkNotNull(loads);
+        this.refreshLoads = checkNotNull(refreshLoads);
         this.random = checkNotNull(random);
     }
 
@@ -74,6 +81,7 @@
             Optional<ServiceProfile> profile,
             Optional<String> model,
             Prompt prompt) {
+        refreshLoads.run();
         Optional<String> rendezvous =
                 prompt.lastSharedPart().flatMap(part -> rendezvousEndpoint(candidates, part.id()));
         EndpointEntry best = null;
--- a/router/src/main/java/baobabcroft/relay/EndpointTransport.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointTransport.java
@@ -20,5 +20,14 @@
     interface Exchange {
         /** Cancels the request and closes its connection; no listener calls follow. Has no effect after the end. */
         void cancel();
+
+        /**
+         * Reads the rest of the answer at intervals, so that parts that arrive shortly after one another are passed
+         * on together, at a fraction of the cost. The end of the answer and the loss of the connection are noticed as
+         * late.
+         *
+         * @param intervalMillis time between two reads, in milliseconds
+         */
+        default void readEvery(long intervalMillis) {}
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EventSplitter.java
+++ b/router/src/main/java/baobabcroft/relay/EventSplitter.java
@@ -1,8 +1,7 @@
 package baobabcroft.relay;
 
-import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.OptionalLong;
 
@@ -10,9 +9,15 @@
 final class EventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
-    private static final String ID_FIELD = "id:";
+    private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
+    private static final byte[] ID_FIELD = {'i', 'd', ':'};
+    /** Longest id that fits into a {@code long} for certain. */
+    private static final int MAX_ID_DIGITS = 18;
 
-    private final ByteArrayOutputStream pending = new ByteArrayOutputStream();
+    private static final int DECIMAL = 10;
+
+    private byte[] pending = new byte[0];
+    private int size;
     private boolean lineEmpty = true;
 
     /**
@@ -20,54 +25,117 @@
      *
      * @param bytes the bytes of the event, including the empty line that ends it
      * @param id the event id; empty if there is none or it is not a number
+     * @param hasData whether the event carries data; comments and empty events do not
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Event(byte[] bytes, OptionalLong id) {}
+    record Event(byte[] bytes, OptionalLong id, boolean hasData) {}
 
     /** Adds received bytes and returns the events that they complete, in order. */
     List<Event> feed(byte[] data) {
         List<Event> events = new ArrayList<>();
-        for (byte next : data) {
-            pending.write(next);
+        int start = 0;
+        for (int i = 0; i < data.length; i++) {
+            byte next = data[i];
             if (next == LINE_FEED) {
                 if (lineEmpty) {
+                    append(data, start, i + 1);
                     events.add(completeEvent());
+                    start = i + 1;
                 }
                 lineEmpty = true;
             } else if (next != CARRIAGE_RETURN) {
                 lineEmpty = false;
             }
         }
+        append(data, start, data.length);
         return events;
     }
 
+    private void append(byte[] data, int from, int to) {
+        int length = to - from;
+        if (size + length > pending.length) {
+            pending = Arrays.copyOf(pending, Math.max(size + length, 2 * pending.length));
+        }
+        System.arraycopy(data, from, pending, size, length);
+        size += length;
+    }
+
+    private Event completeEvent() {
+        byte[] bytes = Arrays.copyOf(pending, size);
+        size = 0;
+        return event(bytes);
+    }
+
     /** Returns whether part of an event has been received. */
     boolean hasPartialEvent() {
-        return pending.size() > 0;
+        return size > 0;
     }
 
     /** Returns the number of bytes buffered for the incomplete event. */
     int pendingBytes() {
-        return pending.size();
+        return size;
     }
 
-    private Event completeEvent() {
-        byte[] bytes = pending.toByteArray();
-        pending.reset();
-        return new Event(bytes, idOf(new String(bytes, StandardCharsets.UTF_8)));
+    private static Event event(byte[] bytes) {
+        OptionalLong id = OptionalLong.empty();
+        boolean hasData = false;
+        int line = 0;
+        while (line < bytes.length) {
+            int end = endOfLine(bytes, line);
+            if (id.isEmpty() && startsWith(bytes, line, end, ID_FIELD)) {
+                id = number(bytes, line + ID_FIELD.length, end);
+            }
+            hasData |= startsWith(bytes, line, end, DATA_FIELD) && hasText(bytes, line + DATA_FIELD.length, end);
+            line = end + 1;
+        }
+        return new Event(bytes, id, hasData);
     }
 
-    private static OptionalLong idOf(String event) {
-        for (String line : event.split("\r?\n", -1)) {
-            if (line.startsWith(ID_FIELD)) {
-                return parse(line.substring(ID_FIELD.length()).strip());
+    private static int endOfLine(byte[] bytes, int from) {
+        int end = from;
+        while (end < bytes.length && bytes[end] != LINE_FEED) {
+            end++;
+        }
+        return end;
+    }
+
+    private static boolean startsWith(byte[] bytes, int from, int to, byte[] field) {
+        return to - from >= field.length && Arrays.equals(bytes, from, from + field.length, field, 0, field.length);
+    }
+
+    private static boolean hasText(byte[] bytes, int from, int to) {
+        int start = from;
+        while (start < to && isBlank(bytes[start])) {
+            start++;
+        }
+        return start < to;
+    }
+
+    /** Returns the number in a part of a line, without white space around it. */
+    private static OptionalLong number(byte[] bytes, int from, int to) {
+        int start = from;
+        int end = to;
+        while (start < end && isBlank(bytes[start])) {
+            start++;
+        }
+        while (end > start && isBlank(bytes[end - 1])) {
+            end--;
+        }
+        if (start == end || end - start > MAX_ID_DIGITS) {
+            return OptionalLong.empty();
+        }
+        long value = 0;
+        for (int i = start; i < end; i++) {
+            int digit = bytes[i] - '0';
+            if (digit < 0 || digit >= DECIMAL) {
+                return OptionalLong.empty();
             }
+            value = value * DECIMAL + digit;
         }
-        return OptionalLong.empty();
+        return OptionalLong.of(value);
     }
 
-    private static OptionalLong parse(String text) {
-        boolean digits = !text.isEmpty() && text.length() < 19 && text.chars().allMatch(Character::isDigit);
-        return digits ? OptionalLong.of(Long.parseLong(text)) : OptionalLong.empty();
+    private static boolean isBlank(byte value) {
+        return value == ' ' || value == '\t' || value == CARRIAGE_RETURN;
     }
 }
--- a/router/src/main/java/baobabcroft/relay/ExchangeListener.java
+++ b/router/src/main/java/baobabcroft/relay/ExchangeListener.java
@@ -17,6 +17,9 @@
      */
     void onData(byte[] data);
 
+    /** Called after all data that could be read at once was passed on. */
+    default void onReadComplete() {}
+
     /** Called when the answer is complete according to its framing. */
     void onEnd();
 
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -271,16 +271,21 @@
         CallerStream.Position position = stream.positionOf(event);
         if (position == CallerStream.Position.NEXT) {
             stream.start(attempt.status(), services.dialect().toCaller(attempt.headers()));
-            stream.send(event);
+            stream.add(event);
         }
         return position != CallerStream.Position.GAP;
     }
 
+    @Override
+    public void onEventsRead() {
+        stream.flush();
+    }
+
     @Override
     public void onStreamEnd(EndpointAttempt attempt) {
         attempts.attemptEnded(Execution.RAN);
         stream.start(attempt.status(), services.dialect().toCaller(attempt.headers()));
-        caller.endStream();
+        stream.end();
         finish("answered", attempt.status());
     }
 
@@ -324,7 +329,7 @@
         cancelAttempt();
         stopReason = Optional.of(StopReason.DEADLINE);
         if (stream.hasStarted()) {
-            caller.abort();
+            stream.abort();
             finish("deadline_in_stream", 0);
         } else if (lastFailure.isPresent()) {
             deliver(lastFailure.get());
@@ -342,7 +347,7 @@
     private void fail(StopReason reason) {
         stopReason = Optional.of(reason);
         if (stream.hasStarted()) {
-            caller.abort();
+            stream.abort();
             finish("stream_lost", 0);
         } else if (lastFailure.isPresent()) {
             deliver(lastFailure.get());
--- /dev/null
+++ b/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
@@ -0,0 +1,244 @@
+package baobabcroft.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import baobabcroft.fake.VirtualTime;
+import baobabcroft.relay.EndpointRequest;
+import baobabcroft.relay.ExchangeListener;
+import baobabcroft.relay.Header;
+import baobabcroft.relay.Headers;
+import baobabcroft.relay.SendFailure;
+import com.google.common.collect.ImmutableList;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class EndpointConnectionTest {
+    private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nid: r-1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final int MAX_BLOCKS = 2_000;
+
+    private final VirtualTime time = new VirtualTime();
+    private final List<EndpointConnection> idle = new ArrayList<>();
+    private final Reads reads = new Reads();
+    private final EndpointConnection connection = new EndpointConnection(
+            time.scheduler(),
+            (id, headers) -> headers.first("id").map(id::equals).orElse(true),
+            idle::add,
+            closed -> {});
+    private final EmbeddedChannel channel =
+            new EmbeddedChannel(reads, new HttpRequestEncoder(), EndpointConnection.decoder(), connection);
+
+    /** Counts the reads that are asked for. */
+    private static final class Reads extends ChannelDuplexHandler {
+        int count;
+
+        @Override
+        public void read(ChannelHandlerContext context) {
+            count++;
+            context.read();
+        }
+    }
+
+    /** Records what is received for one request. */
+    private static final class Recorder implements ExchangeListener {
+        private final List<Integer> statuses = new ArrayList<>();
+        private final List<SendFailure> failures = new ArrayList<>();
+        private String body = "";
+        private int readsCompleted;
+        private boolean ended;
+
+        @Override
+        public void onHead(int status, Headers headers) {
+            statuses.add(status);
+        }
+
+        @Override
+        public void onData(byte[] data) {
+            body += new String(data, StandardCharsets.UTF_8);
+        }
+
+        @Override
+        public void onReadComplete() {
+            readsCompleted++;
+        }
+
+        @Override
+        public void onEnd() {
+            ended = true;
+        }
+
+        @Override
+        public void onFailure(SendFailure failure) {
+            failures.add(failure);
+        }
+    }
+
+    private Recorder send(String id) {
+        Recorder recorder = new Recorder();
+        Headers headers = Headers.copyOf(ImmutableList.of(new Header("id", id)));
+        connection.send(new EndpointConnectionPool.PendingExchange(
+                new EndpointRequest(id, true, "GET", "/", headers, new byte[0]), recorder));
+        return recorder;
+    }
+
+    private void receive(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    private static String response(String id, String body) {
+        return "HTTP/1.1 200 OK\r\nid: " + id + "\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private static String block() {
+        return "x".repeat(16_384);
+    }
+
+    /** Receives the same text until the connection closes, at most {@link #MAX_BLOCKS} times. */
+    private void receiveUntilClosed(String text) {
+        for (int i = 0; i < MAX_BLOCKS && channel.isActive(); i++) {
+            receive(text);
+        }
+    }
+
+    @Nested
+    class LateCopies {
+        @Test
+        void areNotTakenForTheNextResponse() {
+            Recorder first = send("r-1");
+            receive(response("r-1", "one"));
+            Recorder second = send("r-2");
+            receive(response("r-1", "one"));
+            receive(response("r-2", "two"));
+
+            assertTrue(first.ended);
+            assertEquals("two", second.body);
+            assertEquals(List.of(200), second.statuses);
+            assertTrue(second.ended);
+        }
+
+        @Test
+        void closeAnIdleConnection() {
+            send("r-1");
+            receive(response("r-1", "one") + response("r-1", "one"));
+
+            assertFalse(channel.isActive());
+            assertFalse(connection.isReusable());
+        }
+
+        @Test
+        void closeAnIdleConnectionWhenTheyAreIncomplete() {
+            send("r-1");
+            receive(response("r-1", "one"));
+            receive("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf");
+
+            assertFalse(connection.isReusable());
+        }
+
+        @Test
+        void endAtABound() {
+            send("r-1");
+            receive(response("r-1", "one"));
+            Recorder second = send("r-2");
+            receive(CHUNKED_HEAD);
+            receiveUntilClosed(chunk(block()));
+
+            assertFalse(channel.isActive());
+            assertEquals(List.of(SendFailure.ANSWER_MALFORMED), second.failures);
+            assertTrue(second.failures.get(0).mayHaveRun());
+        }
+    }
+
+    /** Bytes that are not a response and come without end. */
+    @Nested
+    class EndlessBytes {
+        private Recorder receiveEndless(String start, String repeated) {
+            Recorder recorder = send("r-1");
+            receive(start);
+            receiveUntilClosed(repeated);
+            return recorder;
+        }
+
+        private void assertFailed(Recorder recorder) {
+            assertFalse(channel.isActive());
+            assertEquals(List.of(SendFailure.ANSWER_MALFORMED), recorder.failures);
+            assertTrue(recorder.failures.get(0).mayHaveRun());
+        }
+
+        @Test
+        void closeTheConnectionInTheStatusLine() {
+            assertFailed(receiveEndless("", block()));
+        }
+
+        @Test
+        void closeTheConnectionInAHeader() {
+            assertFailed(receiveEndless("HTTP/1.1 200 OK\r\nfield: ", block()));
+        }
+
+        @Test
+        void closeTheConnectionInHeaders() {
+            assertFailed(receiveEndless("HTTP/1.1 200 OK\r\n", "field: value\r\n".repeat(500)));
+        }
+
+        @Test
+        void closeTheConnectionInAChunkSize() {
+            assertFailed(receiveEndless(CHUNKED_HEAD + "1;", block()));
+        }
+
+        @Test
+        void closeTheConnectionInTrailers() {
+            assertFailed(receiveEndless(CHUNKED_HEAD + "0\r\n", "field: value\r\n".repeat(500)));
+        }
+
+        @Test
+        void closeTheConnectionInInformationalResponses() {
+            assertFailed(receiveEndless("", "HTTP/1.1 103 Early Hints\r\n\r\n"));
+        }
+    }
+
+    @Nested
+    class ReadsAtIntervals {
+        private static final long INTERVAL_MILLIS = 50;
+
+        @Test
+        void untilTheResponseEnds() {
+            Recorder recorder = send("r-1");
+            receive(CHUNKED_HEAD + chunk("a"));
+            connection.readEvery(INTERVAL_MILLIS);
+            assertFalse(channel.config().isAutoRead());
+            receive(chunk("b"));
+            int readsBefore = reads.count;
+            time.advance(INTERVAL_MILLIS - 1);
+            assertEquals(readsBefore, reads.count);
+            time.advance(1);
+            assertEquals(readsBefore + 1, reads.count);
+            receive(chunk("c") + "0\r\n\r\n");
+
+            assertEquals("abc", recorder.body);
+            assertTrue(recorder.ended);
+            assertTrue(channel.config().isAutoRead());
+        }
+
+        @Test
+        void reportsTheEndOfEachRead() {
+            Recorder recorder = send("r-1");
+            receive(CHUNKED_HEAD + chunk("a") + chunk("b"));
+            assertEquals(1, recorder.readsCompleted);
+            receive(chunk("c"));
+
+            assertEquals(2, recorder.readsCompleted);
+        }
+    }
+}
--- /dev/null
+++ b/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
@@ -0,0 +1,49 @@
+package baobabcroft.instance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import baobabcroft.rollout.RolloutRecord;
+import baobabcroft.rollout.RolloutStage;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class SharedRecordCodecTest {
+    private final SharedRecordCodec codec = new SharedRecordCodec();
+
+    private static ByteString json(String text) {
+        return ByteString.copyFromUtf8(text.replace('\'', '"'));
+    }
+
+    @Test
+    void readsWhatItWrites() throws IOException {
+        RolloutRecord rollout = new RolloutRecord(2, 10, "v2", 24_000, RolloutStage.TRYING, 1_700_000_000_000L);
+        CrashRecord crashes = new CrashRecord(Map.of("digest", List.of("e-1#5", "e-2#6")));
+        InstanceLocation location = new InstanceLocation("10.0.0.1:7000", "north-a");
+
+        assertEquals(rollout, codec.decodeRollout(codec.encode(rollout)));
+        assertEquals(crashes, codec.decodeCrashes(codec.encode(crashes)));
+        assertEquals(location, codec.decodeLocation(codec.encode(location)));
+    }
+
+    @Test
+    void readsRecordOfEarlierRelease() throws IOException {
+        RolloutRecord record = codec.decodeRollout(
+                json("{'orderRevision':7,'target':'v2','stage':'HOLDING','startedAtEpochMillis':5}"));
+
+        assertEquals(new RolloutRecord(0, 7, "v2", 0, RolloutStage.HOLDING, 5), record);
+    }
+
+    @Test
+    void rejectsMissingMembersAndUnknownStages() {
+        assertThrows(IOException.class, () -> codec.decodeLocation(json("{'address':'a:1'}")));
+        assertThrows(IOException.class, () -> codec.decodeCrashes(json("[]")));
+        assertThrows(
+                IOException.class,
+                () -> codec.decodeRollout(
+                        json("{'orderRevision':7,'target':'v2','stage':'PAUSED','startedAtEpochMillis':5}")));
+    }
+}
--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -35,6 +35,7 @@
             "here",
             ImmutableMap.of("here", "north", "beside", "north", "away", "south"),
             loads,
+            () -> {},
             RandomSource.XO_RO_SHI_RO_128_PP.create(SEED));
 
     private static EndpointEntry endpoint(String id, String domain) {
@@ -112,7 +113,7 @@
                     ImmutableList.of(endpoint("a", "here"), endpoint("b", "here"), endpoint("c", "here"));
             EndpointLoads otherLoads = EndpointLoads.create(() -> nowMillis, remoteLoads, () -> {});
             EndpointChooser other = new EndpointChooser(
-                    "here", ImmutableMap.of(), otherLoads, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + 1));
+                    "here", ImmutableMap.of(), otherLoads, () -> {}, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + 1));
             for (int part = 0; part < 50; part++) {
                 Prompt prompt = prompt("subject-" + part, 6_000, 500);
                 String chosenByOther = other.choose(engines, Set.of(), ENGINE, MODEL, prompt)
@@ -177,7 +178,7 @@
                 remoteLoadsByInstance[i] = PeerLoads.create(() -> nowMillis);
                 own[i] = EndpointLoads.create(() -> nowMillis, remoteLoadsByInstance[i], () -> {});
                 choosers[i] = new EndpointChooser(
-                        "here", ImmutableMap.of(), own[i], RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + i));
+                        "here", ImmutableMap.of(), own[i], () -> {}, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + i));
             }
             for (int request = 0; request < 200; request++) {
                 int instance = request % 9;
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -65,6 +65,7 @@
 
         void data(String text) {
             listener.onData(text.getBytes(StandardCharsets.UTF_8));
+            listener.onReadComplete();
         }
 
         void answer(int status, String body, Header... headers) {
@@ -78,6 +79,7 @@
     static final class Caller implements CallerExchange {
         int status;
         int answers;
+        int writes;
         String body = "";
         boolean ended;
         boolean aborted;
@@ -101,6 +103,7 @@
 
         @Override
         public void streamData(byte[] data) {
+            writes++;
             body += new String(data, StandardCharsets.UTF_8);
         }
 
@@ -294,7 +297,7 @@
 
     RelayedRequest start(CallerRequest request, Caller caller) {
         EndpointChooser chooser = new EndpointChooser(
-                "domain-1", ImmutableMap.of(), loads, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED));
+                "domain-1", ImmutableMap.of(), loads, () -> {}, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED));
         RelayServices services = new RelayServices(
                 this::now,
                 time.scheduler(),
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -11,6 +11,7 @@
 import baobabcroft.relay.RelayFixture.Caller;
 import baobabcroft.relay.RelayFixture.SentRequest;
 import baobabcroft.retry.RetryBudget;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -81,6 +82,40 @@
         }
     }
 
+    /** Bytes that come without end, in an event or in the body of an answer. */
+    @Nested
+    class EndlessAnswers {
+        private static final int BLOCK_BYTES = 1 << 18;
+        private static final int MAX_BLOCKS = 200;
+
+        private SentRequest receiveEndless(String target) {
+            relay.start(target, caller);
+            SentRequest sent = relay.lastRequest();
+            sent.head(200);
+            for (int i = 0; i < MAX_BLOCKS && !sent.cancelled; i++) {
+                sent.data("x".repeat(BLOCK_BYTES));
+            }
+            return sent;
+        }
+
+        @Test
+        void endTheAttemptInAnEvent() {
+            SentRequest sent = receiveEndless("/chat/1");
+
+            assertTrue(sent.cancelled);
+            assertNotEquals(sent, relay.lastRequest());
+        }
+
+        @Test
+        void endTheAttemptInABodyAndDoNotRepeatAnOrder() {
+            SentRequest sent = receiveEndless("/order/1");
+
+            assertTrue(sent.cancelled);
+            assertEquals(1, relay.sentRequests.size());
+            assertEquals(502, caller.status);
+        }
+    }
+
     @Nested
     class AtMostOnce {
         @Test
@@ -234,6 +269,73 @@
             assertEquals(1, caller.answers);
         }
 
+        /** Each write to a caller costs about as much as a batch of events. */
+        @Test
+        void sendsTheEventsOfOneReadTogether() {
+            relay.start("/chat/1", caller);
+            SentRequest sent = relay.lastRequest();
+            sent.head(200);
+            for (int id = 1; id <= 3; id++) {
+                sent.listener.onData(event(id));
+            }
+            assertEquals(0, caller.writes);
+            sent.listener.onReadComplete();
+
+            assertEquals(1, caller.writes);
+            assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n", caller.body);
+        }
+
+        @Test
+        void sendsReceivedEventsBeforeTheStreamIsCutOff() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            relay.budget = RetryBudget.of(0, 1, 0);
+            first.listener.onData(event(2));
+            first.listener.onFailure(SendFailure.CONNECTION_LOST);
+
+            assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", caller.body);
+            assertTrue(caller.aborted);
+        }
+
+        private static byte[] event(long id) {
+            return ("id: " + id + "\ndata: piece " + id + "\n\n").getBytes(StandardCharsets.UTF_8);
+        }
+
+        /** Bytes that carry no data keep a connection alive, not a stream. */
+        @Test
+        void resumesAStreamThatSendsOnlyCommentsAndRepetitions() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            for (int i = 0; i < 20 && !first.cancelled; i++) {
+                relay.advance(200);
+                first.data(": still here\n\n");
+                first.data("data:\n\n");
+                first.event(1);
+            }
+
+            assertTrue(first.cancelled);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(2);
+            assertTrue(caller.body.endsWith("id: 2\ndata: piece 2\n\n"), caller.body);
+        }
+
+        @Test
+        void keepsASlowStreamWhoseEventsArriveWithinItsBound() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            for (int id = 1; id <= 2; id++) {
+                relay.advance(1_900);
+                first.event(id);
+            }
+
+            assertFalse(first.cancelled);
+        }
+
         @Test
         void resumesAStreamThatEndsInTheMiddleOfAnEvent() {
             relay.start("/chat/1", caller);
