Give reads and writes of the store a connection of their own

Cause: responses of the store carry no id. A second copy of a response that arrives just after the next call was written on the same connection was taken for that call's: a write could look done that was not, a watch could skip changes when it got the page of a read. Found by reading, after what operators of similar systems reported.

Ruled out: an id in the protocol (there is none); a check of revisions alone (a write's response names only its own).

Change: reads and writes use a connection that is closed after the response. Only watches share one: a copy of a watch's response repeats changes that are known.

Test that failed before: PooledHttpClientTest$LateCopiesOfResponses ("/1" where "/2" was asked for, with pooling put back).

A connection more a read or write is the price; an instance that follows another makes next to none.

Conclusion: cannot happen for reads and writes; for watches it is harmless.

--- a/router/src/main/java/baobabcroft/front/PooledHttpClient.java
+++ b/router/src/main/java/baobabcroft/front/PooledHttpClient.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
@@ -37,6 +38,7 @@
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
     private static final int MAX_IDLE_CONNECTIONS = 2;
+    private static final byte[] NO_BODY = {};
 
     private final EventLoop eventLoop;
     private final HostAndPort server;
@@ -75,25 +77,43 @@
     }
 
     /**
-     * Sends a request to the server.
+     * Sends a GET request, on an idle connection if there is one. Only for calls whose result may be that of an earlier
+     * equal call: responses carry no id, so a second copy of a response would be taken for that of the next request.
      *
-     * @param method HTTP method
      * @param target request target: path and query
-     * @param body JSON document, or empty for none
      * @param timeoutMillis longest wait for the response after connecting, in milliseconds
      * @param callback receives the result on the event loop, never before this method has returned
      */
-    public void call(String method, String target, byte[] body, long timeoutMillis, Consumer<Result> callback) {
+    public void get(String target, long timeoutMillis, Consumer<Result> callback) {
         Connection pooled = idleConnections.pollLast();
         while (pooled != null && !pooled.channel.isActive()) {
             pooled = idleConnections.pollLast();
         }
-        DefaultFullHttpRequest request = request(method, target, body);
+        DefaultFullHttpRequest request = request("GET", target, NO_BODY);
         if (pooled != null) {
             pooled.send(request, timeoutMillis, callback);
-            return;
+        } else {
+            connect(new Connection(true), request, timeoutMillis, callback);
         }
-        Connection connection = new Connection();
+    }
+
+    /**
+     * Sends a request on a connection of its own, which is closed after the response.
+     *
+     * @param method HTTP method
+     * @param target request target: path and query
+     * @param body JSON document, or empty for none
+     * @param timeoutMillis longest wait for the response after connecting, in milliseconds
+     * @param callback receives the result on the event loop, never before this method has returned
+     */
+    public void callAlone(String method, String target, byte[] body, long timeoutMillis, Consumer<Result> callback) {
+        DefaultFullHttpRequest request = request(method, target, body);
+        request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        connect(new Connection(false), request, timeoutMillis, callback);
+    }
+
+    private void connect(
+            Connection connection, DefaultFullHttpRequest request, long timeoutMillis, Consumer<Result> callback) {
         NettyChannels.client(
                         eventLoop,
                         CONNECT_TIMEOUT_MILLIS,
@@ -122,10 +142,15 @@
     }
 
     private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final boolean reusable;
         private Channel channel;
         private Consumer<Result> callback;
         private ScheduledFuture<?> timeout;
 
+        private Connection(boolean reusable) {
+            this.reusable = reusable;
+        }
+
         @Override
         public void handlerAdded(ChannelHandlerContext context) {
             channel = context.channel();
@@ -146,7 +171,7 @@
             timeout.cancel(false);
             Consumer<Result> pendingCallback = callback;
             callback = null;
-            if (HttpUtil.isKeepAlive(response) && idleConnections.size() < MAX_IDLE_CONNECTIONS) {
+            if (reusable && HttpUtil.isKeepAlive(response) && idleConnections.size() < MAX_IDLE_CONNECTIONS) {
                 idleConnections.addLast(this);
             } else {
                 channel.close();
--- /dev/null
+++ b/router/src/test/java/baobabcroft/front/PooledHttpClientTest.java
@@ -0,0 +1,92 @@
+package baobabcroft.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import baobabcroft.front.PooledHttpClient.Result;
+import com.google.common.net.HostAndPort;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write closes the channel, and then the test fails.
+class PooledHttpClientTest {
+    private static final long TIMEOUT_SECONDS = 20;
+    private static final long TIMEOUT_MILLIS = 10_000;
+    private static final int MAX_REQUEST_BYTES = 4_096;
+
+    private final EventLoopGroup loop = new NioEventLoopGroup(1);
+    private final Channel server = NettyChannels.server(
+                    loop,
+                    () -> List.of(
+                            new HttpServerCodec(), new HttpObjectAggregator(MAX_REQUEST_BYTES), new CopyingHandler()))
+            .bind("127.0.0.1", 0)
+            .syncUninterruptibly()
+            .channel();
+    private final PooledHttpClient client = new PooledHttpClient(
+            loop.next(), HostAndPort.fromParts("127.0.0.1", ((InetSocketAddress) server.localAddress()).getPort()));
+
+    /** Responds with the target of the request, after a second copy of the response to the one before. */
+    private static final class CopyingHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+        private Optional<String> lastTarget = Optional.empty();
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            lastTarget.ifPresent(target -> context.write(response(target)));
+            lastTarget = Optional.of(request.uri());
+            context.writeAndFlush(response(request.uri()));
+        }
+
+        private static DefaultFullHttpResponse response(String target) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.copiedBuffer(target, StandardCharsets.UTF_8));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, target.length());
+            return response;
+        }
+    }
+
+    @AfterEach
+    void stop() {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
+    private String body(Consumer<Consumer<Result>> call) {
+        CompletableFuture<Result> result = new CompletableFuture<>();
+        loop.execute(() -> call.accept(result::complete));
+        Result.Response response = (Result.Response)
+                result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+        return new String(response.body(), StandardCharsets.UTF_8);
+    }
+
+    /** Responses of the server carry no id. */
+    @Nested
+    class LateCopiesOfResponses {
+        @Test
+        void areNotTakenForTheResponseOfAnotherCall() {
+            for (String target : List.of("/1", "/2", "/3")) {
+                assertEquals(
+                        target,
+                        body(callback -> client.callAlone("POST", target, new byte[0], TIMEOUT_MILLIS, callback)));
+            }
+        }
+    }
+}
