Serve requests that are on their way when a planned stop closes idle connections

Cause: when idle connections were closed in a planned stop, a caller that had just connected, or whose head had arrived in part, counted as idle and was cut off; the listener was closed at the same moment, which resets connections that the kernel has completed and we have not accepted. Found by reading, after what operators of similar systems reported.

Ruled out: requests in progress (they were waited for) and pipelined ones (a response during the drain closes its connection and says so).

Change: a connection is busy from its first byte of a head, and for half a second after it was accepted without a request; connections are accepted for 1.5 s after the load balancer's notice. The connection knows its request by the interface RequestInProgress, so that this is tested without the relay.

Conclusion: what has reached the instance is answered. A caller that sends on a connection in the very moment in which it is closed after long idleness still finds it closed, as HTTP allows.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -3,7 +3,7 @@
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.Headers;
-import baobabcroft.relay.RelayedRequest;
+import baobabcroft.relay.RequestInProgress;
 import com.google.common.base.Splitter;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -48,6 +48,8 @@
     private static final int MAX_PIPELINED_MESSAGES = 64;
     /** Unsent bytes of a stream above which the connection is closed, because the caller does not keep up. */
     private static final long MAX_UNSENT_BYTES = 4 << 20;
+    /** Time in which a caller that has connected sends its request: a round trip between regions, several times. */
+    private static final long FIRST_REQUEST_MILLIS = 500;
 
     private final FrontContext front;
     private final Consumer<CallerConnection> onClosed;
@@ -55,14 +57,18 @@
     private ChannelHandlerContext context;
     private Optional<HttpRequest> requestHead = Optional.empty();
     private ByteArrayOutputStream requestBody = new ByteArrayOutputStream();
-    private Optional<RelayedRequest> relayedRequest = Optional.empty();
+    private Optional<RequestInProgress> relayedRequest = Optional.empty();
     private ScheduledFuture<?> timeout;
+    private final long acceptedAtMillis;
+    private boolean headerTimeoutStarted;
+    private boolean requestReceived;
     private boolean busy;
     private boolean closing;
 
     CallerConnection(FrontContext front, Consumer<CallerConnection> onClosed) {
         this.front = front;
         this.onClosed = onClosed;
+        this.acceptedAtMillis = front.nowMillis().getAsLong();
     }
 
     @Override
@@ -71,9 +77,13 @@
         awaitRequest();
     }
 
-    /** Returns whether a request is being received or served. */
+    /** Returns whether a request is being received or served, or the first one is likely on its way. */
     boolean isBusy() {
-        return busy || requestHead.isPresent();
+        return busy || requestHead.isPresent() || headerTimeoutStarted || awaitsFirstRequest();
+    }
+
+    private boolean awaitsFirstRequest() {
+        return !requestReceived && front.nowMillis().getAsLong() - acceptedAtMillis < FIRST_REQUEST_MILLIS;
     }
 
     /** Closes the connection unless a request is being received or served. */
@@ -92,8 +102,6 @@
         }
     }
 
-    private boolean headerTimeoutStarted;
-
     private void awaitRequest() {
         headerTimeoutStarted = false;
         startTimeout(front.limits().get().idleTimeoutMillis(), context::close);
@@ -200,6 +208,8 @@
     private void serve(HttpRequest request) {
         stopTimeout();
         busy = true;
+        requestReceived = true;
+        headerTimeoutStarted = false;
         requestHead = Optional.empty();
         boolean keepAlive = HttpUtil.isKeepAlive(request);
         boolean chunkedResponse = request.protocolVersion().isKeepAliveDefault();
@@ -211,7 +221,7 @@
                 requestBody.toByteArray());
         requestBody = new ByteArrayOutputStream();
         ResponseWriter writer = new ResponseWriter(keepAlive, chunkedResponse);
-        RelayedRequest started = front.relay().apply(callerRequest, writer);
+        RequestInProgress started = front.relay().apply(callerRequest, writer);
         relayedRequest = started.isDone() ? Optional.empty() : Optional.of(started);
     }
 
@@ -249,9 +259,9 @@
         stopTimeout();
         pipelinedMessages.forEach(ReferenceCountUtil::release);
         pipelinedMessages.clear();
-        Optional<RelayedRequest> interrupted = relayedRequest;
+        Optional<RequestInProgress> interrupted = relayedRequest;
         relayedRequest = Optional.empty();
-        interrupted.ifPresent(RelayedRequest::onCallerDisconnected);
+        interrupted.ifPresent(RequestInProgress::onCallerDisconnected);
         onClosed.accept(this);
     }
 
--- a/router/src/main/java/baobabcroft/front/FrontContext.java
+++ b/router/src/main/java/baobabcroft/front/FrontContext.java
@@ -2,10 +2,11 @@
 
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
-import baobabcroft.relay.RelayedRequest;
+import baobabcroft.relay.RequestInProgress;
 import baobabcroft.routing.CallerLimits;
 import java.util.function.BiFunction;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -13,9 +14,11 @@
  *
  * @param limits current limits on callers' requests
  * @param draining whether the instance is draining before a stop
+ * @param nowMillis monotonic clock, in milliseconds
  * @param relay starts serving a request
  */
 record FrontContext(
         Supplier<CallerLimits> limits,
         BooleanSupplier draining,
-        BiFunction<CallerRequest, CallerExchange, RelayedRequest> relay) {}
+        LongSupplier nowMillis,
+        BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {}
--- a/router/src/main/java/baobabcroft/front/FrontServer.java
+++ b/router/src/main/java/baobabcroft/front/FrontServer.java
@@ -4,7 +4,7 @@
 
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
-import baobabcroft.relay.RelayedRequest;
+import baobabcroft.relay.RequestInProgress;
 import baobabcroft.routing.CallerLimits;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiFunction;
+import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 
 /** Server for callers' connections. Not thread-safe: apart from creation, used on its event loop only. */
@@ -28,8 +29,10 @@
     private Channel listener;
 
     private FrontServer(
-            Supplier<CallerLimits> limits, BiFunction<CallerRequest, CallerExchange, RelayedRequest> relay) {
-        this.context = new FrontContext(limits, () -> draining, relay);
+            Supplier<CallerLimits> limits,
+            LongSupplier nowMillis,
+            BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {
+        this.context = new FrontContext(limits, () -> draining, nowMillis, relay);
     }
 
     /**
@@ -38,6 +41,7 @@
      * @param loop event loop of all connections
      * @param address address that callers connect to
      * @param limits current limits on callers' requests
+     * @param nowMillis monotonic clock, in milliseconds
      * @param relay starts serving a request
      * @return the listening server
      */
@@ -45,8 +49,9 @@
             EventLoopGroup loop,
             HostAndPort address,
             Supplier<CallerLimits> limits,
-            BiFunction<CallerRequest, CallerExchange, RelayedRequest> relay) {
-        FrontServer server = new FrontServer(checkNotNull(limits), checkNotNull(relay));
+            LongSupplier nowMillis,
+            BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {
+        FrontServer server = new FrontServer(checkNotNull(limits), checkNotNull(nowMillis), checkNotNull(relay));
         server.listener = NettyChannels.server(loop, server::handlers)
                 .bind(address.getHost(), address.getPort())
                 .syncUninterruptibly()
@@ -73,14 +78,21 @@
         draining = true;
     }
 
-    /** Stops accepting connections and closes those without an open request. */
+    /**
+     * Closes the connections without an open request. Connections are still accepted: a caller whose connection the
+     * kernel has completed, but that is not accepted, would lose its request.
+     */
     public void closeIdle() {
-        listener.close();
         ImmutableList.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
+    /** Stops accepting connections. */
+    public void stopAccepting() {
+        listener.close();
+    }
+
     /**
-     * Returns the number of connections on which a request is being received or served.
+     * Returns the number of connections on which a request is being received or served, or is likely on its way.
      *
      * @return the number of busy connections
      */
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -50,6 +50,8 @@
 public final class RelayInstance {
     /** Time in which the load balancer notices that the instance is not ready: two probes and a margin. */
     private static final long BALANCER_NOTICE_MILLIS = 2_700;
+    /** Time after it in which connections are still accepted, for callers that do not follow the load balancer. */
+    private static final long LAST_ACCEPT_MILLIS = 1_500;
     /** Margin between the end of the drain and SIGKILL. */
     private static final long KILL_MARGIN_MILLIS = 700;
 
@@ -180,7 +182,7 @@
         StatusServer.start(loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness));
         StatusServer.start(loop, settings.metrics(), ImmutableMap.of("/metrics", this::metricsPage));
         registerGauges();
-        front = FrontServer.start(loop, settings.callers(), this::limits, this::relay);
+        front = FrontServer.start(loop, settings.callers(), this::limits, nowMillis, this::relay);
         loop.execute(this::tick);
         noticeExchange = Optional.of(NoticeExchange.start(
                 loop.next(),
@@ -263,6 +265,7 @@
             front.drain();
             long killAtMillis = nowMillis.getAsLong() + settings.bounds().graceMillis() - KILL_MARGIN_MILLIS;
             scheduler.schedule(BALANCER_NOTICE_MILLIS, () -> awaitIdle(killAtMillis));
+            scheduler.schedule(BALANCER_NOTICE_MILLIS + LAST_ACCEPT_MILLIS, front::stopAccepting);
         });
     }
 
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -28,7 +28,7 @@
  * sent again only if the endpoint has stated, or the transport has shown, that it did not run; an answer that states
  * "not run" is given only if the same holds for all attempts. Not thread-safe.
  */
-public final class RelayedRequest implements EndpointAttempt.Owner {
+public final class RelayedRequest implements RequestInProgress, EndpointAttempt.Owner {
     /** Minimum remaining time for an attempt, in milliseconds: less does not allow a round trip between regions. */
     private static final long MIN_ATTEMPT_MILLIS = 20;
     /** Attempts that are not counted against the route's maximum as long as the request has not run. */
@@ -92,7 +92,7 @@
         return relayed;
     }
 
-    /** Cancels the request because the caller has closed its connection. Has no effect after the end. */
+    @Override
     public void onCallerDisconnected() {
         if (!done) {
             cancelAttempt();
@@ -100,11 +100,7 @@
         }
     }
 
-    /**
-     * Returns whether the request has ended.
-     *
-     * @return true once the final answer was sent, the stream was cut off or the caller left
-     */
+    @Override
     public boolean isDone() {
         return done;
     }
