Stop accepting connections when the load balancers have noticed a planned stop

Ruled out: requests that were in progress at the signal (all ended).

Test: FrontServerTest$Drains; RelayInstanceTest$Stops. A test of the time at which accepting ends is missing.

Conclusion: what is accepted later than the notice cannot be promised an end; callers are refused by the kernel at once.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -48,8 +48,11 @@
     private static final int MAX_PIPELINED_MESSAGES = 64;
     /** Unsent bytes of a stream above which the connection is closed, because the caller does not keep up. */
     private static final long MAX_UNSENT_BYTES = 4 << 20;
-    /** Time in which a caller that has connected sends its request: a round trip between regions, several times. */
-    private static final long FIRST_REQUEST_MILLIS = 500;
+    /**
+     * Time in which a caller that has connected sends its request: a round trip between regions, several times. In a
+     * planned stop, what is taken later may not end in time.
+     */
+    private static final long FIRST_REQUEST_MILLIS = 250;
 
     private final FrontContext front;
     private final Consumer<CallerConnection> onClosed;
--- a/router/src/main/java/baobabcroft/front/FrontServer.java
+++ b/router/src/main/java/baobabcroft/front/FrontServer.java
@@ -78,15 +78,12 @@
         draining = true;
     }
 
-    /**
-     * Closes the connections without an open request. Connections are still accepted: a caller whose connection the
-     * kernel has completed, but that is not accepted, would lose its request.
-     */
+    /** Closes the connections without an open request. */
     public void closeIdle() {
         ImmutableList.copyOf(connections).forEach(CallerConnection::closeIfIdle);
     }
 
-    /** Stops accepting connections. */
+    /** Stops accepting connections, after those that have been received. */
     public void stopAccepting() {
         listener.close();
     }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -50,8 +50,6 @@
 public final class RelayInstance {
     /** Time in which the load balancer notices that the instance is not ready: two probes and a margin. */
     private static final long BALANCER_NOTICE_MILLIS = 2_700;
-    /** Time after it in which connections are still accepted, for callers that do not follow the load balancer. */
-    private static final long LAST_ACCEPT_MILLIS = 1_500;
     /** Margin between the end of the drain and SIGKILL. */
     private static final long KILL_MARGIN_MILLIS = 700;
 
@@ -264,8 +262,10 @@
             log.log(LogEvent.DRAIN_STARTED, front.busyConnections());
             front.drain();
             long killAtMillis = nowMillis.getAsLong() + settings.bounds().graceMillis() - KILL_MARGIN_MILLIS;
-            scheduler.schedule(BALANCER_NOTICE_MILLIS, () -> awaitIdle(killAtMillis));
-            scheduler.schedule(BALANCER_NOTICE_MILLIS + LAST_ACCEPT_MILLIS, front::stopAccepting);
+            scheduler.schedule(BALANCER_NOTICE_MILLIS, () -> {
+                front.stopAccepting();
+                awaitIdle(killAtMillis);
+            });
         });
     }
 
