--- a/router/src/main/java/baobabcroft/replica/ReplicaFeed.java
+++ b/router/src/main/java/baobabcroft/replica/ReplicaFeed.java
@@ -10,7 +10,7 @@
 import java.util.Map;
 
 /**
- * Passes the replica on to the followers of this instance, as long as this instance polls the store. Followers are told
+ * Passes the replica on to the followers of this instance, as long as this instance polls the store. Followers learn
  * whether the store responds. Not thread-safe.
  */
 public final class ReplicaFeed {
--- /dev/null
+++ b/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
@@ -0,0 +1,228 @@
+package baobabcroft.relay;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import baobabcroft.relay.RelayFixture.Caller;
+import baobabcroft.relay.RelayFixture.SentRequest;
+import baobabcroft.retry.RetryBudget;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Streams of events, their resumption, and answers without end. */
+class RelayedStreamTest {
+    private final RelayFixture relay = RelayFixture.create();
+    private final Caller caller = new Caller();
+
+    /** Bytes that come without end, in an event or in the body of an answer. */
+    @Nested
+    class EndlessAnswers {
+        private static final int BLOCK_BYTES = 1 << 18;
+        private static final int MAX_BLOCKS = 200;
+
+        private SentRequest receiveEndless(String target) {
+            relay.start(target, caller);
+            SentRequest sent = relay.lastRequest();
+            sent.head(200);
+            for (int i = 0; i < MAX_BLOCKS && !sent.cancelled; i++) {
+                sent.data("x".repeat(BLOCK_BYTES));
+            }
+            return sent;
+        }
+
+        @Test
+        void endTheAttemptInAnEvent() {
+            SentRequest sent = receiveEndless("/chat/1");
+
+            assertTrue(sent.cancelled);
+            assertNotEquals(sent, relay.lastRequest());
+        }
+
+        @Test
+        void endTheAttemptInABodyAndDoNotRepeatAnOrder() {
+            SentRequest sent = receiveEndless("/order/1");
+
+            assertTrue(sent.cancelled);
+            assertEquals(1, relay.sentRequests.size());
+            assertEquals(502, caller.status);
+        }
+    }
+
+    @Nested
+    class Streams {
+        @Test
+        void resumesAtAnotherEndpointAfterTheLastCompleteEvent() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200, new Header("from", "first"));
+            first.event(1);
+            first.data("id: 2\ndata: hal");
+            first.listener.onFailure(SendFailure.CONNECTION_LOST);
+            SentRequest second = relay.lastRequest();
+            second.head(200, new Header("from", "second"));
+            second.event(2);
+            second.listener.onEnd();
+
+            assertEquals(Optional.of("1"), second.request.headers().first("resume-after"));
+            assertEquals(Optional.of("first"), caller.headers.first("from"));
+            assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", caller.body);
+            assertTrue(caller.ended);
+            assertEquals(1, caller.answers);
+        }
+
+        /** Each write to a caller costs about as much as a batch of events. */
+        @Test
+        void sendsTheEventsOfOneReadTogether() {
+            relay.start("/chat/1", caller);
+            SentRequest sent = relay.lastRequest();
+            sent.head(200);
+            for (int id = 1; id <= 3; id++) {
+                sent.listener.onData(event(id));
+            }
+            assertEquals(0, caller.writes);
+            sent.listener.onReadComplete();
+
+            assertEquals(1, caller.writes);
+            assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n", caller.body);
+        }
+
+        @Test
+        void sendsReceivedEventsBeforeTheStreamIsCutOff() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            relay.budget = RetryBudget.of(0, 1, 0);
+            first.listener.onData(event(2));
+            first.listener.onFailure(SendFailure.CONNECTION_LOST);
+
+            assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", caller.body);
+            assertTrue(caller.aborted);
+        }
+
+        private static byte[] event(long id) {
+            return ("id: " + id + "\ndata: piece " + id + "\n\n").getBytes(StandardCharsets.UTF_8);
+        }
+
+        /** Bytes that carry no data keep a connection alive, not a stream. */
+        @Test
+        void resumesAStreamThatSendsOnlyCommentsAndRepetitions() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            for (int i = 0; i < 20 && !first.cancelled; i++) {
+                relay.advance(200);
+                first.data(": still here\n\n");
+                first.data("data:\n\n");
+                first.event(1);
+            }
+
+            assertTrue(first.cancelled);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(2);
+            assertTrue(caller.body.endsWith("id: 2\ndata: piece 2\n\n"), caller.body);
+        }
+
+        @Test
+        void keepsASlowStreamWhoseEventsArriveWithinItsBound() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            for (int id = 1; id <= 2; id++) {
+                relay.advance(1_900);
+                first.event(id);
+            }
+
+            assertFalse(first.cancelled);
+        }
+
+        @Test
+        void resumesAStreamThatEndsInTheMiddleOfAnEvent() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            first.data("id: 2\n");
+            first.listener.onEnd();
+
+            assertFalse(caller.ended);
+            assertEquals(2, relay.sentRequests.size());
+        }
+
+        /** An endpoint may hang in the middle of a stream while its connection stays open. */
+        @Test
+        void resumesAnInactiveStreamAtAnotherEndpoint() {
+            relay.start("/chat/1", caller);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(1);
+            relay.advance(3_300);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(2);
+            relay.lastRequest().listener.onEnd();
+
+            assertEquals(2, relay.sentRequests.size());
+            assertTrue(relay.sentRequests.get(0).cancelled);
+            assertTrue(caller.ended);
+        }
+
+        @Test
+        void dropsEventsThatTheCallerAlreadyHas() {
+            relay.start("/chat/1", caller);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(1);
+            relay.lastRequest().event(1);
+            relay.lastRequest().event(2);
+
+            assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", caller.body);
+        }
+
+        @Test
+        void resumesAtAnotherEndpointWhenEventsAreMissing() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            first.event(3);
+
+            assertTrue(first.cancelled);
+            assertEquals(2, relay.sentRequests.size());
+            assertEquals("id: 1\ndata: piece 1\n\n", caller.body);
+        }
+
+        @Test
+        void cancelsTheAttemptWhenTheCallerDisconnects() {
+            RelayedRequest request = relay.start("/chat/1", caller);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(1);
+            request.onCallerDisconnected();
+
+            assertTrue(relay.lastRequest().cancelled);
+            assertTrue(request.isDone());
+        }
+
+        @Test
+        void abortsAStreamAtTheDeadline() {
+            relay.start("/chat/1", caller);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(1);
+            relay.advance(5_000);
+
+            assertTrue(caller.aborted);
+            assertFalse(caller.ended);
+        }
+
+        @Test
+        void reportsAConnectionLostBeforeTheFirstOutput() {
+            relay.start("/chat/1", caller);
+            String endpoint = relay.lastRequest().endpoint.id();
+            relay.lastRequest().listener.onFailure(SendFailure.CONNECTION_LOST);
+
+            assertEquals(java.util.List.of(endpoint), relay.lostEndpoints);
+        }
+    }
+}
