--- a/router/src/main/java/baobabcroft/log/BoundedAppender.java
+++ b/router/src/main/java/baobabcroft/log/BoundedAppender.java
@@ -80,9 +80,11 @@
         boolean full = getRemainingCapacity() == 0;
         boolean reserved = getRemainingCapacity() < getDiscardingThreshold() && isDiscardable(event);
         if (full || reserved) {
+            // Not passed on: the writer may have made room in the meantime, and the line would be written as well.
             DROPPED.increment();
+        } else {
+            super.append(event);
         }
-        super.append(event);
     }
 
     private synchronized boolean isWithinRateLimit(ILoggingEvent event) {
