Log the counts that a roll-out's stage was reached with

Four hypotheses on the bad version that was kept (docs/incidents/exposure-after-50-bad-answers.md) cannot be told apart from logs: the counts are printed only when a version is stopped. BC5011 now prints, with each stage, the answers of the new version by route over all instances and those of the old version at this instance. No decision is changed.

--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -106,7 +106,16 @@
     /** A version receives no new sessions because its error rate, latency or ratings became too bad. */
     VERSION_STOPPED(5003, ERROR, "version stopped automatically", "version", "reason", "requests"),
     /** A roll-out entered another stage. */
-    ROLLOUT_STAGE(5011, INFO, "roll-out stage", "service", "target", "stage", "elapsedMillis"),
+    ROLLOUT_STAGE(
+            5011,
+            INFO,
+            "roll-out stage",
+            "service",
+            "target",
+            "stage",
+            "elapsedMillis",
+            "targetAnswers",
+            "baseAnswers"),
     /** A request that made several endpoints fail is not retried. */
     POISON_REQUEST_STOPPED(5004, ERROR, "poison request stopped", "digest", "endpoint"),
 
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -144,7 +144,14 @@
         scheduledStage = Optional.empty();
         stageSinceMillis = nowMillis.getAsLong();
         statusWriteAtMillis = stageSinceMillis + randomDelayMillis(STAGE_DELAY_SCALE_MILLIS);
-        log.log(LogEvent.ROLLOUT_STAGE, order.service(), order.target(), newRecord.stage(), elapsedMillis());
+        log.log(
+                LogEvent.ROLLOUT_STAGE,
+                order.service(),
+                order.target(),
+                newRecord.stage(),
+                elapsedMillis(),
+                allTargetCounts(),
+                ownBaseCounts);
     }
 
     /**
@@ -235,16 +242,22 @@
         if (targetIsBad || stage().isFinal()) {
             return;
         }
-        Map<String, RouteTrials> target = new HashMap<>(ownTargetCounts);
-        for (RolloutCounts counts : peerTargetCounts.values()) {
-            counts.routes().forEach((route, routeCounts) -> target.merge(route, routeCounts, RouteTrials::plus));
-        }
+        Map<String, RouteTrials> target = allTargetCounts();
         if (VersionComparison.isBad(target, ownBaseCounts)) {
             targetIsBad = true;
             log.log(LogEvent.VERSION_STOPPED, order.service() + "/" + order.target(), "evidence", target);
         }
     }
 
+    /** Returns the counts of the new version by route, summed over all instances. */
+    private Map<String, RouteTrials> allTargetCounts() {
+        Map<String, RouteTrials> sum = new HashMap<>(ownTargetCounts);
+        for (RolloutCounts counts : peerTargetCounts.values()) {
+            counts.routes().forEach((route, routeCounts) -> sum.merge(route, routeCounts, RouteTrials::plus));
+        }
+        return sum;
+    }
+
     /** Publishes changed counts and writes the stage and status that are due. Called several times a second. */
     void tick() {
         long now = nowMillis.getAsLong();
