Do not use a reverted version as the old version of the next roll-out

Callers saw: a version that had been found bad and reverted answers requests again.

Cause: during a roll-out every version but the target counts as the old one. After a revert the bad version's endpoints stay listed until they have drained, some seconds; when the next order of the service arrives in that time, its roll-out takes them for old ones, and in its first half they get their share of all traffic. Nothing stops this, as their answers count as the old version's.

Ruled out: the stage of the reverted roll-out itself (it excludes its target, also while the record is not yet written), and an order for the same version again, which is a roll-out of its own.

Change: a roll-out excludes the versions that earlier ones of the service were reverted from, unless it targets them. They stand in its record, so that an instance that starts later knows them; records of earlier releases have none.

--- a/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
+++ b/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -25,6 +26,7 @@
     private static final String DURATION = "durationMillis";
     private static final String STAGE = "stage";
     private static final String STARTED_AT = "startedAtEpochMillis";
+    private static final String REVERTED_VERSIONS = "revertedVersions";
     private static final String ENDPOINTS = "endpointsByDigest";
     private static final String ADDRESS = "address";
     private static final String FAILURE_DOMAIN = "failureDomain";
@@ -34,13 +36,16 @@
     SharedRecordCodec() {}
 
     ByteString encode(RolloutRecord record) {
-        return bytes(json.createObjectNode()
+        ObjectNode document = json.createObjectNode()
                 .put(ORDER_ERA, record.orderEra())
                 .put(ORDER_REVISION, record.orderRevision())
                 .put(TARGET, record.target())
                 .put(DURATION, record.durationMillis())
                 .put(STAGE, record.stage().name())
-                .put(STARTED_AT, record.startedAtEpochMillis()));
+                .put(STARTED_AT, record.startedAtEpochMillis());
+        ArrayNode reverted = document.putArray(REVERTED_VERSIONS);
+        record.revertedVersions().forEach(reverted::add);
+        return bytes(document);
     }
 
     /**
@@ -50,13 +55,16 @@
      */
     RolloutRecord decodeRollout(ByteString text) throws IOException {
         JsonNode document = read(text);
+        ImmutableSet.Builder<String> reverted = ImmutableSet.builder();
+        document.path(REVERTED_VERSIONS).forEach(version -> reverted.add(version.asText()));
         return new RolloutRecord(
                 document.path(ORDER_ERA).asLong(0),
                 member(document, ORDER_REVISION).asLong(),
                 member(document, TARGET).asText(),
                 document.path(DURATION).asLong(0),
                 stage(member(document, STAGE).asText()),
-                member(document, STARTED_AT).asLong());
+                member(document, STARTED_AT).asLong(),
+                reverted.build());
     }
 
     private static RolloutStage stage(String name) throws IOException {
--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -90,6 +90,7 @@
         ServiceRollout started = new ServiceRollout(order, writer, nowMillis, epochMillis, random, instances);
         if (present != null) {
             superseded.put(order.service(), present.order());
+            started.excludeReverted(present.allRevertedVersions());
             started.ignoreRecordsUpTo(present.order().revision());
         }
         rollouts.put(order.service(), started);
@@ -177,8 +178,11 @@
         }
         ImmutableList<EndpointEntry> target =
                 filterByVersion(open, rollout.order().target(), true);
-        ImmutableList<EndpointEntry> base =
-                filterByVersion(open, rollout.order().target(), false);
+        ImmutableList<EndpointEntry> base = filterByVersion(
+                        open, rollout.order().target(), false)
+                .stream()
+                .filter(entry -> !rollout.revertedVersions().contains(entry.version()))
+                .collect(ImmutableList.toImmutableList());
         boolean usesTarget =
                 switch (rollout.stage()) {
                     case HOLDING, REVERTED -> false;
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -7,9 +7,12 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Sets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -52,6 +55,7 @@
     private final Map<String, RouteTrials> ownBaseCounts = new HashMap<>();
     private final Map<String, Double> baseAverageMillis = new HashMap<>();
     private final Map<String, RolloutCounts> peerTargetCounts = new HashMap<>();
+    private final Set<String> revertedVersions = new HashSet<>();
     private long startedAtMillis;
     private long stageSinceMillis;
     private Optional<RolloutRecord> record = Optional.empty();
@@ -98,6 +102,24 @@
         formerOrder = Optional.of(former);
     }
 
+    /** Excludes versions that earlier rollouts were reverted from, except this rollout's target. */
+    void excludeReverted(Set<String> versions) {
+        revertedVersions.addAll(versions);
+        revertedVersions.remove(order.target());
+    }
+
+    /** Returns the versions that must not serve as the old version, although their endpoints may still be listed. */
+    Set<String> revertedVersions() {
+        return revertedVersions;
+    }
+
+    /** Returns the versions that must not be used by the next rollout unless it targets them. */
+    Set<String> allRevertedVersions() {
+        return stage() == RolloutStage.REVERTED
+                ? Sets.union(revertedVersions, Set.of(order.target()))
+                : revertedVersions;
+    }
+
     RolloutOrder order() {
         return order;
     }
@@ -131,8 +153,10 @@
         storedRecord = Optional.of(newRecord).filter(this::isOfThisOrder);
         otherRecord = Optional.of(newRecord).filter(unused -> storedRecord.isEmpty());
         if (otherRecord.isPresent()) {
+            excludeReverted(newRecord.allRevertedVersions());
             return;
         }
+        excludeReverted(newRecord.revertedVersions());
         adoptOrder(newRecord.order());
         if (record.isPresent() && !record.get().stage().isBefore(newRecord.stage())) {
             return;
@@ -347,7 +371,8 @@
     private void writeStage(RolloutStage due) {
         writeInProgress = true;
         RolloutRecord next = record.map(current -> current.withStage(due))
-                .orElseGet(() -> RolloutRecord.of(order, due, epochMillis.getAsLong() - elapsedMillis()));
+                .orElseGet(() ->
+                        RolloutRecord.of(order, due, epochMillis.getAsLong() - elapsedMillis(), revertedVersions));
         StoreRevision expected = recordRevision;
         writer.writeRecord(order.service(), expected, next, result -> {
             writeInProgress = false;
--- a/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
+++ b/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
@@ -5,6 +5,7 @@
 
 import baobabcroft.rollout.RolloutRecord;
 import baobabcroft.rollout.RolloutStage;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.util.List;
@@ -20,7 +21,8 @@
 
     @Test
     void readsWhatItWrites() throws IOException {
-        RolloutRecord rollout = new RolloutRecord(2, 10, "v2", 24_000, RolloutStage.TRYING, 1_700_000_000_000L);
+        RolloutRecord rollout = new RolloutRecord(
+                2, 10, "v2", 24_000, RolloutStage.TRYING, 1_700_000_000_000L, ImmutableSet.of("v1.5"));
         CrashRecord crashes = new CrashRecord(Map.of("digest", List.of("e-1#5", "e-2#6")));
         InstanceLocation location = new InstanceLocation("10.0.0.1:7000", "north-a");
 
@@ -34,7 +36,7 @@
         RolloutRecord record = codec.decodeRollout(
                 json("{'orderRevision':7,'target':'v2','stage':'HOLDING','startedAtEpochMillis':5}"));
 
-        assertEquals(new RolloutRecord(0, 7, "v2", 0, RolloutStage.HOLDING, 5), record);
+        assertEquals(new RolloutRecord(0, 7, "v2", 0, RolloutStage.HOLDING, 5, ImmutableSet.of()), record);
     }
 
     @Test
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -9,6 +9,7 @@
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -408,7 +409,9 @@
         void appliesRecordReceivedBeforeItsOrder() {
             Instance late = new Instance("late", 1);
             late.rollouts.onRecord(
-                    SERVICE, new RolloutRecord(0, 10, "v2", 0, RolloutStage.REVERTED, 0), new StoreRevision(0, 20));
+                    SERVICE,
+                    new RolloutRecord(0, 10, "v2", 0, RolloutStage.REVERTED, 0, ImmutableSet.of()),
+                    new StoreRevision(0, 20));
             late.rollouts.onOrder(order(10));
 
             assertEquals("v1", versionFor(late, "session-1"));
--- /dev/null
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -0,0 +1,138 @@
+package baobabcroft.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.external.WriteResult;
+import baobabcroft.fake.VirtualTime;
+import baobabcroft.replica.StoreRevision;
+import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Which versions one instance uses and stops, without a network. The store accepts each write at once. */
+class RolloutExposureTest {
+    private static final String SERVICE = "chat";
+    private static final long DURATION_MILLIS = 20_000;
+    private static final long TICK_MILLIS = 250;
+
+    private final VirtualTime time = new VirtualTime();
+    private final List<RolloutRecord> records = new ArrayList<>();
+    private final FleetRollouts rollouts = new FleetRollouts(
+            new AcceptingWriter(),
+            time::nowMillis,
+            time::nowMillis,
+            RandomSource.XO_RO_SHI_RO_128_PP.create(5),
+            0.15,
+            () -> 1);
+    private long revision = 100;
+
+    private final class AcceptingWriter implements RolloutWriter {
+        @Override
+        public void writeRecord(
+                String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
+            records.add(record);
+            callback.accept(new WriteResult.Done(++revision));
+        }
+
+        @Override
+        public void writeStatus(
+                String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
+            callback.accept(new WriteResult.Done(++revision));
+        }
+
+        @Override
+        public void publishCounts(String service, RolloutCounts counts) {}
+    }
+
+    private static EndpointEntry endpoint(String version) {
+        return new EndpointEntry(
+                "of-" + version, SERVICE, HostAndPort.fromParts("127.0.0.1", 1), "here", version, 64, false, 1);
+    }
+
+    private void order(String target) {
+        rollouts.onOrder(new RolloutOrder(SERVICE, target, DURATION_MILLIS, new StoreRevision(0, ++revision)));
+    }
+
+    private void run(long millis) {
+        for (long passed = 0; passed < millis; passed += TICK_MILLIS) {
+            time.advance(TICK_MILLIS);
+            rollouts.tick();
+        }
+    }
+
+    private RolloutStage lastStage() {
+        return records.get(records.size() - 1).stage();
+    }
+
+    /** Returns how many of a hundred sessions may use an endpoint of a version. */
+    private long sessionsUsing(String version, EndpointEntry... open) {
+        long using = 0;
+        for (int session = 0; session < 100; session++) {
+            boolean used =
+                    rollouts
+                            .selectEndpoints(SERVICE, ImmutableList.copyOf(open), Optional.of("s" + session), "r")
+                            .stream()
+                            .anyMatch(entry -> entry.version().equals(version));
+            using += used ? 1 : 0;
+        }
+        return using;
+    }
+
+    private void fail(String version, int answers) {
+        for (int i = 0; i < answers; i++) {
+            rollouts.recordOutcome(endpoint(version), "route", Optional.empty(), true, 100);
+        }
+    }
+
+    private void revert(String target) {
+        order(target);
+        run(DURATION_MILLIS * 6 / 10);
+        fail(target, 30);
+        run(1_000);
+        assertEquals(RolloutStage.REVERTED, lastStage());
+    }
+
+    @Nested
+    class RevertedVersion {
+        /** Guards against EXPOSURE: endpoints of a reverted version are listed for seconds after the next order. */
+        @Test
+        void isNotUsedAsOldVersionOfTheNextOrder() {
+            revert("v2");
+            order("v3");
+            run(1_000);
+
+            assertEquals(0, sessionsUsing("v2", endpoint("v1"), endpoint("v2"), endpoint("v3")));
+        }
+
+        @Test
+        void isUsedWhenOrderedAgain() {
+            revert("v2");
+            order("v3");
+            run(DURATION_MILLIS + 2_000);
+            order("v2");
+            run(DURATION_MILLIS + 2_000);
+
+            assertEquals(100, sessionsUsing("v2", endpoint("v2"), endpoint("v3")));
+        }
+
+        /** An instance that starts during the next rollout knows its record only. */
+        @Test
+        void isKnownToInstanceThatStartsDuringTheNextRollout() {
+            revert("v2");
+            order("v3");
+            run(1_000);
+            RolloutRecord next = records.get(records.size() - 1);
+
+            assertEquals("v3", next.target());
+            assertTrue(next.revertedVersions().contains("v2"), next.toString());
+        }
+    }
+}
