Tell errors of a new version from lost connections

Callers saw: a new version answers half of its requests with errors and stays in use.

Cause: an attempt that lost its connection counted as a failure like an answered error, and a new version is bad only if it fails more often than the old one. Requests that crash the endpoints which run them raise the old version's rate of lost connections; with 135 of 300 lost there, a new version with 30 errors in 60 answers was not found worse.

Ruled out as the reason for this case: the threshold of the sequential test (without the old version's losses the same counts are found bad).

Change: attempts end as answered, failed or lost (AttemptResult); errors and losses are compared apart as well as together, so that neither hides the other. A version that crashes by itself is still found by its losses.

RolloutExposureTest$CrashingEndpoints failed before, passes now; FleetRolloutsTest, NoticeTest, Relayed*Test pass.

--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -46,6 +46,7 @@
                             .setRoute(route)
                             .setAnswers(routeCounts.answers())
                             .setFailed(routeCounts.failed())
+                            .setLost(routeCounts.lost())
                             .setSlow(routeCounts.slow())));
             notice.addAnswers(answers);
         });
@@ -67,7 +68,9 @@
         for (VersionAnswers answers : notice.getAnswersList()) {
             ImmutableMap.Builder<String, RouteTrials> routes = ImmutableMap.builder();
             for (RouteAnswers route : answers.getRoutesList()) {
-                routes.put(route.getRoute(), new RouteTrials(route.getAnswers(), route.getFailed(), route.getSlow()));
+                routes.put(
+                        route.getRoute(),
+                        new RouteTrials(route.getAnswers(), route.getFailed(), route.getLost(), route.getSlow()));
             }
             rolloutCounts.put(
                     answers.getService(),
--- a/router/src/main/java/baobabcroft/notice/proto/Notice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/Notice.java
@@ -66,10 +66,10 @@
       "\013late_millis\030\005 \001(\r\"~\n\016VersionAnswers\022\017\n\007" +
       "service\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\0220\n" +
       "\006routes\030\003 \003(\0132 .baobabcroft.notice.Route" +
-      "Answers\022\021\n\torder_era\030\004 \001(\003\"L\n\014RouteAnswe" +
+      "Answers\022\021\n\torder_era\030\004 \001(\003\"Z\n\014RouteAnswe" +
       "rs\022\r\n\005route\030\001 \001(\t\022\017\n\007answers\030\002 \001(\004\022\016\n\006fa" +
-      "iled\030\003 \001(\004\022\014\n\004slow\030\004 \001(\004B\034\n\030baobabcroft." +
-      "notice.protoP\001b\006proto3"
+      "iled\030\003 \001(\004\022\014\n\004slow\030\004 \001(\004\022\014\n\004lost\030\005 \001(\004B\034" +
+      "\n\030baobabcroft.notice.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -98,7 +98,7 @@
     internal_static_baobabcroft_notice_RouteAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_RouteAnswers_descriptor,
-        new java.lang.String[] { "Route", "Answers", "Failed", "Slow", });
+        new java.lang.String[] { "Route", "Answers", "Failed", "Slow", "Lost", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/RouteAnswers.java
+++ b/router/src/main/java/baobabcroft/notice/proto/RouteAnswers.java
@@ -119,7 +119,7 @@
   private long failed_ = 0L;
   /**
    * <pre>
-   * Failures among them.
+   * Answers among them that state a failure or are malformed.
    * </pre>
    *
    * <code>uint64 failed = 3;</code>
@@ -145,6 +145,21 @@
     return slow_;
   }
 
+  public static final int LOST_FIELD_NUMBER = 5;
+  private long lost_ = 0L;
+  /**
+   * <pre>
+   * Requests among them whose connection was lost before the answer was complete.
+   * </pre>
+   *
+   * <code>uint64 lost = 5;</code>
+   * @return The lost.
+   */
+  @java.lang.Override
+  public long getLost() {
+    return lost_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -171,6 +186,9 @@
     if (slow_ != 0L) {
       output.writeUInt64(4, slow_);
     }
+    if (lost_ != 0L) {
+      output.writeUInt64(5, lost_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -195,6 +213,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(4, slow_);
     }
+    if (lost_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(5, lost_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -218,6 +240,8 @@
         != other.getFailed()) return false;
     if (getSlow()
         != other.getSlow()) return false;
+    if (getLost()
+        != other.getLost()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -240,6 +264,9 @@
     hash = (37 * hash) + SLOW_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getSlow());
+    hash = (37 * hash) + LOST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLost());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -379,6 +406,7 @@
       answers_ = 0L;
       failed_ = 0L;
       slow_ = 0L;
+      lost_ = 0L;
       return this;
     }
 
@@ -424,6 +452,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.slow_ = slow_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.lost_ = lost_;
+      }
     }
 
     @java.lang.Override
@@ -452,6 +483,9 @@
       if (other.getSlow() != 0L) {
         setSlow(other.getSlow());
       }
+      if (other.getLost() != 0L) {
+        setLost(other.getLost());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -498,6 +532,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              lost_ = input.readUInt64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -654,7 +693,7 @@
     private long failed_ ;
     /**
      * <pre>
-     * Failures among them.
+     * Answers among them that state a failure or are malformed.
      * </pre>
      *
      * <code>uint64 failed = 3;</code>
@@ -666,7 +705,7 @@
     }
     /**
      * <pre>
-     * Failures among them.
+     * Answers among them that state a failure or are malformed.
      * </pre>
      *
      * <code>uint64 failed = 3;</code>
@@ -682,7 +721,7 @@
     }
     /**
      * <pre>
-     * Failures among them.
+     * Answers among them that state a failure or are malformed.
      * </pre>
      *
      * <code>uint64 failed = 3;</code>
@@ -739,6 +778,50 @@
       return this;
     }
 
+    private long lost_ ;
+    /**
+     * <pre>
+     * Requests among them whose connection was lost before the answer was complete.
+     * </pre>
+     *
+     * <code>uint64 lost = 5;</code>
+     * @return The lost.
+     */
+    @java.lang.Override
+    public long getLost() {
+      return lost_;
+    }
+    /**
+     * <pre>
+     * Requests among them whose connection was lost before the answer was complete.
+     * </pre>
+     *
+     * <code>uint64 lost = 5;</code>
+     * @param value The lost to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLost(long value) {
+
+      lost_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Requests among them whose connection was lost before the answer was complete.
+     * </pre>
+     *
+     * <code>uint64 lost = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLost() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      lost_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.RouteAnswers)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/RouteAnswersOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/RouteAnswersOrBuilder.java
@@ -42,7 +42,7 @@
 
   /**
    * <pre>
-   * Failures among them.
+   * Answers among them that state a failure or are malformed.
    * </pre>
    *
    * <code>uint64 failed = 3;</code>
@@ -59,4 +59,14 @@
    * @return The slow.
    */
   long getSlow();
+
+  /**
+   * <pre>
+   * Requests among them whose connection was lost before the answer was complete.
+   * </pre>
+   *
+   * <code>uint64 lost = 5;</code>
+   * @return The lost.
+   */
+  long getLost();
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -312,8 +312,9 @@
             owner.onFailed(this, Execution.NOT_RUN);
             return;
         }
-        reportToVersionSelector(true);
-        if (failure == SendFailure.CONNECTION_LOST && !firstOutput) {
+        boolean lost = failure == SendFailure.CONNECTION_LOST;
+        reportToVersionSelector(lost ? AttemptResult.LOST : AttemptResult.FAILED);
+        if (lost && !firstOutput) {
             services.poisonDetector().onConnectionLost(admitted.request(), admitted.accountName(), endpoint);
         }
         owner.onFailed(this, Execution.MAY_HAVE_RUN);
@@ -329,12 +330,12 @@
 
     private void recordOutcome(boolean endpointFailed) {
         inFlightRequest.answered(endpointFailed);
-        reportToVersionSelector(endpointFailed);
+        reportToVersionSelector(endpointFailed ? AttemptResult.FAILED : AttemptResult.ANSWERED);
     }
 
-    private void reportToVersionSelector(boolean endpointFailed) {
+    private void reportToVersionSelector(AttemptResult result) {
         Optional<String> session = admitted.metadata().session();
         long elapsedMillis = services.nowMillis().getAsLong() - sentAtMillis;
-        services.versionSelector().recordOutcome(endpoint, route().name(), session, endpointFailed, elapsedMillis);
+        services.versionSelector().recordOutcome(endpoint, route().name(), session, result, elapsedMillis);
     }
 }
--- a/router/src/main/java/baobabcroft/relay/VersionSelector.java
+++ b/router/src/main/java/baobabcroft/relay/VersionSelector.java
@@ -24,9 +24,9 @@
      * @param endpoint the endpoint
      * @param route name of the route
      * @param session the request's session; empty if none
-     * @param failed whether the endpoint failed
+     * @param result how the attempt ended
      * @param elapsedMillis time from sending the request to the end of the attempt, in milliseconds
      */
     void recordOutcome(
-            EndpointEntry endpoint, String route, Optional<String> session, boolean failed, long elapsedMillis);
+            EndpointEntry endpoint, String route, Optional<String> session, AttemptResult result, long elapsedMillis);
 }
--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.relay.AttemptResult;
 import baobabcroft.relay.VersionSelector;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ArrayListMultimap;
@@ -228,10 +229,10 @@
 
     @Override
     public void recordOutcome(
-            EndpointEntry endpoint, String route, Optional<String> session, boolean failed, long firstMillis) {
+            EndpointEntry endpoint, String route, Optional<String> session, AttemptResult result, long elapsedMillis) {
         ServiceRollout rollout = rollouts.get(endpoint.service());
         if (rollout != null && !rollout.stage().isFinal()) {
-            rollout.countAnswer(endpoint.version().equals(rollout.order().target()), route, failed, firstMillis);
+            rollout.countAnswer(endpoint.version().equals(rollout.order().target()), route, result, elapsedMillis);
         }
     }
 }
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -5,6 +5,7 @@
 import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import baobabcroft.relay.AttemptResult;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Sets;
@@ -244,20 +245,20 @@
     }
 
     /** Counts an answer relayed by this instance. */
-    void countAnswer(boolean ofTarget, String route, boolean failed, long millis) {
+    void countAnswer(boolean ofTarget, String route, AttemptResult result, long millis) {
         double average = baseAverageMillis.getOrDefault(route, (double) millis);
-        boolean slow = !failed && millis > SLOW_FACTOR * average;
+        boolean slow = result == AttemptResult.ANSWERED && millis > SLOW_FACTOR * average;
         if (stage().isFinal()) {
             return;
         }
         if (!ofTarget) {
             baseAverageMillis.put(route, average + AVERAGE_WEIGHT * (millis - average));
-            ownBaseCounts.merge(route, RouteTrials.NONE.plusAnswer(failed, slow), RouteTrials::plus);
+            ownBaseCounts.merge(route, RouteTrials.NONE.plusAnswer(result, slow), RouteTrials::plus);
             return;
         }
-        ownTargetCounts.merge(route, RouteTrials.NONE.plusAnswer(failed, slow), RouteTrials::plus);
+        ownTargetCounts.merge(route, RouteTrials.NONE.plusAnswer(result, slow), RouteTrials::plus);
         ownCountsChanged = true;
-        if (failed || slow) {
+        if (result != AttemptResult.ANSWERED || slow) {
             evaluate();
         }
     }
--- a/router/src/main/java/baobabcroft/rollout/VersionComparison.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionComparison.java
@@ -11,7 +11,7 @@
     private static final double TOLERATED_FAILURE_RATE = 0.05;
     /** Rate of slow answers up to which no version is bad: the caches of a new version are cold. */
     private static final double TOLERATED_SLOW_RATE = 0.25;
-    /** Natural logarithm of the e-value at which a version is bad: one false alarm per route in a thousand rollouts. */
+    /** Natural logarithm of the e-value at which a version is bad: one false alarm per test and route in a thousand. */
     private static final double LOG_THRESHOLD = 6.9;
 
     private VersionComparison() {}
@@ -32,8 +32,14 @@
         return isBad(allTarget, allBase);
     }
 
+    /**
+     * Errors and lost connections are also tested apart. Requests that crash endpoints of either version raise the rate
+     * of lost connections, and in one sum they would hide errors of the new version.
+     */
     private static boolean isBad(RouteTrials target, RouteTrials base) {
-        return isWorse(target.failureEvidence(), base.failureEvidence(), TOLERATED_FAILURE_RATE)
+        return isWorse(target.failureOrLossEvidence(), base.failureOrLossEvidence(), TOLERATED_FAILURE_RATE)
+                || isWorse(target.failureEvidence(), base.failureEvidence(), TOLERATED_FAILURE_RATE)
+                || isWorse(target.lossEvidence(), base.lossEvidence(), TOLERATED_FAILURE_RATE)
                 || isWorse(target.slowEvidence(), base.slowEvidence(), TOLERATED_SLOW_RATE);
     }
 
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -221,7 +221,11 @@
 
         @Override
         public void recordOutcome(
-                EndpointEntry endpoint, String route, Optional<String> session, boolean failed, long elapsedMillis) {}
+                EndpointEntry endpoint,
+                String route,
+                Optional<String> session,
+                AttemptResult result,
+                long elapsedMillis) {}
     }
 
     /** Returns a fixture with the routes /chat/, /order/ and /lookup/ and three endpoints of each service. */
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -7,6 +7,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.external.WriteResult;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.relay.AttemptResult;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -204,7 +205,7 @@
                 endpoint,
                 "route",
                 Optional.of(session),
-                failed && endpoint.version().equals("v2"),
+                failed && endpoint.version().equals("v2") ? AttemptResult.FAILED : AttemptResult.ANSWERED,
                 100);
     }
 
@@ -323,7 +324,7 @@
             storeDown = true;
             Instance instance = fleet.get(0);
             for (int i = 0; i < 30; i++) {
-                instance.rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+                instance.rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
             }
 
             for (int session = 0; session < 100; session++) {
@@ -338,7 +339,7 @@
             Instance stale = fleet.get(1);
             stale.disconnected = true;
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
             }
             run(2_000, () -> {});
             // Reconnected, but it has missed the notifications: its own record still shows the previous stage.
@@ -354,7 +355,7 @@
             startRollout(2);
             run(15_000, () -> {});
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
             }
             fleet.get(0).rollouts.tick();
             time.advance(NOTIFICATION_DELAY_MILLIS);
@@ -365,9 +366,9 @@
         @Test
         void isDetectedOnSingleFailingRoute() {
             Map<String, RouteTrials> base =
-                    Map.of("healthy", new RouteTrials(400, 4, 0), "failing", new RouteTrials(50, 1, 0));
+                    Map.of("healthy", new RouteTrials(400, 4, 0, 0), "failing", new RouteTrials(50, 1, 0, 0));
             Map<String, RouteTrials> target =
-                    Map.of("healthy", new RouteTrials(60, 0, 0), "failing", new RouteTrials(10, 6, 0));
+                    Map.of("healthy", new RouteTrials(60, 0, 0, 0), "failing", new RouteTrials(10, 6, 0, 0));
 
             assertTrue(VersionComparison.isBad(target, base));
         }
@@ -377,8 +378,8 @@
     class HealthyVersion {
         @Test
         void isNotBadIfOldVersionFailsAsOften() {
-            Map<String, RouteTrials> base = Map.of("lookup", new RouteTrials(200, 28, 0));
-            Map<String, RouteTrials> target = Map.of("lookup", new RouteTrials(40, 6, 0));
+            Map<String, RouteTrials> base = Map.of("lookup", new RouteTrials(200, 28, 0, 0));
+            Map<String, RouteTrials> target = Map.of("lookup", new RouteTrials(40, 6, 0, 0));
 
             assertFalse(VersionComparison.isBad(target, base));
         }
@@ -444,7 +445,7 @@
             run(15_000, () -> {});
             Map<String, StoredWrite> copy = Map.copyOf(stored);
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
             }
             run(2_000, () -> {});
             assertEquals(RolloutStage.REVERTED, statuses.get(statuses.size() - 1));
@@ -519,7 +520,7 @@
             run(15_000, () -> {});
             Map<String, StoredWrite> copy = Map.copyOf(stored);
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), true, 100);
+                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
             }
             returnFromCopy(copy);
             run(3_000, () -> assertEquals("v1", versionFor(fleet.get(0), "session")));
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -6,11 +6,13 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.external.WriteResult;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.relay.AttemptResult;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.apache.commons.rng.simple.RandomSource;
@@ -88,7 +90,7 @@
 
     private void fail(String version, int answers) {
         for (int i = 0; i < answers; i++) {
-            rollouts.recordOutcome(endpoint(version), "route", Optional.empty(), true, 100);
+            rollouts.recordOutcome(endpoint(version), "route", Optional.empty(), AttemptResult.FAILED, 100);
         }
     }
 
@@ -100,6 +102,21 @@
         assertEquals(RolloutStage.REVERTED, lastStage());
     }
 
+    @Nested
+    class CrashingEndpoints {
+        /**
+         * Guards against EXPOSURE: while requests crash the endpoints of the old version, its lost requests must not
+         * excuse a new version that answers half of its requests with errors.
+         */
+        @Test
+        void doNotExcuseErrorsOfTheNewVersion() {
+            Map<String, RouteTrials> base = Map.of("chat", new RouteTrials(300, 0, 135, 0));
+            Map<String, RouteTrials> target = Map.of("chat", new RouteTrials(60, 30, 0, 0));
+
+            assertTrue(VersionComparison.isBad(target, base));
+        }
+    }
+
     @Nested
     class RevertedVersion {
         /** Guards against EXPOSURE: endpoints of a reverted version are listed for seconds after the next order. */
