Count attempts at a new version that nobody waits for any longer

Callers saw: a new version answers several times slower, the roll-out goes on and is completed.

Cause: an attempt that ends by the deadline or by its caller's leaving told the version's comparison nothing, and the others told it at their end only, with the time to the end. The slower a version is, the more of its attempts end in these ways: it was judged by its fast answers. The standard was a moving average of the old version's answers, which a disturbance in the middle of a roll-out raises, too.

Ruled out: loss of counts between instances (the attempts are missing at the instance that made them).

Change: an attempt is observed from its start (AttemptMonitor, VersionTrials). It counts once, as slow as soon as it has neither output nor end after three times the old version's time (ResponseTimes; a quarter of the goal above it at least, the goal where the old version has not answered yet), or as it ended. The time to the first output and the time to the end have a standard each: the lowest moving average since the order. Answers dropped for a larger model count by their first output only. Slow answers are tolerated up to 0.15 instead of 0.25, as a cold cache alone no longer makes one slow.

--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -10,7 +10,6 @@
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.Locale;
-import java.util.Optional;
 
 /**
  * One attempt of a request at one endpoint: sends the request, reads the answer and notifies the owner.
@@ -66,7 +65,7 @@
     private final EndpointEntry endpoint;
     private final EndpointLoads.InFlightRequest inFlightRequest;
     private final Owner owner;
-    private final long sentAtMillis;
+    private final AttemptMonitor monitor;
     private final EventSplitter events = new EventSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private EndpointTransport.Exchange exchange = () -> {};
@@ -91,7 +90,7 @@
         this.endpoint = endpoint;
         this.inFlightRequest = inFlightRequest;
         this.owner = owner;
-        this.sentAtMillis = services.nowMillis().getAsLong();
+        this.monitor = services.versionSelector().monitorAttempt(endpoint, admitted.route());
     }
 
     /** Sends a request to an endpoint and returns the attempt in progress. */
@@ -123,10 +122,11 @@
         return headers;
     }
 
-    /** Cancels the attempt because the request has ended; records no outcome for the endpoint. */
+    /** Cancels the attempt because the request has ended; no failure of the endpoint. */
     void cancel() {
         if (close()) {
             inFlightRequest.cancelled();
+            monitor.ended(AttemptResult.ABANDONED);
             exchange.cancel();
         }
     }
@@ -137,7 +137,8 @@
             if (!endpointFailed) {
                 inFlightRequest.firstOutputReceived();
             }
-            recordOutcome(endpointFailed);
+            inFlightRequest.answered(endpointFailed);
+            monitor.ended(endpointFailed ? AttemptResult.FAILED : AttemptResult.SUPERSEDED);
             services.listener().onAttemptFailed(admitted.metadata().requestId(), endpoint, reason);
             exchange.cancel();
         }
@@ -212,6 +213,7 @@
     private void onNotRun(String reason) {
         close();
         inFlightRequest.rejected();
+        monitor.ended(AttemptResult.NOT_RUN);
         services.listener().onAttemptFailed(admitted.metadata().requestId(), endpoint, reason);
         exchange.cancel();
         owner.onFailed(this, Execution.NOT_RUN);
@@ -267,6 +269,7 @@
         if (!firstOutput) {
             firstOutput = true;
             inFlightRequest.firstOutputReceived();
+            monitor.firstOutputReceived();
             exchange.readEvery(EVENT_BATCH_MILLIS);
         }
     }
@@ -288,7 +291,9 @@
             return;
         }
         close();
-        recordOutcome(!eventStream && status >= 500);
+        boolean endpointFailed = !eventStream && status >= 500;
+        inFlightRequest.answered(endpointFailed);
+        monitor.ended(endpointFailed ? AttemptResult.FAILED : AttemptResult.ANSWERED);
         if (eventStream) {
             owner.onStreamEnd(this);
         } else {
@@ -309,11 +314,12 @@
                         endpoint,
                         failure.name().toLowerCase(Locale.ROOT));
         if (!failure.mayHaveRun()) {
+            monitor.ended(AttemptResult.NOT_RUN);
             owner.onFailed(this, Execution.NOT_RUN);
             return;
         }
         boolean lost = failure == SendFailure.CONNECTION_LOST;
-        reportToVersionSelector(lost ? AttemptResult.LOST : AttemptResult.FAILED);
+        monitor.ended(lost ? AttemptResult.LOST : AttemptResult.FAILED);
         if (lost && !firstOutput) {
             services.poisonDetector().onConnectionLost(admitted.request(), admitted.accountName(), endpoint);
         }
@@ -327,15 +333,4 @@
         inactivityTimer.cancel();
         return wasOpen;
     }
-
-    private void recordOutcome(boolean endpointFailed) {
-        inFlightRequest.answered(endpointFailed);
-        reportToVersionSelector(endpointFailed ? AttemptResult.FAILED : AttemptResult.ANSWERED);
-    }
-
-    private void reportToVersionSelector(AttemptResult result) {
-        Optional<String> session = admitted.metadata().session();
-        long elapsedMillis = services.nowMillis().getAsLong() - sentAtMillis;
-        services.versionSelector().recordOutcome(endpoint, route().name(), session, result, elapsedMillis);
-    }
 }
--- a/router/src/main/java/baobabcroft/relay/VersionSelector.java
+++ b/router/src/main/java/baobabcroft/relay/VersionSelector.java
@@ -1,10 +1,11 @@
 package baobabcroft.relay;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.routing.Route;
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 
-/** Selects the version of a service for each request during a rollout, and records the outcomes of its answers. */
+/** Selects the version of a service for each request during a rollout, and observes its answers. */
 public interface VersionSelector {
     /**
      * Returns the endpoints that a request may use.
@@ -19,14 +20,11 @@
             String service, ImmutableList<EndpointEntry> candidates, Optional<String> session, String requestId);
 
     /**
-     * Records the outcome of an attempt that reached an endpoint.
+     * Starts to observe an attempt that is being sent.
      *
      * @param endpoint the endpoint
-     * @param route name of the route
-     * @param session the request's session; empty if none
-     * @param result how the attempt ended
-     * @param elapsedMillis time from sending the request to the end of the attempt, in milliseconds
+     * @param route route of the request
+     * @return the monitor of the attempt
      */
-    void recordOutcome(
-            EndpointEntry endpoint, String route, Optional<String> session, AttemptResult result, long elapsedMillis);
+    AttemptMonitor monitorAttempt(EndpointEntry endpoint, Route route);
 }
--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -3,9 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.relay.AttemptMonitor;
 import baobabcroft.relay.AttemptResult;
 import baobabcroft.relay.VersionSelector;
 import baobabcroft.replica.StoreRevision;
+import baobabcroft.routing.Route;
 import com.google.common.collect.ArrayListMultimap;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ListMultimap;
@@ -30,6 +32,15 @@
     /** Delay before a new version without an order is used, in milliseconds: longer than an order takes to arrive. */
     private static final long NEW_VERSION_DELAY_MILLIS = 2_000;
 
+    /** Monitor of attempts outside rollouts. */
+    private static final AttemptMonitor UNOBSERVED = new AttemptMonitor() {
+        @Override
+        public void firstOutputReceived() {}
+
+        @Override
+        public void ended(AttemptResult result) {}
+    };
+
     private final RolloutWriter writer;
     private final LongSupplier nowMillis;
     private final LongSupplier epochMillis;
@@ -228,11 +239,10 @@
     }
 
     @Override
-    public void recordOutcome(
-            EndpointEntry endpoint, String route, Optional<String> session, AttemptResult result, long elapsedMillis) {
+    public AttemptMonitor monitorAttempt(EndpointEntry endpoint, Route route) {
         ServiceRollout rollout = rollouts.get(endpoint.service());
-        if (rollout != null && !rollout.stage().isFinal()) {
-            rollout.countAnswer(endpoint.version().equals(rollout.order().target()), route, result, elapsedMillis);
-        }
+        return rollout == null || rollout.stage().isFinal()
+                ? UNOBSERVED
+                : rollout.monitorAttempt(endpoint.version(), route);
     }
 }
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -5,8 +5,9 @@
 import baobabcroft.external.WriteResult;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import baobabcroft.relay.AttemptResult;
+import baobabcroft.relay.AttemptMonitor;
 import baobabcroft.replica.StoreRevision;
+import baobabcroft.routing.Route;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Sets;
 import java.util.HashMap;
@@ -40,10 +41,6 @@
     private static final long ERA_SETTLING_MILLIS = 1_500;
     /** Delay before a retry after a write of unknown outcome, in milliseconds: replies may be seconds late. */
     private static final long RETRY_DELAY_MILLIS = 700;
-    /** An answer is slow if it takes more than this multiple of the old version's average time. */
-    private static final double SLOW_FACTOR = 4;
-    /** Weight of a new answer in the moving average of response times. */
-    private static final double AVERAGE_WEIGHT = 0.1;
 
     private RolloutOrder order;
     private final RolloutWriter writer;
@@ -52,9 +49,7 @@
     private final UniformRandomProvider random;
     private final IntSupplier instances;
     private final EventLog log = EventLog.of(ServiceRollout.class);
-    private final Map<String, RouteTrials> ownTargetCounts = new HashMap<>();
-    private final Map<String, RouteTrials> ownBaseCounts = new HashMap<>();
-    private final Map<String, Double> baseAverageMillis = new HashMap<>();
+    private final VersionTrials trials;
     private final Map<String, RolloutCounts> peerTargetCounts = new HashMap<>();
     private final Set<String> revertedVersions = new HashSet<>();
     private long startedAtMillis;
@@ -74,7 +69,7 @@
     private Optional<RolloutStage> scheduledStage = Optional.empty();
     private long stageWriteAtMillis;
     private long statusWriteAtMillis;
-    private boolean ownCountsChanged;
+    private boolean orderRevisionChanged;
     private boolean peerCountsChanged;
     private boolean writeInProgress;
     private boolean targetIsBad;
@@ -92,6 +87,7 @@
         this.epochMillis = epochMillis;
         this.random = random;
         this.instances = instances;
+        this.trials = new VersionTrials(nowMillis, this::evaluate);
         this.startedAtMillis = nowMillis.getAsLong();
         this.stageSinceMillis = startedAtMillis;
         this.recordRevision = StoreRevision.absent(order.revision().era());
@@ -176,7 +172,7 @@
                 newRecord.stage(),
                 elapsedMillis(),
                 allTargetCounts(),
-                ownBaseCounts);
+                trials.base());
     }
 
     /**
@@ -198,13 +194,13 @@
         if (startedAgain) {
             record = Optional.empty();
             targetIsBad = false;
-            ownTargetCounts.clear();
+            trials.clear();
             peerTargetCounts.clear();
             startedAtMillis = nowMillis.getAsLong();
         }
         if (startedAgain || order.revision().isAfter(other)) {
             order = order.withRevision(other);
-            ownCountsChanged = true;
+            orderRevisionChanged = true;
         }
     }
 
@@ -244,23 +240,9 @@
         }
     }
 
-    /** Counts an answer relayed by this instance. */
-    void countAnswer(boolean ofTarget, String route, AttemptResult result, long millis) {
-        double average = baseAverageMillis.getOrDefault(route, (double) millis);
-        boolean slow = result == AttemptResult.ANSWERED && millis > SLOW_FACTOR * average;
-        if (stage().isFinal()) {
-            return;
-        }
-        if (!ofTarget) {
-            baseAverageMillis.put(route, average + AVERAGE_WEIGHT * (millis - average));
-            ownBaseCounts.merge(route, RouteTrials.NONE.plusAnswer(result, slow), RouteTrials::plus);
-            return;
-        }
-        ownTargetCounts.merge(route, RouteTrials.NONE.plusAnswer(result, slow), RouteTrials::plus);
-        ownCountsChanged = true;
-        if (result != AttemptResult.ANSWERED || slow) {
-            evaluate();
-        }
+    /** Starts to observe an attempt of this instance. */
+    AttemptMonitor monitorAttempt(String version, Route route) {
+        return trials.monitorAttempt(version.equals(order.target()), route);
     }
 
     private void evaluate() {
@@ -268,7 +250,7 @@
             return;
         }
         Map<String, RouteTrials> target = allTargetCounts();
-        if (VersionComparison.isBad(target, ownBaseCounts)) {
+        if (VersionComparison.isBad(target, trials.base())) {
             targetIsBad = true;
             log.log(LogEvent.VERSION_STOPPED, order.service() + "/" + order.target(), "evidence", target);
         }
@@ -276,7 +258,7 @@
 
     /** Returns the counts of the new version by route, summed over all instances. */
     private Map<String, RouteTrials> allTargetCounts() {
-        Map<String, RouteTrials> sum = new HashMap<>(ownTargetCounts);
+        Map<String, RouteTrials> sum = new HashMap<>(trials.target());
         for (RolloutCounts counts : peerTargetCounts.values()) {
             counts.routes().forEach((route, routeCounts) -> sum.merge(route, routeCounts, RouteTrials::plus));
         }
@@ -286,6 +268,7 @@
     /** Publishes changed counts and writes the stage and status that are due. Called several times a second. */
     void tick() {
         long now = nowMillis.getAsLong();
+        trials.countSlowAttempts();
         evaluateIfPeerCountsChanged();
         publishChangedCounts();
         if (writeInProgress || otherRecord.filter(this::mayBeOfLaterOrder).isPresent()) {
@@ -331,7 +314,7 @@
 
     /** Returns whether the rollout has ended and nothing is left to write. */
     boolean isSettled() {
-        return ownTargetCounts.isEmpty()
+        return trials.target().isEmpty()
                 && record.isPresent()
                 && record.get().stage().isFinal()
                 && !isStoredRecordBehind()
@@ -344,17 +327,13 @@
     }
 
     private void publishChangedCounts() {
-        if (stage().isFinal()
-                && !ownTargetCounts.isEmpty()
-                && record.isPresent()
-                && record.get().stage().isFinal()) {
-            ownTargetCounts.clear();
-            ownCountsChanged = true;
+        if (record.map(RolloutRecord::stage).filter(RolloutStage::isFinal).isPresent()) {
+            trials.clear();
         }
-        if (ownCountsChanged) {
-            ownCountsChanged = false;
+        if (trials.takeTargetChanged() || orderRevisionChanged) {
+            orderRevisionChanged = false;
             writer.publishCounts(
-                    order.service(), new RolloutCounts(order.revision(), ImmutableMap.copyOf(ownTargetCounts)));
+                    order.service(), new RolloutCounts(order.revision(), ImmutableMap.copyOf(trials.target())));
         }
     }
 
--- a/router/src/main/java/baobabcroft/rollout/VersionComparison.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionComparison.java
@@ -10,7 +10,7 @@
     /** Failure rate up to which no version is bad: above that of healthy plain services. */
     private static final double TOLERATED_FAILURE_RATE = 0.05;
     /** Rate of slow answers up to which no version is bad: the caches of a new version are cold. */
-    private static final double TOLERATED_SLOW_RATE = 0.25;
+    private static final double TOLERATED_SLOW_RATE = 0.15;
     /** Natural logarithm of the e-value at which a version is bad: one false alarm per test and route in a thousand. */
     private static final double LOG_THRESHOLD = 6.9;
 
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -41,6 +41,10 @@
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
+    /** How attempts ended, in this order, as the version selector was told. */
+    final List<AttemptResult> results = new ArrayList<>();
+    /** First outputs that the version selector was told of. */
+    int firstOutputs;
 
     /** A request sent to an endpoint, with methods to answer it. */
     static final class SentRequest {
@@ -212,7 +216,7 @@
         }
     }
 
-    private static final class AllVersions implements VersionSelector {
+    private final class AllVersions implements VersionSelector {
         @Override
         public ImmutableList<EndpointEntry> selectEndpoints(
                 String service, ImmutableList<EndpointEntry> candidates, Optional<String> session, String requestId) {
@@ -220,12 +224,19 @@
         }
 
         @Override
-        public void recordOutcome(
-                EndpointEntry endpoint,
-                String route,
-                Optional<String> session,
-                AttemptResult result,
-                long elapsedMillis) {}
+        public AttemptMonitor monitorAttempt(EndpointEntry endpoint, Route route) {
+            return new AttemptMonitor() {
+                @Override
+                public void firstOutputReceived() {
+                    firstOutputs++;
+                }
+
+                @Override
+                public void ended(AttemptResult result) {
+                    results.add(result);
+                }
+            };
+        }
     }
 
     /** Returns a fixture with the routes /chat/, /order/ and /lookup/ and three endpoints of each service. */
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -11,6 +11,7 @@
 import baobabcroft.relay.RelayFixture.Caller;
 import baobabcroft.relay.RelayFixture.SentRequest;
 import baobabcroft.retry.RetryBudget;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
@@ -20,6 +21,57 @@
     private final RelayFixture relay = RelayFixture.create();
     private final Caller caller = new Caller();
 
+    /** What a version's rollout learns of attempts, also of those that nobody waits for any longer. */
+    @Nested
+    class AttemptResults {
+        /** Guards against EXPOSURE: answers too slow for the deadline are evidence against a version. */
+        @Test
+        void includeAttemptsCutOffByTheDeadline() {
+            relay.start("/order/1", caller);
+            relay.advance(6_000);
+
+            assertEquals(List.of(AttemptResult.ABANDONED), relay.results);
+        }
+
+        /** Guards against EXPOSURE: answers too slow for their callers are evidence against a version. */
+        @Test
+        void includeAttemptsWhoseCallerHasLeft() {
+            RelayedRequest request = relay.start("/order/1", caller);
+            request.onCallerDisconnected();
+
+            assertEquals(List.of(AttemptResult.ABANDONED), relay.results);
+        }
+
+        @Test
+        void tellFirstOutputAndAnswer() {
+            relay.start("/chat/1", caller);
+            relay.lastRequest().head(200);
+            relay.lastRequest().event(0);
+            relay.lastRequest().event(1);
+            relay.lastRequest().listener.onEnd();
+
+            assertEquals(1, relay.firstOutputs);
+            assertEquals(List.of(AttemptResult.ANSWERED), relay.results);
+        }
+
+        @Test
+        void tellErrorsFromLostConnections() {
+            relay.start("/lookup/1", caller);
+            relay.lastRequest().answer(500, "");
+            relay.lastRequest().listener.onFailure(SendFailure.CONNECTION_LOST);
+
+            assertEquals(List.of(AttemptResult.FAILED, AttemptResult.LOST), relay.results);
+        }
+
+        @Test
+        void leaveOutRequestsThatDidNotRun() {
+            relay.start("/order/1", caller);
+            relay.lastRequest().answer(503, "", new Header("not-run", "1"));
+
+            assertEquals(AttemptResult.NOT_RUN, relay.results.get(0));
+        }
+    }
+
     @Nested
     class Refusals {
         @Test
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -69,6 +69,11 @@
                     fleet::size);
         }
 
+        private void answer(EndpointEntry endpoint, AttemptResult result) {
+            rollouts.monitorAttempt(endpoint, RolloutRoutes.streaming("route", SERVICE))
+                    .ended(result);
+        }
+
         @Override
         public void writeRecord(
                 String service, StoreRevision expected, RolloutRecord record, Consumer<WriteResult> callback) {
@@ -201,12 +206,8 @@
         EndpointEntry endpoint = instance.rollouts
                 .selectEndpoints(SERVICE, OPEN, Optional.of(session), "r")
                 .get(0);
-        instance.rollouts.recordOutcome(
-                endpoint,
-                "route",
-                Optional.of(session),
-                failed && endpoint.version().equals("v2") ? AttemptResult.FAILED : AttemptResult.ANSWERED,
-                100);
+        boolean isFailure = failed && endpoint.version().equals("v2");
+        instance.answer(endpoint, isFailure ? AttemptResult.FAILED : AttemptResult.ANSWERED);
     }
 
     @Nested
@@ -324,7 +325,7 @@
             storeDown = true;
             Instance instance = fleet.get(0);
             for (int i = 0; i < 30; i++) {
-                instance.rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
+                instance.answer(OPEN.get(2), AttemptResult.FAILED);
             }
 
             for (int session = 0; session < 100; session++) {
@@ -339,7 +340,7 @@
             Instance stale = fleet.get(1);
             stale.disconnected = true;
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
+                fleet.get(0).answer(OPEN.get(2), AttemptResult.FAILED);
             }
             run(2_000, () -> {});
             // Reconnected, but it has missed the notifications: its own record still shows the previous stage.
@@ -355,7 +356,7 @@
             startRollout(2);
             run(15_000, () -> {});
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
+                fleet.get(0).answer(OPEN.get(2), AttemptResult.FAILED);
             }
             fleet.get(0).rollouts.tick();
             time.advance(NOTIFICATION_DELAY_MILLIS);
@@ -445,7 +446,7 @@
             run(15_000, () -> {});
             Map<String, StoredWrite> copy = Map.copyOf(stored);
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
+                fleet.get(0).answer(OPEN.get(2), AttemptResult.FAILED);
             }
             run(2_000, () -> {});
             assertEquals(RolloutStage.REVERTED, statuses.get(statuses.size() - 1));
@@ -520,7 +521,7 @@
             run(15_000, () -> {});
             Map<String, StoredWrite> copy = Map.copyOf(stored);
             for (int i = 0; i < 30; i++) {
-                fleet.get(0).rollouts.recordOutcome(OPEN.get(2), "route", Optional.empty(), AttemptResult.FAILED, 100);
+                fleet.get(0).answer(OPEN.get(2), AttemptResult.FAILED);
             }
             returnFromCopy(copy);
             run(3_000, () -> assertEquals("v1", versionFor(fleet.get(0), "session")));
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -6,6 +6,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.external.WriteResult;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.relay.AttemptMonitor;
 import baobabcroft.relay.AttemptResult;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableList;
@@ -88,9 +89,13 @@
         return using;
     }
 
+    private AttemptMonitor attempt(String version) {
+        return rollouts.monitorAttempt(endpoint(version), RolloutRoutes.streaming("route", SERVICE));
+    }
+
     private void fail(String version, int answers) {
         for (int i = 0; i < answers; i++) {
-            rollouts.recordOutcome(endpoint(version), "route", Optional.empty(), AttemptResult.FAILED, 100);
+            attempt(version).ended(AttemptResult.FAILED);
         }
     }
 
@@ -102,6 +107,82 @@
         assertEquals(RolloutStage.REVERTED, lastStage());
     }
 
+    /** The old version begins to answer within 250 ms. */
+    @Nested
+    class SlowVersion {
+        private static final long BASE_FIRST_OUTPUT_MILLIS = TICK_MILLIS;
+
+        private void holdWithAnswersOfOldVersion() {
+            order("v2");
+            for (long passed = 0; passed < DURATION_MILLIS * 55 / 100; passed += BASE_FIRST_OUTPUT_MILLIS) {
+                AttemptMonitor attempt = attempt("v1");
+                run(BASE_FIRST_OUTPUT_MILLIS);
+                attempt.firstOutputReceived();
+                attempt.ended(AttemptResult.ANSWERED);
+            }
+            assertEquals(RolloutStage.TRYING, lastStage());
+        }
+
+        /** Sends requests to the new version, half of which get no output, and returns those. */
+        private List<AttemptMonitor> sendToNewVersion(int requests) {
+            List<AttemptMonitor> silent = new ArrayList<>();
+            for (int i = 0; i < requests; i++) {
+                silent.add(attempt("v2"));
+                attempt("v2").ended(AttemptResult.ANSWERED);
+            }
+            return silent;
+        }
+
+        /** Guards against EXPOSURE: callers leave, or the deadline passes, before a slow answer ends. */
+        @Test
+        void isStoppedAlthoughItsSlowAnswersAreAbandoned() {
+            holdWithAnswersOfOldVersion();
+            List<AttemptMonitor> silent = sendToNewVersion(20);
+            time.advance(1_500);
+            silent.forEach(attempt -> attempt.ended(AttemptResult.ABANDONED));
+            run(1_000);
+
+            assertEquals(RolloutStage.REVERTED, lastStage());
+        }
+
+        /** Guards against EXPOSURE: slow answers end only after the rollout is complete. */
+        @Test
+        void isStoppedBeforeItsSlowAnswersEnd() {
+            holdWithAnswersOfOldVersion();
+            sendToNewVersion(20);
+            run(2_000);
+
+            assertEquals(RolloutStage.REVERTED, lastStage());
+        }
+
+        @Test
+        void isNotStoppedByCallersThatLeaveEarly() {
+            holdWithAnswersOfOldVersion();
+            sendToNewVersion(20).forEach(attempt -> attempt.ended(AttemptResult.ABANDONED));
+            run(2_000);
+
+            assertEquals(RolloutStage.TRYING, lastStage());
+        }
+
+        /** A disturbance during the rollout must not become the standard for the new version. */
+        @Test
+        void isStoppedAfterTheOldVersionWasDisturbed() {
+            holdWithAnswersOfOldVersion();
+            for (int i = 0; i < 10; i++) {
+                AttemptMonitor attempt = attempt("v1");
+                time.advance(200);
+                attempt.ended(AttemptResult.ANSWERED);
+            }
+            List<AttemptMonitor> disturbed = List.of(attempt("v1"), attempt("v1"), attempt("v1"));
+            run(1_000);
+            disturbed.forEach(attempt -> attempt.ended(AttemptResult.ANSWERED));
+            sendToNewVersion(20);
+            run(1_500);
+
+            assertEquals(RolloutStage.REVERTED, lastStage());
+        }
+    }
+
     @Nested
     class CrashingEndpoints {
         /**
