Do not complete the roll-out of a suspect version

Callers saw: a version that fails under full load is completed; the old endpoints are gone, nothing is left to go back to.

Cause: a version is stopped when it is proved bad (one false alarm in a thousand). With full load from 0.79 and completion from 0.89 of the order's time, a version that is bad under load only, or late, has a few seconds of answers against it by then. Completion asked for no more than that no proof had come in time; it is final, so the doubt has to weigh the other way there.

Change: when completion is due, odds of two to one that the version is bad (VersionComparison.isSuspect) revert it. A good version that is reverted so is a missed duty; a bad one that is completed answers all requests from then on.

RolloutExposureTest$Completion: isRefusedToSuspectVersion (4 of 22 answers failed) failed before with COMPLETE, passes; isNotRefusedForSingleFailures (2 of 62) passes before and after.

--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -289,14 +289,21 @@
         if (current.isFinal() || now < advanceNotBeforeMillis) {
             return;
         }
-        RolloutStage due = targetIsBad
-                ? RolloutStage.REVERTED
-                : RolloutPlan.due(order, current, elapsedMillis(), now - stageSinceMillis);
+        RolloutStage due = dueStage(current, now);
         if (due != current) {
             writeStageWhenDue(due, now);
         }
     }
 
+    /** Completion removes the old endpoints, so it needs a version that is not even suspect. */
+    private RolloutStage dueStage(RolloutStage current, long now) {
+        RolloutStage due = RolloutPlan.due(order, current, elapsedMillis(), now - stageSinceMillis);
+        if (due == RolloutStage.COMPLETE && !targetIsBad) {
+            targetIsBad = VersionComparison.isSuspect(allTargetCounts(), trials.base());
+        }
+        return targetIsBad ? RolloutStage.REVERTED : due;
+    }
+
     /**
      * Returns whether a record carries out an order that may be later than this one: by its revision, or because its
      * order was lost when the store returned from a copy and is still to be written again.
--- a/router/src/main/java/baobabcroft/rollout/VersionComparison.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionComparison.java
@@ -12,12 +12,24 @@
     /** Rate of slow answers up to which no version is bad: the caches of a new version are cold. */
     private static final double TOLERATED_SLOW_RATE = 0.15;
     /** Natural logarithm of the e-value at which a version is bad: one false alarm per test and route in a thousand. */
-    private static final double LOG_THRESHOLD = 6.9;
+    private static final double LOG_BAD = 6.9;
+    /** The same for a version that is too doubtful to remove the old one: odds of two to one. */
+    private static final double LOG_SUSPECT = 0.7;
 
     private VersionComparison() {}
 
     /** Returns whether the new version is bad on any single route or over all routes together. */
     static boolean isBad(Map<String, RouteTrials> target, Map<String, RouteTrials> base) {
+        return isWorse(target, base, LOG_BAD);
+    }
+
+    /** Returns whether there is more evidence for the new version being bad than against it. */
+    static boolean isSuspect(Map<String, RouteTrials> target, Map<String, RouteTrials> base) {
+        return isWorse(target, base, LOG_SUSPECT);
+    }
+
+    private static boolean isWorse(
+            Map<String, RouteTrials> target, Map<String, RouteTrials> base, double logThreshold) {
         RouteTrials allTarget = RouteTrials.NONE;
         RouteTrials allBase = RouteTrials.NONE;
         for (RouteTrials counts : base.values()) {
@@ -25,26 +37,30 @@
         }
         for (Map.Entry<String, RouteTrials> route : target.entrySet()) {
             allTarget = allTarget.plus(route.getValue());
-            if (isBad(route.getValue(), base.getOrDefault(route.getKey(), RouteTrials.NONE))) {
+            if (isWorse(route.getValue(), base.getOrDefault(route.getKey(), RouteTrials.NONE), logThreshold)) {
                 return true;
             }
         }
-        return isBad(allTarget, allBase);
+        return isWorse(allTarget, allBase, logThreshold);
     }
 
     /**
      * Errors and lost connections are also tested apart. Requests that crash endpoints of either version raise the rate
      * of lost connections, and in one sum they would hide errors of the new version.
      */
-    private static boolean isBad(RouteTrials target, RouteTrials base) {
-        return isWorse(target.failureOrLossEvidence(), base.failureOrLossEvidence(), TOLERATED_FAILURE_RATE)
-                || isWorse(target.failureEvidence(), base.failureEvidence(), TOLERATED_FAILURE_RATE)
-                || isWorse(target.lossEvidence(), base.lossEvidence(), TOLERATED_FAILURE_RATE)
-                || isWorse(target.slowEvidence(), base.slowEvidence(), TOLERATED_SLOW_RATE);
+    private static boolean isWorse(RouteTrials target, RouteTrials base, double logThreshold) {
+        return isWorse(
+                        target.failureOrLossEvidence(),
+                        base.failureOrLossEvidence(),
+                        TOLERATED_FAILURE_RATE,
+                        logThreshold)
+                || isWorse(target.failureEvidence(), base.failureEvidence(), TOLERATED_FAILURE_RATE, logThreshold)
+                || isWorse(target.lossEvidence(), base.lossEvidence(), TOLERATED_FAILURE_RATE, logThreshold)
+                || isWorse(target.slowEvidence(), base.slowEvidence(), TOLERATED_SLOW_RATE, logThreshold);
     }
 
-    private static boolean isWorse(RateEvidence target, RateEvidence base, double tolerated) {
-        return target.logEvalueAbove(tolerated) >= LOG_THRESHOLD
-                && (base.trials() == 0 || target.logBayesFactorAgainst(base) >= LOG_THRESHOLD / 2);
+    private static boolean isWorse(RateEvidence target, RateEvidence base, double tolerated, double logThreshold) {
+        return target.logEvalueAbove(tolerated) >= logThreshold
+                && (base.trials() == 0 || target.logBayesFactorAgainst(base) >= logThreshold / 2);
     }
 }
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -183,6 +183,43 @@
         }
     }
 
+    @Nested
+    class Completion {
+        /**
+         * Guards against EXPOSURE: a version that turns bad under full load has answered too few requests for a proof
+         * when completion is due, and after that the old endpoints are gone.
+         */
+        @Test
+        void isRefusedToSuspectVersion() {
+            order("v2");
+            run(DURATION_MILLIS * 85 / 100);
+            assertEquals(RolloutStage.MOVING, lastStage());
+            for (int i = 0; i < 40; i++) {
+                attempt("v1").ended(AttemptResult.ANSWERED);
+            }
+            for (int i = 0; i < 18; i++) {
+                attempt("v2").ended(AttemptResult.ANSWERED);
+            }
+            fail("v2", 4);
+            run(DURATION_MILLIS * 15 / 100);
+
+            assertEquals(RolloutStage.REVERTED, lastStage());
+        }
+
+        @Test
+        void isNotRefusedForSingleFailures() {
+            order("v2");
+            run(DURATION_MILLIS * 85 / 100);
+            for (int i = 0; i < 60; i++) {
+                attempt("v2").ended(AttemptResult.ANSWERED);
+            }
+            fail("v2", 2);
+            run(DURATION_MILLIS * 15 / 100);
+
+            assertEquals(RolloutStage.COMPLETE, lastStage());
+        }
+    }
+
     @Nested
     class CrashingEndpoints {
         /**
