Keep the evidence of an instance that restarts during a roll-out

Callers saw, at worst: a bad version stays in use for longer while instances are killed in series.

Cause: counts of answers are cumulative and a later notice replaces an earlier one, on the assumption that they only grow. An instance that restarts counts from zero, and its first notice with an answer replaced all that it had counted. The sum over a failure domain shrank in the same way when the sender was one that had just started.

Change: the greater counts by route are kept for each source. The new counts of a restarted instance so add nothing until they exceed the former ones: too little evidence, never too much. What all instances had counted when all are killed at once is still lost.

RolloutExposureTest$RestartedInstance failed before (stage TRYING), passes. That this alone broke the contract is not shown: a version that answers half of its requests with errors is found after some six of them.

--- a/router/src/main/java/baobabcroft/rollout/RolloutCounts.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutCounts.java
@@ -20,6 +20,19 @@
         checkNotNull(routes);
     }
 
+    /**
+     * Returns, for each route, the counts with more answers.
+     *
+     * @param other other counts of the same order
+     * @return the greater counts
+     */
+    RolloutCounts max(RolloutCounts other) {
+        Map<String, RouteTrials> greater = new HashMap<>(routes);
+        other.routes.forEach((route, routeCounts) ->
+                greater.merge(route, routeCounts, (a, b) -> a.answers() >= b.answers() ? a : b));
+        return new RolloutCounts(order, ImmutableMap.copyOf(greater));
+    }
+
     /**
      * Returns the sum of two counts of the same order, otherwise the counts of the later order.
      *
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -224,11 +224,16 @@
         }
     }
 
-    /** Handles the counts of another instance. */
+    /**
+     * Handles the counts of another instance or failure domain. Counts only grow, except that an instance loses its own
+     * when it restarts, and that a sender may know less of its failure domain than another; greater ones are kept then.
+     */
     void onCounts(String instance, RolloutCounts counts) {
         if (counts.order().equals(order.revision())) {
-            RolloutCounts before = peerTargetCounts.put(instance, counts);
-            peerCountsChanged |= !counts.equals(before);
+            RolloutCounts before = peerTargetCounts.get(instance);
+            RolloutCounts after = before == null ? counts : before.max(counts);
+            peerTargetCounts.put(instance, after);
+            peerCountsChanged |= !after.equals(before);
         }
     }
 
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -10,6 +10,7 @@
 import baobabcroft.relay.AttemptResult;
 import baobabcroft.replica.StoreRevision;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
 import java.util.List;
@@ -220,6 +221,31 @@
         }
     }
 
+    @Nested
+    class RestartedInstance {
+        private void receive(String source, long answers, long failed) {
+            RolloutRecord record = records.get(records.size() - 1);
+            rollouts.onCounts(
+                    SERVICE,
+                    source,
+                    new RolloutCounts(
+                            record.order(), ImmutableMap.of("route", new RouteTrials(answers, failed, 0, 0))));
+        }
+
+        /** Guards against EXPOSURE: an instance that restarts counts from zero; what it had counted is evidence still. */
+        @Test
+        void doesNotTakeBackItsEvidence() {
+            order("v2");
+            run(DURATION_MILLIS * 60 / 100);
+            receive("peer", 6, 3);
+            receive("peer", 1, 0);
+            fail("v2", 2);
+            run(1_000);
+
+            assertEquals(RolloutStage.REVERTED, lastStage());
+        }
+    }
+
     @Nested
     class CrashingEndpoints {
         /**
