Log the prompt parts of requests under which an endpoint crashed

It now lists the shared parts of the prompts of requests without output, and the detector is given the prompt. No decision is changed.

--- a/router/src/main/java/baobabcroft/instance/CrashTracker.java
+++ b/router/src/main/java/baobabcroft/instance/CrashTracker.java
@@ -8,6 +8,8 @@
 import baobabcroft.poison.CrashLedger;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.PoisonDetector;
+import baobabcroft.relay.PromptPart;
+import baobabcroft.relay.RequestIdentity;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -15,12 +17,14 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 /**
  * Detects requests that crash endpoints, together with the other instances. A lost connection alone is not a crash: an
@@ -32,6 +36,9 @@
     /** How long a crash counts: callers retry within minutes. */
     private static final long RETENTION_MILLIS = 600_000;
 
+    /** Prompt parts in one log line. */
+    private static final int MAX_LOGGED_PARTS = 20;
+
     private static final int MAX_REQUESTS = 2_000;
     /** Requests whose crashes are published to the other instances; the newest ones. */
     private static final int MAX_PUBLISHED_REQUESTS = 200;
@@ -45,11 +52,17 @@
     private final LongSupplier nowMillis;
     private final BiConsumer<EndpointEntry, Consumer<Boolean>> acceptsConnections;
     private final Consumer<CrashRecord> publisher;
-    private final Map<String, Set<String>> digestsByIncarnation = new HashMap<>();
+    private final Map<String, LostRequests> lostByIncarnation = new HashMap<>();
     private final LinkedHashMap<String, List<String>> crashesByDigest = new LinkedHashMap<>();
     private final EventLog log = EventLog.of(CrashTracker.class);
     private boolean publishPending;
 
+    /** Requests without output whose connections to one endpoint were lost. */
+    private static final class LostRequests {
+        private final Set<String> digests = new HashSet<>();
+        private final Set<PromptPart> parts = new LinkedHashSet<>();
+    }
+
     CrashTracker(
             Scheduler scheduler,
             LongSupplier nowMillis,
@@ -62,31 +75,32 @@
     }
 
     @Override
-    public boolean isPoison(CallerRequest request, String account) {
-        return !ledger.isEmpty() && ledger.isPoison(digest(request, account), nowMillis.getAsLong());
+    public boolean isPoison(RequestIdentity request) {
+        return !ledger.isEmpty() && ledger.isPoison(digest(request), nowMillis.getAsLong());
     }
 
     @Override
-    public void onConnectionLost(CallerRequest request, String account, EndpointEntry endpoint) {
+    public void onConnectionLost(RequestIdentity request, EndpointEntry endpoint) {
         String incarnation = endpoint.id() + '#' + endpoint.startedAtEpochMillis();
-        Set<String> digests = digestsByIncarnation.get(incarnation);
-        if (digests == null) {
-            digests = new HashSet<>();
-            digestsByIncarnation.put(incarnation, digests);
+        LostRequests lost = lostByIncarnation.get(incarnation);
+        if (lost == null) {
+            lost = new LostRequests();
+            lostByIncarnation.put(incarnation, lost);
             scheduler.schedule(
                     PROBE_DELAY_MILLIS,
                     () -> acceptsConnections.accept(endpoint, alive -> onProbed(incarnation, alive)));
         }
-        digests.add(digest(request, account));
+        lost.digests.add(digest(request));
+        request.prompt().sharedParts().forEach(lost.parts::add);
     }
 
     private void onProbed(String incarnation, boolean alive) {
-        Set<String> digests = digestsByIncarnation.remove(incarnation);
-        if (alive || digests == null) {
+        LostRequests lost = lostByIncarnation.remove(incarnation);
+        if (alive || lost == null) {
             return;
         }
-        log.log(LogEvent.ENDPOINT_CRASHED, incarnation, digests.size());
-        for (String digest : digests) {
+        log.log(LogEvent.ENDPOINT_CRASHED, incarnation, lost.digests.size(), partIds(lost));
+        for (String digest : lost.digests) {
             ledger.add(new Crash(digest, incarnation, nowMillis.getAsLong()));
             remember(digest, incarnation);
         }
@@ -128,9 +142,14 @@
         }
     }
 
-    private static String digest(CallerRequest request, String account) {
+    private static String partIds(LostRequests lost) {
+        return lost.parts.stream().map(PromptPart::id).limit(MAX_LOGGED_PARTS).collect(Collectors.joining(","));
+    }
+
+    private static String digest(RequestIdentity identity) {
+        CallerRequest request = identity.request();
         Hasher hasher = Hashing.murmur3_128().newHasher();
-        hasher.putString(request.method() + ' ' + request.target() + ' ' + account, StandardCharsets.UTF_8);
+        hasher.putString(request.method() + ' ' + request.target() + ' ' + identity.account(), StandardCharsets.UTF_8);
         return hasher.putBytes(request.body()).hash().toString();
     }
 }
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -59,8 +59,9 @@
             return table.service(service);
         }
 
-        String accountName() {
-            return account.map(AccountProfile::name).orElse("");
+        RequestIdentity identity() {
+            return new RequestIdentity(
+                    request, account.map(AccountProfile::name).orElse(""), metadata.prompt());
         }
     }
 
@@ -81,7 +82,7 @@
             return new Refused(metadata.requestId(), Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
         }
         Admitted admitted = new Admitted(request, table, route.get(), account, metadata);
-        if (services.poisonDetector().isPoison(request, admitted.accountName())) {
+        if (services.poisonDetector().isPoison(admitted.identity())) {
             return new Refused(metadata.requestId(), Refusal.retryAfter(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
         }
         return admitted;
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -321,7 +321,7 @@
         boolean lost = failure == SendFailure.CONNECTION_LOST;
         monitor.ended(lost ? AttemptResult.LOST : AttemptResult.FAILED);
         if (lost && !firstOutput) {
-            services.poisonDetector().onConnectionLost(admitted.request(), admitted.accountName(), endpoint);
+            services.poisonDetector().onConnectionLost(admitted.identity(), endpoint);
         }
         owner.onFailed(this, Execution.MAY_HAVE_RUN);
     }
--- a/router/src/main/java/baobabcroft/relay/Prompt.java
+++ b/router/src/main/java/baobabcroft/relay/Prompt.java
@@ -22,16 +22,22 @@
         checkArgument(maxOutputTokens >= 0, "maxOutputTokens must not be negative: %s", maxOutputTokens);
     }
 
+    /**
+     * Returns the parts that other requests may share: all but the last.
+     *
+     * @return the parts, in order
+     */
+    public ImmutableList<PromptPart> sharedParts() {
+        return parts.subList(0, Math.max(0, parts.size() - 1));
+    }
+
     /**
      * Returns the length of the parts that other requests may share: all but the last.
      *
      * @return the length, in tokens
      */
     public int sharedTokens() {
-        return parts.stream()
-                .limit(Math.max(0, parts.size() - 1))
-                .mapToInt(PromptPart::tokens)
-                .sum();
+        return sharedParts().stream().mapToInt(PromptPart::tokens).sum();
     }
 
     /**
--- a/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
@@ -8,9 +8,14 @@
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.Headers;
+import baobabcroft.relay.Prompt;
+import baobabcroft.relay.PromptPart;
+import baobabcroft.relay.RequestIdentity;
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -24,8 +29,13 @@
     private final CrashTracker tracker = new CrashTracker(
             time.scheduler(), time::nowMillis, (endpoint, then) -> then.accept(accepts), published::add);
 
-    private static CallerRequest request(String body) {
-        return new CallerRequest("POST", "/chat/1", "h", Headers.EMPTY, body.getBytes(StandardCharsets.UTF_8));
+    private static RequestIdentity request(String body, String account, String... parts) {
+        ImmutableList<PromptPart> prompt =
+                Arrays.stream(parts).map(id -> new PromptPart(id, 100)).collect(ImmutableList.toImmutableList());
+        return new RequestIdentity(
+                new CallerRequest("POST", "/chat/1", "h", Headers.EMPTY, body.getBytes(StandardCharsets.UTF_8)),
+                account,
+                new Prompt(prompt, 100 * parts.length, 10));
     }
 
     private static EndpointEntry endpoint(String id) {
@@ -33,7 +43,7 @@
     }
 
     private void loseConnection(String body, String endpoint) {
-        tracker.onConnectionLost(request(body), "kamera", endpoint(endpoint));
+        tracker.onConnectionLost(request(body, "kamera"), endpoint(endpoint));
         time.advance(PROBE_AND_PUBLISH_MILLIS);
     }
 
@@ -47,7 +57,7 @@
                 loseConnection("body", "e-" + i);
             }
 
-            assertFalse(tracker.isPoison(request("body"), "kamera"));
+            assertFalse(tracker.isPoison(request("body", "kamera")));
             assertTrue(published.isEmpty());
         }
 
@@ -55,10 +65,10 @@
         void rejectsRequestThatCrashedThreeEndpoints() {
             loseConnection("body", "e-1");
             loseConnection("body", "e-2");
-            assertFalse(tracker.isPoison(request("body"), "kamera"));
+            assertFalse(tracker.isPoison(request("body", "kamera")));
             loseConnection("body", "e-3");
 
-            assertTrue(tracker.isPoison(request("body"), "kamera"));
+            assertTrue(tracker.isPoison(request("body", "kamera")));
         }
 
         @Test
@@ -67,7 +77,7 @@
                 loseConnection("body", "e-1");
             }
 
-            assertFalse(tracker.isPoison(request("body"), "kamera"));
+            assertFalse(tracker.isPoison(request("body", "kamera")));
         }
     }
 
@@ -79,8 +89,8 @@
                 loseConnection("body", "e-" + i);
             }
 
-            assertFalse(tracker.isPoison(request("other"), "kamera"));
-            assertFalse(tracker.isPoison(request("body"), "someone"));
+            assertFalse(tracker.isPoison(request("other", "kamera")));
+            assertFalse(tracker.isPoison(request("body", "someone")));
         }
     }
 
@@ -96,13 +106,13 @@
                         time::nowMillis,
                         (endpoint, then) -> then.accept(false),
                         publishedByOthers::add);
-                other.onConnectionLost(request("body"), "kamera", endpoint("e-" + i));
+                other.onConnectionLost(request("body", "kamera"), endpoint("e-" + i));
                 time.advance(PROBE_AND_PUBLISH_MILLIS);
             }
             publishedByOthers.forEach(record -> tracker.onPublished(record, false));
 
             assertEquals(3, publishedByOthers.size());
-            assertTrue(tracker.isPoison(request("body"), "kamera"));
+            assertTrue(tracker.isPoison(request("body", "kamera")));
         }
     }
 }
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -206,12 +206,12 @@
 
     private final class FakePoisonDetector implements PoisonDetector {
         @Override
-        public boolean isPoison(CallerRequest request, String account) {
+        public boolean isPoison(RequestIdentity request) {
             return poison;
         }
 
         @Override
-        public void onConnectionLost(CallerRequest request, String account, EndpointEntry endpoint) {
+        public void onConnectionLost(RequestIdentity request, EndpointEntry endpoint) {
             lostEndpoints.add(endpoint.id());
         }
     }
