Add a failing test for requests that share a crashing prompt part

Five requests that are alike in one prompt part only crash five endpoints; the next one with that part is admitted.

--- a/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
@@ -42,8 +42,8 @@
         return new EndpointEntry(id, "chat", HostAndPort.fromParts("127.0.0.1", 1), "here", "v1", 4, false, 1);
     }
 
-    private void loseConnection(String body, String endpoint) {
-        tracker.onConnectionLost(request(body, "kamera"), endpoint(endpoint));
+    private void loseConnection(String body, String endpoint, String... parts) {
+        tracker.onConnectionLost(request(body, "kamera", parts), endpoint(endpoint));
         time.advance(PROBE_AND_PUBLISH_MILLIS);
     }
 
@@ -81,6 +81,20 @@
         }
     }
 
+    @Nested
+    class PromptParts {
+        /** Guards against BUDGET: no two of the requests are alike, only one part of their prompts is the same. */
+        @Test
+        void rejectsRequestsThatShareAPartWhichCrashedFiveEndpoints() {
+            for (int i = 0; i < 5; i++) {
+                loseConnection("body " + i, "e-" + i, "common", "crashing", "own " + i);
+            }
+
+            assertTrue(tracker.isPoison(request("another", "kamera", "crashing", "own")));
+            assertTrue(tracker.isPoison(request("another", "someone", "other", "crashing", "own")));
+        }
+    }
+
     @Nested
     class Identity {
         @Test
