Stop requests that share a prompt part under which endpoints crash

Cause: a request that crashes endpoints was known by its whole content. Requests that share only the crashing part each began with a count of zero, so each ended up to three endpoints, and nothing was ever refused. The class: an identity that is narrower than the cause.

Ruled out: lateness (with all crashes seen by one instance the test fails all the same) and crashes after the first output (all of the first ones came before it); a crash within 0.5 s of the first output now counts, too, as an answer may have begun.

Change: every shared part of a request without output is a suspect of the crash (PromptPartLedger). An answer to a request with the part, at any instance, clears it of the crashes known by then; clearances are published where others may need them. Four crashes without an answer stop a part, more if it was answered before, unless another part that was there at all of them and was answered less explains them. Requests are asked again before each further send. The account and the other parts are not touched. Instances share both sets through their record of crashes.

--- a/router/src/main/java/baobabcroft/instance/CrashTracker.java
+++ b/router/src/main/java/baobabcroft/instance/CrashTracker.java
@@ -6,29 +6,30 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.poison.Crash;
 import baobabcroft.poison.CrashLedger;
+import baobabcroft.poison.PromptPartLedger;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.PoisonDetector;
 import baobabcroft.relay.PromptPart;
 import baobabcroft.relay.RequestIdentity;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 
 /**
- * Detects requests that crash endpoints, together with the other instances. A lost connection alone is not a crash: an
- * endpoint counts as crashed if it accepts no new connection shortly afterwards. Not thread-safe.
+ * Detects requests, and parts of their prompts, that crash endpoints, together with the other instances. A lost
+ * connection alone is not a crash: an endpoint counts as crashed if it accepts no new connection shortly afterwards. Not
+ * thread-safe.
  */
 final class CrashTracker implements PoisonDetector {
     /** Crashed endpoints after which a request is no longer sent; the contract allows three crashes. */
@@ -36,47 +37,67 @@
     /** How long a crash counts: callers retry within minutes. */
     private static final long RETENTION_MILLIS = 600_000;
 
+    private static final int MAX_REQUESTS = 2_000;
+    private static final int MAX_PARTS = 4_000;
+    /** Requests, and prompt parts, whose crashes are published to the other instances; the newest ones. */
+    private static final int MAX_PUBLISHED = 200;
     /** Prompt parts in one log line. */
     private static final int MAX_LOGGED_PARTS = 20;
-
-    private static final int MAX_REQUESTS = 2_000;
-    /** Requests whose crashes are published to the other instances; the newest ones. */
-    private static final int MAX_PUBLISHED_REQUESTS = 200;
     /** Delay before an endpoint whose connection was lost is probed for whether it accepts connections. */
     private static final long PROBE_DELAY_MILLIS = 30;
     /** Delay in which crashes are batched before they are published. */
     private static final long PUBLISH_DELAY_MILLIS = 300;
+    /** Crashes of a part from which other instances may soon refuse it, so that its clearance is published. */
+    private static final int PUBLISHED_CLEARANCE_CRASHES = 2;
+    /** Longest delay before a clearance is published, in milliseconds: other instances are about to publish the same. */
+    private static final long MAX_CLEARANCE_DELAY_MILLIS = 1_500;
 
     private final CrashLedger ledger = CrashLedger.create(RETENTION_MILLIS, MAX_REQUESTS, POISON_ENDPOINTS);
+    private final PromptPartLedger parts = PromptPartLedger.create(RETENTION_MILLIS, MAX_PARTS);
     private final Scheduler scheduler;
     private final LongSupplier nowMillis;
+    private final DoubleSupplier random;
     private final BiConsumer<EndpointEntry, Consumer<Boolean>> acceptsConnections;
     private final Consumer<CrashRecord> publisher;
     private final Map<String, LostRequests> lostByIncarnation = new HashMap<>();
-    private final LinkedHashMap<String, List<String>> crashesByDigest = new LinkedHashMap<>();
+    private final PublishedSets publishedDigests = new PublishedSets(MAX_PUBLISHED);
+    private final PublishedSets publishedParts = new PublishedSets(MAX_PUBLISHED);
+    private final PublishedSets publishedClearances = new PublishedSets(MAX_PUBLISHED);
+    /** Clearances that no instance has published yet. */
+    private final PublishedSets newClearances = new PublishedSets(MAX_PUBLISHED);
+
+    private final Set<String> stoppedParts = new HashSet<>();
     private final EventLog log = EventLog.of(CrashTracker.class);
     private boolean publishPending;
+    private boolean clearancePending;
 
     /** Requests without output whose connections to one endpoint were lost. */
     private static final class LostRequests {
         private final Set<String> digests = new HashSet<>();
-        private final Set<PromptPart> parts = new LinkedHashSet<>();
+        private final Set<String> parts = new LinkedHashSet<>();
     }
 
     CrashTracker(
             Scheduler scheduler,
             LongSupplier nowMillis,
+            DoubleSupplier random,
             BiConsumer<EndpointEntry, Consumer<Boolean>> acceptsConnections,
             Consumer<CrashRecord> publisher) {
         this.scheduler = scheduler;
         this.nowMillis = nowMillis;
+        this.random = random;
         this.acceptsConnections = acceptsConnections;
         this.publisher = publisher;
     }
 
     @Override
     public boolean isPoison(RequestIdentity request) {
-        return !ledger.isEmpty() && ledger.isPoison(digest(request), nowMillis.getAsLong());
+        if (ledger.isEmpty()) {
+            return false;
+        }
+        long now = nowMillis.getAsLong();
+        return ledger.isPoison(digest(request), now)
+                || request.prompt().sharedParts().stream().anyMatch(part -> parts.isPoison(part.id(), now));
     }
 
     @Override
@@ -91,7 +112,7 @@
                     () -> acceptsConnections.accept(endpoint, alive -> onProbed(incarnation, alive)));
         }
         lost.digests.add(digest(request));
-        request.prompt().sharedParts().forEach(lost.parts::add);
+        lost.parts.addAll(sharedPartIds(request));
     }
 
     private void onProbed(String incarnation, boolean alive) {
@@ -99,20 +120,66 @@
         if (alive || lost == null) {
             return;
         }
-        log.log(LogEvent.ENDPOINT_CRASHED, incarnation, lost.digests.size(), partIds(lost));
-        for (String digest : lost.digests) {
+        log.log(
+                LogEvent.ENDPOINT_CRASHED,
+                incarnation,
+                lost.digests.size(),
+                lost.parts.stream().limit(MAX_LOGGED_PARTS).collect(Collectors.joining(",")));
+        lost.digests.forEach(digest -> {
             ledger.add(new Crash(digest, incarnation, nowMillis.getAsLong()));
-            remember(digest, incarnation);
-        }
+            publishedDigests.add(digest, incarnation);
+        });
+        lost.parts.forEach(part -> {
+            addPartCrash(part, incarnation);
+            publishedParts.add(part, incarnation);
+        });
         if (!publishPending) {
             publishPending = true;
             scheduler.schedule(PUBLISH_DELAY_MILLIS, this::publish);
         }
     }
 
+    private void addPartCrash(String part, String incarnation) {
+        long now = nowMillis.getAsLong();
+        parts.addCrash(part, incarnation, now);
+        if (parts.isPoison(part, now) && stoppedParts.add(part)) {
+            log.log(LogEvent.PROMPT_PART_STOPPED, part, parts.suspicions(part, now));
+        }
+    }
+
+    @Override
+    public void onAnswered(RequestIdentity request) {
+        for (String part : sharedPartIds(request)) {
+            ImmutableSet<String> cleared = parts.addAnswer(part);
+            cleared.forEach(incarnation -> newClearances.add(part, incarnation));
+            if (!cleared.isEmpty()) {
+                logIfCleared(part);
+            }
+            boolean suspectElsewhere = parts.crashCount(part) >= PUBLISHED_CLEARANCE_CRASHES;
+            if (!cleared.isEmpty() && suspectElsewhere && !clearancePending) {
+                clearancePending = true;
+                scheduler.schedule(
+                        (long) (random.getAsDouble() * MAX_CLEARANCE_DELAY_MILLIS), this::publishNewClearances);
+            }
+        }
+    }
+
+    /** Publishes the clearances that no other instance has published in the meantime. */
+    private void publishNewClearances() {
+        clearancePending = false;
+        if (!newClearances.snapshot().isEmpty() && !publishPending) {
+            publish();
+        }
+    }
+
     private void publish() {
         publishPending = false;
-        publisher.accept(new CrashRecord(Map.copyOf(crashesByDigest)));
+        newClearances.snapshot().forEach(publishedClearances::add);
+        newClearances.retain((part, incarnation) -> false);
+        long now = nowMillis.getAsLong();
+        publishedParts.retain((part, incarnation) -> parts.suspicions(part, now).contains(incarnation));
+        publisher.accept(new CrashRecord(
+                publishedDigests.snapshot(), publishedParts.snapshot(), publishedClearances.snapshot()));
     }
 
     /**
@@ -122,28 +189,28 @@
      * @param own whether this instance has published it, before a restart or before the store lost a later one
      */
     void onPublished(CrashRecord record, boolean own) {
-        record.endpointsByDigest().forEach((digest, endpoints) -> {
-            endpoints.forEach(endpoint -> ledger.add(new Crash(digest, endpoint, nowMillis.getAsLong())));
-            if (own) {
-                endpoints.forEach(endpoint -> remember(digest, endpoint));
-            }
-        });
+        record.endpointsByDigest()
+                .forEach((digest, endpoint) -> ledger.add(new Crash(digest, endpoint, nowMillis.getAsLong())));
+        record.clearedByPart().forEach(parts::addClearance);
+        record.clearedByPart().keySet().forEach(this::logIfCleared);
+        newClearances.retain((part, incarnation) -> !record.clearedByPart().containsEntry(part, incarnation));
+        record.endpointsByPart().forEach(this::addPartCrash);
+        if (own) {
+            record.endpointsByDigest().forEach(publishedDigests::add);
+            record.endpointsByPart().forEach(publishedParts::add);
+            record.clearedByPart().forEach(publishedClearances::add);
+        }
     }
 
-    private void remember(String digest, String incarnation) {
-        List<String> crashed = crashesByDigest.computeIfAbsent(digest, unused -> new ArrayList<>());
-        if (!crashed.contains(incarnation)) {
-            crashed.add(incarnation);
-        }
-        while (crashesByDigest.size() > MAX_PUBLISHED_REQUESTS) {
-            var oldest = crashesByDigest.keySet().iterator();
-            oldest.next();
-            oldest.remove();
+    private void logIfCleared(String part) {
+        if (stoppedParts.contains(part) && !parts.isPoison(part, nowMillis.getAsLong())) {
+            stoppedParts.remove(part);
+            log.log(LogEvent.PROMPT_PART_CLEARED, part);
         }
     }
 
-    private static String partIds(LostRequests lost) {
-        return lost.parts.stream().map(PromptPart::id).limit(MAX_LOGGED_PARTS).collect(Collectors.joining(","));
+    private static ImmutableSet<String> sharedPartIds(RequestIdentity request) {
+        return request.prompt().sharedParts().stream().map(PromptPart::id).collect(ImmutableSet.toImmutableSet());
     }
 
     private static String digest(RequestIdentity identity) {
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -123,7 +123,8 @@
                 random,
                 settings.bounds().exposureShare(),
                 this::instanceCount);
-        this.crashTracker = new CrashTracker(scheduler, nowMillis, connections::probe, sharedRecords::publishCrashes);
+        this.crashTracker = new CrashTracker(
+                scheduler, nowMillis, random::nextDouble, connections::probe, sharedRecords::publishCrashes);
         EndpointListUpdater endpointList = new EndpointListUpdater(
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
         this.storeContents = new StoreContents(storeDialect, routing, endpointList, rollouts, sharedRecords, nowMillis);
--- a/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
+++ b/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
@@ -7,13 +7,11 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
+import com.google.common.collect.SetMultimap;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 
 /**
  * JSON format of the records that instances share. Members are read one by one, because binding by reflection takes a
@@ -28,6 +26,8 @@
     private static final String STARTED_AT = "startedAtEpochMillis";
     private static final String REVERTED_VERSIONS = "revertedVersions";
     private static final String ENDPOINTS = "endpointsByDigest";
+    private static final String ENDPOINTS_BY_PART = "endpointsByPart";
+    private static final String CLEARED_BY_PART = "clearedByPart";
     private static final String ADDRESS = "address";
     private static final String FAILURE_DOMAIN = "failureDomain";
 
@@ -77,27 +77,36 @@
 
     ByteString encode(CrashRecord record) {
         ObjectNode document = json.createObjectNode();
-        ObjectNode endpoints = document.putObject(ENDPOINTS);
-        record.endpointsByDigest().forEach((digest, incarnations) -> {
-            ArrayNode list = endpoints.putArray(digest);
-            incarnations.forEach(list::add);
-        });
+        putSets(document.putObject(ENDPOINTS), record.endpointsByDigest());
+        putSets(document.putObject(ENDPOINTS_BY_PART), record.endpointsByPart());
+        putSets(document.putObject(CLEARED_BY_PART), record.clearedByPart());
         return bytes(document);
     }
 
+    private static void putSets(ObjectNode document, SetMultimap<String, String> sets) {
+        sets.asMap().forEach((name, values) -> {
+            ArrayNode list = document.putArray(name);
+            values.forEach(list::add);
+        });
+    }
+
     /**
-     * Returns the crashes that an instance has published.
+     * Returns the crashes that an instance has published. Records of earlier releases have no prompt parts.
      *
      * @throws IOException if a member is missing or malformed
      */
     CrashRecord decodeCrashes(ByteString text) throws IOException {
-        Map<String, List<String>> endpoints = new HashMap<>();
-        member(read(text), ENDPOINTS).properties().forEach(digest -> {
-            List<String> incarnations = new ArrayList<>();
-            digest.getValue().forEach(incarnation -> incarnations.add(incarnation.asText()));
-            endpoints.put(digest.getKey(), incarnations);
-        });
-        return new CrashRecord(endpoints);
+        JsonNode document = read(text);
+        return new CrashRecord(
+                readSets(member(document, ENDPOINTS)),
+                readSets(document.path(ENDPOINTS_BY_PART)),
+                readSets(document.path(CLEARED_BY_PART)));
+    }
+
+    private static ImmutableSetMultimap<String, String> readSets(JsonNode document) {
+        ImmutableSetMultimap.Builder<String, String> sets = ImmutableSetMultimap.builder();
+        document.properties().forEach(set -> set.getValue().forEach(value -> sets.put(set.getKey(), value.asText())));
+        return sets.build();
     }
 
     ByteString encode(InstanceLocation location) {
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -116,6 +116,11 @@
             "elapsedMillis",
             "targetAnswers",
             "baseAnswers"),
+    /** Several endpoints crashed when they were about to answer requests with a prompt part. */
+    PROMPT_PART_STOPPED(
+            5016, ERROR, "prompt part crashes endpoints; requests with it are refused", "part", "endpoints"),
+    /** A request with a prompt part that was refused was answered after all. */
+    PROMPT_PART_CLEARED(5017, INFO, "prompt part cleared; requests with it are sent again", "part"),
     /** A request that made several endpoints fail is not retried. */
     POISON_REQUEST_STOPPED(5004, ERROR, "poison request stopped", "digest", "endpoint"),
 
--- /dev/null
+++ b/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
@@ -0,0 +1,186 @@
+package baobabcroft.poison;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Crashes of endpoints by the prompt parts of the requests that they were about to answer, as observed by all instances.
+ *
+ * <p>Every shared part of such a request is a suspect of the crash. A part that crashes endpoints is never answered, so
+ * an answer to a request with the part clears it of all crashes known by then. Crashes that a part with more crashes
+ * explains do not count against the others. Suspicions and clearances are sets that only grow, so instances agree in
+ * whichever order they learn of them. Not thread-safe.
+ */
+public final class PromptPartLedger {
+    /** Crashed endpoints, without an answer since, from which a part that was never answered is not sent any more. */
+    private static final int POISON_ENDPOINTS = 4;
+    /**
+     * Answers that each raise the limit by one. While many endpoints crash, all parts of the requests next to the
+     * crashing ones go without an answer for a while.
+     */
+    private static final int MAX_COUNTED_ANSWERS = 8;
+    /** Crashes by which a part must exceed one that was answered as often, to explain its crashes. */
+    private static final int EXPLAINING_EXCESS = 2;
+    /** Crashes whose suspects are kept. */
+    private static final int MAX_CRASHES = 1_000;
+
+    private final long retentionMillis;
+    private final Map<String, Part> parts;
+    /** Parts suspected of each crash, by incarnation of the endpoint; in the order of the crashes. */
+    private final Map<String, Set<String>> suspectsByCrash;
+
+    /** What is known of one part. */
+    private static final class Part {
+        private final Map<String, Long> crashedAtMillis = new HashMap<>();
+        private final Set<String> cleared = new HashSet<>();
+        private int answers;
+
+        private ImmutableSet<String> suspicions(long sinceMillis) {
+            return crashedAtMillis.entrySet().stream()
+                    .filter(crash -> crash.getValue() > sinceMillis && !cleared.contains(crash.getKey()))
+                    .map(Map.Entry::getKey)
+                    .collect(ImmutableSet.toImmutableSet());
+        }
+
+        private int limit() {
+            return POISON_ENDPOINTS + answers;
+        }
+    }
+
+    private PromptPartLedger(long retentionMillis, int maxParts) {
+        this.retentionMillis = retentionMillis;
+        this.parts = lruMap(maxParts);
+        this.suspectsByCrash = lruMap(MAX_CRASHES);
+    }
+
+    private static <V> Map<String, V> lruMap(int maxSize) {
+        return new LinkedHashMap<>(16, 0.75F, true) {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<String, V> eldest) {
+                return size() > maxSize;
+            }
+        };
+    }
+
+    /**
+     * Returns an empty ledger.
+     *
+     * @param retentionMillis how long a crash counts, in milliseconds; must be positive
+     * @param maxParts limit on the number of parts kept; the least recently used one is evicted first
+     * @return the ledger
+     */
+    public static PromptPartLedger create(long retentionMillis, int maxParts) {
+        checkArgument(retentionMillis > 0, "retentionMillis not positive: %s", retentionMillis);
+        checkArgument(maxParts > 0, "maxParts not positive: %s", maxParts);
+        return new PromptPartLedger(retentionMillis, maxParts);
+    }
+
+    /**
+     * Adds a crash, unless the part was cleared of it.
+     *
+     * @param part id of a part of a request that the endpoint was about to answer
+     * @param incarnation the endpoint, with what distinguishes its starts
+     * @param nowMillis monotonic clock, in milliseconds
+     */
+    public void addCrash(String part, String incarnation, long nowMillis) {
+        Part suspect = parts.computeIfAbsent(part, unused -> new Part());
+        if (suspect.crashedAtMillis.putIfAbsent(incarnation, nowMillis) == null) {
+            suspectsByCrash
+                    .computeIfAbsent(incarnation, unused -> new HashSet<>())
+                    .add(part);
+        }
+    }
+
+    /**
+     * Adds an answer to a request with a part, which clears the part of the crashes known so far.
+     *
+     * @param part id of the part
+     * @return the endpoints of whose crashes the part was cleared now
+     */
+    public ImmutableSet<String> addAnswer(String part) {
+        Part known = parts.computeIfAbsent(part, unused -> new Part());
+        known.answers = Math.min(known.answers + 1, MAX_COUNTED_ANSWERS);
+        ImmutableSet<String> cleared = known.suspicions(Long.MIN_VALUE);
+        known.cleared.addAll(cleared);
+        return cleared;
+    }
+
+    /**
+     * Adds a clearance by another instance.
+     *
+     * @param part id of the part
+     * @param incarnation the endpoint of whose crash the part was cleared
+     */
+    public void addClearance(String part, String incarnation) {
+        Part known = parts.computeIfAbsent(part, unused -> new Part());
+        if (known.cleared.add(incarnation)) {
+            known.answers = Math.min(known.answers + 1, MAX_COUNTED_ANSWERS);
+        }
+    }
+
+    /**
+     * Returns the number of crashes of which a part was ever suspected.
+     *
+     * @param part id of the part
+     * @return the number, including crashes of which it was cleared
+     */
+    public int crashCount(String part) {
+        Part known = parts.get(part);
+        return known == null ? 0 : known.crashedAtMillis.size();
+    }
+
+    /**
+     * Returns the crashes of which a part is suspected.
+     *
+     * @param part id of the part
+     * @param nowMillis monotonic clock, in milliseconds
+     * @return the endpoints that crashed within the retention time
+     */
+    public Set<String> suspicions(String part, long nowMillis) {
+        Part known = parts.get(part);
+        return known == null ? Set.of() : known.suspicions(nowMillis - retentionMillis);
+    }
+
+    /**
+     * Returns whether requests with a part must not be sent to any more endpoints.
+     *
+     * @param part id of the part
+     * @param nowMillis monotonic clock, in milliseconds
+     * @return true if enough endpoints have crashed on it, it was not answered since, and no other part explains them
+     */
+    public boolean isPoison(String part, long nowMillis) {
+        Part known = parts.get(part);
+        if (known == null || known.crashedAtMillis.size() < known.limit()) {
+            return false;
+        }
+        Set<String> crashes = known.suspicions(nowMillis - retentionMillis);
+        if (crashes.size() < known.limit()) {
+            return false;
+        }
+        return !isExplained(known, crashes, nowMillis);
+    }
+
+    /**
+     * Returns whether another part is more likely to have caused the crashes of a part: it was there at all of them, and
+     * was answered less often, or as often and was there at more.
+     */
+    private boolean isExplained(Part part, Set<String> crashes, long nowMillis) {
+        String anyCrash = crashes.iterator().next();
+        return suspectsByCrash.getOrDefault(anyCrash, Set.of()).stream()
+                .map(parts::get)
+                .filter(cause -> cause != null && cause.answers <= part.answers)
+                .anyMatch(cause -> {
+                    Set<String> caused = cause.suspicions(nowMillis - retentionMillis);
+                    int excess = cause.answers < part.answers ? 0 : EXPLAINING_EXCESS;
+                    return caused.size() >= crashes.size() + excess && caused.containsAll(crashes);
+                });
+    }
+}
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -13,6 +13,8 @@
 final class Admission {
     /** Retry delay given to callers whose request has crashed several endpoints, in milliseconds. */
     private static final long POISON_RETRY_MILLIS = 10_000;
+    /** Refusal of a request that must not be sent, or not any more, because it crashes endpoints. */
+    static final Refusal POISON_REFUSAL = Refusal.retryAfter(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS);
 
     private Admission() {}
 
@@ -83,7 +85,7 @@
         }
         Admitted admitted = new Admitted(request, table, route.get(), account, metadata);
         if (services.poisonDetector().isPoison(admitted.identity())) {
-            return new Refused(metadata.requestId(), Refusal.retryAfter(ErrorCode.POISON_REQUEST, POISON_RETRY_MILLIS));
+            return new Refused(metadata.requestId(), POISON_REFUSAL);
         }
         return admitted;
     }
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -30,6 +30,8 @@
      * gaps between events that callers notice; a read of one event costs about as much as a read of several.
      */
     private static final long EVENT_BATCH_MILLIS = 50;
+    /** Time after the first output in which a request may still be what crashes its endpoint, in milliseconds. */
+    private static final long CRASH_AFTER_OUTPUT_MILLIS = 500;
     /** Minimum gap for an inactive stream, in milliseconds: callers abandon a stream after two seconds or more. */
     private static final long MIN_INACTIVITY_GAP_MILLIS = 2_000;
 
@@ -76,6 +78,7 @@
     private Headers headers = Headers.EMPTY;
     private boolean eventStream;
     private boolean firstOutput;
+    private long firstOutputAtMillis;
     private long lastEventId = -1;
     private boolean ended;
 
@@ -268,6 +271,7 @@
     private void markFirstOutput() {
         if (!firstOutput) {
             firstOutput = true;
+            firstOutputAtMillis = services.nowMillis().getAsLong();
             inFlightRequest.firstOutputReceived();
             monitor.firstOutputReceived();
             exchange.readEvery(EVENT_BATCH_MILLIS);
@@ -294,6 +298,9 @@
         boolean endpointFailed = !eventStream && status >= 500;
         inFlightRequest.answered(endpointFailed);
         monitor.ended(endpointFailed ? AttemptResult.FAILED : AttemptResult.ANSWERED);
+        if (!endpointFailed) {
+            services.poisonDetector().onAnswered(admitted.identity());
+        }
         if (eventStream) {
             owner.onStreamEnd(this);
         } else {
@@ -320,12 +327,17 @@
         }
         boolean lost = failure == SendFailure.CONNECTION_LOST;
         monitor.ended(lost ? AttemptResult.LOST : AttemptResult.FAILED);
-        if (lost && !firstOutput) {
+        if (lost && !hasAnswered()) {
             services.poisonDetector().onConnectionLost(admitted.identity(), endpoint);
         }
         owner.onFailed(this, Execution.MAY_HAVE_RUN);
     }
 
+    /** Returns whether there was output for so long that the request cannot be what crashes the endpoint. */
+    private boolean hasAnswered() {
+        return firstOutput && services.nowMillis().getAsLong() - firstOutputAtMillis >= CRASH_AFTER_OUTPUT_MILLIS;
+    }
+
     /** Ends the attempt; returns false if it had already ended. */
     private boolean close() {
         boolean wasOpen = !ended;
--- a/router/src/main/java/baobabcroft/relay/PoisonDetector.java
+++ b/router/src/main/java/baobabcroft/relay/PoisonDetector.java
@@ -13,10 +13,17 @@
     boolean isPoison(RequestIdentity request);
 
     /**
-     * Called when the connection to an endpoint was lost before the request's first output.
+     * Called when the connection to an endpoint was lost before the request's first output, or right after it.
      *
      * @param request identity of the request
      * @param endpoint the endpoint, which may have crashed
      */
     void onConnectionLost(RequestIdentity request, EndpointEntry endpoint);
+
+    /**
+     * Called when a request was answered completely.
+     *
+     * @param request identity of the request
+     */
+    void onAnswered(RequestIdentity request);
 }
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -181,7 +181,16 @@
                 attempts.retryContext(execution, remainingMillis(), MIN_ATTEMPT_MILLIS), budget(), services.random());
     }
 
+    /** Returns whether the request must not be sent any more. It may have become known after the first attempt. */
+    private boolean isPoison() {
+        return services.poisonDetector().isPoison(admitted.identity());
+    }
+
     private void retryOrFail() {
+        if (isPoison()) {
+            fail(StopReason.POISON);
+            return;
+        }
         Optional<EndpointChooser.Choice> next = choose(model, attempts.triedEndpoints());
         if (next.isEmpty()) {
             fail(StopReason.NO_ENDPOINT);
@@ -232,7 +241,7 @@
         Optional<String> larger = services.modelChooser()
                 .escalationModel(
                         admitted.route(), admitted.metadata().prompt(), model.get(), answer.confidencePercent());
-        if (larger.isEmpty()) {
+        if (larger.isEmpty() || isPoison()) {
             return;
         }
         Set<String> otherTriedEndpoints = Sets.difference(
@@ -309,6 +318,9 @@
     /** Retries at another endpoint if one is available and a retry is allowed; otherwise keeps waiting. */
     @Override
     public void onInactivity(EndpointAttempt attempt) {
+        if (isPoison()) {
+            return;
+        }
         Optional<EndpointChooser.Choice> next = choose(model, attempts.triedEndpoints());
         if (next.isEmpty() || decideRetry(Execution.MAY_HAVE_RUN) instanceof Stop) {
             return;
@@ -347,6 +359,8 @@
             finish("stream_lost", 0);
         } else if (lastFailure.isPresent()) {
             deliver(lastFailure.get());
+        } else if (attempts.execution() == Execution.NOT_RUN && reason == StopReason.POISON) {
+            refuse(Admission.POISON_REFUSAL);
         } else if (attempts.execution() == Execution.NOT_RUN) {
             refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, withJitter(NO_ENDPOINT_RETRY_MILLIS)));
         } else {
--- a/router/src/main/java/baobabcroft/retry/RetryDecision.java
+++ b/router/src/main/java/baobabcroft/retry/RetryDecision.java
@@ -29,6 +29,8 @@
         /** No other endpoint can take the request. */
         NO_ENDPOINT,
         /** The retry budget is exhausted. */
-        BUDGET
+        BUDGET,
+        /** The request, or others with the same prompt part, crashed several endpoints. */
+        POISON
     }
 }
--- a/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
@@ -27,7 +27,7 @@
     private final List<CrashRecord> published = new ArrayList<>();
     private boolean accepts;
     private final CrashTracker tracker = new CrashTracker(
-            time.scheduler(), time::nowMillis, (endpoint, then) -> then.accept(accepts), published::add);
+            time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, then) -> then.accept(accepts), published::add);
 
     private static RequestIdentity request(String body, String account, String... parts) {
         ImmutableList<PromptPart> prompt =
@@ -95,6 +95,77 @@
         }
     }
 
+    /** Clearing and explaining of suspicions; the account and the body differ in each request. */
+    @Nested
+    class SuspectedParts {
+        private void crashFour(String... parts) {
+            for (int i = 0; i < 4; i++) {
+                loseConnection("body " + i, "e-" + i, parts);
+            }
+        }
+
+        private boolean isRefused(String part) {
+            return tracker.isPoison(request("another", "kamera", part, "own"));
+        }
+
+        @Test
+        void areClearedByAnAnswer() {
+            crashFour("common", "crashing", "own");
+            assertTrue(isRefused("common"));
+            tracker.onAnswered(request("sound", "kamera", "common", "own"));
+
+            assertFalse(isRefused("common"));
+            assertTrue(isRefused("crashing"));
+        }
+
+        @Test
+        void areClearedByAnAnswerAtAnotherInstance() {
+            List<CrashRecord> publishedByOther = new ArrayList<>();
+            CrashTracker other = new CrashTracker(
+                    time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, then) -> {}, publishedByOther::add);
+            crashFour("common", "crashing", "own");
+            published.forEach(record -> other.onPublished(record, false));
+            other.onAnswered(request("sound", "kamera", "common", "own"));
+            time.advance(PROBE_AND_PUBLISH_MILLIS);
+            publishedByOther.forEach(record -> tracker.onPublished(record, false));
+
+            assertFalse(isRefused("common"));
+            assertTrue(isRefused("crashing"));
+        }
+
+        /** A rare part was next to the crashing one each time and has had no answer. */
+        @Test
+        void areExcusedWhereAnotherPartExplainsTheCrash() {
+            for (int i = 0; i < 4; i++) {
+                tracker.onConnectionLost(request("rare " + i, "kamera", "rare", "own"), endpoint("e-" + i));
+                loseConnection("body " + i, "e-" + i, "crashing", "own");
+            }
+            assertTrue(isRefused("rare"));
+            loseConnection("body", "e-5", "crashing", "own");
+            loseConnection("body", "e-6", "crashing", "own");
+
+            assertFalse(isRefused("rare"));
+            assertTrue(isRefused("crashing"));
+        }
+
+        @Test
+        void needMoreCrashesIfAnsweredOften() {
+            for (int i = 0; i < 10; i++) {
+                tracker.onAnswered(request("sound", "kamera", "common", "own"));
+            }
+            crashFour("common", "own");
+
+            assertFalse(isRefused("common"));
+        }
+
+        @Test
+        void excludeThePartOfTheRequestItself() {
+            crashFour("crashing", "own");
+
+            assertFalse(isRefused("own"));
+        }
+    }
+
     @Nested
     class Identity {
         @Test
@@ -118,6 +189,7 @@
                 CrashTracker other = new CrashTracker(
                         time.scheduler(),
                         time::nowMillis,
+                        () -> 0.5,
                         (endpoint, then) -> then.accept(false),
                         publishedByOthers::add);
                 other.onConnectionLost(request("body", "kamera"), endpoint("e-" + i));
--- a/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
+++ b/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
@@ -6,10 +6,9 @@
 import baobabcroft.rollout.RolloutRecord;
 import baobabcroft.rollout.RolloutStage;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
-import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 class SharedRecordCodecTest {
@@ -23,7 +22,10 @@
     void readsWhatItWrites() throws IOException {
         RolloutRecord rollout = new RolloutRecord(
                 2, 10, "v2", 24_000, RolloutStage.TRYING, 1_700_000_000_000L, ImmutableSet.of("v1.5"));
-        CrashRecord crashes = new CrashRecord(Map.of("digest", List.of("e-1#5", "e-2#6")));
+        CrashRecord crashes = new CrashRecord(
+                ImmutableSetMultimap.of("digest", "e-1#5", "digest", "e-2#6"),
+                ImmutableSetMultimap.of("part", "e-1#5"),
+                ImmutableSetMultimap.of("other", "e-1#5"));
         InstanceLocation location = new InstanceLocation("10.0.0.1:7000", "north-a");
 
         assertEquals(rollout, codec.decodeRollout(codec.encode(rollout)));
--- a/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
@@ -177,8 +177,8 @@
             var random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
             FleetRollouts rollouts =
                     new FleetRollouts(records, time::nowMillis, time::nowMillis, random, 0.1, () -> INSTANCES);
-            CrashTracker crashes =
-                    new CrashTracker(time.scheduler(), time::nowMillis, (endpoint, callback) -> {}, unused -> {});
+            CrashTracker crashes = new CrashTracker(
+                    time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, callback) -> {}, unused -> {});
             TestDialect dialect = new TestDialect();
             StoreContents contents = new StoreContents(dialect, routing, list, rollouts, records, time::nowMillis);
             FeedTransport noFeed = (address, position, observer) -> () -> {};
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -41,6 +41,7 @@
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
+    int answeredRequests;
     /** How attempts ended, in this order, as the version selector was told. */
     final List<AttemptResult> results = new ArrayList<>();
     /** First outputs that the version selector was told of. */
@@ -214,6 +215,11 @@
         public void onConnectionLost(RequestIdentity request, EndpointEntry endpoint) {
             lostEndpoints.add(endpoint.id());
         }
+
+        @Override
+        public void onAnswered(RequestIdentity request) {
+            answeredRequests++;
+        }
     }
 
     private final class AllVersions implements VersionSelector {
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -121,6 +121,28 @@
             assertEquals(Execution.NOT_RUN, relay.summaries.get(0).execution());
         }
 
+        /** Guards against BUDGET: others with the same prompt part crash endpoints while this one is under way. */
+        @Test
+        void doesNotSendAgainWhatHasBecomePoison() {
+            relay.start("/chat/1", caller);
+            relay.poison = true;
+            relay.lastRequest().listener.onFailure(SendFailure.CONNECTION_LOST);
+
+            assertEquals(1, relay.sentRequests.size());
+            assertEquals(502, caller.status);
+        }
+
+        @Test
+        void refusesAsNotRunWhatHasBecomePoisonBeforeItRan() {
+            relay.start("/chat/1", caller);
+            relay.poison = true;
+            relay.lastRequest().answer(503, "", new Header("not-run", "1"));
+
+            assertEquals(1, relay.sentRequests.size());
+            assertEquals(Execution.NOT_RUN, relay.summaries.get(0).execution());
+            assertTrue(caller.headers.first("retry-after-millis").isPresent());
+        }
+
         @Test
         void refusesAsNotRunWhenNoEndpointRanTheRequest() {
             relay.start("/order/1", caller);
