Believe endpoints that say that they leave, or that they want nothing for a while

Callers saw: requests sent to endpoints that had said in their answers that they were shutting down, or, with a rejection, for how long they wanted nothing; each such send is turned away or cut off, and counts against the contract.

Cause: only the endpoint list decided which endpoints take requests; it lags, and it knows nothing of a pause. A rejection was no reason to go elsewhere with the next request, as the nearest endpoint stays the cheapest.

Change: EndpointAvailability holds what each start of an endpoint has told this instance. It is asked at each choice (first sends, retries, escalations, resumed streams alike), after the version has been selected for pauses, so that a pause never moves traffic to a new version, and again when a connection has been opened. Skipped answers tell it, too, except for pauses. Times that are no number are ignored and counted, those over the operator's limit are cut to it (setting endpoints.maxPauseSeconds). Ends are spread at random. If nothing is left the caller is refused at once with the soonest end.

Weighed: telling other instances. Not done: each learns by its own next answer, and a false word empties no service. Not done: waiting in a queue for a pause that ends before the deadline (refused at once instead); both faces (the own interface's endpoints do not say either); a property test of the platform's stand-in over histories of these words.

--- a/router/src/main/java/baobabcroft/front/EndpointConnection.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnection.java
@@ -175,6 +175,7 @@
         skippingResponse =
                 informational || !isResponseTo.test(exchange.request().requestId(), headers);
         if (skippingResponse) {
+            exchange.listener().onOtherHead(response.status().code(), headers);
             skippedResponses++;
             failIfSkippedTooMuch();
             return;
--- a/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
@@ -38,6 +38,7 @@
     private final Scheduler readScheduler;
     private final BiPredicate<String, Headers> isResponseTo;
     private final Predicate<EndpointRequest> needsFreshConnection;
+    private final Predicate<EndpointEntry> acceptsRequests;
     private final Map<String, Deque<EndpointConnection>> idleByKey = new HashMap<>();
 
     /**
@@ -47,16 +48,19 @@
      * @param readScheduler schedules the reads of answers that are read at intervals
      * @param isResponseTo whether the headers of a response belong to the request with the given id
      * @param needsFreshConnection whether a request must not use an idle connection, which the endpoint may be closing
+     * @param acceptsRequests whether an endpoint still accepts requests; asked again once a connection has been opened
      */
     public EndpointConnectionPool(
             EventLoop loop,
             Scheduler readScheduler,
             BiPredicate<String, Headers> isResponseTo,
-            Predicate<EndpointRequest> needsFreshConnection) {
+            Predicate<EndpointRequest> needsFreshConnection,
+            Predicate<EndpointEntry> acceptsRequests) {
         this.loop = checkNotNull(loop);
         this.readScheduler = checkNotNull(readScheduler);
         this.isResponseTo = checkNotNull(isResponseTo);
         this.needsFreshConnection = checkNotNull(needsFreshConnection);
+        this.acceptsRequests = checkNotNull(acceptsRequests);
     }
 
     @Override
@@ -113,6 +117,9 @@
         connectFuture.addListener(done -> {
             if (exchange.isDone()) {
                 connectFuture.channel().close();
+            } else if (done.isSuccess() && !acceptsRequests.test(endpoint)) {
+                connectFuture.channel().close();
+                exchange.fail(SendFailure.ENDPOINT_UNAVAILABLE);
             } else if (done.isSuccess()) {
                 connection.send(exchange);
             } else {
--- a/router/src/main/java/baobabcroft/instance/InstanceSettings.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceSettings.java
@@ -1,5 +1,6 @@
 package baobabcroft.instance;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableMap;
@@ -16,6 +17,7 @@
  * @param metrics address that serves the metrics
  * @param peers address that receives the datagrams of other instances
  * @param keepFromPercent lowest confidence, in percent, with which the answer of a smaller model is used
+ * @param maxEndpointPauseMillis longest time for which an endpoint gets no requests because it said so, in milliseconds
  * @param bounds bounds that the contract of the deployment sets
  */
 public record InstanceSettings(
@@ -27,6 +29,7 @@
         HostAndPort metrics,
         HostAndPort peers,
         int keepFromPercent,
+        long maxEndpointPauseMillis,
         DeploymentBounds bounds) {
     /** Checks that no component is null. */
     public InstanceSettings {
@@ -37,6 +40,7 @@
         checkNotNull(readiness);
         checkNotNull(metrics);
         checkNotNull(peers);
+        checkArgument(maxEndpointPauseMillis > 0, "maxEndpointPauseMillis not positive: %s", maxEndpointPauseMillis);
         checkNotNull(bounds);
     }
 
@@ -44,7 +48,7 @@
      * Returns a copy of these settings with the values of another file that can change while an instance runs.
      *
      * @param read settings of the changed file
-     * @return a copy with the cascade and bounds of the file, except {@code contactMillis} and {@code exposureShare},
+     * @return a copy with the cascade, the longest pause and the bounds of the file, except {@code contactMillis} and {@code exposureShare},
      *     on which grace periods and rollouts in progress depend
      */
     InstanceSettings withReloadableOf(InstanceSettings read) {
@@ -55,6 +59,15 @@
                 read.bounds.retrySlack(),
                 bounds.exposureShare());
         return new InstanceSettings(
-                instance, failureDomain, regions, callers, readiness, metrics, peers, read.keepFromPercent, changed);
+                instance,
+                failureDomain,
+                regions,
+                callers,
+                readiness,
+                metrics,
+                peers,
+                read.keepFromPercent,
+                read.maxEndpointPauseMillis,
+                changed);
     }
 }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -19,6 +19,7 @@
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.ConfidenceCascade;
+import baobabcroft.relay.EndpointAvailability;
 import baobabcroft.relay.EndpointChooser;
 import baobabcroft.relay.EndpointLoads;
 import baobabcroft.relay.RelayServices;
@@ -84,6 +85,7 @@
     private final EndpointConnectionPool connections;
     private final PeerLoads peerLoads;
     private final EndpointLoads loads;
+    private final EndpointAvailability availability;
     private final DomainRolloutCounts rolloutCounts = new DomainRolloutCounts();
     private final StoreContents storeContents;
     private final StoreReplica store;
@@ -112,9 +114,14 @@
         UniformRandomProvider random =
                 new XoRoShiRo128PlusPlus(ThreadLocalRandom.current().nextLong(), System.nanoTime());
         this.connections = new EndpointConnectionPool(
-                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable());
+                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable(), this::acceptsRequests);
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
+        this.availability = EndpointAvailability.create(
+                nowMillis,
+                random::nextDouble,
+                () -> this.settings.maxEndpointPauseMillis(),
+                new AvailabilityRecorder(metrics));
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
                 sharedRecords,
@@ -148,6 +155,7 @@
                 routing,
                 directory,
                 loads,
+                availability,
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
                 this::retryBudget,
@@ -346,6 +354,10 @@
         return noticeExchange.map(NoticeExchange::instanceCount).orElse(1);
     }
 
+    private boolean acceptsRequests(EndpointEntry endpoint) {
+        return availability.isAvailable(endpoint);
+    }
+
     private void onEndpointRemoved(EndpointEntry endpoint) {
         connections.closeIdle(endpoint);
         loads.removeIfIdle(endpoint.id());
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -116,6 +116,12 @@
             "elapsedMillis",
             "targetAnswers",
             "baseAnswers"),
+    /** An endpoint has stated in an answer that it is shutting down; it receives no new requests of this instance. */
+    ENDPOINT_LEAVING(5018, INFO, "endpoint states that it is shutting down", "endpoint", "startedAtEpochMillis"),
+    /** An endpoint has rejected a request and wants none for some time. */
+    ENDPOINT_PAUSED(5019, INFO, "endpoint wants no requests for some time", "endpoint", "pauseMillis", "capped"),
+    /** An endpoint has stated for how long it wants no requests, but not as a number of seconds. */
+    ENDPOINT_PAUSE_UNREADABLE(5020, WARN, "pause stated by endpoint cannot be parsed; ignored", "endpoint", "value"),
     /** Several endpoints crashed when they were about to answer requests with a prompt part. */
     PROMPT_PART_STOPPED(
             5016, ERROR, "prompt part crashes endpoints; requests with it are refused", "part", "endpoints"),
--- a/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
+++ b/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.util.Optional;
 import java.util.OptionalInt;
 
 /**
@@ -12,11 +13,20 @@
  * @param stamped whether the answer carries the endpoint's response stamp; a success without it is malformed
  * @param encoded whether the body has a content encoding, which endpoints do not apply; such a success is malformed
  * @param confidencePercent the model's confidence in its answer, in percent; empty if not given
+ * @param leaving whether the endpoint states that it is shutting down
+ * @param pauseSeconds for how many seconds the endpoint wants no requests, as stated with a rejection; empty if not given
  */
 public record AnswerMetadata(
-        boolean notRun, boolean otherEndpoint, boolean stamped, boolean encoded, OptionalInt confidencePercent) {
+        boolean notRun,
+        boolean otherEndpoint,
+        boolean stamped,
+        boolean encoded,
+        OptionalInt confidencePercent,
+        boolean leaving,
+        Optional<String> pauseSeconds) {
     /** Validates the components. */
     public AnswerMetadata {
         checkNotNull(confidencePercent);
+        checkNotNull(pauseSeconds);
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -190,14 +190,20 @@
         }
     }
 
+    @Override
+    public void onOtherHead(int otherStatus, Headers otherHeaders) {
+        services.availability().onOtherAnswer(endpoint, services.dialect().readAnswer(otherStatus, otherHeaders));
+    }
+
     @Override
     public void onHead(int newStatus, Headers newHeaders) {
+        AnswerMetadata answer = services.dialect().readAnswer(newStatus, newHeaders);
+        services.availability().onAnswer(endpoint, answer);
         if (ended) {
             return;
         }
         status = newStatus;
         headers = newHeaders;
-        AnswerMetadata answer = services.dialect().readAnswer(status, headers);
         if (answer.notRun()) {
             onNotRun(answer.otherEndpoint() ? "other_endpoint" : "not_run_by_endpoint");
             return;
@@ -310,6 +316,10 @@
 
     @Override
     public void onFailure(SendFailure failure) {
+        if (failure == SendFailure.ENDPOINT_UNAVAILABLE && !ended) {
+            onNotRun("endpoint_unavailable");
+            return;
+        }
         if (!close()) {
             return;
         }
--- /dev/null
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -0,0 +1,204 @@
+package baobabcroft.relay;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import baobabcroft.directory.EndpointEntry;
+import com.google.common.base.CharMatcher;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.DoubleSupplier;
+import java.util.function.LongSupplier;
+
+/**
+ * What endpoints have told this instance in their answers about taking requests: that they are shutting down, or that
+ * they want no requests for some time. It holds for one start of an endpoint, whatever the endpoint list says. Not
+ * thread-safe.
+ */
+public final class EndpointAvailability {
+    /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
+    private static final int MAX_ENDPOINTS = 4_000;
+    /**
+     * Longest random extension of a pause, as a share of it, so that the instances that an endpoint has told to pause at
+     * the same time do not return together.
+     */
+    private static final double MAX_EXTENSION_SHARE = 0.25;
+
+    private static final long MAX_EXTENSION_MILLIS = 2_000;
+    private static final int MAX_DIGITS = 9;
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final CharMatcher DIGITS = CharMatcher.inRange('0', '9');
+
+    private final LongSupplier nowMillis;
+    private final DoubleSupplier random;
+    private final LongSupplier maxPauseMillis;
+    private final Listener listener;
+    private final Map<String, Statement> statements = new LinkedHashMap<>(16, 0.75F, true) {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Statement> eldest) {
+            return size() > MAX_ENDPOINTS;
+        }
+    };
+
+    /** What one start of an endpoint has told. */
+    private static final class Statement {
+        private boolean leaving;
+        private long pausedUntilMillis = Long.MIN_VALUE;
+    }
+
+    /** Notified of what endpoints tell. */
+    public interface Listener {
+        /**
+         * Called when an endpoint has told for the first time that it is shutting down.
+         *
+         * @param endpoint the endpoint
+         */
+        void onLeaving(EndpointEntry endpoint);
+
+        /**
+         * Called when an endpoint wants no requests for some time.
+         *
+         * @param endpoint the endpoint
+         * @param pauseMillis for how long it gets none, in milliseconds
+         * @param capped whether it wanted none for longer than the operator's limit
+         */
+        void onPaused(EndpointEntry endpoint, long pauseMillis, boolean capped);
+
+        /**
+         * Called when an endpoint has stated a pause that is not a number of seconds, which is ignored.
+         *
+         * @param endpoint the endpoint
+         * @param value what it stated
+         */
+        void onUnreadablePause(EndpointEntry endpoint, String value);
+    }
+
+    private EndpointAvailability(
+            LongSupplier nowMillis, DoubleSupplier random, LongSupplier maxPauseMillis, Listener listener) {
+        this.nowMillis = nowMillis;
+        this.random = random;
+        this.maxPauseMillis = maxPauseMillis;
+        this.listener = listener;
+    }
+
+    /**
+     * Returns an object that has heard of no endpoint.
+     *
+     * @param nowMillis monotonic clock, in milliseconds
+     * @param random source of numbers in [0, 1) that spread the ends of pauses
+     * @param maxPauseMillis supplies the operator's limit on pauses, in milliseconds; longer ones are shortened to it
+     * @param listener notified of what endpoints tell
+     * @return the new object
+     */
+    public static EndpointAvailability create(
+            LongSupplier nowMillis, DoubleSupplier random, LongSupplier maxPauseMillis, Listener listener) {
+        return new EndpointAvailability(
+                checkNotNull(nowMillis), checkNotNull(random), checkNotNull(maxPauseMillis), checkNotNull(listener));
+    }
+
+    /**
+     * Takes in the answer to a request of this instance.
+     *
+     * @param endpoint the endpoint that answered
+     * @param answer what its status and headers say
+     */
+    void onAnswer(EndpointEntry endpoint, AnswerMetadata answer) {
+        onOtherAnswer(endpoint, answer);
+        answer.pauseSeconds().ifPresent(seconds -> pause(endpoint, seconds));
+    }
+
+    /**
+     * Takes in an answer to another request than the open one, such as a second copy. It tells that the endpoint is
+     * shutting down like any other answer, but states no pause, as that would prolong the one that the first copy stated.
+     *
+     * @param endpoint the endpoint that answered
+     * @param answer what its status and headers say
+     */
+    void onOtherAnswer(EndpointEntry endpoint, AnswerMetadata answer) {
+        if (answer.leaving() && !statementOf(endpoint).leaving) {
+            statementOf(endpoint).leaving = true;
+            listener.onLeaving(endpoint);
+        }
+    }
+
+    private void pause(EndpointEntry endpoint, String seconds) {
+        OptionalLong stated = parseMillis(seconds);
+        if (stated.isEmpty()) {
+            listener.onUnreadablePause(endpoint, seconds);
+            return;
+        }
+        boolean capped = stated.getAsLong() > maxPauseMillis.getAsLong();
+        long pauseMillis = Math.min(stated.getAsLong(), maxPauseMillis.getAsLong());
+        double extensionMillis = Math.min(MAX_EXTENSION_MILLIS, MAX_EXTENSION_SHARE * pauseMillis);
+        Statement statement = statementOf(endpoint);
+        long untilMillis = nowMillis.getAsLong() + pauseMillis + (long) (random.getAsDouble() * extensionMillis);
+        statement.pausedUntilMillis = Math.max(statement.pausedUntilMillis, untilMillis);
+        listener.onPaused(endpoint, pauseMillis, capped);
+    }
+
+    /** Returns a number of seconds, which may have a fraction, in milliseconds; empty for anything else. */
+    private static OptionalLong parseMillis(String seconds) {
+        List<String> parts = Splitter.on('.').splitToList(seconds.strip());
+        String whole = parts.get(0);
+        String fraction = parts.size() == 2 ? parts.get(1) : "0";
+        boolean isNumber = parts.size() <= 2
+                && !whole.isEmpty()
+                && !fraction.isEmpty()
+                && whole.length() <= MAX_DIGITS
+                && DIGITS.matchesAllOf(whole)
+                && DIGITS.matchesAllOf(fraction);
+        return isNumber
+                ? OptionalLong.of((long) Math.ceil(Double.parseDouble(whole + '.' + fraction) * MILLIS_PER_SECOND))
+                : OptionalLong.empty();
+    }
+
+    /**
+     * Returns whether an endpoint may get requests.
+     *
+     * @param endpoint the endpoint
+     * @return false if it is shutting down or wants none yet
+     */
+    public boolean isAvailable(EndpointEntry endpoint) {
+        Statement statement = statements.get(keyOf(endpoint));
+        return statement == null || (!statement.leaving && statement.pausedUntilMillis <= nowMillis.getAsLong());
+    }
+
+    /** Returns the endpoints that have not told that they are shutting down. */
+    ImmutableList<EndpointEntry> withoutLeaving(Collection<EndpointEntry> endpoints) {
+        return endpoints.stream()
+                .filter(endpoint -> {
+                    Statement statement = statements.get(keyOf(endpoint));
+                    return statement == null || !statement.leaving;
+                })
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the endpoints that may get requests. */
+    ImmutableList<EndpointEntry> available(Collection<EndpointEntry> endpoints) {
+        return endpoints.stream().filter(this::isAvailable).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns the time until the first pause of the endpoints ends, in milliseconds; empty if none is paused. */
+    OptionalLong soonestMillis(Collection<EndpointEntry> endpoints) {
+        long now = nowMillis.getAsLong();
+        return withoutLeaving(endpoints).stream()
+                .map(endpoint -> statements.get(keyOf(endpoint)))
+                .filter(statement -> statement != null && statement.pausedUntilMillis > now)
+                .mapToLong(statement -> statement.pausedUntilMillis - now)
+                .min();
+    }
+
+    private Statement statementOf(EndpointEntry endpoint) {
+        return statements.computeIfAbsent(keyOf(endpoint), unused -> new Statement());
+    }
+
+    private static String keyOf(EndpointEntry endpoint) {
+        return endpoint.id() + '@' + endpoint.address() + '#' + endpoint.startedAtEpochMillis();
+    }
+}
--- a/router/src/main/java/baobabcroft/relay/ExchangeListener.java
+++ b/router/src/main/java/baobabcroft/relay/ExchangeListener.java
@@ -10,6 +10,14 @@
      */
     void onHead(int status, Headers headers);
 
+    /**
+     * Called with the status and headers of an answer that belongs to another request and is skipped.
+     *
+     * @param status the HTTP status
+     * @param headers the headers
+     */
+    default void onOtherHead(int status, Headers headers) {}
+
     /**
      * Called with each received part of the body.
      *
--- a/router/src/main/java/baobabcroft/relay/RelayServices.java
+++ b/router/src/main/java/baobabcroft/relay/RelayServices.java
@@ -18,6 +18,7 @@
  * @param routing holds the current routing table
  * @param directory the listed endpoints
  * @param loads state of the endpoints
+ * @param availability what endpoints have told about taking requests
  * @param endpointChooser chooses endpoints
  * @param modelChooser chooses models
  * @param retryBudgets returns the retry budget of a service by its name
@@ -34,6 +35,7 @@
         RoutingTableHolder routing,
         EndpointDirectory directory,
         EndpointLoads loads,
+        EndpointAvailability availability,
         EndpointChooser endpointChooser,
         ModelChooser modelChooser,
         Function<String, RetryBudget> retryBudgets,
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -168,11 +168,26 @@
 
     private Optional<EndpointChooser.Choice> choose(Optional<String> wantedModel, Set<String> excluded) {
         CallerMetadata metadata = admitted.metadata();
-        ImmutableList<EndpointEntry> open = services.versionSelector()
-                .selectEndpoints(
-                        service, services.directory().accepting(service), metadata.session(), metadata.requestId());
+        ImmutableList<EndpointEntry> selected = services.versionSelector()
+                .selectEndpoints(service, acceptingEndpoints(), metadata.session(), metadata.requestId());
         return services.endpointChooser()
-                .choose(open, excluded, admitted.serviceProfile(service), wantedModel, metadata.prompt());
+                .choose(
+                        services.availability().available(selected),
+                        excluded,
+                        admitted.serviceProfile(service),
+                        wantedModel,
+                        metadata.prompt());
+    }
+
+    /** Returns the endpoints of the service that are not shutting down, by the endpoint list or by their own answers. */
+    private ImmutableList<EndpointEntry> acceptingEndpoints() {
+        return services.availability().withoutLeaving(services.directory().accepting(service));
+    }
+
+    /** Returns when callers should come back if no endpoint could run the request, in milliseconds. */
+    private long noEndpointRetryMillis() {
+        return services.availability().soonestMillis(acceptingEndpoints()).orElse(0)
+                + withJitter(NO_ENDPOINT_RETRY_MILLIS);
     }
 
     /** Returns whether to retry if the open attempt ends as given. A retry is taken from the budget. */
@@ -362,7 +377,7 @@
         } else if (attempts.execution() == Execution.NOT_RUN && reason == StopReason.POISON) {
             refuse(Admission.POISON_REFUSAL);
         } else if (attempts.execution() == Execution.NOT_RUN) {
-            refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, withJitter(NO_ENDPOINT_RETRY_MILLIS)));
+            refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, noEndpointRetryMillis()));
         } else {
             refuse(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED));
         }
--- a/router/src/main/java/baobabcroft/relay/SendFailure.java
+++ b/router/src/main/java/baobabcroft/relay/SendFailure.java
@@ -4,6 +4,8 @@
 public enum SendFailure {
     /** The endpoint refused the connection: nothing was sent. */
     CONNECTION_REFUSED(false),
+    /** The endpoint has stated, while its connection was being opened, that it wants no requests: nothing was sent. */
+    ENDPOINT_UNAVAILABLE(false),
     /** The endpoint did not accept the connection within the timeout: nothing was sent. */
     CONNECT_TIMEOUT(false),
     /** The connection was closed or reset after the request was sent. */
--- a/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
+++ b/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
@@ -16,6 +16,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -161,6 +162,35 @@
         }
     }
 
+    /** A response with neither a length nor chunks ends with its connection. */
+    @Nested
+    class UndelimitedResponses {
+        private static final String HEAD = "HTTP/1.1 200 OK\r\nid: r-1\r\n\r\n";
+
+        @Test
+        void endWhenTheConnectionIsClosed() {
+            Recorder recorder = send("r-1");
+            receive(HEAD + "one");
+            assertFalse(recorder.ended);
+            channel.finishAndReleaseAll();
+
+            assertEquals("one", recorder.body);
+            assertTrue(recorder.ended);
+            assertFalse(connection.isReusable());
+        }
+
+        @Test
+        void failWhenTheConnectionIsReset() {
+            Recorder recorder = send("r-1");
+            receive(HEAD + "one");
+            channel.pipeline().fireExceptionCaught(new IOException("connection reset"));
+            channel.finishAndReleaseAll();
+
+            assertFalse(recorder.ended);
+            assertEquals(List.of(SendFailure.CONNECTION_LOST), recorder.failures);
+        }
+    }
+
     /** Bytes that are not a response and come without end. */
     @Nested
     class EndlessBytes {
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -38,6 +38,11 @@
     final List<String> lostEndpoints = new ArrayList<>();
     final PeerLoads remoteLoads = PeerLoads.create(this::now);
     final EndpointLoads loads = EndpointLoads.create(this::now, remoteLoads, () -> {});
+    /** What the availability reported, such as "leaving engines-1". */
+    final List<String> statements = new ArrayList<>();
+
+    final EndpointAvailability availability =
+            EndpointAvailability.create(this::now, () -> 0.5, () -> 60_000, new RecordingAvailability());
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
@@ -52,9 +57,12 @@
         final EndpointEntry endpoint;
         final EndpointRequest request;
         final ExchangeListener listener;
+        final long sentAtMillis;
         boolean cancelled;
 
-        private SentRequest(EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
+        private SentRequest(
+                EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener, long sentAtMillis) {
+            this.sentAtMillis = sentAtMillis;
             this.endpoint = endpoint;
             this.request = request;
             this.listener = listener;
@@ -161,7 +169,9 @@
                     false,
                     headers.first("no-receipt").isEmpty(),
                     false,
-                    confidence);
+                    confidence,
+                    headers.first("leaving").isPresent(),
+                    headers.first("pause"));
         }
 
         @Override
@@ -192,6 +202,23 @@
         }
     }
 
+    private final class RecordingAvailability implements EndpointAvailability.Listener {
+        @Override
+        public void onLeaving(EndpointEntry endpoint) {
+            statements.add("leaving " + endpoint.id());
+        }
+
+        @Override
+        public void onPaused(EndpointEntry endpoint, long pauseMillis, boolean capped) {
+            statements.add((capped ? "capped " : "paused ") + endpoint.id() + ' ' + pauseMillis);
+        }
+
+        @Override
+        public void onUnreadablePause(EndpointEntry endpoint, String value) {
+            statements.add("unreadable " + endpoint.id() + ' ' + value);
+        }
+    }
+
     private final class RecordingListener implements RelayListener {
         @Override
         public void onAttemptStarted(String requestId, AttemptInfo attempt) {}
@@ -327,6 +354,7 @@
                 routing,
                 directory,
                 loads,
+                availability,
                 chooser,
                 models,
                 service -> budget,
@@ -339,7 +367,7 @@
 
     private EndpointTransport.Exchange send(
             EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
-        SentRequest sent = new SentRequest(endpoint, request, listener);
+        SentRequest sent = new SentRequest(endpoint, request, listener, now());
         sentRequests.add(sent);
         return () -> sent.cancelled = true;
     }
