Do not fail a request whose choice cannot read the notices' socket

Callers would see: a request that fails because the datagrams of other instances cannot be read, although it needs none.

Cause: notices are read at the choice of an endpoint, and NoticeSocket.receive threw what the socket threw.

Change: the failure is logged (BC4006) and the choice goes on with what is known; later datagrams make up for lost ones. NoticeExchangeTest.doesNotThrowWhenItsSocketCannotBeRead failed with the former behaviour (UncheckedIOException).

--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -89,6 +89,9 @@
     /** A request from another instance could not be processed. */
     PEER_HANDLER_FAILED(4005, WARN, "peer request failed", "kind"),
 
+    /** The datagrams of other instances could not be read; later ones make up for them. */
+    NOTICES_UNREADABLE(4006, WARN, "notices of other instances cannot be read"),
+
     /** An endpoint temporarily receives no requests. */
     ENDPOINT_EJECTED(5001, WARN, "endpoint out of service", "endpoint", "state"),
     /** An endpoint receives requests again. */
--- a/router/src/main/java/baobabcroft/notice/NoticeSocket.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeSocket.java
@@ -1,5 +1,7 @@
 package baobabcroft.notice;
 
+import baobabcroft.log.EventLog;
+import baobabcroft.log.LogEvent;
 import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
@@ -29,6 +31,7 @@
     /** Datagrams read at a time, so that a flood does not occupy the event loop. */
     private static final int MAX_DATAGRAMS = 256;
 
+    private final EventLog log = EventLog.of(NoticeSocket.class);
     private final DatagramChannel socket;
     private final Channel channel;
     private final ByteBuffer buffer = ByteBuffer.allocateDirect(MAX_DATAGRAM_BYTES);
@@ -73,7 +76,8 @@
                 consumer.accept(datagram);
             }
         } catch (IOException failed) {
-            throw new UncheckedIOException(failed);
+            // Lost datagrams are made up for by later ones. The caller may be a request that only needs a choice.
+            log.logFailure(LogEvent.NOTICES_UNREADABLE, failed);
         }
     }
 
--- a/router/src/test/java/baobabcroft/notice/NoticeExchangeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeExchangeTest.java
@@ -74,6 +74,16 @@
         loop.next().submit(task).syncUninterruptibly();
     }
 
+    /** Guards against a failed request: choices read the notices, and would throw what the socket throws. */
+    @Test
+    void doesNotThrowWhenItsSocketCannotBeRead() {
+        loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+
+        receiver.receive();
+
+        assertEquals(List.of(), received.instances);
+    }
+
     @Nested
     class Receives {
         /** A load that is known late sends the requests of all instances to the same endpoint. */
