Bound the memory of all answers that are received whole

Operators would see: a process ended by its memory limit while several endpoints send bodies without end.

Cause: each answer has a limit of 16 MB, all together had none. Ten endless bodies took 167,772,160 bytes in the test, more than the heap of 160 MB, before the copies that a growing buffer makes.

Change: AnswerMemory, 20 MB for all answers of an instance; beyond that only answers up to 256 KB are received, the others end as too large, as they would at their own limit. Streams are not affected; their events have a limit of 1 MB.

Ruled out: a lower limit a single answer (services may send a few megabytes).

--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -16,6 +16,7 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.notice.NoticeExchange;
+import baobabcroft.relay.AnswerMemory;
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.ConfidenceCascade;
@@ -70,6 +71,8 @@
      * starts with is not.
      */
     private static final double MIN_RETRY_TOKEN_CAPACITY = 6;
+    /** Memory for answers that are received whole: an eighth of a heap of 160 MB, as buffers double when they grow. */
+    private static final long MAX_ANSWER_MEMORY_BYTES = 20L << 20;
     /** Share of the contract's retry slack that all instances together may save up. */
     private static final double RETRY_SLACK_SHARE = 0.7;
 
@@ -155,6 +158,7 @@
                 routing,
                 directory,
                 loads,
+                AnswerMemory.create(MAX_ANSWER_MEMORY_BYTES),
                 availability,
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -238,7 +238,8 @@
             return;
         }
         body.writeBytes(data);
-        if (body.size() > MAX_ANSWER_BYTES) {
+        boolean fits = services.answerMemory().take(data.length, body.size());
+        if (!fits || body.size() > MAX_ANSWER_BYTES) {
             onFailure(SendFailure.ANSWER_TOO_LARGE);
         }
     }
@@ -351,6 +352,9 @@
     /** Ends the attempt; returns false if it had already ended. */
     private boolean close() {
         boolean wasOpen = !ended;
+        if (wasOpen) {
+            services.answerMemory().release(body.size());
+        }
         ended = true;
         inactivityTimer.cancel();
         return wasOpen;
--- a/router/src/main/java/baobabcroft/relay/RelayServices.java
+++ b/router/src/main/java/baobabcroft/relay/RelayServices.java
@@ -18,6 +18,7 @@
  * @param routing holds the current routing table
  * @param directory the listed endpoints
  * @param loads state of the endpoints
+ * @param answerMemory memory for answers that are received whole
  * @param availability what endpoints have told about taking requests
  * @param endpointChooser chooses endpoints
  * @param modelChooser chooses models
@@ -35,6 +36,7 @@
         RoutingTableHolder routing,
         EndpointDirectory directory,
         EndpointLoads loads,
+        AnswerMemory answerMemory,
         EndpointAvailability availability,
         EndpointChooser endpointChooser,
         ModelChooser modelChooser,
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -29,6 +29,7 @@
 /** Runs relayed requests on one thread without a network: sent requests are recorded, and time is virtual. */
 final class RelayFixture {
     static final long SEED = 7;
+    static final long MAX_ANSWER_MEMORY_BYTES = 20L << 20;
 
     private final VirtualTime time = new VirtualTime();
     final RoutingTableHolder routing = new RoutingTableHolder();
@@ -38,6 +39,7 @@
     final List<String> lostEndpoints = new ArrayList<>();
     final PeerLoads remoteLoads = PeerLoads.create(this::now);
     final EndpointLoads loads = EndpointLoads.create(this::now, remoteLoads, () -> {});
+    final AnswerMemory answerMemory = AnswerMemory.create(MAX_ANSWER_MEMORY_BYTES);
     /** What the availability reported, such as "leaving engines-1". */
     final List<String> statements = new ArrayList<>();
 
@@ -354,6 +356,7 @@
                 routing,
                 directory,
                 loads,
+                answerMemory,
                 availability,
                 chooser,
                 models,
--- a/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
@@ -9,6 +9,10 @@
 import baobabcroft.relay.RelayFixture.SentRequest;
 import baobabcroft.retry.RetryBudget;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -42,6 +46,39 @@
             assertNotEquals(sent, relay.lastRequest());
         }
 
+        /** Guards against memory exhaustion: ten answers within their own limits exceed the heap together. */
+        @Test
+        void ofTenEndpointsAtATimeStayWithinTheMemoryForAnswers() {
+            int endpoints = 10;
+            List<SentRequest> endless = new ArrayList<>();
+            for (int i = 0; i < endpoints; i++) {
+                relay.start("/order/" + i, new Caller());
+                endless.add(relay.lastRequest());
+                relay.lastRequest().head(200);
+            }
+            Map<SentRequest, Long> heldBytes = new HashMap<>();
+            long mostBytes = 0;
+            for (int block = 0; block < MAX_BLOCKS; block++) {
+                for (SentRequest sent : endless) {
+                    if (!sent.cancelled) {
+                        sent.data("x".repeat(BLOCK_BYTES));
+                        heldBytes.merge(sent, sent.cancelled ? 0L : BLOCK_BYTES, (a, b) -> b == 0 ? 0 : a + b);
+                    }
+                }
+                mostBytes = Math.max(
+                        mostBytes,
+                        heldBytes.values().stream().mapToLong(Long::longValue).sum());
+            }
+            relay.start("/order/small", caller);
+            relay.lastRequest().answer(200, "done");
+
+            assertTrue(endless.stream().allMatch(sent -> sent.cancelled));
+            assertTrue(
+                    mostBytes <= RelayFixture.MAX_ANSWER_MEMORY_BYTES + (long) endpoints * BLOCK_BYTES,
+                    mostBytes + " bytes");
+            assertEquals("done", caller.body);
+        }
+
         @Test
         void endTheAttemptInABodyAndDoNotRepeatAnOrder() {
             SentRequest sent = receiveEndless("/order/1");
