--- a/router/src/main/java/baobabcroft/instance/CrashRecord.java
+++ b/router/src/main/java/baobabcroft/instance/CrashRecord.java
@@ -5,7 +5,7 @@
 import com.google.common.collect.ImmutableSetMultimap;
 
 /**
- * Endpoint crashes that one instance has observed, as published in the store. Endpoints are named by their incarnations.
+ * Endpoint crashes that one instance has observed, as published in the store. Endpoints are named by incarnation.
  *
  * @param endpointsByDigest crashed endpoints, by digest of the request that each of them held
  * @param endpointsByPart crashed endpoints, by id of a prompt part of a request that each of them was about to answer
--- a/router/src/main/java/baobabcroft/instance/CrashTracker.java
+++ b/router/src/main/java/baobabcroft/instance/CrashTracker.java
@@ -28,8 +28,8 @@
 
 /**
  * Detects requests, and parts of their prompts, that crash endpoints, together with the other instances. A lost
- * connection alone is not a crash: an endpoint counts as crashed if it accepts no new connection shortly afterwards. Not
- * thread-safe.
+ * connection alone is not a crash: an endpoint counts as crashed if it accepts no new connection shortly afterwards.
+ * Not thread-safe.
  */
 final class CrashTracker implements PoisonDetector {
     /** Crashed endpoints after which a request is no longer sent; the contract allows three crashes. */
@@ -49,7 +49,7 @@
     private static final long PUBLISH_DELAY_MILLIS = 300;
     /** Crashes of a part from which other instances may soon refuse it, so that its clearance is published. */
     private static final int PUBLISHED_CLEARANCE_CRASHES = 2;
-    /** Longest delay before a clearance is published, in milliseconds: other instances are about to publish the same. */
+    /** Longest delay before a clearance is published, in milliseconds: other instances may publish the same. */
     private static final long MAX_CLEARANCE_DELAY_MILLIS = 1_500;
 
     private final CrashLedger ledger = CrashLedger.create(RETENTION_MILLIS, MAX_REQUESTS, POISON_ENDPOINTS);
--- a/router/src/main/java/baobabcroft/instance/InstanceSettings.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceSettings.java
@@ -48,8 +48,8 @@
      * Returns a copy of these settings with the values of another file that can change while an instance runs.
      *
      * @param read settings of the changed file
-     * @return a copy with the cascade, the longest pause and the bounds of the file, except {@code contactMillis} and {@code exposureShare},
-     *     on which grace periods and rollouts in progress depend
+     * @return a copy with the cascade, the longest pause and the bounds of the file, except {@code contactMillis} and
+     *     {@code exposureShare}, on which grace periods and rollouts in progress depend
      */
     InstanceSettings withReloadableOf(InstanceSettings read) {
         DeploymentBounds changed = new DeploymentBounds(
--- a/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
+++ b/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
@@ -10,7 +10,7 @@
 import java.util.Set;
 
 /**
- * Crashes of endpoints by the prompt parts of the requests that they were about to answer, as observed by all instances.
+ * Crashes of endpoints by the prompt parts of requests that they were about to answer, as observed by all instances.
  *
  * <p>Every shared part of such a request is a suspect of the crash. A part that crashes endpoints is never answered, so
  * an answer to a request with the part clears it of all crashes known by then. Crashes that a part with more crashes
@@ -169,8 +169,8 @@
     }
 
     /**
-     * Returns whether another part is more likely to have caused the crashes of a part: it was there at all of them, and
-     * was answered less often, or as often and was there at more.
+     * Returns whether another part is more likely to have caused the crashes of a part: it was there at all of them,
+     * and was answered less often, or as often and was there at more.
      */
     private boolean isExplained(Part part, Set<String> crashes, long nowMillis) {
         String anyCrash = crashes.iterator().next();
--- a/router/src/main/java/baobabcroft/relay/AnswerMemory.java
+++ b/router/src/main/java/baobabcroft/relay/AnswerMemory.java
@@ -3,8 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 /**
- * Memory that answers take up while they are received whole, over all requests of an instance. Each answer has a limit of
- * its own, but several endpoints that send without end at the same time would exceed the memory together. Not
+ * Memory that answers take up while they are received whole, over all requests of an instance. Each answer has a limit
+ * of its own, but several endpoints that send without end at the same time would exceed the memory together. Not
  * thread-safe.
  */
 public final class AnswerMemory {
--- a/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
+++ b/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
@@ -14,7 +14,7 @@
  * @param encoded whether the body has a content encoding, which endpoints do not apply; such a success is malformed
  * @param confidencePercent the model's confidence in its answer, in percent; empty if not given
  * @param leaving whether the endpoint states that it is shutting down
- * @param pauseSeconds for how many seconds the endpoint wants no requests, as stated with a rejection; empty if not given
+ * @param pauseSeconds seconds for which the endpoint wants no requests, as stated with a rejection; empty if not given
  */
 public record AnswerMetadata(
         boolean notRun,
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -23,8 +23,8 @@
     /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
     private static final int MAX_ENDPOINTS = 4_000;
     /**
-     * Longest random extension of a pause, as a share of it, so that the instances that an endpoint has told to pause at
-     * the same time do not return together.
+     * Longest random extension of a pause, as a share of it, so that instances that an endpoint has told to pause at the
+     * same time do not return together.
      */
     private static final double MAX_EXTENSION_SHARE = 0.25;
 
@@ -115,7 +115,7 @@
 
     /**
      * Takes in an answer to another request than the open one, such as a second copy. It tells that the endpoint is
-     * shutting down like any other answer, but states no pause, as that would prolong the one that the first copy stated.
+     * shutting down like any other answer, but states no pause, as that would prolong the first copy's.
      *
      * @param endpoint the endpoint that answered
      * @param answer what its status and headers say
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -179,7 +179,7 @@
                         metadata.prompt());
     }
 
-    /** Returns the endpoints of the service that are not shutting down, by the endpoint list or by their own answers. */
+    /** Returns the service's endpoints that are not shutting down, by the endpoint list or by their own answers. */
     private ImmutableList<EndpointEntry> acceptingEndpoints() {
         return services.availability().withoutLeaving(services.directory().accepting(service));
     }
--- a/router/src/main/java/baobabcroft/rollout/RolloutRecord.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutRecord.java
@@ -16,8 +16,8 @@
  * @param durationMillis duration of the order, in milliseconds; 0 in records of earlier releases
  * @param stage the current stage
  * @param startedAtEpochMillis wall-clock time of the start, in milliseconds since the epoch
- * @param revertedVersions versions that earlier rollouts of the service were reverted from; their endpoints may still be
- *     listed
+ * @param revertedVersions versions that earlier rollouts of the service were reverted from; their endpoints may still
+ *     be listed
  */
 public record RolloutRecord(
         long orderEra,
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -232,7 +232,7 @@
                             record.order(), ImmutableMap.of("route", new RouteTrials(answers, failed, 0, 0))));
         }
 
-        /** Guards against EXPOSURE: an instance that restarts counts from zero; what it had counted is evidence still. */
+        /** Guards against EXPOSURE: an instance that restarts counts from zero; what it counted is evidence still. */
         @Test
         void doesNotTakeBackItsEvidence() {
             order("v2");
