--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -23,8 +23,8 @@
     /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
     private static final int MAX_ENDPOINTS = 4_000;
     /**
-     * Longest random extension of a pause, as a share of it, so that instances that an endpoint has told to pause at the
-     * same time do not return together.
+     * Longest random extension of a pause, as a share of it. Instances that an endpoint has told to pause at the same
+     * time so do not return together.
      */
     private static final double MAX_EXTENSION_SHARE = 0.25;
 
--- a/router/src/test/java/baobabcroft/instance/CrashingPartFleetTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashingPartFleetTest.java
@@ -25,8 +25,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * The pattern "crashing prompt part": requests of which no two are alike share one part, and each endpoint that begins
- * to answer one crashes, with all requests that it holds. Nine instances and eight engines under the arrivals of a small
+ * The pattern "crashing prompt part": requests of which no two are alike share one part, and each endpoint crashes that
+ * begins to answer one, with all requests that it holds. Nine instances and eight engines under the arrivals of a small
  * deployment, without a network.
  */
 class CrashingPartFleetTest {
