Bound the crashes that are kept of a prompt part

Operators would see, after months: requests cost a little more with each crash. A part that stands in most requests is near most crashes, and each was kept for the life of the process and looked through at each answer.

Change: the latest 100 crashes and clearances of a part are kept. PromptPartLedgerTest$Bounds holds the bound; the other tests of the new file hold what the ledger promised already.

--- a/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
+++ b/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
@@ -3,7 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableSet;
-import java.util.HashMap;
+import java.util.Collections;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -14,7 +14,7 @@
  *
  * <p>Every shared part of such a request is a suspect of the crash. A part that crashes endpoints is never answered, so
  * an answer to a request with the part clears it of all crashes known by then. Crashes that a part with more crashes
- * explains do not count against the others. Suspicions and clearances are sets that only grow, so instances agree in
+ * explains do not count against the others. Instances only ever add suspicions and clearances, so they agree in
  * whichever order they learn of them. Not thread-safe.
  */
 public final class PromptPartLedger {
@@ -29,6 +29,8 @@
     private static final int EXPLAINING_EXCESS = 2;
     /** Crashes whose suspects are kept. */
     private static final int MAX_CRASHES = 1_000;
+    /** Crashes, and clearances, that are kept of one part; the latest. Parts in most requests are near most crashes. */
+    private static final int MAX_CRASHES_OF_PART = 100;
 
     private final long retentionMillis;
     private final Map<String, Part> parts;
@@ -37,8 +39,8 @@
 
     /** What is known of one part. */
     private static final class Part {
-        private final Map<String, Long> crashedAtMillis = new HashMap<>();
-        private final Set<String> cleared = new HashSet<>();
+        private final Map<String, Long> crashedAtMillis = lruMap(MAX_CRASHES_OF_PART);
+        private final Set<String> cleared = Collections.newSetFromMap(lruMap(MAX_CRASHES_OF_PART));
         private int answers;
 
         private ImmutableSet<String> suspicions(long sinceMillis) {
@@ -84,7 +86,7 @@
     }
 
     /**
-     * Adds a crash, unless the part was cleared of it.
+     * Adds a crash. It does not count if the part was or will be cleared of it.
      *
      * @param part id of a part of a request that the endpoint was about to answer
      * @param incarnation the endpoint, with what distinguishes its starts
@@ -127,10 +129,10 @@
     }
 
     /**
-     * Returns the number of crashes of which a part was ever suspected.
+     * Returns the number of crashes of which a part was suspected.
      *
      * @param part id of the part
-     * @return the number, including crashes of which it was cleared
+     * @return the number of those kept, including crashes of which it was cleared
      */
     public int crashCount(String part) {
         Part known = parts.get(part);
--- /dev/null
+++ b/router/src/test/java/baobabcroft/poison/PromptPartLedgerTest.java
@@ -0,0 +1,90 @@
+package baobabcroft.poison;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PromptPartLedgerTest {
+    private static final long RETENTION_MILLIS = 10_000;
+
+    private final PromptPartLedger ledger = PromptPartLedger.create(RETENTION_MILLIS, 10);
+
+    private void crash(String part, int from, int until) {
+        for (int i = from; i < until; i++) {
+            ledger.addCrash(part, "e-" + i, i);
+        }
+    }
+
+    @Nested
+    class Poison {
+        @Test
+        void takesFourCrashesWithoutAnAnswer() {
+            crash("part", 0, 3);
+            assertFalse(ledger.isPoison("part", 10));
+            crash("part", 3, 4);
+
+            assertTrue(ledger.isPoison("part", 10));
+        }
+
+        @Test
+        void endsWithTheRetentionTime() {
+            crash("part", 0, 4);
+
+            assertFalse(ledger.isPoison("part", RETENTION_MILLIS + 4));
+        }
+
+        @Test
+        void doesNotDependOnTheOrderOfCrashesAndClearances() {
+            for (int i = 0; i < 4; i++) {
+                ledger.addClearance("part", "e-" + i);
+            }
+            crash("part", 0, 4);
+
+            assertFalse(ledger.isPoison("part", 10));
+        }
+
+        @Test
+        void takesOneCrashMoreForEachEarlierAnswer() {
+            ledger.addAnswer("part");
+            ledger.addAnswer("part");
+            crash("part", 0, 5);
+            assertFalse(ledger.isPoison("part", 10));
+            crash("part", 5, 6);
+
+            assertTrue(ledger.isPoison("part", 10));
+        }
+    }
+
+    @Nested
+    class Bounds {
+        private static final int CRASHES = 1_000;
+        private static final int KEPT = 100;
+
+        /** Guards against memory and time that grow with each crash: common parts are near most of them. */
+        @Test
+        void keepTheLatestCrashesOfAPart() {
+            for (int i = 0; i < CRASHES; i++) {
+                crash("common", i, i + 1);
+                ledger.addAnswer("common");
+            }
+            assertEquals(KEPT, ledger.crashCount("common"));
+            assertTrue(ledger.suspicions("common", CRASHES).isEmpty());
+            crash("common", CRASHES, CRASHES + 20);
+
+            assertTrue(ledger.isPoison("common", CRASHES + 20));
+        }
+
+        @Test
+        void forgetTheLeastRecentlyUsedPart() {
+            crash("part", 0, 4);
+            for (int i = 0; i < 10; i++) {
+                ledger.addAnswer("other-" + i);
+            }
+
+            assertFalse(ledger.isPoison("part", 10));
+        }
+    }
+}
