Log why a suspect version is not completed, and filter endpoints of a roll-out in one place

A version that was reverted because it was suspect when completion was due left no BC5003; it does now, with that reason. The two filters by version and the one by age in FleetRollouts are one method. No decision is changed (FleetRolloutsTest, RolloutExposureTest, StoreHistoryPropertyTest pass).

--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /**
@@ -188,13 +189,13 @@
         if (rollout == null) {
             return withoutNewVersions(service, open);
         }
+        String targetVersion = rollout.order().target();
         ImmutableList<EndpointEntry> target =
-                filterByVersion(open, rollout.order().target(), true);
-        ImmutableList<EndpointEntry> base = filterByVersion(
-                        open, rollout.order().target(), false)
-                .stream()
-                .filter(entry -> !rollout.revertedVersions().contains(entry.version()))
-                .collect(ImmutableList.toImmutableList());
+                filter(open, entry -> entry.version().equals(targetVersion));
+        ImmutableList<EndpointEntry> base = filter(
+                open,
+                entry -> !entry.version().equals(targetVersion)
+                        && !rollout.revertedVersions().contains(entry.version()));
         boolean usesTarget =
                 switch (rollout.stage()) {
                     case HOLDING, REVERTED -> false;
@@ -214,11 +215,9 @@
         return Integer.toUnsignedLong(hash) / (double) (1L << Integer.SIZE);
     }
 
-    private static ImmutableList<EndpointEntry> filterByVersion(
-            ImmutableList<EndpointEntry> open, String version, boolean equal) {
-        return open.stream()
-                .filter(entry -> entry.version().equals(version) == equal)
-                .collect(ImmutableList.toImmutableList());
+    private static ImmutableList<EndpointEntry> filter(
+            ImmutableList<EndpointEntry> open, Predicate<EndpointEntry> condition) {
+        return open.stream().filter(condition).collect(ImmutableList.toImmutableList());
     }
 
     /**
@@ -232,9 +231,8 @@
         for (EndpointEntry entry : open) {
             since.putIfAbsent(entry.version(), first ? now - NEW_VERSION_DELAY_MILLIS : now);
         }
-        ImmutableList<EndpointEntry> established = open.stream()
-                .filter(entry -> now - since.get(entry.version()) >= NEW_VERSION_DELAY_MILLIS)
-                .collect(ImmutableList.toImmutableList());
+        ImmutableList<EndpointEntry> established =
+                filter(open, entry -> now - since.get(entry.version()) >= NEW_VERSION_DELAY_MILLIS);
         return established.isEmpty() ? open : established;
     }
 
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -256,11 +256,15 @@
         }
         Map<String, RouteTrials> target = allTargetCounts();
         if (VersionComparison.isBad(target, trials.base())) {
-            targetIsBad = true;
-            log.log(LogEvent.VERSION_STOPPED, order.service() + "/" + order.target(), "evidence", target);
+            stopTarget("evidence", target);
         }
     }
 
+    private void stopTarget(String reason, Map<String, RouteTrials> target) {
+        targetIsBad = true;
+        log.log(LogEvent.VERSION_STOPPED, order.service() + "/" + order.target(), reason, target);
+    }
+
     /** Returns the counts of the new version by route, summed over all instances. */
     private Map<String, RouteTrials> allTargetCounts() {
         Map<String, RouteTrials> sum = new HashMap<>(trials.target());
@@ -303,8 +307,9 @@
     /** Completion removes the old endpoints, so it needs a version that is not even suspect. */
     private RolloutStage dueStage(RolloutStage current, long now) {
         RolloutStage due = RolloutPlan.due(order, current, elapsedMillis(), now - stageSinceMillis);
-        if (due == RolloutStage.COMPLETE && !targetIsBad) {
-            targetIsBad = VersionComparison.isSuspect(allTargetCounts(), trials.base());
+        Map<String, RouteTrials> target = allTargetCounts();
+        if (due == RolloutStage.COMPLETE && !targetIsBad && VersionComparison.isSuspect(target, trials.base())) {
+            stopTarget("suspect when completion was due", target);
         }
         return targetIsBad ? RolloutStage.REVERTED : due;
     }
