--- a/router/src/main/java/baobabcroft/instance/AvailabilityRecorder.java
+++ b/router/src/main/java/baobabcroft/instance/AvailabilityRecorder.java
@@ -8,7 +8,7 @@
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.relay.EndpointAvailability;
 
-/** Counts and logs what endpoints tell this instance about taking requests. */
+/** Counts and logs what endpoints state about taking requests. */
 final class AvailabilityRecorder implements EndpointAvailability.Listener {
     private final EventLog log = EventLog.of(AvailabilityRecorder.class);
     private final RouterMetrics metrics;
@@ -19,7 +19,7 @@
 
     @Override
     public void onLeaving(EndpointEntry endpoint) {
-        metrics.count("endpoints.leaving_told");
+        metrics.count("endpoints.leaving_stated");
         log.log(LogEvent.ENDPOINT_LEAVING, endpoint.id(), endpoint.startedAtEpochMillis());
     }
 
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -15,16 +15,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * What endpoints have told this instance in their answers about taking requests: that they are shutting down, or that
- * they want no requests for some time. It holds for one start of an endpoint, whatever the endpoint list says. Not
- * thread-safe.
+ * What endpoints have stated in their answers to this instance: that they are shutting down, or that they want no
+ * requests for some time. It holds for one start of an endpoint, whatever the endpoint list says. Not thread-safe.
  */
 public final class EndpointAvailability {
     /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
     private static final int MAX_ENDPOINTS = 4_000;
     /**
-     * Longest random extension of a pause, as a share of it. Instances that an endpoint has told to pause at the same
-     * time so do not return together.
+     * Longest random extension of a pause, as a share of it. It keeps the instances that an endpoint has rejected at the
+     * same time from returning together.
      */
     private static final double MAX_EXTENSION_SHARE = 0.25;
 
@@ -46,16 +45,16 @@
         }
     };
 
-    /** What one start of an endpoint has told. */
+    /** What one start of an endpoint has stated. */
     private static final class Statement {
         private boolean leaving;
         private long pausedUntilMillis = Long.MIN_VALUE;
     }
 
-    /** Notified of what endpoints tell. */
+    /** Notified of what endpoints state. */
     public interface Listener {
         /**
-         * Called when an endpoint has told for the first time that it is shutting down.
+         * Called when an endpoint has stated for the first time that it is shutting down.
          *
          * @param endpoint the endpoint
          */
@@ -88,12 +87,12 @@
     }
 
     /**
-     * Returns an object that has heard of no endpoint.
+     * Returns an object without statements of endpoints.
      *
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of numbers in [0, 1) that spread the ends of pauses
      * @param maxPauseMillis supplies the operator's limit on pauses, in milliseconds; longer ones are shortened to it
-     * @param listener notified of what endpoints tell
+     * @param listener notified of what endpoints state
      * @return the new object
      */
     public static EndpointAvailability create(
@@ -114,8 +113,8 @@
     }
 
     /**
-     * Takes in an answer to another request than the open one, such as a second copy. It tells that the endpoint is
-     * shutting down like any other answer, but states no pause, as that would prolong the first copy's.
+     * Takes in an answer to another request than the open one, such as a second copy. It may state that the endpoint is
+     * shutting down, but no pause, as that would prolong the first copy's.
      *
      * @param endpoint the endpoint that answered
      * @param answer what its status and headers say
@@ -169,7 +168,7 @@
         return statement == null || (!statement.leaving && statement.pausedUntilMillis <= nowMillis.getAsLong());
     }
 
-    /** Returns the endpoints that have not told that they are shutting down. */
+    /** Returns the endpoints that have not stated that they are shutting down. */
     ImmutableList<EndpointEntry> withoutLeaving(Collection<EndpointEntry> endpoints) {
         return endpoints.stream()
                 .filter(endpoint -> {
--- a/router/src/main/java/baobabcroft/relay/RelayServices.java
+++ b/router/src/main/java/baobabcroft/relay/RelayServices.java
@@ -19,7 +19,7 @@
  * @param directory the listed endpoints
  * @param loads state of the endpoints
  * @param answerMemory memory for answers that are received whole
- * @param availability what endpoints have told about taking requests
+ * @param availability what endpoints have stated about taking requests
  * @param endpointChooser chooses endpoints
  * @param modelChooser chooses models
  * @param retryBudgets returns the retry budget of a service by its name
--- a/router/src/test/java/baobabcroft/relay/EndpointAvailabilityPropertyTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointAvailabilityPropertyTest.java
@@ -97,18 +97,7 @@
         }
 
         private void restart(int index) {
-            EndpointEntry entry = starts.get(index);
-            starts.set(
-                    index,
-                    new EndpointEntry(
-                            entry.id(),
-                            entry.service(),
-                            entry.address(),
-                            entry.failureDomain(),
-                            entry.version(),
-                            entry.slots(),
-                            false,
-                            entry.startedAtEpochMillis() + 1));
+            starts.set(index, RelayFixture.restarted(starts.get(index)));
             relay.directory.put(starts.get(index));
         }
 
--- a/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
@@ -36,18 +36,6 @@
         return endpoint;
     }
 
-    private static EndpointEntry restarted(EndpointEntry entry) {
-        return new EndpointEntry(
-                entry.id(),
-                entry.service(),
-                entry.address(),
-                entry.failureDomain(),
-                entry.version(),
-                entry.slots(),
-                false,
-                entry.startedAtEpochMillis() + 1);
-    }
-
     @Nested
     class Leaving {
         private EndpointEntry leave() {
@@ -70,7 +58,7 @@
         }
 
         @Test
-        void isToldByRejectionsAndFailures() {
+        void isStatedByRejectionsAndFailures() {
             relay.start("/order/1", new Caller());
             relay.lastRequest().answer(503, "", NOT_RUN, LEAVING);
             String second = relay.lastRequest().endpoint.id();
@@ -83,7 +71,7 @@
 
         /** The answer belongs to an earlier request on the connection and is skipped. */
         @Test
-        void isToldByAnswersToOtherRequests() {
+        void isStatedByAnswersToOtherRequests() {
             relay.start("/order/1", new Caller());
             String endpoint = relay.lastRequest().endpoint.id();
             relay.lastRequest().listener.onOtherHead(200, Headers.copyOf(List.of(LEAVING)));
@@ -95,9 +83,9 @@
         @Test
         void endsWithTheNextStart() {
             EndpointEntry leaving = leave();
-            relay.directory.put(restarted(leaving));
+            relay.directory.put(RelayFixture.restarted(leaving));
 
-            assertTrue(relay.availability.isAvailable(restarted(leaving)));
+            assertTrue(relay.availability.isAvailable(RelayFixture.restarted(leaving)));
             assertFalse(relay.availability.isAvailable(leaving));
         }
 
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -49,9 +49,9 @@
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
     int answeredRequests;
-    /** How attempts ended, in this order, as the version selector was told. */
+    /** How attempts ended, in this order, as reported to the version selector. */
     final List<AttemptResult> results = new ArrayList<>();
-    /** First outputs that the version selector was told of. */
+    /** First outputs that were reported to the version selector. */
     int firstOutputs;
 
     /** A request sent to an endpoint, with methods to answer it. */
@@ -298,6 +298,19 @@
                 1);
     }
 
+    /** Returns the entry of an endpoint after its next start. */
+    static EndpointEntry restarted(EndpointEntry entry) {
+        return new EndpointEntry(
+                entry.id(),
+                entry.service(),
+                entry.address(),
+                entry.failureDomain(),
+                entry.version(),
+                entry.slots(),
+                false,
+                entry.startedAtEpochMillis() + 1);
+    }
+
     static RoutingTable table(long version) {
         Route chat = route("chat", RouteKind.STREAMING, 3, true, ImmutableList.of("small", "large"), "engines");
         Route order = route("order", RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders");
