--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -22,8 +22,8 @@
     /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
     private static final int MAX_ENDPOINTS = 4_000;
     /**
-     * Longest random extension of a pause, as a share of it. It keeps the instances that an endpoint has rejected at the
-     * same time from returning together.
+     * Longest random extension of a pause, as a share of it. It keeps instances that an endpoint has rejected together
+     * from returning together.
      */
     private static final double MAX_EXTENSION_SHARE = 0.25;
 
