Give each run of the model checker a temporary directory of its own

Cause: TLC unpacks its standard modules into java.io.tmpdir under fixed names and deletes them at its end. Seen while the test ran on the code before: Naturals.tla, Sequences.tla, FiniteSets.tla and TLC.tla directly in the temporary directory, in 22 of 60 looks. Two runs at the same time write and delete the same four files.

Ruled out: the specification and its bounds (the same test passed in the other run, and alone).

Change: the process's temporary directory is the run's own. With it, no such file was seen in 50 looks and the test passed. Its checks are unchanged.

--- a/router/src/test/java/baobabcroft/model/TlcRunner.java
+++ b/router/src/test/java/baobabcroft/model/TlcRunner.java
@@ -77,7 +77,7 @@
             Files.copy(SPECIFICATIONS.resolve(module + ".tla"), directory.resolve(module + ".tla"));
             Files.writeString(directory.resolve(module + ".cfg"), configuration());
             Path output = directory.resolve("output.txt");
-            Process process = new ProcessBuilder(command())
+            Process process = new ProcessBuilder(command(directory))
                     .directory(directory.toFile())
                     .redirectErrorStream(true)
                     .redirectOutput(output.toFile())
@@ -101,7 +101,7 @@
         return Joiner.on('\n').join(all) + '\n';
     }
 
-    private ImmutableList<String> command() {
+    private ImmutableList<String> command(Path directory) {
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
         String jar =
                 TLC.class.getProtectionDomain().getCodeSource().getLocation().getPath();
@@ -109,6 +109,8 @@
                 java.toString(),
                 "-Xmx2g",
                 "-XX:+UseParallelGC",
+                // TLC unpacks its modules here and deletes them at its end, which must not be those of another process.
+                "-Djava.io.tmpdir=" + directory,
                 "-cp",
                 jar,
                 TLC.class.getName(),
