Log the request limits that endpoints state

Neither logs nor metrics said what an endpoint states of its request rate, so the three hypotheses (not read, kept by each instance alone, kept at the choice only) could not be told apart. Nothing is decided by it yet: the rate of sends is as before.

Conclusion: with BC5021 next to BC7001, the sends of each instance after it was told can be counted from logs alone.

--- a/router/src/main/java/baobabcroft/instance/AvailabilityRecorder.java
+++ b/router/src/main/java/baobabcroft/instance/AvailabilityRecorder.java
@@ -34,4 +34,22 @@
         metrics.count("endpoints.pauses_unreadable");
         log.log(LogEvent.ENDPOINT_PAUSE_UNREADABLE, endpoint.id(), value);
     }
+
+    @Override
+    public void onLimited(EndpointEntry endpoint, double limitPerSecond) {
+        metrics.count("endpoints.limits_stated");
+        log.log(LogEvent.ENDPOINT_LIMITED, endpoint.id(), limitPerSecond);
+    }
+
+    @Override
+    public void onLimitEnded(EndpointEntry endpoint) {
+        metrics.count("endpoints.limits_ended");
+        log.log(LogEvent.ENDPOINT_LIMIT_ENDED, endpoint.id());
+    }
+
+    @Override
+    public void onUnreadableLimit(EndpointEntry endpoint, String value) {
+        metrics.count("endpoints.limits_unreadable");
+        log.log(LogEvent.ENDPOINT_LIMIT_UNREADABLE, endpoint.id(), value);
+    }
 }
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -125,6 +125,12 @@
     ENDPOINT_PAUSED(5019, INFO, "endpoint wants no requests for some time", "endpoint", "pauseMillis", "capped"),
     /** An endpoint has stated for how long it wants no requests, but not as a number of seconds. */
     ENDPOINT_PAUSE_UNREADABLE(5020, WARN, "pause stated by endpoint cannot be parsed; ignored", "endpoint", "value"),
+    /** An endpoint has stated how many requests a second it takes from all instances together. */
+    ENDPOINT_LIMITED(5021, INFO, "endpoint states a limit on its requests", "endpoint", "limitPerSecond"),
+    /** An endpoint has answered without the limit that it stated before. */
+    ENDPOINT_LIMIT_ENDED(5022, INFO, "endpoint states no limit any more", "endpoint"),
+    /** An endpoint has stated a limit on its requests, but not as a number. */
+    ENDPOINT_LIMIT_UNREADABLE(5023, WARN, "limit stated by endpoint cannot be parsed; ignored", "endpoint", "value"),
     /** Several endpoints crashed when they were about to answer requests with a prompt part. */
     PROMPT_PART_STOPPED(
             5016, ERROR, "prompt part crashes endpoints; requests with it are refused", "part", "endpoints"),
--- a/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
+++ b/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
@@ -15,6 +15,7 @@
  * @param confidencePercent the model's confidence in its answer, in percent; empty if not given
  * @param leaving whether the endpoint states that it is shutting down
  * @param pauseSeconds seconds for which the endpoint wants no requests, as stated with a rejection; empty if not given
+ * @param limitPerSecond requests a second that the endpoint takes from all instances together; empty if not given
  */
 public record AnswerMetadata(
         boolean notRun,
@@ -23,10 +24,12 @@
         boolean encoded,
         OptionalInt confidencePercent,
         boolean leaving,
-        Optional<String> pauseSeconds) {
+        Optional<String> pauseSeconds,
+        Optional<String> limitPerSecond) {
     /** Validates the components. */
     public AnswerMetadata {
         checkNotNull(confidencePercent);
         checkNotNull(pauseSeconds);
+        checkNotNull(limitPerSecond);
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -10,6 +10,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
@@ -49,6 +51,7 @@
     private static final class Statement {
         private boolean leaving;
         private long pausedUntilMillis = Long.MIN_VALUE;
+        private OptionalDouble limitPerSecond = OptionalDouble.empty();
     }
 
     /** Notified of what endpoints state. */
@@ -76,6 +79,29 @@
          * @param value what it stated
          */
         void onUnreadablePause(EndpointEntry endpoint, String value);
+
+        /**
+         * Called when an endpoint has stated a limit on the rate of requests, or another one than before.
+         *
+         * @param endpoint the endpoint
+         * @param limitPerSecond requests a second that it takes from all instances together
+         */
+        void onLimited(EndpointEntry endpoint, double limitPerSecond);
+
+        /**
+         * Called when an endpoint no longer states a limit on the rate of requests.
+         *
+         * @param endpoint the endpoint
+         */
+        void onLimitEnded(EndpointEntry endpoint);
+
+        /**
+         * Called when an endpoint has stated a limit that is not a number, which is ignored.
+         *
+         * @param endpoint the endpoint
+         * @param value what it stated
+         */
+        void onUnreadableLimit(EndpointEntry endpoint, String value);
     }
 
     private EndpointAvailability(
@@ -110,6 +136,7 @@
     void onAnswer(EndpointEntry endpoint, AnswerMetadata answer) {
         onOtherAnswer(endpoint, answer);
         answer.pauseSeconds().ifPresent(seconds -> pause(endpoint, seconds));
+        limit(endpoint, answer.limitPerSecond());
     }
 
     /**
@@ -141,9 +168,36 @@
         listener.onPaused(endpoint, pauseMillis, capped);
     }
 
+    private void limit(EndpointEntry endpoint, Optional<String> stated) {
+        OptionalDouble perSecond =
+                stated.map(EndpointAvailability::parseDecimal).orElse(OptionalDouble.empty());
+        if (stated.isPresent() && perSecond.isEmpty()) {
+            listener.onUnreadableLimit(endpoint, stated.get());
+            return;
+        }
+        Statement statement = statementOf(endpoint);
+        if (statement.limitPerSecond.equals(perSecond)) {
+            return;
+        }
+        statement.limitPerSecond = perSecond;
+        if (perSecond.isPresent()) {
+            listener.onLimited(endpoint, perSecond.getAsDouble());
+        } else {
+            listener.onLimitEnded(endpoint);
+        }
+    }
+
     /** Returns a number of seconds, which may have a fraction, in milliseconds; empty for anything else. */
     private static OptionalLong parseMillis(String seconds) {
-        List<String> parts = Splitter.on('.').splitToList(seconds.strip());
+        OptionalDouble parsed = parseDecimal(seconds);
+        return parsed.isPresent()
+                ? OptionalLong.of((long) Math.ceil(parsed.getAsDouble() * MILLIS_PER_SECOND))
+                : OptionalLong.empty();
+    }
+
+    /** Returns a number without sign or exponent, which may have a fraction; empty for anything else. */
+    private static OptionalDouble parseDecimal(String text) {
+        List<String> parts = Splitter.on('.').splitToList(text.strip());
         String whole = parts.get(0);
         String fraction = parts.size() == 2 ? parts.get(1) : "0";
         boolean isNumber = parts.size() <= 2
@@ -152,9 +206,7 @@
                 && whole.length() <= MAX_DIGITS
                 && DIGITS.matchesAllOf(whole)
                 && DIGITS.matchesAllOf(fraction);
-        return isNumber
-                ? OptionalLong.of((long) Math.ceil(Double.parseDouble(whole + '.' + fraction) * MILLIS_PER_SECOND))
-                : OptionalLong.empty();
+        return isNumber ? OptionalDouble.of(Double.parseDouble(whole + '.' + fraction)) : OptionalDouble.empty();
     }
 
     /**
--- a/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
@@ -204,7 +204,39 @@
         }
 
         private AnswerMetadata answerWithPause(String seconds) {
-            return new AnswerMetadata(true, false, true, false, OptionalInt.empty(), false, Optional.of(seconds));
+            return new AnswerMetadata(
+                    true, false, true, false, OptionalInt.empty(), false, Optional.of(seconds), Optional.empty());
+        }
+    }
+
+    @Nested
+    class Limits {
+        private void answerWithLimit(String limit) {
+            relay.start("/order/1", new Caller());
+            relay.lastRequest().answer(200, "done", new Header("limit", limit));
+        }
+
+        @Test
+        void areReportedWhenTheyChangeAndWhenTheyEnd() {
+            relay.start("/order/1", new Caller());
+            RelayFixture.SentRequest first = relay.lastRequest();
+            String id = first.endpoint.id();
+            first.answer(200, "done", new Header("limit", "2"));
+            first.head(200, new Header("limit", "2"));
+            first.head(200, new Header("limit", "0.5"));
+            first.head(200);
+
+            assertEquals(
+                    List.of("limited " + id + " 2.0", "limited " + id + " 0.5", "limit ended " + id), relay.statements);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"-1", "many", "", "1e9", "NaN", "1.2.3"})
+        void ignoreWhatIsNoNumber(String value) {
+            answerWithLimit(value);
+
+            String id = relay.lastRequest().endpoint.id();
+            assertEquals(List.of("unreadable limit " + id + ' ' + value), relay.statements);
         }
     }
 
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -173,7 +173,8 @@
                     false,
                     confidence,
                     headers.first("leaving").isPresent(),
-                    headers.first("pause"));
+                    headers.first("pause"),
+                    headers.first("limit"));
         }
 
         @Override
@@ -219,6 +220,21 @@
         public void onUnreadablePause(EndpointEntry endpoint, String value) {
             statements.add("unreadable " + endpoint.id() + ' ' + value);
         }
+
+        @Override
+        public void onLimited(EndpointEntry endpoint, double limitPerSecond) {
+            statements.add("limited " + endpoint.id() + ' ' + limitPerSecond);
+        }
+
+        @Override
+        public void onLimitEnded(EndpointEntry endpoint) {
+            statements.add("limit ended " + endpoint.id());
+        }
+
+        @Override
+        public void onUnreadableLimit(EndpointEntry endpoint, String value) {
+            statements.add("unreadable limit " + endpoint.id() + ' ' + value);
+        }
     }
 
     private final class RecordingListener implements RelayListener {
