Share the limit that an endpoint states between all instances

Cause: Server-Limit was not read, and nothing in the product could have kept to it: what endpoints state (leaving, pause) holds for one instance alone, and a limit for each instance alone would be exceeded as many times as there are instances. Class of fault: a bound of the whole fleet that each part treats as its own, or not at all.

Ruled out: an even part for each instance (9 to 300 parts with one saved request each exceed 11 in 4 s at once); counting each other's sends by notices (as many sends as instances within one notice); tokens in the store (a call a request).

Change: SharedRate. All instances rank the known instances by the same hash for each start of an endpoint; rate + 2 of them hold equal parts, so bursts of all stay within rate + 2. New holders start with a fraction of one request. StatedLimit: a lower limit applies at once, a higher one or the end only by the answer to a request sent after the last statement, and instances return within a random second. A SendPermit is taken at the choice and confirmed when the connection is open; what is not sent is given back, for all sends: retries, larger models, resumed streams, orders. If no endpoint takes more, callers are refused at once with the time of this instance's next request.

EndpointLimitFleetTest had compared Long.MAX_VALUE + 500 with the time of a send, so it also counted instances that were not told yet; corrected.

--- a/router/src/main/java/baobabcroft/directory/EndpointEntry.java
+++ b/router/src/main/java/baobabcroft/directory/EndpointEntry.java
@@ -36,6 +36,15 @@
         checkArgument(slots > 0, "slots not positive: %s", slots);
     }
 
+    /**
+     * Returns a text that names this start of the endpoint and no other.
+     *
+     * @return the id, the address and the start time
+     */
+    public String incarnation() {
+        return id + '@' + address + '#' + startedAtEpochMillis;
+    }
+
     /**
      * Returns whether another entry describes the same process.
      *
--- a/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
@@ -38,7 +38,6 @@
     private final Scheduler readScheduler;
     private final BiPredicate<String, Headers> isResponseTo;
     private final Predicate<EndpointRequest> needsFreshConnection;
-    private final Predicate<EndpointEntry> acceptsRequests;
     private final Map<String, Deque<EndpointConnection>> idleByKey = new HashMap<>();
 
     /**
@@ -48,30 +47,30 @@
      * @param readScheduler schedules the reads of answers that are read at intervals
      * @param isResponseTo whether the headers of a response belong to the request with the given id
      * @param needsFreshConnection whether a request must not use an idle connection, which the endpoint may be closing
-     * @param acceptsRequests whether an endpoint still accepts requests; asked again once a connection has been opened
      */
     public EndpointConnectionPool(
             EventLoop loop,
             Scheduler readScheduler,
             BiPredicate<String, Headers> isResponseTo,
-            Predicate<EndpointRequest> needsFreshConnection,
-            Predicate<EndpointEntry> acceptsRequests) {
+            Predicate<EndpointRequest> needsFreshConnection) {
         this.loop = checkNotNull(loop);
         this.readScheduler = checkNotNull(readScheduler);
         this.isResponseTo = checkNotNull(isResponseTo);
         this.needsFreshConnection = checkNotNull(needsFreshConnection);
-        this.acceptsRequests = checkNotNull(acceptsRequests);
     }
 
     @Override
     public Exchange send(EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
         PendingExchange exchange = new PendingExchange(request, listener);
-        String key = keyOf(endpoint);
+        String key = endpoint.incarnation();
         EndpointConnection pooled = needsFreshConnection.test(request) ? null : takeIdle(key);
-        if (pooled != null) {
+        if (pooled == null) {
+            connect(endpoint, key, exchange);
+        } else if (listener.confirmSend()) {
             pooled.send(exchange);
         } else {
-            connect(endpoint, key, exchange);
+            putIdle(key, pooled);
+            loop.execute(() -> exchange.fail(SendFailure.ENDPOINT_UNAVAILABLE));
         }
         return exchange;
     }
@@ -82,7 +81,7 @@
      * @param endpoint last known entry of the endpoint
      */
     public void closeIdle(EndpointEntry endpoint) {
-        Deque<EndpointConnection> connections = idleByKey.remove(keyOf(endpoint));
+        Deque<EndpointConnection> connections = idleByKey.remove(endpoint.incarnation());
         if (connections != null) {
             connections.forEach(connection -> connection.channel().close());
         }
@@ -104,6 +103,7 @@
     }
 
     private void connect(EndpointEntry endpoint, String key, PendingExchange exchange) {
+        ExchangeListener listener = exchange.listener();
         EndpointConnection connection =
                 new EndpointConnection(readScheduler, isResponseTo, pooled -> putIdle(key, pooled), this::removeIdle);
         connection.poolKey = key;
@@ -117,7 +117,7 @@
         connectFuture.addListener(done -> {
             if (exchange.isDone()) {
                 connectFuture.channel().close();
-            } else if (done.isSuccess() && !acceptsRequests.test(endpoint)) {
+            } else if (done.isSuccess() && !listener.confirmSend()) {
                 connectFuture.channel().close();
                 exchange.fail(SendFailure.ENDPOINT_UNAVAILABLE);
             } else if (done.isSuccess()) {
@@ -157,10 +157,6 @@
         }
     }
 
-    private static String keyOf(EndpointEntry endpoint) {
-        return endpoint.id() + '@' + endpoint.address() + '#' + endpoint.startedAtEpochMillis();
-    }
-
     /** A request that has been sent, or waits for its connection, and has not completed. */
     static final class PendingExchange implements Exchange {
         private final EndpointRequest request;
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -10,6 +10,7 @@
 import baobabcroft.front.EndpointConnectionPool;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
+import baobabcroft.limit.SharedRate;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.log.BoundedAppender;
 import baobabcroft.log.EventLog;
@@ -86,6 +87,9 @@
     private final EndpointDirectory directory = new EndpointDirectory();
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final EndpointConnectionPool connections;
+    private final UniformRandomProvider random =
+            new XoRoShiRo128PlusPlus(ThreadLocalRandom.current().nextLong(), System.nanoTime());
+    private final FleetMembers members;
     private final PeerLoads peerLoads;
     private final EndpointLoads loads;
     private final EndpointAvailability availability;
@@ -114,16 +118,17 @@
         this.loop = checkNotNull(loop);
         this.scheduler = Scheduler.onExecutor(loop.next());
         this.aligned = Scheduler.aligned(scheduler, nowMillis, WAKE_PERIOD_MILLIS);
-        UniformRandomProvider random =
-                new XoRoShiRo128PlusPlus(ThreadLocalRandom.current().nextLong(), System.nanoTime());
+        this.members = new FleetMembers(
+                settings.instance(), scheduler, settings.bounds().contactMillis());
         this.connections = new EndpointConnectionPool(
-                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable(), this::acceptsRequests);
+                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable());
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
         this.availability = EndpointAvailability.create(
                 nowMillis,
                 random::nextDouble,
                 () -> this.settings.maxEndpointPauseMillis(),
+                this::sharedRate,
                 new AvailabilityRecorder(metrics));
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
@@ -216,6 +221,7 @@
     private final class Peers implements SharedStoreRecords.PeerLocations {
         @Override
         public void onLocation(String peer, InstanceLocation location) {
+            members.add(peer);
             HostAndPort address = HostAndPort.fromString(location.address());
             noticeExchange.ifPresent(notices -> notices.putPeer(peer, address, location.failureDomain()));
             if (location.failureDomain().equals(settings.failureDomain())) {
@@ -225,6 +231,7 @@
 
         @Override
         public void onLocationDeleted(String peer) {
+            members.remove(peer);
             noticeExchange.ifPresent(notices -> notices.removePeer(peer));
             store.removeMember(peer);
         }
@@ -358,8 +365,9 @@
         return noticeExchange.map(NoticeExchange::instanceCount).orElse(1);
     }
 
-    private boolean acceptsRequests(EndpointEntry endpoint) {
-        return availability.isAvailable(endpoint);
+    private SharedRate sharedRate(String incarnation, double perSecond) {
+        return SharedRate.create(
+                incarnation, settings.instance(), members::names, perSecond, nowMillis, random::nextDouble);
     }
 
     private void onEndpointRemoved(EndpointEntry endpoint) {
--- a/router/src/main/java/baobabcroft/limit/TokenBucket.java
+++ b/router/src/main/java/baobabcroft/limit/TokenBucket.java
@@ -10,9 +10,13 @@
     private long refilledAtMillis;
 
     TokenBucket(double ratePerSecond, double maxTokens, long nowMillis) {
+        this(ratePerSecond, maxTokens, maxTokens, nowMillis);
+    }
+
+    TokenBucket(double ratePerSecond, double maxTokens, double tokens, long nowMillis) {
         this.ratePerSecond = ratePerSecond;
         this.maxTokens = maxTokens;
-        this.tokens = maxTokens;
+        this.tokens = tokens;
         this.refilledAtMillis = nowMillis;
     }
 
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -68,6 +68,8 @@
     private final EndpointLoads.InFlightRequest inFlightRequest;
     private final Owner owner;
     private final AttemptMonitor monitor;
+    private final SendPermit permit;
+    private final long startedAtMillis;
     private final EventSplitter events = new EventSplitter();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private EndpointTransport.Exchange exchange = () -> {};
@@ -94,6 +96,8 @@
         this.inFlightRequest = inFlightRequest;
         this.owner = owner;
         this.monitor = services.versionSelector().monitorAttempt(endpoint, admitted.route());
+        this.permit = services.availability().permit(endpoint);
+        this.startedAtMillis = services.nowMillis().getAsLong();
     }
 
     /** Sends a request to an endpoint and returns the attempt in progress. */
@@ -190,6 +194,11 @@
         }
     }
 
+    @Override
+    public boolean confirmSend() {
+        return permit.confirm();
+    }
+
     @Override
     public void onOtherHead(int otherStatus, Headers otherHeaders) {
         services.availability().onOtherAnswer(endpoint, services.dialect().readAnswer(otherStatus, otherHeaders));
@@ -198,7 +207,7 @@
     @Override
     public void onHead(int newStatus, Headers newHeaders) {
         AnswerMetadata answer = services.dialect().readAnswer(newStatus, newHeaders);
-        services.availability().onAnswer(endpoint, answer);
+        services.availability().onAnswer(endpoint, answer, startedAtMillis);
         if (ended) {
             return;
         }
@@ -356,6 +365,7 @@
             services.answerMemory().release(body.size());
         }
         ended = true;
+        permit.release();
         inactivityTimer.cancel();
         return wasOpen;
     }
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.limit.SharedRate;
 import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
@@ -10,15 +11,19 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
+import java.util.function.BiConsumer;
+import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
 
 /**
- * What endpoints have stated in their answers to this instance: that they are shutting down, or that they want no
- * requests for some time. It holds for one start of an endpoint, whatever the endpoint list says. Not thread-safe.
+ * What endpoints have stated in their answers to this instance: that they are shutting down, that they want no requests
+ * for some time, or how many they take from all instances together. It holds for one start of an endpoint, whatever the
+ * endpoint list says. Not thread-safe.
  */
 public final class EndpointAvailability {
     /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
@@ -37,6 +42,7 @@
     private final LongSupplier nowMillis;
     private final DoubleSupplier random;
     private final LongSupplier maxPauseMillis;
+    private final SharedRateFactory sharedRates;
     private final Listener listener;
     private final Map<String, Statement> statements = new LinkedHashMap<>(16, 0.75F, true) {
         private static final long serialVersionUID = 1L;
@@ -49,9 +55,26 @@
 
     /** What one start of an endpoint has stated. */
     private static final class Statement {
+        private final StatedLimit limit;
         private boolean leaving;
         private long pausedUntilMillis = Long.MIN_VALUE;
-        private OptionalDouble limitPerSecond = OptionalDouble.empty();
+
+        private Statement(StatedLimit limit) {
+            this.limit = limit;
+        }
+    }
+
+    /** Creates this instance's parts of the limits that endpoints state. */
+    @FunctionalInterface
+    public interface SharedRateFactory {
+        /**
+         * Returns this instance's part of a limit.
+         *
+         * @param incarnation names one start of the endpoint
+         * @param perSecond requests a second that the endpoint takes from all instances together
+         * @return the part
+         */
+        SharedRate create(String incarnation, double perSecond);
     }
 
     /** Notified of what endpoints state. */
@@ -105,10 +128,15 @@
     }
 
     private EndpointAvailability(
-            LongSupplier nowMillis, DoubleSupplier random, LongSupplier maxPauseMillis, Listener listener) {
+            LongSupplier nowMillis,
+            DoubleSupplier random,
+            LongSupplier maxPauseMillis,
+            SharedRateFactory sharedRates,
+            Listener listener) {
         this.nowMillis = nowMillis;
         this.random = random;
         this.maxPauseMillis = maxPauseMillis;
+        this.sharedRates = sharedRates;
         this.listener = listener;
     }
 
@@ -118,13 +146,22 @@
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of numbers in [0, 1) that spread the ends of pauses
      * @param maxPauseMillis supplies the operator's limit on pauses, in milliseconds; longer ones are shortened to it
+     * @param sharedRates creates this instance's parts of the limits that endpoints state
      * @param listener notified of what endpoints state
      * @return the new object
      */
     public static EndpointAvailability create(
-            LongSupplier nowMillis, DoubleSupplier random, LongSupplier maxPauseMillis, Listener listener) {
+            LongSupplier nowMillis,
+            DoubleSupplier random,
+            LongSupplier maxPauseMillis,
+            SharedRateFactory sharedRates,
+            Listener listener) {
         return new EndpointAvailability(
-                checkNotNull(nowMillis), checkNotNull(random), checkNotNull(maxPauseMillis), checkNotNull(listener));
+                checkNotNull(nowMillis),
+                checkNotNull(random),
+                checkNotNull(maxPauseMillis),
+                checkNotNull(sharedRates),
+                checkNotNull(listener));
     }
 
     /**
@@ -132,21 +169,27 @@
      *
      * @param endpoint the endpoint that answered
      * @param answer what its status and headers say
+     * @param sentAtMillis when the request was sent, by the monotonic clock in milliseconds
      */
-    void onAnswer(EndpointEntry endpoint, AnswerMetadata answer) {
-        onOtherAnswer(endpoint, answer);
+    void onAnswer(EndpointEntry endpoint, AnswerMetadata answer, long sentAtMillis) {
+        leaving(endpoint, answer);
         answer.pauseSeconds().ifPresent(seconds -> pause(endpoint, seconds));
-        limit(endpoint, answer.limitPerSecond());
+        limit(endpoint, answer, (limit, stated) -> limit.onAnswer(stated, sentAtMillis));
     }
 
     /**
      * Takes in an answer to another request than the open one, such as a second copy. It may state that the endpoint is
-     * shutting down, but no pause, as that would prolong the first copy's.
+     * shutting down or a lower limit, but no pause, as that would prolong the first copy's.
      *
      * @param endpoint the endpoint that answered
      * @param answer what its status and headers say
      */
     void onOtherAnswer(EndpointEntry endpoint, AnswerMetadata answer) {
+        leaving(endpoint, answer);
+        limit(endpoint, answer, StatedLimit::onOtherAnswer);
+    }
+
+    private void leaving(EndpointEntry endpoint, AnswerMetadata answer) {
         if (answer.leaving() && !statementOf(endpoint).leaving) {
             statementOf(endpoint).leaving = true;
             listener.onLeaving(endpoint);
@@ -168,21 +211,25 @@
         listener.onPaused(endpoint, pauseMillis, capped);
     }
 
-    private void limit(EndpointEntry endpoint, Optional<String> stated) {
-        OptionalDouble perSecond =
-                stated.map(EndpointAvailability::parseDecimal).orElse(OptionalDouble.empty());
-        if (stated.isPresent() && perSecond.isEmpty()) {
-            listener.onUnreadableLimit(endpoint, stated.get());
-            return;
+    private void limit(EndpointEntry endpoint, AnswerMetadata answer, BiConsumer<StatedLimit, OptionalDouble> update) {
+        OptionalDouble stated = OptionalDouble.empty();
+        if (answer.limitPerSecond().isPresent()) {
+            stated = parseDecimal(answer.limitPerSecond().get());
+            if (stated.isEmpty()) {
+                listener.onUnreadableLimit(endpoint, answer.limitPerSecond().get());
+                return;
+            }
         }
-        Statement statement = statementOf(endpoint);
-        if (statement.limitPerSecond.equals(perSecond)) {
+        if (stated.isEmpty() && !statements.containsKey(endpoint.incarnation())) {
             return;
         }
-        statement.limitPerSecond = perSecond;
-        if (perSecond.isPresent()) {
-            listener.onLimited(endpoint, perSecond.getAsDouble());
-        } else {
+        StatedLimit limit = statementOf(endpoint).limit;
+        OptionalDouble before = limit.perSecond();
+        update.accept(limit, stated);
+        OptionalDouble after = limit.perSecond();
+        if (after.isPresent() && !after.equals(before)) {
+            listener.onLimited(endpoint, after.getAsDouble());
+        } else if (after.isEmpty() && before.isPresent()) {
             listener.onLimitEnded(endpoint);
         }
     }
@@ -210,46 +257,82 @@
     }
 
     /**
-     * Returns whether an endpoint may get requests.
+     * Returns whether an endpoint may get a request now.
      *
      * @param endpoint the endpoint
-     * @return false if it is shutting down or wants none yet
+     * @return false if it is shutting down, wants none yet, or takes none of this instance at the moment
      */
     public boolean isAvailable(EndpointEntry endpoint) {
-        Statement statement = statements.get(keyOf(endpoint));
-        return statement == null || (!statement.leaving && statement.pausedUntilMillis <= nowMillis.getAsLong());
+        Statement statement = statements.get(endpoint.incarnation());
+        return statement == null || (isOpen(statement) && statement.limit.isAvailable());
+    }
+
+    private boolean isOpen(Statement statement) {
+        return !statement.leaving && statement.pausedUntilMillis <= nowMillis.getAsLong();
+    }
+
+    /** Returns a permit for one request to an endpoint that has just been chosen. */
+    SendPermit permit(EndpointEntry endpoint) {
+        Optional<Boolean> taken = tryTake(endpoint);
+        BooleanSupplier onConfirm = () -> {
+            Statement statement = statements.get(endpoint.incarnation());
+            return (statement == null || isOpen(statement))
+                    && taken.or(() -> tryTake(endpoint)).orElse(true);
+        };
+        Runnable onRelease = () -> {
+            if (taken.orElse(false)) {
+                statementOf(endpoint).limit.giveBack();
+            }
+        };
+        return new SendPermit(onConfirm, onRelease);
+    }
+
+    private Optional<Boolean> tryTake(EndpointEntry endpoint) {
+        Statement statement = statements.get(endpoint.incarnation());
+        return statement == null ? Optional.empty() : statement.limit.tryTake();
     }
 
     /** Returns the endpoints that have not stated that they are shutting down. */
     ImmutableList<EndpointEntry> withoutLeaving(Collection<EndpointEntry> endpoints) {
         return endpoints.stream()
                 .filter(endpoint -> {
-                    Statement statement = statements.get(keyOf(endpoint));
+                    Statement statement = statements.get(endpoint.incarnation());
                     return statement == null || !statement.leaving;
                 })
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the endpoints that may get requests. */
+    /** Returns the endpoints that may get a request now. */
     ImmutableList<EndpointEntry> available(Collection<EndpointEntry> endpoints) {
         return endpoints.stream().filter(this::isAvailable).collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the time until the first pause of the endpoints ends, in milliseconds; empty if none is paused. */
+    /**
+     * Returns the time until the first of the endpoints takes a request of this instance, in milliseconds; empty if
+     * that is not known of any, or no endpoint has stated anything.
+     */
     OptionalLong soonestMillis(Collection<EndpointEntry> endpoints) {
-        long now = nowMillis.getAsLong();
         return withoutLeaving(endpoints).stream()
-                .map(endpoint -> statements.get(keyOf(endpoint)))
-                .filter(statement -> statement != null && statement.pausedUntilMillis > now)
-                .mapToLong(statement -> statement.pausedUntilMillis - now)
+                .map(endpoint -> statements.get(endpoint.incarnation()))
+                .filter(Objects::nonNull)
+                .map(this::millisUntilAvailable)
+                .flatMapToLong(OptionalLong::stream)
+                .filter(millis -> millis > 0)
                 .min();
     }
 
-    private Statement statementOf(EndpointEntry endpoint) {
-        return statements.computeIfAbsent(keyOf(endpoint), unused -> new Statement());
+    private OptionalLong millisUntilAvailable(Statement statement) {
+        long pauseMillis = Math.max(0, statement.pausedUntilMillis - nowMillis.getAsLong());
+        OptionalLong limitMillis = statement.limit.millisUntilAvailable();
+        return limitMillis.isPresent()
+                ? OptionalLong.of(Math.max(pauseMillis, limitMillis.getAsLong()))
+                : OptionalLong.empty();
     }
 
-    private static String keyOf(EndpointEntry endpoint) {
-        return endpoint.id() + '@' + endpoint.address() + '#' + endpoint.startedAtEpochMillis();
+    private Statement statementOf(EndpointEntry endpoint) {
+        return statements.computeIfAbsent(
+                endpoint.incarnation(),
+                incarnation -> new Statement(
+                        new StatedLimit(nowMillis, random, perSecond -> sharedRates.create(incarnation, perSecond))));
     }
 }
--- a/router/src/main/java/baobabcroft/relay/ExchangeListener.java
+++ b/router/src/main/java/baobabcroft/relay/ExchangeListener.java
@@ -2,6 +2,16 @@
 
 /** Receives an endpoint's answer: status and headers, data and an end, or a failure at any point. */
 public interface ExchangeListener {
+    /**
+     * Called once, right before the request is sent. May be called before the method that sends it has returned.
+     *
+     * @return false if the endpoint must not get the request any more; the transport then reports
+     *     {@link SendFailure#ENDPOINT_UNAVAILABLE}
+     */
+    default boolean confirmSend() {
+        return true;
+    }
+
     /**
      * Called once, with the status and headers of the answer.
      *
--- a/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -171,8 +172,8 @@
             relay.start("/order/1", new Caller());
             RelayFixture.SentRequest first = relay.lastRequest();
             EndpointEntry endpoint = first.endpoint;
-            relay.availability.onAnswer(endpoint, answerWithPause("5"));
-            relay.availability.onAnswer(endpoint, answerWithPause("0.1"));
+            relay.availability.onAnswer(endpoint, answerWithPause("5"), 0);
+            relay.availability.onAnswer(endpoint, answerWithPause("0.1"), 0);
             relay.advance(1_000);
 
             assertFalse(relay.availability.isAvailable(endpoint));
@@ -230,6 +231,102 @@
                     List.of("limited " + id + " 2.0", "limited " + id + " 0.5", "limit ended " + id), relay.statements);
         }
 
+        /** An answer that was on its way for long must not let more requests through. */
+        @Test
+        void areNeitherRaisedNorEndedByAnswersToEarlierRequests() {
+            EndpointEntry endpoint = RelayFixture.endpoint("orders", 1);
+            relay.advance(1_000);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("2")), 900);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("5")), 900);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.empty()), 999);
+            relay.availability.onOtherAnswer(endpoint, answerWithLimit(Optional.of("9")));
+            assertEquals(List.of("limited orders-1 2.0"), relay.statements);
+
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("1")), 900);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("5")), 1_000);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.empty()), 1_000);
+            assertEquals(
+                    List.of(
+                            "limited orders-1 2.0",
+                            "limited orders-1 1.0",
+                            "limited orders-1 5.0",
+                            "limit ended orders-1"),
+                    relay.statements);
+        }
+
+        /** Guards against a burst: all instances learn of the end of a limit at about the same time. */
+        @Test
+        void endWithADelayOfEachInstance() {
+            EndpointEntry endpoint = RelayFixture.endpoint("orders", 1);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("2")), 0);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.empty()), 0);
+            assertFalse(relay.availability.isAvailable(endpoint));
+            relay.advance(500);
+
+            assertTrue(relay.availability.isAvailable(endpoint));
+        }
+
+        @Test
+        void endWithTheNextStart() {
+            EndpointEntry endpoint = RelayFixture.endpoint("orders", 1);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("0")), 0);
+
+            assertFalse(relay.availability.isAvailable(endpoint));
+            assertTrue(relay.availability.isAvailable(RelayFixture.restarted(endpoint)));
+        }
+
+        /** Guards against LIMIT: the limit was stated while the connection was being opened. */
+        @Test
+        void holdForRequestsThatWaitForTheirConnection() {
+            EndpointEntry endpoint = RelayFixture.endpoint("orders", 1);
+            SendPermit permit = relay.availability.permit(endpoint);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("0")), 0);
+
+            assertFalse(permit.confirm());
+        }
+
+        @Test
+        void countOnlyRequestsThatWereSent() {
+            EndpointEntry endpoint = RelayFixture.endpoint("orders", 1);
+            relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("0")), 0);
+            relay.advance(60_000);
+            SendPermit first = relay.availability.permit(endpoint);
+            SendPermit second = relay.availability.permit(endpoint);
+            assertFalse(relay.availability.isAvailable(endpoint));
+            first.release();
+            assertTrue(relay.availability.isAvailable(endpoint));
+            assertTrue(second.confirm());
+            second.release();
+
+            assertTrue(relay.availability.permit(endpoint).confirm());
+            assertFalse(relay.availability.isAvailable(endpoint));
+        }
+
+        /** Nothing is held until its deadline: the caller can come back to another instance. */
+        @Test
+        void refuseAtOnceIfNoEndpointTakesMore() {
+            List<EndpointEntry> endpoints = IntStream.rangeClosed(1, 3)
+                    .mapToObj(i -> RelayFixture.endpoint("orders", i))
+                    .toList();
+            endpoints.forEach(
+                    endpoint -> relay.availability.onAnswer(endpoint, answerWithLimit(Optional.of("0.5")), 0));
+            long soonestMillis = relay.availability.soonestMillis(endpoints).orElseThrow();
+            Caller caller = new Caller();
+            relay.start("/order/1", caller);
+
+            assertTrue(caller.ended);
+            assertEquals(Execution.NOT_RUN, relay.summaries.get(0).execution());
+            long retryMillis =
+                    Long.parseLong(caller.headers.first("retry-after-millis").orElseThrow());
+            assertTrue(
+                    soonestMillis > 0 && retryMillis > soonestMillis && retryMillis < soonestMillis + 600,
+                    "retry after " + retryMillis + ", soonest " + soonestMillis);
+        }
+
+        private AnswerMetadata answerWithLimit(Optional<String> limit) {
+            return new AnswerMetadata(false, false, true, false, OptionalInt.empty(), false, Optional.empty(), limit);
+        }
+
         @ParameterizedTest
         @ValueSource(strings = {"-1", "many", "", "1e9", "NaN", "1.2.3"})
         void ignoreWhatIsNoNumber(String value) {
--- a/router/src/test/java/baobabcroft/relay/EndpointLimitFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointLimitFleetTest.java
@@ -4,9 +4,11 @@
 
 import baobabcroft.relay.RelayFixture.Caller;
 import baobabcroft.relay.RelayFixture.SentRequest;
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -59,8 +61,11 @@
             this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
             this.limitPerSecond = limitPerSecond;
             this.requestsPerSecond = requestsPerSecond;
+            ImmutableSet<String> names = IntStream.range(0, instanceCount)
+                    .mapToObj(i -> "instance-" + i)
+                    .collect(ImmutableSet.toImmutableSet());
             for (int i = 0; i < instanceCount; i++) {
-                instances.add(new Instance(RelayFixture.create()));
+                instances.add(new Instance(RelayFixture.create("instance-" + i, () -> names)));
             }
         }
 
@@ -83,7 +88,7 @@
             for (; instance.seen < instance.relay.sentRequests.size(); instance.seen++) {
                 SentRequest sent = instance.relay.sentRequests.get(instance.seen);
                 instance.open.add(new Open(sent, sent.sentAtMillis + ANSWER_MILLIS));
-                if (isLimited(sent) && sent.sentAtMillis >= instance.toldAtMillis + TOLD_MILLIS) {
+                if (isLimited(sent) && sent.sentAtMillis - TOLD_MILLIS >= instance.toldAtMillis) {
                     countedAtMillis.add(sent.sentAtMillis);
                 }
             }
@@ -121,6 +126,13 @@
                     .orElse(0);
         }
 
+        private long sentAtLimit() {
+            return instances.stream()
+                    .flatMap(instance -> instance.relay.sentRequests.stream())
+                    .filter(sent -> isLimited(sent) && sent.sentAtMillis >= LIMITED_FROM_MILLIS + WINDOW_MILLIS)
+                    .count();
+        }
+
         private double allowedInWindow() {
             return WINDOW_FACTOR * limitPerSecond * WINDOW_MILLIS / 1_000 + WINDOW_SLACK;
         }
@@ -138,4 +150,14 @@
                     play.mostInWindow() + " sends in 4 s, allowed " + play.allowedInWindow() + ", seed " + seed);
         }
     }
+
+    /** An endpoint in need still gets what it takes, also where each instance's even part is below one request. */
+    @ParameterizedTest(name = "{0} instances, limit {1}/s, {2} requests/s")
+    @CsvSource({"9, 1, 20", "9, 6, 40", "82, 1, 200", "300, 1, 300"})
+    void theLimitIsUsed(int instances, double limitPerSecond, double requestsPerSecond) {
+        double seconds = (DURATION_MILLIS - LIMITED_FROM_MILLIS - WINDOW_MILLIS) / 1_000.0;
+        Play play = new Play(0, instances, limitPerSecond, requestsPerSecond).run();
+
+        assertTrue(play.sentAtLimit() >= 0.5 * limitPerSecond * seconds, "sent " + play.sentAtLimit());
+    }
 }
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -5,6 +5,7 @@
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.limit.SharedRate;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.retry.RetryBudget;
 import baobabcroft.routing.AccountProfile;
@@ -17,6 +18,7 @@
 import baobabcroft.routing.ServiceProfile;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -24,6 +26,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 
 /** Runs relayed requests on one thread without a network: sent requests are recorded, and time is virtual. */
@@ -43,8 +47,7 @@
     /** What the availability reported, such as "leaving engines-1". */
     final List<String> statements = new ArrayList<>();
 
-    final EndpointAvailability availability =
-            EndpointAvailability.create(this::now, () -> 0.5, () -> 60_000, new RecordingAvailability());
+    final EndpointAvailability availability;
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
@@ -290,9 +293,30 @@
         }
     }
 
+    /** Creates a fixture without a configuration and endpoints. */
+    RelayFixture() {
+        this("instance", () -> ImmutableSet.of("instance"));
+    }
+
+    private RelayFixture(String instance, Supplier<ImmutableSet<String>> instances) {
+        UniformRandomProvider limitRandom = RandomSource.XO_RO_SHI_RO_128_PP.create(instance.hashCode());
+        this.availability = EndpointAvailability.create(
+                this::now,
+                () -> 0.5,
+                () -> 60_000,
+                (incarnation, perSecond) -> SharedRate.create(
+                        incarnation, instance, instances, perSecond, this::now, limitRandom::nextDouble),
+                new RecordingAvailability());
+    }
+
     /** Returns a fixture with the routes /chat/, /order/ and /lookup/ and three endpoints of each service. */
     static RelayFixture create() {
-        RelayFixture fixture = new RelayFixture();
+        return create("instance", () -> ImmutableSet.of("instance"));
+    }
+
+    /** Returns such a fixture for one instance of a fleet. */
+    static RelayFixture create(String instance, Supplier<ImmutableSet<String>> instances) {
+        RelayFixture fixture = new RelayFixture(instance, instances);
         fixture.routing.updateIfNewer(table(1));
         for (String service : List.of("engines", "orders")) {
             for (int i = 1; i <= 3; i++) {
@@ -400,7 +424,11 @@
     private EndpointTransport.Exchange send(
             EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
         SentRequest sent = new SentRequest(endpoint, request, listener, now());
-        sentRequests.add(sent);
+        if (listener.confirmSend()) {
+            sentRequests.add(sent);
+        } else {
+            time.scheduler().schedule(0, () -> listener.onFailure(SendFailure.ENDPOINT_UNAVAILABLE));
+        }
         return () -> sent.cancelled = true;
     }
 
