Tell other instances the limits that endpoints state

The contract counts only instances that were told; the endpoint counts all.

Notices now carry what endpoints have told the sender (own failure domain), or the instances of its domain (others), with the age of each statement, and the end of a limit for 10 s. Reports of other domains are not passed on: in a circle they would never grow old. A report may seem newer than it is, so it raises or ends a limit only if it is 300 ms newer than the last statement. If nobody was told for 10 s, other instances hold the parts: the former holders may be gone.

--- a/router/src/main/java/baobabcroft/directory/EndpointEntry.java
+++ b/router/src/main/java/baobabcroft/directory/EndpointEntry.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.hash.Hashing;
 import com.google.common.net.HostAndPort;
+import java.nio.charset.StandardCharsets;
 
 /**
  * Registration of an endpoint, as published by the endpoint itself.
@@ -45,6 +47,17 @@
         return id + '@' + address + '#' + startedAtEpochMillis;
     }
 
+    /**
+     * Returns a short name of this start of the endpoint for messages between instances.
+     *
+     * @return a hash of {@link #incarnation}
+     */
+    public long incarnationHash() {
+        return Hashing.murmur3_128()
+                .hashString(incarnation(), StandardCharsets.UTF_8)
+                .asLong();
+    }
+
     /**
      * Returns whether another entry describes the same process.
      *
--- a/router/src/main/java/baobabcroft/instance/NoticeStateAdapter.java
+++ b/router/src/main/java/baobabcroft/instance/NoticeStateAdapter.java
@@ -1,8 +1,10 @@
 package baobabcroft.instance;
 
+import baobabcroft.limit.DomainLimitReports;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.notice.NoticeContents;
 import baobabcroft.notice.NoticeDelegate;
+import baobabcroft.relay.EndpointAvailability;
 import baobabcroft.relay.EndpointLoads;
 import baobabcroft.rollout.DomainRolloutCounts;
 import baobabcroft.rollout.FleetRollouts;
@@ -10,7 +12,7 @@
 
 /**
  * Provides the contents of this instance's notices and applies those of other instances: endpoint loads, and response
- * counts of versions that are being rolled out. Not thread-safe.
+ * counts of versions that are being rolled out, and limits that endpoints state. Not thread-safe.
  */
 final class NoticeStateAdapter implements NoticeDelegate {
     /** Distinguishes a failure domain from an instance of the same name. */
@@ -20,35 +22,51 @@
     private final PeerLoads peerLoads;
     private final DomainRolloutCounts counts;
     private final FleetRollouts rollouts;
+    private final EndpointAvailability availability;
+    private final DomainLimitReports limits;
 
     NoticeStateAdapter(
-            EndpointLoads ownLoads, PeerLoads peerLoads, DomainRolloutCounts counts, FleetRollouts rollouts) {
+            EndpointLoads ownLoads,
+            PeerLoads peerLoads,
+            DomainRolloutCounts counts,
+            FleetRollouts rollouts,
+            EndpointAvailability availability,
+            DomainLimitReports limits) {
         this.ownLoads = ownLoads;
         this.peerLoads = peerLoads;
         this.counts = counts;
         this.rollouts = rollouts;
+        this.availability = availability;
+        this.limits = limits;
     }
 
     @Override
     public NoticeContents ownContents() {
-        return new NoticeContents(ImmutableMap.copyOf(ownLoads.localLoads()), counts.own());
+        return new NoticeContents(
+                ImmutableMap.copyOf(ownLoads.localLoads()), counts.own(), availability.limitReports());
     }
 
     @Override
     public NoticeContents domainContents() {
-        return new NoticeContents(peerLoads.ownDomainLoads(ownLoads.localLoads()), counts.domainTotal());
+        return new NoticeContents(
+                peerLoads.ownDomainLoads(ownLoads.localLoads()),
+                counts.domainTotal(),
+                limits.latest(availability.limitReports()));
     }
 
     @Override
     public void onInstanceNotice(String instance, long sequence, NoticeContents contents) {
         peerLoads.updateInstance(instance, sequence, contents.loads());
         counts.setPeer(instance, contents.rolloutCounts());
+        limits.setPeer(instance, contents.limits());
+        availability.onLimitReports(contents.limits());
         contents.rolloutCounts().forEach((service, counts) -> rollouts.onCounts(service, instance, counts));
     }
 
     @Override
     public void onDomainNotice(String failureDomain, NoticeContents contents) {
         peerLoads.updateFailureDomain(failureDomain, contents.loads());
+        availability.onLimitReports(contents.limits());
         contents.rolloutCounts()
                 .forEach((service, counts) -> rollouts.onCounts(service, DOMAIN_PREFIX + failureDomain, counts));
     }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -10,6 +10,7 @@
 import baobabcroft.front.EndpointConnectionPool;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
+import baobabcroft.limit.DomainLimitReports;
 import baobabcroft.limit.SharedRate;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.log.BoundedAppender;
@@ -206,7 +207,13 @@
                 settings.instance(),
                 settings.failureDomain(),
                 settings.peers(),
-                new NoticeStateAdapter(loads, peerLoads, rolloutCounts, rollouts)));
+                new NoticeStateAdapter(
+                        loads,
+                        peerLoads,
+                        rolloutCounts,
+                        rollouts,
+                        availability,
+                        DomainLimitReports.create(nowMillis))));
         FeedServer.start(loop, settings.peers(), store.feed());
         loop.execute(this::startStore);
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
@@ -365,9 +372,9 @@
         return noticeExchange.map(NoticeExchange::instanceCount).orElse(1);
     }
 
-    private SharedRate sharedRate(String incarnation, double perSecond) {
+    private SharedRate sharedRate(long incarnationHash, double perSecond) {
         return SharedRate.create(
-                incarnation, settings.instance(), members::names, perSecond, nowMillis, random::nextDouble);
+                incarnationHash, settings.instance(), members::names, perSecond, nowMillis, random::nextDouble);
     }
 
     private void onEndpointRemoved(EndpointEntry endpoint) {
--- a/router/src/main/java/baobabcroft/limit/SharedRate.java
+++ b/router/src/main/java/baobabcroft/limit/SharedRate.java
@@ -27,13 +27,15 @@
 
     private static final HashFunction HASH = Hashing.murmur3_128();
 
-    private final String subject;
+    private final long subject;
     private final String instance;
     private final Supplier<ImmutableSet<String>> instances;
     private final LongSupplier nowMillis;
     private final TokenBucket bucket;
     private double ratePerSecond;
+    private long rotation;
     private ImmutableSet<String> rankedInstances = ImmutableSet.of();
+    private long rankedRotation;
     private int rank;
 
     /**
@@ -47,7 +49,7 @@
     }
 
     private SharedRate(
-            String subject,
+            long subject,
             String instance,
             Supplier<ImmutableSet<String>> instances,
             double ratePerSecond,
@@ -69,7 +71,7 @@
     /**
      * Returns this instance's part of a rate, of which it has saved up a random fraction of one request.
      *
-     * @param subject what the rate applies to; the same text at all instances
+     * @param subject names what the rate applies to; the same number at all instances
      * @param instance name of this instance
      * @param instances supplies the names of all instances, including this one
      * @param ratePerSecond requests a second of all instances together
@@ -78,7 +80,7 @@
      * @return the part
      */
     public static SharedRate create(
-            String subject,
+            long subject,
             String instance,
             Supplier<ImmutableSet<String>> instances,
             double ratePerSecond,
@@ -86,7 +88,7 @@
             DoubleSupplier random) {
         checkArgument(ratePerSecond >= 0, "negative ratePerSecond: %s", ratePerSecond);
         return new SharedRate(
-                checkNotNull(subject),
+                subject,
                 checkNotNull(instance),
                 checkNotNull(instances),
                 ratePerSecond,
@@ -106,6 +108,15 @@
         refill();
     }
 
+    /**
+     * Changes the ranks of the instances, so that others than before hold parts.
+     *
+     * @param newRotation number of the ranking; the same at all instances
+     */
+    public void setRotation(long newRotation) {
+        rotation = newRotation;
+    }
+
     /**
      * Returns whether this instance may send a request now.
      *
@@ -160,19 +171,21 @@
 
     /** Returns the number of instances ranked before this one. */
     private int rankIn(ImmutableSet<String> all) {
-        if (!all.equals(rankedInstances)) {
+        if (!all.equals(rankedInstances) || rotation != rankedRotation) {
             long own = hash(instance);
             rank = (int) all.stream()
                     .filter(other -> !other.equals(instance) && hash(other) > own)
                     .count();
             rankedInstances = all;
+            rankedRotation = rotation;
         }
         return rank;
     }
 
     private long hash(String name) {
         return HASH.newHasher()
-                .putString(subject, StandardCharsets.UTF_8)
+                .putLong(subject)
+                .putLong(rotation)
                 .putString(name, StandardCharsets.UTF_8)
                 .hash()
                 .asLong();
--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.limit.LimitReport;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads.Load;
+import baobabcroft.notice.proto.EndpointLimit;
 import baobabcroft.notice.proto.EndpointLoad;
 import baobabcroft.notice.proto.PeerNotice;
 import baobabcroft.notice.proto.RouteAnswers;
@@ -11,21 +13,34 @@
 import baobabcroft.replica.StoreRevision;
 import baobabcroft.rollout.RolloutCounts;
 import baobabcroft.rollout.RouteTrials;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.util.Optional;
+import java.util.OptionalDouble;
 
 /**
  * The contents of one notice.
  *
  * @param loads load by endpoint
  * @param rolloutCounts answer counts of versions that are being rolled out, by service
+ * @param limits what endpoints have told of limits on their requests
  */
-public record NoticeContents(ImmutableMap<EndpointKey, Load> loads, ImmutableMap<String, RolloutCounts> rolloutCounts) {
+public record NoticeContents(
+        ImmutableMap<EndpointKey, Load> loads,
+        ImmutableMap<String, RolloutCounts> rolloutCounts,
+        ImmutableList<LimitReport> limits) {
     private static final double PERCENT = 100;
 
     /** Rejects null components. */
     public NoticeContents {
         checkNotNull(loads);
         checkNotNull(rolloutCounts);
+        checkNotNull(limits);
+    }
+
+    /** Returns whether nothing is lost if the notice is not repeated. */
+    boolean isIdle() {
+        return loads.isEmpty() && limits.isEmpty();
     }
 
     /** Adds the contents to a notice. */
@@ -50,6 +65,13 @@
                             .setSlow(routeCounts.slow())));
             notice.addAnswers(answers);
         });
+        for (LimitReport limit : limits) {
+            EndpointLimit.Builder report = EndpointLimit.newBuilder()
+                    .setIncarnationHash(limit.incarnationHash())
+                    .setAgeMillis((int) Math.min(limit.ageMillis(), Integer.MAX_VALUE));
+            limit.perSecond().ifPresent(perSecond -> report.setPerSecond((float) perSecond));
+            notice.addLimits(report);
+        }
     }
 
     /** Returns the contents of a notice; the last entry counts if an endpoint, service or route is repeated. */
@@ -78,6 +100,23 @@
                             new StoreRevision(answers.getOrderEra(), answers.getOrderRevision()),
                             routes.buildKeepingLast()));
         }
-        return new NoticeContents(loads.buildKeepingLast(), rolloutCounts.buildKeepingLast());
+        return new NoticeContents(
+                loads.buildKeepingLast(),
+                rolloutCounts.buildKeepingLast(),
+                notice.getLimitsList().stream()
+                        .map(NoticeContents::limitReport)
+                        .flatMap(Optional::stream)
+                        .collect(ImmutableList.toImmutableList()));
+    }
+
+    /** Returns a report; empty if its limit is no number that an endpoint can state. */
+    private static Optional<LimitReport> limitReport(EndpointLimit limit) {
+        boolean isValid = Float.isFinite(limit.getPerSecond()) && limit.getPerSecond() >= 0;
+        return isValid
+                ? Optional.of(new LimitReport(
+                        limit.getIncarnationHash(),
+                        limit.hasPerSecond() ? OptionalDouble.of(limit.getPerSecond()) : OptionalDouble.empty(),
+                        Integer.toUnsignedLong(limit.getAgeMillis())))
+                : Optional.empty();
     }
 }
--- a/router/src/main/java/baobabcroft/notice/NoticeExchange.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeExchange.java
@@ -173,7 +173,7 @@
     private void sendToLocalPeers() {
         noticePending = false;
         NoticeContents contents = delegate.ownContents();
-        idleSent = contents.loads().isEmpty();
+        idleSent = contents.isIdle();
         send(notice(contents), localPeers.values());
     }
 
@@ -187,10 +187,10 @@
     private void sendToRemotePeers() {
         scheduler.schedule(remoteIntervalMillis(remotePeers.size()), this::sendToRemotePeers);
         NoticeContents contents = delegate.domainContents();
-        if (remotePeers.isEmpty() || (contents.loads().isEmpty() && domainIdleSent)) {
+        if (remotePeers.isEmpty() || (contents.isIdle() && domainIdleSent)) {
             return;
         }
-        domainIdleSent = contents.loads().isEmpty();
+        domainIdleSent = contents.isIdle();
         List<InetSocketAddress> shuffled = new ArrayList<>(remotePeers.values());
         Collections.shuffle(shuffled, ThreadLocalRandom.current());
         send(
--- a/router/src/main/java/baobabcroft/notice/proto/Notice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/Notice.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_baobabcroft_notice_EndpointLoad_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_baobabcroft_notice_EndpointLimit_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_baobabcroft_notice_EndpointLimit_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_baobabcroft_notice_VersionAnswers_descriptor;
   static final 
@@ -55,21 +60,25 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014notice.proto\022\022baobabcroft.notice\"\256\001\n\nP" +
+      "\n\014notice.proto\022\022baobabcroft.notice\"\341\001\n\nP" +
       "eerNotice\022\020\n\010instance\030\001 \001(\t\022\020\n\010sequence\030" +
       "\002 \001(\003\022\026\n\016failure_domain\030\003 \001(\t\022/\n\005loads\030\004" +
       " \003(\0132 .baobabcroft.notice.EndpointLoad\0223" +
       "\n\007answers\030\005 \003(\0132\".baobabcroft.notice.Ver" +
-      "sionAnswers\"}\n\014EndpointLoad\022\025\n\rendpoint_" +
-      "hash\030\001 \001(\007\022\021\n\tin_flight\030\002 \001(\r\022\025\n\runread_" +
-      "millis\030\003 \001(\r\022\027\n\017failure_percent\030\004 \001(\r\022\023\n" +
-      "\013late_millis\030\005 \001(\r\"~\n\016VersionAnswers\022\017\n\007" +
-      "service\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\0220\n" +
-      "\006routes\030\003 \003(\0132 .baobabcroft.notice.Route" +
-      "Answers\022\021\n\torder_era\030\004 \001(\003\"Z\n\014RouteAnswe" +
-      "rs\022\r\n\005route\030\001 \001(\t\022\017\n\007answers\030\002 \001(\004\022\016\n\006fa" +
-      "iled\030\003 \001(\004\022\014\n\004slow\030\004 \001(\004\022\014\n\004lost\030\005 \001(\004B\034" +
-      "\n\030baobabcroft.notice.protoP\001b\006proto3"
+      "sionAnswers\0221\n\006limits\030\006 \003(\0132!.baobabcrof" +
+      "t.notice.EndpointLimit\"}\n\014EndpointLoad\022\025" +
+      "\n\rendpoint_hash\030\001 \001(\007\022\021\n\tin_flight\030\002 \001(\r" +
+      "\022\025\n\runread_millis\030\003 \001(\r\022\027\n\017failure_perce" +
+      "nt\030\004 \001(\r\022\023\n\013late_millis\030\005 \001(\r\"e\n\rEndpoin" +
+      "tLimit\022\030\n\020incarnation_hash\030\001 \001(\006\022\027\n\nper_" +
+      "second\030\002 \001(\002H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\rB\r\n" +
+      "\013_per_second\"~\n\016VersionAnswers\022\017\n\007servic" +
+      "e\030\001 \001(\t\022\026\n\016order_revision\030\002 \001(\003\0220\n\006route" +
+      "s\030\003 \003(\0132 .baobabcroft.notice.RouteAnswer" +
+      "s\022\021\n\torder_era\030\004 \001(\003\"Z\n\014RouteAnswers\022\r\n\005" +
+      "route\030\001 \001(\t\022\017\n\007answers\030\002 \001(\004\022\016\n\006failed\030\003" +
+      " \001(\004\022\014\n\004slow\030\004 \001(\004\022\014\n\004lost\030\005 \001(\004B\034\n\030baob" +
+      "abcroft.notice.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -80,21 +89,27 @@
     internal_static_baobabcroft_notice_PeerNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_PeerNotice_descriptor,
-        new java.lang.String[] { "Instance", "Sequence", "FailureDomain", "Loads", "Answers", });
+        new java.lang.String[] { "Instance", "Sequence", "FailureDomain", "Loads", "Answers", "Limits", });
     internal_static_baobabcroft_notice_EndpointLoad_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_baobabcroft_notice_EndpointLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_EndpointLoad_descriptor,
         new java.lang.String[] { "EndpointHash", "InFlight", "UnreadMillis", "FailurePercent", "LateMillis", });
-    internal_static_baobabcroft_notice_VersionAnswers_descriptor =
+    internal_static_baobabcroft_notice_EndpointLimit_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_baobabcroft_notice_EndpointLimit_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_baobabcroft_notice_EndpointLimit_descriptor,
+        new java.lang.String[] { "IncarnationHash", "PerSecond", "AgeMillis", });
+    internal_static_baobabcroft_notice_VersionAnswers_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_baobabcroft_notice_VersionAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_VersionAnswers_descriptor,
         new java.lang.String[] { "Service", "OrderRevision", "Routes", "OrderEra", });
     internal_static_baobabcroft_notice_RouteAnswers_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_baobabcroft_notice_RouteAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_RouteAnswers_descriptor,
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
@@ -37,6 +37,7 @@
     failureDomain_ = "";
     loads_ = java.util.Collections.emptyList();
     answers_ = java.util.Collections.emptyList();
+    limits_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -290,6 +291,67 @@
     return answers_.get(index);
   }
 
+  public static final int LIMITS_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<baobabcroft.notice.proto.EndpointLimit> limits_;
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<baobabcroft.notice.proto.EndpointLimit> getLimitsList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+      getLimitsOrBuilderList() {
+    return limits_;
+  }
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  @java.lang.Override
+  public int getLimitsCount() {
+    return limits_.size();
+  }
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.notice.proto.EndpointLimit getLimits(int index) {
+    return limits_.get(index);
+  }
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.notice.proto.EndpointLimitOrBuilder getLimitsOrBuilder(
+      int index) {
+    return limits_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -319,6 +381,9 @@
     for (int i = 0; i < answers_.size(); i++) {
       output.writeMessage(5, answers_.get(i));
     }
+    for (int i = 0; i < limits_.size(); i++) {
+      output.writeMessage(6, limits_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -356,6 +421,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = limits_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(limits_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -381,6 +455,8 @@
         .equals(other.getLoadsList())) return false;
     if (!getAnswersList()
         .equals(other.getAnswersList())) return false;
+    if (!getLimitsList()
+        .equals(other.getLimitsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -407,6 +483,10 @@
       hash = (37 * hash) + ANSWERS_FIELD_NUMBER;
       hash = (53 * hash) + getAnswersList().hashCode();
     }
+    if (getLimitsCount() > 0) {
+      hash = (37 * hash) + LIMITS_FIELD_NUMBER;
+      hash = (53 * hash) + getLimitsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -560,6 +640,13 @@
         answersBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000010);
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+      } else {
+        limits_ = null;
+        limitsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -611,6 +698,15 @@
       } else {
         result.answers_ = answersBuilder_.build();
       }
+      if (limitsBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          limits_ = java.util.Collections.unmodifiableList(limits_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.limits_ = limits_;
+      } else {
+        result.limits_ = limitsBuilder_.build();
+      }
     }
 
     private void buildPartial0(baobabcroft.notice.proto.PeerNotice result) {
@@ -703,6 +799,32 @@
           }
         }
       }
+      if (limitsBuilder_ == null) {
+        if (!other.limits_.isEmpty()) {
+          if (limits_.isEmpty()) {
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureLimitsIsMutable();
+            limits_.addAll(other.limits_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.limits_.isEmpty()) {
+          if (limitsBuilder_.isEmpty()) {
+            limitsBuilder_.dispose();
+            limitsBuilder_ = null;
+            limits_ = other.limits_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            limitsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetLimitsFieldBuilder() : null;
+          } else {
+            limitsBuilder_.addAllMessages(other.limits_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -770,6 +892,19 @@
               }
               break;
             } // case 42
+            case 50: {
+              baobabcroft.notice.proto.EndpointLimit m =
+                  input.readMessage(
+                      baobabcroft.notice.proto.EndpointLimit.parser(),
+                      extensionRegistry);
+              if (limitsBuilder_ == null) {
+                ensureLimitsIsMutable();
+                limits_.add(m);
+              } else {
+                limitsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1644,6 +1779,318 @@
       return answersBuilder_;
     }
 
+    private java.util.List<baobabcroft.notice.proto.EndpointLimit> limits_ =
+      java.util.Collections.emptyList();
+    private void ensureLimitsIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        limits_ = new java.util.ArrayList<baobabcroft.notice.proto.EndpointLimit>(limits_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.notice.proto.EndpointLimit, baobabcroft.notice.proto.EndpointLimit.Builder, baobabcroft.notice.proto.EndpointLimitOrBuilder> limitsBuilder_;
+
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public java.util.List<baobabcroft.notice.proto.EndpointLimit> getLimitsList() {
+      if (limitsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(limits_);
+      } else {
+        return limitsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public int getLimitsCount() {
+      if (limitsBuilder_ == null) {
+        return limits_.size();
+      } else {
+        return limitsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public baobabcroft.notice.proto.EndpointLimit getLimits(int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);
+      } else {
+        return limitsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder setLimits(
+        int index, baobabcroft.notice.proto.EndpointLimit value) {
+      if (limitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLimitsIsMutable();
+        limits_.set(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder setLimits(
+        int index, baobabcroft.notice.proto.EndpointLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder addLimits(baobabcroft.notice.proto.EndpointLimit value) {
+      if (limitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLimitsIsMutable();
+        limits_.add(value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder addLimits(
+        int index, baobabcroft.notice.proto.EndpointLimit value) {
+      if (limitsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureLimitsIsMutable();
+        limits_.add(index, value);
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder addLimits(
+        baobabcroft.notice.proto.EndpointLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder addLimits(
+        int index, baobabcroft.notice.proto.EndpointLimit.Builder builderForValue) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        limitsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder addAllLimits(
+        java.lang.Iterable<? extends baobabcroft.notice.proto.EndpointLimit> values) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, limits_);
+        onChanged();
+      } else {
+        limitsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder clearLimits() {
+      if (limitsBuilder_ == null) {
+        limits_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        limitsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public Builder removeLimits(int index) {
+      if (limitsBuilder_ == null) {
+        ensureLimitsIsMutable();
+        limits_.remove(index);
+        onChanged();
+      } else {
+        limitsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public baobabcroft.notice.proto.EndpointLimit.Builder getLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public baobabcroft.notice.proto.EndpointLimitOrBuilder getLimitsOrBuilder(
+        int index) {
+      if (limitsBuilder_ == null) {
+        return limits_.get(index);  } else {
+        return limitsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public java.util.List<? extends baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+         getLimitsOrBuilderList() {
+      if (limitsBuilder_ != null) {
+        return limitsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(limits_);
+      }
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public baobabcroft.notice.proto.EndpointLimit.Builder addLimitsBuilder() {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          baobabcroft.notice.proto.EndpointLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public baobabcroft.notice.proto.EndpointLimit.Builder addLimitsBuilder(
+        int index) {
+      return internalGetLimitsFieldBuilder().addBuilder(
+          index, baobabcroft.notice.proto.EndpointLimit.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     */
+    public java.util.List<baobabcroft.notice.proto.EndpointLimit.Builder> 
+         getLimitsBuilderList() {
+      return internalGetLimitsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.notice.proto.EndpointLimit, baobabcroft.notice.proto.EndpointLimit.Builder, baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+        internalGetLimitsFieldBuilder() {
+      if (limitsBuilder_ == null) {
+        limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            baobabcroft.notice.proto.EndpointLimit, baobabcroft.notice.proto.EndpointLimit.Builder, baobabcroft.notice.proto.EndpointLimitOrBuilder>(
+                limits_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        limits_ = null;
+      }
+      return limitsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.PeerNotice)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
@@ -149,4 +149,48 @@
    */
   baobabcroft.notice.proto.VersionAnswersOrBuilder getAnswersOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  java.util.List<baobabcroft.notice.proto.EndpointLimit> 
+      getLimitsList();
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  baobabcroft.notice.proto.EndpointLimit getLimits(int index);
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  int getLimitsCount();
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  java.util.List<? extends baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+      getLimitsOrBuilderList();
+  /**
+   * <pre>
+   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   */
+  baobabcroft.notice.proto.EndpointLimitOrBuilder getLimitsOrBuilder(
+      int index);
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -3,15 +3,16 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.limit.LimitReport;
 import baobabcroft.limit.SharedRate;
 import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -35,6 +36,9 @@
     private static final double MAX_EXTENSION_SHARE = 0.25;
 
     private static final long MAX_EXTENSION_MILLIS = 2_000;
+    /** Reports to other instances: as many as fit into a datagram next to loads. */
+    private static final int MAX_LIMIT_REPORTS = 60;
+
     private static final int MAX_DIGITS = 9;
     private static final double MILLIS_PER_SECOND = 1_000;
     private static final CharMatcher DIGITS = CharMatcher.inRange('0', '9');
@@ -44,11 +48,12 @@
     private final LongSupplier maxPauseMillis;
     private final SharedRateFactory sharedRates;
     private final Listener listener;
-    private final Map<String, Statement> statements = new LinkedHashMap<>(16, 0.75F, true) {
+    /** By hash of the endpoint's incarnation. */
+    private final Map<Long, Statement> statements = new LinkedHashMap<>(16, 0.75F, true) {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, Statement> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Long, Statement> eldest) {
             return size() > MAX_ENDPOINTS;
         }
     };
@@ -70,11 +75,11 @@
         /**
          * Returns this instance's part of a limit.
          *
-         * @param incarnation names one start of the endpoint
+         * @param incarnationHash names one start of the endpoint
          * @param perSecond requests a second that the endpoint takes from all instances together
          * @return the part
          */
-        SharedRate create(String incarnation, double perSecond);
+        SharedRate create(long incarnationHash, double perSecond);
     }
 
     /** Notified of what endpoints state. */
@@ -220,7 +225,7 @@
                 return;
             }
         }
-        if (stated.isEmpty() && !statements.containsKey(endpoint.incarnation())) {
+        if (stated.isEmpty() && knownStatement(endpoint).isEmpty()) {
             return;
         }
         StatedLimit limit = statementOf(endpoint).limit;
@@ -263,8 +268,9 @@
      * @return false if it is shutting down, wants none yet, or takes none of this instance at the moment
      */
     public boolean isAvailable(EndpointEntry endpoint) {
-        Statement statement = statements.get(endpoint.incarnation());
-        return statement == null || (isOpen(statement) && statement.limit.isAvailable());
+        return knownStatement(endpoint)
+                .map(statement -> isOpen(statement) && statement.limit.isAvailable())
+                .orElse(true);
     }
 
     private boolean isOpen(Statement statement) {
@@ -275,9 +281,8 @@
     SendPermit permit(EndpointEntry endpoint) {
         Optional<Boolean> taken = tryTake(endpoint);
         BooleanSupplier onConfirm = () -> {
-            Statement statement = statements.get(endpoint.incarnation());
-            return (statement == null || isOpen(statement))
-                    && taken.or(() -> tryTake(endpoint)).orElse(true);
+            boolean isOpen = knownStatement(endpoint).map(this::isOpen).orElse(true);
+            return isOpen && taken.or(() -> tryTake(endpoint)).orElse(true);
         };
         Runnable onRelease = () -> {
             if (taken.orElse(false)) {
@@ -288,17 +293,15 @@
     }
 
     private Optional<Boolean> tryTake(EndpointEntry endpoint) {
-        Statement statement = statements.get(endpoint.incarnation());
-        return statement == null ? Optional.empty() : statement.limit.tryTake();
+        return knownStatement(endpoint).flatMap(statement -> statement.limit.tryTake());
     }
 
     /** Returns the endpoints that have not stated that they are shutting down. */
     ImmutableList<EndpointEntry> withoutLeaving(Collection<EndpointEntry> endpoints) {
         return endpoints.stream()
-                .filter(endpoint -> {
-                    Statement statement = statements.get(endpoint.incarnation());
-                    return statement == null || !statement.leaving;
-                })
+                .filter(endpoint -> knownStatement(endpoint)
+                        .map(statement -> !statement.leaving)
+                        .orElse(true))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -313,8 +316,8 @@
      */
     OptionalLong soonestMillis(Collection<EndpointEntry> endpoints) {
         return withoutLeaving(endpoints).stream()
-                .map(endpoint -> statements.get(endpoint.incarnation()))
-                .filter(Objects::nonNull)
+                .map(this::knownStatement)
+                .flatMap(Optional::stream)
                 .map(this::millisUntilAvailable)
                 .flatMapToLong(OptionalLong::stream)
                 .filter(millis -> millis > 0)
@@ -329,10 +332,47 @@
                 : OptionalLong.empty();
     }
 
+    /**
+     * Returns what endpoints have told this instance of their limits.
+     *
+     * @return the latest reports, for other instances
+     */
+    public ImmutableList<LimitReport> limitReports() {
+        return statements.entrySet().stream()
+                .map(entry -> entry.getValue().limit.report(entry.getKey()))
+                .flatMap(Optional::stream)
+                .sorted(Comparator.comparingLong(LimitReport::ageMillis))
+                .limit(MAX_LIMIT_REPORTS)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Takes in what endpoints have told other instances of their limits.
+     *
+     * @param reports the reports
+     */
+    public void onLimitReports(Collection<LimitReport> reports) {
+        for (LimitReport report : reports) {
+            if (report.perSecond().isPresent() || statements.containsKey(report.incarnationHash())) {
+                statementOf(report.incarnationHash()).limit.onReport(report);
+            }
+        }
+    }
+
+    private Optional<Statement> knownStatement(EndpointEntry endpoint) {
+        return statements.isEmpty()
+                ? Optional.empty()
+                : Optional.ofNullable(statements.get(endpoint.incarnationHash()));
+    }
+
     private Statement statementOf(EndpointEntry endpoint) {
+        return statementOf(endpoint.incarnationHash());
+    }
+
+    private Statement statementOf(long incarnationHash) {
         return statements.computeIfAbsent(
-                endpoint.incarnation(),
-                incarnation -> new Statement(
-                        new StatedLimit(nowMillis, random, perSecond -> sharedRates.create(incarnation, perSecond))));
+                incarnationHash,
+                hash -> new Statement(
+                        new StatedLimit(nowMillis, random, perSecond -> sharedRates.create(hash, perSecond))));
     }
 }
--- a/router/src/test/java/baobabcroft/notice/NoticeExchangeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeExchangeTest.java
@@ -7,6 +7,7 @@
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads.Load;
 import baobabcroft.testing.FreePorts;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
@@ -47,7 +48,9 @@
 
         private static NoticeContents contents() {
             return new NoticeContents(
-                    ImmutableMap.of(EndpointKey.of("engine"), new Load(1, 20, 0, 0)), ImmutableMap.of());
+                    ImmutableMap.of(EndpointKey.of("engine"), new Load(1, 20, 0, 0)),
+                    ImmutableMap.of(),
+                    ImmutableList.of());
         }
 
         @Override
--- a/router/src/test/java/baobabcroft/notice/NoticeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import baobabcroft.limit.LimitReport;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.load.PeerLoads.Load;
@@ -11,11 +12,13 @@
 import baobabcroft.rollout.DomainRolloutCounts;
 import baobabcroft.rollout.RolloutCounts;
 import baobabcroft.rollout.RouteTrials;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Random;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -35,7 +38,11 @@
         @Test
         void roundTripThroughProtobuf() {
             NoticeContents contents = new NoticeContents(
-                    ImmutableMap.of(ENGINE, new Load(3, 250)), ImmutableMap.of("engines", counts(7, 20, 2)));
+                    ImmutableMap.of(ENGINE, new Load(3, 250)),
+                    ImmutableMap.of("engines", counts(7, 20, 2)),
+                    ImmutableList.of(
+                            new LimitReport(-5, OptionalDouble.of(0.5), 1_200),
+                            new LimitReport(6, OptionalDouble.empty(), 30)));
             PeerNotice.Builder notice = PeerNotice.newBuilder();
             contents.addTo(notice);
 
@@ -50,7 +57,7 @@
             }
             PeerNotice.Builder notice =
                     PeerNotice.newBuilder().setInstance("front-north-a-1").setSequence(1L << 48);
-            new NoticeContents(loads.build(), ImmutableMap.of()).addTo(notice);
+            new NoticeContents(loads.build(), ImmutableMap.of(), ImmutableList.of()).addTo(notice);
 
             // An MTU of 1,500 bytes less the headers of IP and UDP.
             assertTrue(
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -304,8 +304,8 @@
                 this::now,
                 () -> 0.5,
                 () -> 60_000,
-                (incarnation, perSecond) -> SharedRate.create(
-                        incarnation, instance, instances, perSecond, this::now, limitRandom::nextDouble),
+                (incarnationHash, perSecond) -> SharedRate.create(
+                        incarnationHash, instance, instances, perSecond, this::now, limitRandom::nextDouble),
                 new RecordingAvailability());
     }
 
