Log when an instance is cut off from all endpoints

EndpointReachability: after a failed or lost connection, up to eight endpoints of different services and failure domains are tried at once; if none accepts, the instance is isolated (BC5024, gauge endpoints.isolated), until one accepts again (BC5025). Connections only, no requests.

Ruled out: concluding from failed requests alone (endpoints do crash together; each request would find out anew, up to 600 ms a try). No request is treated differently yet.

--- a/router/src/main/java/baobabcroft/directory/EndpointDirectory.java
+++ b/router/src/main/java/baobabcroft/directory/EndpointDirectory.java
@@ -61,6 +61,15 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
+    /**
+     * Returns the endpoints of all services that accept new requests.
+     *
+     * @return the entries, without those of endpoints that are shutting down
+     */
+    public ImmutableList<EndpointEntry> accepting() {
+        return byId.values().stream().filter(entry -> !entry.leaving()).collect(ImmutableList.toImmutableList());
+    }
+
     /**
      * Returns the number of listed endpoints.
      *
--- a/router/src/main/java/baobabcroft/front/EndpointConnection.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnection.java
@@ -94,6 +94,10 @@
         return channel.isActive() && exchange == null;
     }
 
+    boolean hasOpenExchange() {
+        return exchange != null && !exchange.isDone();
+    }
+
     void send(PendingExchange next) {
         if (idleTimeout != null) {
             idleTimeout.cancel(false);
--- a/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
@@ -38,6 +38,7 @@
     private final Scheduler readScheduler;
     private final BiPredicate<String, Headers> isResponseTo;
     private final Predicate<EndpointRequest> needsFreshConnection;
+    private final ConnectionObserver observer;
     private final Map<String, Deque<EndpointConnection>> idleByKey = new HashMap<>();
 
     /**
@@ -47,16 +48,19 @@
      * @param readScheduler schedules the reads of answers that are read at intervals
      * @param isResponseTo whether the headers of a response belong to the request with the given id
      * @param needsFreshConnection whether a request must not use an idle connection, which the endpoint may be closing
+     * @param observer notified of the connections
      */
     public EndpointConnectionPool(
             EventLoop loop,
             Scheduler readScheduler,
             BiPredicate<String, Headers> isResponseTo,
-            Predicate<EndpointRequest> needsFreshConnection) {
+            Predicate<EndpointRequest> needsFreshConnection,
+            ConnectionObserver observer) {
         this.loop = checkNotNull(loop);
         this.readScheduler = checkNotNull(readScheduler);
         this.isResponseTo = checkNotNull(isResponseTo);
         this.needsFreshConnection = checkNotNull(needsFreshConnection);
+        this.observer = checkNotNull(observer);
     }
 
     @Override
@@ -105,7 +109,7 @@
     private void connect(EndpointEntry endpoint, String key, PendingExchange exchange) {
         ExchangeListener listener = exchange.listener();
         EndpointConnection connection =
-                new EndpointConnection(readScheduler, isResponseTo, pooled -> putIdle(key, pooled), this::removeIdle);
+                new EndpointConnection(readScheduler, isResponseTo, pooled -> putIdle(key, pooled), this::onClosed);
         connection.poolKey = key;
         Bootstrap bootstrap = NettyChannels.client(
                 loop,
@@ -115,6 +119,11 @@
                 endpoint.address().getHost(), endpoint.address().getPort());
         exchange.channel = connectFuture.channel();
         connectFuture.addListener(done -> {
+            if (done.isSuccess()) {
+                observer.onOpened();
+            } else if (!exchange.isDone()) {
+                observer.onFailed();
+            }
             if (exchange.isDone()) {
                 connectFuture.channel().close();
             } else if (done.isSuccess() && !listener.confirmSend()) {
@@ -147,6 +156,13 @@
         idleByKey.computeIfAbsent(key, unused -> new ArrayDeque<>()).addLast(connection);
     }
 
+    private void onClosed(EndpointConnection connection) {
+        if (connection.hasOpenExchange()) {
+            observer.onFailed();
+        }
+        removeIdle(connection);
+    }
+
     private void removeIdle(EndpointConnection connection) {
         Deque<EndpointConnection> connections = idleByKey.get(connection.poolKey);
         if (connections != null) {
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -7,6 +7,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.feed.FeedClient;
 import baobabcroft.feed.FeedServer;
+import baobabcroft.front.ConnectionObserver;
 import baobabcroft.front.EndpointConnectionPool;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
@@ -18,6 +19,7 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.notice.NoticeExchange;
+import baobabcroft.reach.EndpointReachability;
 import baobabcroft.relay.AnswerMemory;
 import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
@@ -91,6 +93,7 @@
     private final UniformRandomProvider random =
             new XoRoShiRo128PlusPlus(ThreadLocalRandom.current().nextLong(), System.nanoTime());
     private final FleetMembers members;
+    private final EndpointReachability reachability;
     private final PeerLoads peerLoads;
     private final EndpointLoads loads;
     private final EndpointAvailability availability;
@@ -122,7 +125,14 @@
         this.members = new FleetMembers(
                 settings.instance(), scheduler, settings.bounds().contactMillis());
         this.connections = new EndpointConnectionPool(
-                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable());
+                loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable(), new EndpointObserver());
+        this.reachability = EndpointReachability.create(
+                directory::accepting,
+                connections::probe,
+                scheduler,
+                nowMillis,
+                random::nextDouble,
+                new ReachabilityRecorder(metrics));
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
         this.availability = EndpointAvailability.create(
@@ -224,6 +234,19 @@
         store.start();
     }
 
+    /** Passes on whether endpoints accept connections. */
+    private final class EndpointObserver implements ConnectionObserver {
+        @Override
+        public void onOpened() {
+            reachability.onConnected();
+        }
+
+        @Override
+        public void onFailed() {
+            reachability.onFailure();
+        }
+    }
+
     /** Keeps the addresses of the other instances, as published in the store. */
     private final class Peers implements SharedStoreRecords.PeerLocations {
         @Override
@@ -341,6 +364,7 @@
                 "config.version",
                 () -> routing.current().map(RoutingTable::version).orElse(0L));
         metrics.gauge("endpoints.listed", directory::size);
+        metrics.gauge("endpoints.isolated", () -> reachability.isIsolated() ? 1 : 0);
         metrics.gauge("endpoints.list_age_millis", store::ageMillis);
         metrics.gauge("store.era", store::era);
         metrics.gauge("store.following", () -> store.isFollowing() ? 1 : 0);
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -131,6 +131,10 @@
     ENDPOINT_LIMIT_ENDED(5022, INFO, "endpoint states no limit any more", "endpoint"),
     /** An endpoint has stated a limit on its requests, but not as a number. */
     ENDPOINT_LIMIT_UNREADABLE(5023, WARN, "limit stated by endpoint cannot be parsed; ignored", "endpoint", "value"),
+    /** No endpoint accepts connections of this instance; they may accept those of others. */
+    ENDPOINTS_UNREACHABLE(5024, WARN, "no endpoint can be reached from this instance", "triedEndpoints"),
+    /** An endpoint has accepted a connection of this instance again. */
+    ENDPOINTS_REACHABLE(5025, INFO, "endpoints can be reached from this instance again", "unreachableMillis"),
     /** Several endpoints crashed when they were about to answer requests with a prompt part. */
     PROMPT_PART_STOPPED(
             5016, ERROR, "prompt part crashes endpoints; requests with it are refused", "part", "endpoints"),
