--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -51,6 +51,11 @@
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
     boolean poison;
+    /** Whether the links to all endpoints are cut, and after how long a connection that is being opened then fails. */
+    boolean cutOff;
+
+    long connectFailureMillis;
+    SendFailure connectFailure = SendFailure.CONNECTION_REFUSED;
     int answeredRequests;
     /** How attempts ended, in this order, as reported to the version selector. */
     final List<AttemptResult> results = new ArrayList<>();
@@ -423,6 +428,10 @@
 
     private EndpointTransport.Exchange send(
             EndpointEntry endpoint, EndpointRequest request, ExchangeListener listener) {
+        if (cutOff) {
+            time.scheduler().schedule(connectFailureMillis, () -> listener.onFailure(connectFailure));
+            return () -> {};
+        }
         SentRequest sent = new SentRequest(endpoint, request, listener, now());
         if (listener.confirmSend()) {
             sentRequests.add(sent);
