Take no retry budget for sends that reached no endpoint

Cause: the budget limits what endpoints receive beyond first sends, but any second try was charged. Class of fault: a bound charged for what it does not bound.

Shown by RelayedRequestTest.takeNothingFromTheBudgetIfNothingWasSent, which failed before (no answer after the first refused connection); a rejection by the endpoint, which did receive the request, still takes from the budget.

--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -55,6 +55,9 @@
         /** Called when the attempt has failed, with whether the request may have run. */
         void onFailed(EndpointAttempt attempt, Execution execution);
 
+        /** Called when the attempt has failed before anything was sent. */
+        void onUnsent(EndpointAttempt attempt);
+
         /** Called when nothing was received for so long that another endpoint is likely to be faster. */
         void onInactivity(EndpointAttempt attempt);
 
@@ -214,7 +217,8 @@
         status = newStatus;
         headers = newHeaders;
         if (answer.notRun()) {
-            onNotRun(answer.otherEndpoint() ? "other_endpoint" : "not_run_by_endpoint");
+            endNotRun(answer.otherEndpoint() ? "other_endpoint" : "not_run_by_endpoint");
+            owner.onFailed(this, Execution.NOT_RUN);
             return;
         }
         boolean success = status >= 200 && status < 300;
@@ -228,13 +232,12 @@
         }
     }
 
-    private void onNotRun(String reason) {
+    private void endNotRun(String reason) {
         close();
         inFlightRequest.rejected();
         monitor.ended(AttemptResult.NOT_RUN);
         services.listener().onAttemptFailed(admitted.metadata().requestId(), endpoint, reason);
         exchange.cancel();
-        owner.onFailed(this, Execution.NOT_RUN);
     }
 
     @Override
@@ -327,7 +330,8 @@
     @Override
     public void onFailure(SendFailure failure) {
         if (failure == SendFailure.ENDPOINT_UNAVAILABLE && !ended) {
-            onNotRun("endpoint_unavailable");
+            endNotRun("endpoint_unavailable");
+            owner.onUnsent(this);
             return;
         }
         if (!close()) {
@@ -342,7 +346,7 @@
                         failure.name().toLowerCase(Locale.ROOT));
         if (!failure.mayHaveRun()) {
             monitor.ended(AttemptResult.NOT_RUN);
-            owner.onFailed(this, Execution.NOT_RUN);
+            owner.onUnsent(this);
             return;
         }
         boolean lost = failure == SendFailure.CONNECTION_LOST;
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -208,10 +208,16 @@
                 + withJitter(NO_ENDPOINT_RETRY_MILLIS);
     }
 
-    /** Returns whether to retry if the open attempt ends as given. A retry is taken from the budget. */
+    /** Returns whether to retry if the open attempt ends as given. A retry is taken from the service's budget. */
     private RetryDecision decideRetry(Execution execution) {
+        return decideRetry(execution, budget());
+    }
+
+    private RetryDecision decideRetry(Execution execution, RetryBudget retryBudget) {
         return retryPolicy.decide(
-                attempts.retryContext(execution, remainingMillis(), MIN_ATTEMPT_MILLIS), budget(), services.random());
+                attempts.retryContext(execution, remainingMillis(), MIN_ATTEMPT_MILLIS),
+                retryBudget,
+                services.random());
     }
 
     /** Returns whether the request must not be sent any more. It may have become known after the first attempt. */
@@ -219,7 +225,7 @@
         return services.poisonDetector().isPoison(admitted.identity());
     }
 
-    private void retryOrFail() {
+    private void retryOrFail(RetryBudget retryBudget) {
         if (isPoison()) {
             fail(StopReason.POISON);
             return;
@@ -238,7 +244,7 @@
         Optional<EndpointChooser.Choice> next = choose(model, attempts.triedEndpoints());
         if (next.isEmpty()) {
             fail(StopReason.NO_ENDPOINT);
-        } else if (decideRetry(Execution.NOT_RUN) instanceof Stop stop) {
+        } else if (decideRetry(Execution.NOT_RUN, retryBudget) instanceof Stop stop) {
             fail(stop.reason());
         } else {
             startAttempt(next.get());
@@ -389,13 +395,20 @@
         attempts.attemptEnded(Execution.MAY_HAVE_RUN);
         services.listener().onAttemptFailed(admitted.metadata().requestId(), attempt.endpoint(), "failed_by_endpoint");
         lastFailure = stream.hasStarted() ? Optional.empty() : Optional.of(answer);
-        retryOrFail();
+        retryOrFail(budget());
     }
 
     @Override
     public void onFailed(EndpointAttempt attempt, Execution execution) {
         attempts.attemptEnded(execution);
-        retryOrFail();
+        retryOrFail(budget());
+    }
+
+    /** Takes nothing from the budget: it limits what endpoints get, and none has got anything. */
+    @Override
+    public void onUnsent(EndpointAttempt attempt) {
+        attempts.attemptEnded(Execution.NOT_RUN);
+        retryOrFail(RetryBudget.unlimited());
     }
 
     /** Retries at another endpoint or instance if one is available and a retry is allowed; otherwise keeps waiting. */
--- a/router/src/main/java/baobabcroft/retry/RetryBudget.java
+++ b/router/src/main/java/baobabcroft/retry/RetryBudget.java
@@ -60,6 +60,15 @@
         return new RetryBudget(() -> tokensPerRequest, () -> maxTokens, tokens);
     }
 
+    /**
+     * Returns a budget that never ends, for sends that reach no endpoint.
+     *
+     * @return the budget
+     */
+    public static RetryBudget unlimited() {
+        return new RetryBudget(() -> 0, () -> Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
+    }
+
     /**
      * Returns a budget whose limits may change at run time, with one initial token.
      *
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -256,6 +256,30 @@
             assertEquals("late", caller.body);
         }
 
+        /** Guards against RECOVER: refused connections reach no endpoint, but they used up the budget for those that do. */
+        @Test
+        void takeNothingFromTheBudgetIfNothingWasSent() {
+            relay.budget = RetryBudget.of(0, 1, 0);
+            relay.start("/order/1", caller);
+            relay.lastRequest().listener.onFailure(SendFailure.CONNECTION_REFUSED);
+            relay.lastRequest().listener.onFailure(SendFailure.CONNECT_TIMEOUT);
+            relay.lastRequest().answer(200, "done");
+
+            assertEquals("done", caller.body);
+            assertEquals(3, relay.sentRequests.size());
+        }
+
+        /** An endpoint that rejects a request has received it, and counts it. */
+        @Test
+        void takeFromTheBudgetIfTheEndpointRejected() {
+            relay.budget = RetryBudget.of(0, 1, 0);
+            relay.start("/order/1", caller);
+            relay.lastRequest().answer(503, "", new Header("not-run", "1"));
+
+            assertEquals(1, relay.sentRequests.size());
+            assertEquals(Optional.of("budget"), relay.summaries.get(0).stopReason());
+        }
+
         @Test
         void reportsWhyARequestWasNotRetried() {
             relay.budget = RetryBudget.of(0, 1, 0);
