Blame no requests for connections that an isolated instance has lost

After four endpoints sound requests with these parts are refused by all instances; callers of sound instances would see 503.

Cause: the answer of one endpoint was taken for proof, without asking whether this instance reaches any. Change: EndpointReachability.checkFailed; an endpoint has failed if it accepts no connection while another one does.

Shown by CrashTrackerTest.Isolation: five lost connections, nothing published, nothing refused; with the former question the same history refuses a sound request (wouldBlameSoundRequestsIfOnlyTheEndpointWereAsked). The two fakes of the question in CrashTrackerTest and CrashingPartFleetTest are inverted with its meaning, their assertions are unchanged.

--- a/router/src/main/java/baobabcroft/instance/CrashTracker.java
+++ b/router/src/main/java/baobabcroft/instance/CrashTracker.java
@@ -28,8 +28,8 @@
 
 /**
  * Detects requests, and parts of their prompts, that crash endpoints, together with the other instances. A lost
- * connection alone is not a crash: an endpoint counts as crashed if it accepts no new connection shortly afterwards.
- * Not thread-safe.
+ * connection alone is not a crash: an endpoint counts as crashed if it accepts no new connection shortly afterwards,
+ * while others do. Not thread-safe.
  */
 final class CrashTracker implements PoisonDetector {
     /** Crashed endpoints after which a request is no longer sent; the contract allows three crashes. */
@@ -43,8 +43,8 @@
     private static final int MAX_PUBLISHED = 200;
     /** Prompt parts in one log line. */
     private static final int MAX_LOGGED_PARTS = 20;
-    /** Delay before an endpoint whose connection was lost is probed for whether it accepts connections. */
-    private static final long PROBE_DELAY_MILLIS = 30;
+    /** Delay before an endpoint whose connection was lost is checked. */
+    private static final long CHECK_DELAY_MILLIS = 30;
     /** Delay in which crashes are batched before they are published. */
     private static final long PUBLISH_DELAY_MILLIS = 300;
     /** Crashes of a part from which other instances may soon refuse it, so that its clearance is published. */
@@ -57,7 +57,7 @@
     private final Scheduler scheduler;
     private final LongSupplier nowMillis;
     private final DoubleSupplier random;
-    private final BiConsumer<EndpointEntry, Consumer<Boolean>> acceptsConnections;
+    private final BiConsumer<EndpointEntry, Consumer<Boolean>> checkFailed;
     private final Consumer<CrashRecord> publisher;
     private final Map<String, LostRequests> lostByIncarnation = new HashMap<>();
     private final PublishedSets publishedDigests = new PublishedSets(MAX_PUBLISHED);
@@ -81,12 +81,12 @@
             Scheduler scheduler,
             LongSupplier nowMillis,
             DoubleSupplier random,
-            BiConsumer<EndpointEntry, Consumer<Boolean>> acceptsConnections,
+            BiConsumer<EndpointEntry, Consumer<Boolean>> checkFailed,
             Consumer<CrashRecord> publisher) {
         this.scheduler = scheduler;
         this.nowMillis = nowMillis;
         this.random = random;
-        this.acceptsConnections = acceptsConnections;
+        this.checkFailed = checkFailed;
         this.publisher = publisher;
     }
 
@@ -108,16 +108,15 @@
             lost = new LostRequests();
             lostByIncarnation.put(incarnation, lost);
             scheduler.schedule(
-                    PROBE_DELAY_MILLIS,
-                    () -> acceptsConnections.accept(endpoint, alive -> onProbed(incarnation, alive)));
+                    CHECK_DELAY_MILLIS, () -> checkFailed.accept(endpoint, failed -> onChecked(incarnation, failed)));
         }
         lost.digests.add(digest(request));
         lost.parts.addAll(sharedPartIds(request));
     }
 
-    private void onProbed(String incarnation, boolean alive) {
+    private void onChecked(String incarnation, boolean failed) {
         LostRequests lost = lostByIncarnation.remove(incarnation);
-        if (alive || lost == null) {
+        if (!failed || lost == null) {
             return;
         }
         log.log(
--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
+import baobabcroft.directory.EndpointEntry;
 import baobabcroft.front.ConnectionObserver;
 import baobabcroft.front.EndpointConnectionPool;
 import baobabcroft.front.FrontServer;
@@ -18,6 +19,7 @@
 import io.netty.channel.EventLoopGroup;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -153,6 +155,11 @@
         }
     }
 
+    /** Finds out whether an endpoint has failed, and not this instance's links. */
+    void checkFailed(EndpointEntry endpoint, Consumer<Boolean> callback) {
+        reachability.checkFailed(endpoint, callback);
+    }
+
     EndpointConnectionPool endpointConnections() {
         return endpointConnections;
     }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -153,7 +153,7 @@
                 settings.bounds().exposureShare(),
                 this::instanceCount);
         this.crashTracker = new CrashTracker(
-                scheduler, nowMillis, random::nextDouble, connections::probe, sharedRecords::publishCrashes);
+                scheduler, nowMillis, random::nextDouble, forwarding::checkFailed, sharedRecords::publishCrashes);
         EndpointListUpdater endpointList = new EndpointListUpdater(
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
         this.storeContents = new StoreContents(storeDialect, routing, endpointList, rollouts, sharedRecords, nowMillis);
--- a/router/src/main/java/baobabcroft/reach/EndpointReachability.java
+++ b/router/src/main/java/baobabcroft/reach/EndpointReachability.java
@@ -148,16 +148,33 @@
     }
 
     /**
-     * Finds out whether this instance reaches any endpoint.
+     * Finds out whether an endpoint has failed: it accepts no connection, while another one does.
      *
-     * @param callback called once with the answer, possibly before this method returns
+     * @param endpoint the endpoint
+     * @param callback called once, with false if the endpoint accepts connections, or none does
      */
-    public void whenVerified(Consumer<Boolean> callback) {
+    public void checkFailed(EndpointEntry endpoint, Consumer<Boolean> callback) {
+        checkNotNull(callback);
+        long startedAtMillis = nowMillis.getAsLong();
+        acceptsConnections.accept(endpoint, accepted -> {
+            if (accepted) {
+                onConnected();
+                callback.accept(false);
+            } else if (contactAtMillis >= startedAtMillis) {
+                callback.accept(true);
+            } else {
+                whenVerified(callback);
+            }
+        });
+    }
+
+    /** Finds out whether this instance reaches any endpoint. */
+    private void whenVerified(Consumer<Boolean> callback) {
         if (state == State.ISOLATED) {
             callback.accept(false);
             return;
         }
-        waiting.add(checkNotNull(callback));
+        waiting.add(callback);
         if (state != State.VERIFYING) {
             verify();
         }
--- a/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
@@ -6,6 +6,7 @@
 
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.reach.EndpointReachability;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.Headers;
 import baobabcroft.relay.Prompt;
@@ -17,6 +18,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -27,7 +30,7 @@
     private final List<CrashRecord> published = new ArrayList<>();
     private boolean accepts;
     private final CrashTracker tracker = new CrashTracker(
-            time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, then) -> then.accept(accepts), published::add);
+            time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, then) -> then.accept(!accepts), published::add);
 
     private static RequestIdentity request(String body, String account, String... parts) {
         ImmutableList<PromptPart> prompt =
@@ -47,6 +50,55 @@
         time.advance(PROBE_AND_PUBLISH_MILLIS);
     }
 
+    /** An instance that is cut off from all endpoints has lost its connections to all of them, and nothing has crashed. */
+    @Nested
+    class Isolation {
+        private final ImmutableList<EndpointEntry> endpoints =
+                ImmutableList.of(endpoint("e-1"), endpoint("e-2"), endpoint("e-3"), endpoint("e-4"), endpoint("e-5"));
+
+        private CrashTracker trackerOf(BiConsumer<EndpointEntry, Consumer<Boolean>> checkFailed) {
+            return new CrashTracker(time.scheduler(), time::nowMillis, () -> 0.5, checkFailed, published::add);
+        }
+
+        private void loseAll(CrashTracker losing) {
+            endpoints.forEach(endpoint ->
+                    losing.onConnectionLost(request("body " + endpoint.id(), "kamera", "shared", "own"), endpoint));
+            time.advance(PROBE_AND_PUBLISH_MILLIS);
+        }
+
+        /** Guards against RECOVER: sound requests are refused at all instances, as their prompt parts are suspects. */
+        @Test
+        void blamesNoRequests() {
+            EndpointReachability reachability = EndpointReachability.create(
+                    () -> endpoints,
+                    (endpoint, callback) -> callback.accept(false),
+                    time.scheduler(),
+                    time::nowMillis,
+                    () -> 0.5,
+                    new EndpointReachability.Listener() {
+                        @Override
+                        public void onIsolated(int triedEndpoints) {}
+
+                        @Override
+                        public void onReachable(long isolatedMillis) {}
+                    });
+            CrashTracker isolated = trackerOf(reachability::checkFailed);
+            loseAll(isolated);
+
+            assertEquals(List.of(), published);
+            assertFalse(isolated.isPoison(request("other", "kamera", "shared", "own")));
+        }
+
+        /** The former policy, which asks the endpoint alone, for comparison. */
+        @Test
+        void wouldBlameSoundRequestsIfOnlyTheEndpointWereAsked() {
+            CrashTracker isolated = trackerOf((endpoint, callback) -> callback.accept(true));
+            loseAll(isolated);
+
+            assertTrue(isolated.isPoison(request("other", "kamera", "shared", "own")));
+        }
+    }
+
     @Nested
     class Confirmation {
         /** Connections are reset while the endpoint stays alive. */
@@ -190,7 +242,7 @@
                         time.scheduler(),
                         time::nowMillis,
                         () -> 0.5,
-                        (endpoint, then) -> then.accept(false),
+                        (endpoint, then) -> then.accept(true),
                         publishedByOthers::add);
                 other.onConnectionLost(request("body", "kamera"), endpoint("e-" + i));
                 time.advance(PROBE_AND_PUBLISH_MILLIS);
--- a/router/src/test/java/baobabcroft/instance/CrashingPartFleetTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashingPartFleetTest.java
@@ -104,7 +104,7 @@
                         time.scheduler(),
                         time::nowMillis,
                         random::nextDouble,
-                        (endpoint, callback) -> callback.accept(!crashed.containsKey(endpoint)),
+                        (endpoint, callback) -> callback.accept(crashed.containsKey(endpoint)),
                         published -> share(publisher, published)));
             }
         }
--- a/router/src/test/java/baobabcroft/reach/EndpointReachabilityTest.java
+++ b/router/src/test/java/baobabcroft/reach/EndpointReachabilityTest.java
@@ -185,21 +185,37 @@
     }
 
     @Nested
-    class Verification {
+    class Failures {
+        private final List<Boolean> failed = new ArrayList<>();
+
+        private void check(int number) {
+            reachability.checkFailed(endpoints.get(number), failed::add);
+            time.advance(2 * CONNECT_TIMEOUT_MILLIS);
+        }
+
+        @Test
+        void areNotThoseOfEndpointsThatAcceptConnections() {
+            check(0);
+
+            assertEquals(List.of(false), failed);
+        }
+
         @Test
-        void answersOnceKnown() {
-            List<Boolean> answers = new ArrayList<>();
-            reachability.whenVerified(answers::add);
-            time.advance(1);
+        void areThoseOfEndpointsThatDoNotWhileOthersDo() {
+            silence(8);
+            check(0);
+
+            assertEquals(List.of(true), failed);
+        }
+
+        @Test
+        void areNotThoseOfTheLinksOfThisInstance() {
             silence(11);
-            time.advance(1_000);
-            reachability.whenVerified(answers::add);
-            reachability.whenVerified(answers::add);
-            assertEquals(List.of(true), answers);
-            time.advance(CONNECT_TIMEOUT_MILLIS);
-            reachability.whenVerified(answers::add);
+            check(0);
+            check(1);
 
-            assertEquals(List.of(true, false, false, false), answers);
+            assertEquals(List.of(false, false), failed);
+            assertTrue(reachability.isIsolated());
         }
     }
 }
