Report no failures of endpoints while this instance is cut off from all of them

After its return the instance itself would avoid the endpoints that it had ejected for up to 4 s.

Change: EndpointLoads.setIsolated. When the instance finds that it is isolated it forgets failures, delays and ejections, tells the others at once, and records none until it has returned. What it had reported in the second before is replaced by then.

--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -48,7 +48,7 @@
     private final FleetIsolation isolation;
     private final ForwardingPeers peers;
     private final PeerForwarding route;
-    private final Runnable onChange;
+    private final Consumer<Boolean> onChange;
     private final EventLog log = EventLog.of(InstanceForwarding.class);
     private Optional<FrontServer> server = Optional.empty();
 
@@ -64,7 +64,7 @@
      * @param dialect headers and statuses of the platform
      * @param directory the listed endpoints
      * @param metrics counts what happens
-     * @param onChange run when other instances have to know of a change
+     * @param onChange called with whether this instance is isolated, when that has changed
      */
     InstanceForwarding(
             InstanceSettings settings,
@@ -76,7 +76,7 @@
             RequestDialect dialect,
             EndpointDirectory directory,
             RouterMetrics metrics,
-            Runnable onChange) {
+            Consumer<Boolean> onChange) {
         this.settings = settings;
         this.nowMillis = nowMillis;
         this.metrics = metrics;
@@ -144,14 +144,14 @@
                     LogEvent.ENDPOINTS_UNREACHABLE,
                     triedEndpoints,
                     peers.connected().size());
-            onChange.run();
+            onChange.accept(true);
             endpointConnections.abandonConnects();
         }
 
         @Override
         public void onReachable(long isolatedMillis) {
             log.log(LogEvent.ENDPOINTS_REACHABLE, isolatedMillis);
-            onChange.run();
+            onChange.accept(false);
         }
     }
 
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -134,7 +134,7 @@
                 dialect,
                 directory,
                 metrics,
-                this::onLoadChanged);
+                this::onIsolationChanged);
         this.connections = forwarding.endpointConnections();
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
@@ -269,6 +269,11 @@
         noticeExchange.ifPresent(NoticeExchange::receive);
     }
 
+    private void onIsolationChanged(boolean isolated) {
+        loads.setIsolated(isolated);
+        onLoadChanged();
+    }
+
     private void onLoadChanged() {
         noticeExchange.ifPresent(NoticeExchange::scheduleNotice);
     }
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -64,6 +64,7 @@
     private final Runnable onChange;
     private final Map<String, State> states = new HashMap<>();
     private final Map<String, Double> tokenPrefillMillis = new HashMap<>();
+    private boolean isolated;
 
     private EndpointLoads(LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange) {
         this.nowMillis = nowMillis;
@@ -100,6 +101,20 @@
         return loads;
     }
 
+    /**
+     * Sets whether this instance is cut off from all endpoints. While it is, failures and delays are those of its links:
+     * what it has recorded of late is forgotten, and nothing is added.
+     *
+     * @param nowIsolated whether it is cut off from now on
+     */
+    public void setIsolated(boolean nowIsolated) {
+        isolated = nowIsolated;
+        if (nowIsolated) {
+            states.values().forEach(State::forgetFailures);
+            onChange.run();
+        }
+    }
+
     /** Returns the observed prefill time of a token of a short prompt, in milliseconds. */
     private double tokenPrefillMillis(Optional<String> model) {
         return tokenPrefillMillis.getOrDefault(model.orElse(""), DEFAULT_TOKEN_PREFILL_MILLIS);
@@ -249,13 +264,27 @@
             }
         }
 
+        private void forgetFailures() {
+            failureRate = 0;
+            lateMillis = 0;
+            outcomes = 0;
+            connectionFailures = 0;
+            ejectedUntilMillis = Long.MIN_VALUE;
+        }
+
         private void recordOutcome(boolean failed) {
+            if (isolated) {
+                return;
+            }
             decay();
             outcomes++;
             failureRate += FAILURE_SMOOTHING * ((failed ? 1 : 0) - failureRate);
         }
 
         private void recordDelay(double millis) {
+            if (isolated) {
+                return;
+            }
             decay();
             lateMillis += DELAY_SMOOTHING * (Math.min(millis, MAX_DELAY_MILLIS) - lateMillis);
         }
@@ -269,6 +298,9 @@
         }
 
         private void eject() {
+            if (isolated) {
+                return;
+            }
             long ejectionMillis = Math.min(MAX_EJECTION_MILLIS, MIN_EJECTION_MILLIS << Math.min(connectionFailures, 3));
             connectionFailures++;
             ejectedUntilMillis = nowMillis.getAsLong() + ejectionMillis;
