--- a/router/src/main/java/baobabcroft/limit/SharedRate.java
+++ b/router/src/main/java/baobabcroft/limit/SharedRate.java
@@ -3,10 +3,8 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
@@ -25,18 +23,10 @@
     /** Rate for lower ones, in requests a second: without any request, the end of a limit would not be noticed. */
     private static final double MIN_RATE_PER_SECOND = 0.25;
 
-    private static final HashFunction HASH = Hashing.murmur3_128();
-
-    private final long subject;
-    private final String instance;
-    private final Supplier<ImmutableSet<String>> instances;
+    private final InstanceRanking ranking;
     private final LongSupplier nowMillis;
     private final TokenBucket bucket;
     private double ratePerSecond;
-    private long rotation;
-    private ImmutableSet<String> rankedInstances = ImmutableSet.of();
-    private long rankedRotation;
-    private int rank;
 
     /**
      * The part of one instance.
@@ -48,16 +38,8 @@
         static final Part NONE = new Part(0, 0);
     }
 
-    private SharedRate(
-            long subject,
-            String instance,
-            Supplier<ImmutableSet<String>> instances,
-            double ratePerSecond,
-            LongSupplier nowMillis,
-            DoubleSupplier random) {
-        this.subject = subject;
-        this.instance = instance;
-        this.instances = instances;
+    private SharedRate(InstanceRanking ranking, double ratePerSecond, LongSupplier nowMillis, DoubleSupplier random) {
+        this.ranking = ranking;
         this.nowMillis = nowMillis;
         this.ratePerSecond = ratePerSecond;
         Part part = part();
@@ -88,12 +70,7 @@
             DoubleSupplier random) {
         checkArgument(ratePerSecond >= 0, "negative ratePerSecond: %s", ratePerSecond);
         return new SharedRate(
-                subject,
-                checkNotNull(instance),
-                checkNotNull(instances),
-                ratePerSecond,
-                checkNotNull(nowMillis),
-                random);
+                new InstanceRanking(subject, instance, instances), ratePerSecond, checkNotNull(nowMillis), random);
     }
 
     /**
@@ -114,7 +91,7 @@
      * @param newRotation number of the ranking; the same at all instances
      */
     public void setRotation(long newRotation) {
-        rotation = newRotation;
+        ranking.setRotation(newRotation);
     }
 
     /**
@@ -163,31 +140,25 @@
     }
 
     private Part part() {
-        ImmutableSet<String> all = instances.get();
-        double rate = Math.max(MIN_RATE_PER_SECOND, ratePerSecond);
-        int holders = (int) Math.min(Math.max(1, all.size()), Math.floor(rate) + BURST_REQUESTS);
-        return rankIn(all) < holders ? new Part(rate / holders, (rate + BURST_REQUESTS) / holders) : Part.NONE;
+        int holders = holderCount();
+        double rate = effectiveRate();
+        return ranking.rank() < holders ? new Part(rate / holders, (rate + BURST_REQUESTS) / holders) : Part.NONE;
     }
 
-    /** Returns the number of instances ranked before this one. */
-    private int rankIn(ImmutableSet<String> all) {
-        if (!all.equals(rankedInstances) || rotation != rankedRotation) {
-            long own = hash(instance);
-            rank = (int) all.stream()
-                    .filter(other -> !other.equals(instance) && hash(other) > own)
-                    .count();
-            rankedInstances = all;
-            rankedRotation = rotation;
-        }
-        return rank;
+    /**
+     * Returns the names of the instances that hold a part.
+     *
+     * @return the names, first ranked first
+     */
+    public ImmutableList<String> holders() {
+        return ranking.ranked().subList(0, holderCount());
+    }
+
+    private int holderCount() {
+        return (int) Math.min(ranking.ranked().size(), Math.floor(effectiveRate()) + BURST_REQUESTS);
     }
 
-    private long hash(String name) {
-        return HASH.newHasher()
-                .putLong(subject)
-                .putLong(rotation)
-                .putString(name, StandardCharsets.UTF_8)
-                .hash()
-                .asLong();
+    private double effectiveRate() {
+        return Math.max(MIN_RATE_PER_SECOND, ratePerSecond);
     }
 }
