--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -27,6 +27,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -58,6 +59,9 @@
 
     long connectFailureMillis;
     SendFailure connectFailure = SendFailure.CONNECTION_REFUSED;
+    /** Endpoints that are down. */
+    Predicate<EndpointEntry> refuses = endpoint -> false;
+
     Runnable onConnected = () -> {};
     Runnable onConnectFailed = () -> {};
     private final List<PendingConnect> pendingConnects = new ArrayList<>();
@@ -457,6 +461,10 @@
             time.scheduler().schedule(connectFailureMillis, () -> failConnect(pending));
             return () -> pendingConnects.remove(pending);
         }
+        if (refuses.test(endpoint)) {
+            time.scheduler().schedule(1, () -> listener.onFailure(SendFailure.CONNECTION_REFUSED));
+            return () -> {};
+        }
         onConnected.run();
         SentRequest sent = new SentRequest(endpoint, request, listener, now());
         if (listener.confirmSend()) {
