--- a/router/src/main/java/baobabcroft/instance/AvailabilityRecorder.java
+++ b/router/src/main/java/baobabcroft/instance/AvailabilityRecorder.java
@@ -52,4 +52,16 @@
         metrics.count("endpoints.limits_unreadable");
         log.log(LogEvent.ENDPOINT_LIMIT_UNREADABLE, endpoint.id(), value);
     }
+
+    @Override
+    public void onBrittle(EndpointEntry endpoint, int toleratedRejections) {
+        metrics.count("endpoints.brittle_stated");
+        log.log(LogEvent.ENDPOINT_BRITTLE, endpoint.id(), toleratedRejections);
+    }
+
+    @Override
+    public void onBrittleEnded(EndpointEntry endpoint) {
+        metrics.count("endpoints.brittle_ended");
+        log.log(LogEvent.ENDPOINT_BRITTLE_ENDED, endpoint.id());
+    }
 }
--- a/router/src/main/java/baobabcroft/instance/NoticeStateAdapter.java
+++ b/router/src/main/java/baobabcroft/instance/NoticeStateAdapter.java
@@ -1,6 +1,6 @@
 package baobabcroft.instance;
 
-import baobabcroft.limit.DomainLimitReports;
+import baobabcroft.limit.DomainBoundReports;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.notice.NoticeContents;
 import baobabcroft.notice.NoticeDelegate;
@@ -9,6 +9,7 @@
 import baobabcroft.rollout.DomainRolloutCounts;
 import baobabcroft.rollout.FleetRollouts;
 import com.google.common.collect.ImmutableMap;
+import java.util.function.LongSupplier;
 
 /**
  * Provides the contents of this instance's notices and applies those of other instances: endpoint loads, and response
@@ -24,7 +25,8 @@
     private final DomainRolloutCounts counts;
     private final FleetRollouts rollouts;
     private final EndpointAvailability availability;
-    private final DomainLimitReports limits;
+    private final DomainBoundReports limits;
+    private final DomainBoundReports toleratedRejections;
     private final FleetIsolation isolation;
 
     NoticeStateAdapter(
@@ -33,21 +35,26 @@
             DomainRolloutCounts counts,
             FleetRollouts rollouts,
             EndpointAvailability availability,
-            DomainLimitReports limits,
+            LongSupplier nowMillis,
             FleetIsolation isolation) {
         this.ownLoads = ownLoads;
         this.peerLoads = peerLoads;
         this.counts = counts;
         this.rollouts = rollouts;
         this.availability = availability;
-        this.limits = limits;
+        this.limits = DomainBoundReports.create(nowMillis);
+        this.toleratedRejections = DomainBoundReports.create(nowMillis);
         this.isolation = isolation;
     }
 
     @Override
     public NoticeContents ownContents() {
         return new NoticeContents(
-                ImmutableMap.copyOf(ownLoads.localLoads()), counts.own(), availability.limitReports(), isolation.own());
+                ImmutableMap.copyOf(ownLoads.localLoads()),
+                counts.own(),
+                availability.limitReports(),
+                availability.toleratedRejectionReports(),
+                isolation.own());
     }
 
     @Override
@@ -56,6 +63,7 @@
                 peerLoads.ownDomainLoads(ownLoads.localLoads()),
                 counts.domainTotal(),
                 limits.latest(availability.limitReports()),
+                toleratedRejections.latest(availability.toleratedRejectionReports()),
                 isolation.ownDomain());
     }
 
@@ -64,8 +72,9 @@
         peerLoads.updateInstance(instance, sequence, contents.loads());
         counts.setPeer(instance, contents.rolloutCounts());
         limits.setPeer(instance, contents.limits());
+        toleratedRejections.setPeer(instance, contents.toleratedRejections());
         isolation.setInstance(instance, contents.isolatedInstances());
-        availability.onLimitReports(contents.limits());
+        availability.onReports(contents.limits(), contents.toleratedRejections());
         contents.rolloutCounts().forEach((service, counts) -> rollouts.onCounts(service, instance, counts));
     }
 
@@ -73,7 +82,7 @@
     public void onDomainNotice(String failureDomain, NoticeContents contents) {
         peerLoads.updateFailureDomain(failureDomain, contents.loads());
         isolation.setFailureDomain(failureDomain, contents.isolatedInstances());
-        availability.onLimitReports(contents.limits());
+        availability.onReports(contents.limits(), contents.toleratedRejections());
         contents.rolloutCounts()
                 .forEach((service, counts) -> rollouts.onCounts(service, DOMAIN_PREFIX + failureDomain, counts));
     }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -10,8 +10,7 @@
 import baobabcroft.front.EndpointConnectionPool;
 import baobabcroft.front.FrontServer;
 import baobabcroft.front.StatusServer;
-import baobabcroft.limit.DomainLimitReports;
-import baobabcroft.limit.SharedRate;
+import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.log.BoundedAppender;
 import baobabcroft.log.EventLog;
@@ -142,7 +141,8 @@
                 nowMillis,
                 random::nextDouble,
                 () -> this.settings.maxEndpointPauseMillis(),
-                this::sharedRate,
+                new FleetView(settings.instance(), members::names),
+                loads::openRequests,
                 new AvailabilityRecorder(metrics));
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
@@ -223,13 +223,7 @@
                 settings.failureDomain(),
                 settings.peers(),
                 new NoticeStateAdapter(
-                        loads,
-                        peerLoads,
-                        rolloutCounts,
-                        rollouts,
-                        availability,
-                        DomainLimitReports.create(nowMillis),
-                        forwarding.isolation())));
+                        loads, peerLoads, rolloutCounts, rollouts, availability, nowMillis, forwarding.isolation())));
         FeedServer.start(loop, settings.peers(), store.feed());
         loop.execute(this::startStore);
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
@@ -408,11 +402,6 @@
         return noticeExchange.map(NoticeExchange::instanceCount).orElse(1);
     }
 
-    private SharedRate sharedRate(long incarnationHash, double perSecond) {
-        return SharedRate.create(
-                incarnationHash, settings.instance(), members::names, perSecond, nowMillis, random::nextDouble);
-    }
-
     private void onEndpointRemoved(EndpointEntry endpoint) {
         connections.closeIdle(endpoint);
         loads.removeIfIdle(endpoint.id());
--- a/router/src/main/java/baobabcroft/limit/DomainLimitReports.java
+++ b/router/src/main/java/baobabcroft/limit/DomainBoundReports.java
@@ -10,19 +10,19 @@
 import java.util.function.LongSupplier;
 
 /**
- * What endpoints have told the other instances of this failure domain of their limits. Reports of other failure domains
+ * What endpoints have told the other instances of this failure domain of bounds on their requests. Reports of other failure domains
  * are not kept here: passed on in a circle, they would never grow old. Not thread-safe.
  */
-public final class DomainLimitReports {
+public final class DomainBoundReports {
     /** Age above which the reports of an instance are ignored; tolerates several lost notices in a row. */
     private static final long MAX_AGE_MILLIS = 3_000;
 
     private final LongSupplier nowMillis;
     private final Map<String, Received> byInstance = new HashMap<>();
 
-    private record Received(ImmutableList<LimitReport> reports, long atMillis) {}
+    private record Received(ImmutableList<BoundReport> reports, long atMillis) {}
 
-    private DomainLimitReports(LongSupplier nowMillis) {
+    private DomainBoundReports(LongSupplier nowMillis) {
         this.nowMillis = nowMillis;
     }
 
@@ -32,8 +32,8 @@
      * @param nowMillis monotonic clock, in milliseconds
      * @return the new object
      */
-    public static DomainLimitReports create(LongSupplier nowMillis) {
-        return new DomainLimitReports(checkNotNull(nowMillis));
+    public static DomainBoundReports create(LongSupplier nowMillis) {
+        return new DomainBoundReports(checkNotNull(nowMillis));
     }
 
     /**
@@ -42,7 +42,7 @@
      * @param instance name of the instance
      * @param reports what endpoints have told it
      */
-    public void setPeer(String instance, ImmutableList<LimitReport> reports) {
+    public void setPeer(String instance, ImmutableList<BoundReport> reports) {
         byInstance.put(instance, new Received(reports, nowMillis.getAsLong()));
     }
 
@@ -50,17 +50,17 @@
      * Returns what the instances of this failure domain were told.
      *
      * @param own what endpoints have told this instance
-     * @return the latest report on each start of an endpoint
+     * @return the latest report on each subject
      */
-    public ImmutableList<LimitReport> latest(ImmutableList<LimitReport> own) {
-        Map<Long, LimitReport> latest = new HashMap<>();
-        BinaryOperator<LimitReport> newer = BinaryOperator.minBy(Comparator.comparingLong(LimitReport::ageMillis));
-        own.forEach(report -> latest.merge(report.incarnationHash(), report, newer));
+    public ImmutableList<BoundReport> latest(ImmutableList<BoundReport> own) {
+        Map<Long, BoundReport> latest = new HashMap<>();
+        BinaryOperator<BoundReport> newer = BinaryOperator.minBy(Comparator.comparingLong(BoundReport::ageMillis));
+        own.forEach(report -> latest.merge(report.subjectHash(), report, newer));
         for (Received received : byInstance.values()) {
             long sinceMillis = nowMillis.getAsLong() - received.atMillis();
             if (sinceMillis <= MAX_AGE_MILLIS) {
                 received.reports()
-                        .forEach(report -> latest.merge(report.incarnationHash(), report.olderBy(sinceMillis), newer));
+                        .forEach(report -> latest.merge(report.subjectHash(), report.olderBy(sinceMillis), newer));
             }
         }
         return ImmutableList.copyOf(latest.values());
--- a/router/src/main/java/baobabcroft/limit/InstanceRanking.java
+++ b/router/src/main/java/baobabcroft/limit/InstanceRanking.java
@@ -8,24 +8,21 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
-import java.util.function.Supplier;
 
 /** The instances in an order by hash, which differs from subject to subject and is the same at all instances. */
 final class InstanceRanking {
     private static final HashFunction HASH = Hashing.murmur3_128();
 
     private final long subject;
-    private final String instance;
-    private final Supplier<ImmutableSet<String>> instances;
+    private final FleetView fleet;
     private long rotation;
     private ImmutableSet<String> rankedInstances = ImmutableSet.of();
     private long rankedRotation;
     private ImmutableList<String> ranked = ImmutableList.of();
 
-    InstanceRanking(long subject, String instance, Supplier<ImmutableSet<String>> instances) {
+    InstanceRanking(long subject, FleetView fleet) {
         this.subject = subject;
-        this.instance = checkNotNull(instance);
-        this.instances = checkNotNull(instances);
+        this.fleet = checkNotNull(fleet);
     }
 
     /** Changes the order to another one. */
@@ -35,20 +32,23 @@
 
     /** Returns the names of the instances in their order; this one is among them. */
     ImmutableList<String> ranked() {
-        ImmutableSet<String> all = instances.get();
+        ImmutableSet<String> all = fleet.instances().get();
         if (!all.equals(rankedInstances) || rotation != rankedRotation || ranked.isEmpty()) {
             rankedInstances = all;
             rankedRotation = rotation;
             ranked = ImmutableList.sortedCopyOf(
                     Comparator.comparingLong(this::hash).thenComparing(Comparator.naturalOrder()),
-                    ImmutableSet.<String>builder().addAll(all).add(instance).build());
+                    ImmutableSet.<String>builder()
+                            .addAll(all)
+                            .add(fleet.instance())
+                            .build());
         }
         return ranked;
     }
 
     /** Returns the number of instances before this one. */
     int rank() {
-        return ranked().indexOf(instance);
+        return ranked().indexOf(fleet.instance());
     }
 
     private long hash(String name) {
--- a/router/src/main/java/baobabcroft/limit/SharedConcurrency.java
+++ b/router/src/main/java/baobabcroft/limit/SharedConcurrency.java
@@ -3,8 +3,6 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
-import java.util.function.Supplier;
 
 /**
  * This instance's part of a number of requests that all instances together may have open. The parts differ by one at the
@@ -21,12 +19,11 @@
      * Returns this instance's part.
      *
      * @param subject names what the requests are open at; the same number at all instances
-     * @param instance name of this instance
-     * @param instances supplies the names of all instances, including this one
+     * @param fleet the instances that share the number
      * @return the part
      */
-    public static SharedConcurrency create(long subject, String instance, Supplier<ImmutableSet<String>> instances) {
-        return new SharedConcurrency(new InstanceRanking(subject, instance, instances));
+    public static SharedConcurrency create(long subject, FleetView fleet) {
+        return new SharedConcurrency(new InstanceRanking(subject, fleet));
     }
 
     /**
--- a/router/src/main/java/baobabcroft/limit/SharedRate.java
+++ b/router/src/main/java/baobabcroft/limit/SharedRate.java
@@ -4,11 +4,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
-import com.google.common.collect.ImmutableSet;
 import java.util.OptionalLong;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 /**
  * This instance's part of a rate that holds for all instances together.
@@ -54,23 +52,16 @@
      * Returns this instance's part of a rate, of which it has saved up a random fraction of one request.
      *
      * @param subject names what the rate applies to; the same number at all instances
-     * @param instance name of this instance
-     * @param instances supplies the names of all instances, including this one
+     * @param fleet the instances that share the rate
      * @param ratePerSecond requests a second of all instances together
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of numbers in [0, 1)
      * @return the part
      */
     public static SharedRate create(
-            long subject,
-            String instance,
-            Supplier<ImmutableSet<String>> instances,
-            double ratePerSecond,
-            LongSupplier nowMillis,
-            DoubleSupplier random) {
+            long subject, FleetView fleet, double ratePerSecond, LongSupplier nowMillis, DoubleSupplier random) {
         checkArgument(ratePerSecond >= 0, "negative ratePerSecond: %s", ratePerSecond);
-        return new SharedRate(
-                new InstanceRanking(subject, instance, instances), ratePerSecond, checkNotNull(nowMillis), random);
+        return new SharedRate(new InstanceRanking(subject, fleet), ratePerSecond, checkNotNull(nowMillis), random);
     }
 
     /**
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -131,6 +131,10 @@
     ENDPOINT_LIMIT_ENDED(5022, INFO, "endpoint states no limit any more", "endpoint"),
     /** An endpoint has stated a limit on its requests, but not as a number. */
     ENDPOINT_LIMIT_UNREADABLE(5023, WARN, "limit stated by endpoint cannot be parsed; ignored", "endpoint", "value"),
+    /** An endpoint has stated that it falls over if it has to reject more requests than that in a second. */
+    ENDPOINT_BRITTLE(5026, INFO, "endpoint states that rejections make it fall over", "endpoint", "toleratedPerSecond"),
+    /** An endpoint has answered without stating that it falls over. */
+    ENDPOINT_BRITTLE_ENDED(5027, INFO, "endpoint no longer states that rejections make it fall over", "endpoint"),
     /** No endpoint accepts connections of this instance; they may accept those of others. */
     ENDPOINTS_UNREACHABLE(5024, WARN, "no endpoint can be reached from this instance", "triedEndpoints", "peers"),
     /** An endpoint has accepted a connection of this instance again. */
--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -2,13 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.limit.LimitReport;
+import baobabcroft.limit.BoundReport;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads.Load;
-import baobabcroft.notice.proto.EndpointLimit;
 import baobabcroft.notice.proto.EndpointLoad;
 import baobabcroft.notice.proto.PeerNotice;
 import baobabcroft.notice.proto.RouteAnswers;
+import baobabcroft.notice.proto.StatedBound;
 import baobabcroft.notice.proto.VersionAnswers;
 import baobabcroft.replica.StoreRevision;
 import baobabcroft.rollout.RolloutCounts;
@@ -16,7 +16,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.util.Optional;
+import java.util.List;
 import java.util.OptionalDouble;
 
 /**
@@ -24,13 +24,15 @@
  *
  * @param loads load by endpoint
  * @param rolloutCounts answer counts of versions that are being rolled out, by service
- * @param limits what endpoints have told of limits on their requests
+ * @param limits what endpoints have told of limits on their requests, by start of the endpoint
+ * @param toleratedRejections what endpoints have told of the rejections that they tolerate, by service
  * @param isolatedInstances names of instances that are cut off from all endpoints
  */
 public record NoticeContents(
         ImmutableMap<EndpointKey, Load> loads,
         ImmutableMap<String, RolloutCounts> rolloutCounts,
-        ImmutableList<LimitReport> limits,
+        ImmutableList<BoundReport> limits,
+        ImmutableList<BoundReport> toleratedRejections,
         ImmutableSet<String> isolatedInstances) {
     private static final double PERCENT = 100;
 
@@ -39,12 +41,13 @@
         checkNotNull(loads);
         checkNotNull(rolloutCounts);
         checkNotNull(limits);
+        checkNotNull(toleratedRejections);
         checkNotNull(isolatedInstances);
     }
 
     /** Returns whether nothing is lost if the notice is not repeated. */
     boolean isIdle() {
-        return loads.isEmpty() && limits.isEmpty() && isolatedInstances.isEmpty();
+        return loads.isEmpty() && limits.isEmpty() && toleratedRejections.isEmpty() && isolatedInstances.isEmpty();
     }
 
     /** Adds the contents to a notice. */
@@ -70,13 +73,16 @@
             notice.addAnswers(answers);
         });
         notice.addAllIsolatedInstances(isolatedInstances);
-        for (LimitReport limit : limits) {
-            EndpointLimit.Builder report = EndpointLimit.newBuilder()
-                    .setIncarnationHash(limit.incarnationHash())
-                    .setAgeMillis((int) Math.min(limit.ageMillis(), Integer.MAX_VALUE));
-            limit.perSecond().ifPresent(perSecond -> report.setPerSecond((float) perSecond));
-            notice.addLimits(report);
-        }
+        limits.forEach(report -> notice.addLimits(toProto(report)));
+        toleratedRejections.forEach(report -> notice.addToleratedRejections(toProto(report)));
+    }
+
+    private static StatedBound toProto(BoundReport report) {
+        StatedBound.Builder bound = StatedBound.newBuilder()
+                .setSubjectHash(report.subjectHash())
+                .setAgeMillis((int) Math.min(report.ageMillis(), Integer.MAX_VALUE));
+        report.bound().ifPresent(value -> bound.setBound((float) value));
+        return bound.build();
     }
 
     /** Returns the contents of a notice; the last entry counts if an endpoint, service or route is repeated. */
@@ -108,21 +114,18 @@
         return new NoticeContents(
                 loads.buildKeepingLast(),
                 rolloutCounts.buildKeepingLast(),
-                notice.getLimitsList().stream()
-                        .map(NoticeContents::limitReport)
-                        .flatMap(Optional::stream)
-                        .collect(ImmutableList.toImmutableList()),
+                reports(notice.getLimitsList()),
+                reports(notice.getToleratedRejectionsList()),
                 ImmutableSet.copyOf(notice.getIsolatedInstancesList()));
     }
 
-    /** Returns a report; empty if its limit is no number that an endpoint can state. */
-    private static Optional<LimitReport> limitReport(EndpointLimit limit) {
-        boolean isValid = Float.isFinite(limit.getPerSecond()) && limit.getPerSecond() >= 0;
-        return isValid
-                ? Optional.of(new LimitReport(
-                        limit.getIncarnationHash(),
-                        limit.hasPerSecond() ? OptionalDouble.of(limit.getPerSecond()) : OptionalDouble.empty(),
-                        Integer.toUnsignedLong(limit.getAgeMillis())))
-                : Optional.empty();
+    private static ImmutableList<BoundReport> reports(List<StatedBound> bounds) {
+        return bounds.stream()
+                .filter(bound -> Float.isFinite(bound.getBound()) && bound.getBound() >= 0)
+                .map(bound -> new BoundReport(
+                        bound.getSubjectHash(),
+                        bound.hasBound() ? OptionalDouble.of(bound.getBound()) : OptionalDouble.empty(),
+                        Integer.toUnsignedLong(bound.getAgeMillis())))
+                .collect(ImmutableList.toImmutableList());
     }
 }
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
@@ -40,6 +40,7 @@
     limits_ = java.util.Collections.emptyList();
     isolatedInstances_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
+    toleratedRejections_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -295,36 +296,39 @@
 
   public static final int LIMITS_FIELD_NUMBER = 6;
   @SuppressWarnings("serial")
-  private java.util.List<baobabcroft.notice.proto.EndpointLimit> limits_;
+  private java.util.List<baobabcroft.notice.proto.StatedBound> limits_;
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
   @java.lang.Override
-  public java.util.List<baobabcroft.notice.proto.EndpointLimit> getLimitsList() {
+  public java.util.List<baobabcroft.notice.proto.StatedBound> getLimitsList() {
     return limits_;
   }
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
   @java.lang.Override
-  public java.util.List<? extends baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+  public java.util.List<? extends baobabcroft.notice.proto.StatedBoundOrBuilder> 
       getLimitsOrBuilderList() {
     return limits_;
   }
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
   @java.lang.Override
   public int getLimitsCount() {
@@ -332,24 +336,26 @@
   }
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
   @java.lang.Override
-  public baobabcroft.notice.proto.EndpointLimit getLimits(int index) {
+  public baobabcroft.notice.proto.StatedBound getLimits(int index) {
     return limits_.get(index);
   }
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
   @java.lang.Override
-  public baobabcroft.notice.proto.EndpointLimitOrBuilder getLimitsOrBuilder(
+  public baobabcroft.notice.proto.StatedBoundOrBuilder getLimitsOrBuilder(
       int index) {
     return limits_.get(index);
   }
@@ -407,6 +413,67 @@
     return isolatedInstances_.getByteString(index);
   }
 
+  public static final int TOLERATED_REJECTIONS_FIELD_NUMBER = 8;
+  @SuppressWarnings("serial")
+  private java.util.List<baobabcroft.notice.proto.StatedBound> toleratedRejections_;
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<baobabcroft.notice.proto.StatedBound> getToleratedRejectionsList() {
+    return toleratedRejections_;
+  }
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends baobabcroft.notice.proto.StatedBoundOrBuilder> 
+      getToleratedRejectionsOrBuilderList() {
+    return toleratedRejections_;
+  }
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  @java.lang.Override
+  public int getToleratedRejectionsCount() {
+    return toleratedRejections_.size();
+  }
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.notice.proto.StatedBound getToleratedRejections(int index) {
+    return toleratedRejections_.get(index);
+  }
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.notice.proto.StatedBoundOrBuilder getToleratedRejectionsOrBuilder(
+      int index) {
+    return toleratedRejections_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -442,6 +509,9 @@
     for (int i = 0; i < isolatedInstances_.size(); i++) {
       com.google.protobuf.GeneratedMessage.writeString(output, 7, isolatedInstances_.getRaw(i));
     }
+    for (int i = 0; i < toleratedRejections_.size(); i++) {
+      output.writeMessage(8, toleratedRejections_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -496,6 +566,15 @@
       size += dataSize;
       size += 1 * getIsolatedInstancesList().size();
     }
+
+        {
+          final int count = toleratedRejections_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(toleratedRejections_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -525,6 +604,8 @@
         .equals(other.getLimitsList())) return false;
     if (!getIsolatedInstancesList()
         .equals(other.getIsolatedInstancesList())) return false;
+    if (!getToleratedRejectionsList()
+        .equals(other.getToleratedRejectionsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -559,6 +640,10 @@
       hash = (37 * hash) + ISOLATED_INSTANCES_FIELD_NUMBER;
       hash = (53 * hash) + getIsolatedInstancesList().hashCode();
     }
+    if (getToleratedRejectionsCount() > 0) {
+      hash = (37 * hash) + TOLERATED_REJECTIONS_FIELD_NUMBER;
+      hash = (53 * hash) + getToleratedRejectionsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -721,6 +806,13 @@
       bitField0_ = (bitField0_ & ~0x00000020);
       isolatedInstances_ =
           com.google.protobuf.LazyStringArrayList.emptyList();
+      if (toleratedRejectionsBuilder_ == null) {
+        toleratedRejections_ = java.util.Collections.emptyList();
+      } else {
+        toleratedRejections_ = null;
+        toleratedRejectionsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000080);
       return this;
     }
 
@@ -781,6 +873,15 @@
       } else {
         result.limits_ = limitsBuilder_.build();
       }
+      if (toleratedRejectionsBuilder_ == null) {
+        if (((bitField0_ & 0x00000080) != 0)) {
+          toleratedRejections_ = java.util.Collections.unmodifiableList(toleratedRejections_);
+          bitField0_ = (bitField0_ & ~0x00000080);
+        }
+        result.toleratedRejections_ = toleratedRejections_;
+      } else {
+        result.toleratedRejections_ = toleratedRejectionsBuilder_.build();
+      }
     }
 
     private void buildPartial0(baobabcroft.notice.proto.PeerNotice result) {
@@ -913,6 +1014,32 @@
         }
         onChanged();
       }
+      if (toleratedRejectionsBuilder_ == null) {
+        if (!other.toleratedRejections_.isEmpty()) {
+          if (toleratedRejections_.isEmpty()) {
+            toleratedRejections_ = other.toleratedRejections_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+          } else {
+            ensureToleratedRejectionsIsMutable();
+            toleratedRejections_.addAll(other.toleratedRejections_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.toleratedRejections_.isEmpty()) {
+          if (toleratedRejectionsBuilder_.isEmpty()) {
+            toleratedRejectionsBuilder_.dispose();
+            toleratedRejectionsBuilder_ = null;
+            toleratedRejections_ = other.toleratedRejections_;
+            bitField0_ = (bitField0_ & ~0x00000080);
+            toleratedRejectionsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetToleratedRejectionsFieldBuilder() : null;
+          } else {
+            toleratedRejectionsBuilder_.addAllMessages(other.toleratedRejections_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -981,9 +1108,9 @@
               break;
             } // case 42
             case 50: {
-              baobabcroft.notice.proto.EndpointLimit m =
+              baobabcroft.notice.proto.StatedBound m =
                   input.readMessage(
-                      baobabcroft.notice.proto.EndpointLimit.parser(),
+                      baobabcroft.notice.proto.StatedBound.parser(),
                       extensionRegistry);
               if (limitsBuilder_ == null) {
                 ensureLimitsIsMutable();
@@ -998,6 +1125,19 @@
               isolatedInstances_.add(input.readStringRequireUtf8());
               break;
             } // case 58
+            case 66: {
+              baobabcroft.notice.proto.StatedBound m =
+                  input.readMessage(
+                      baobabcroft.notice.proto.StatedBound.parser(),
+                      extensionRegistry);
+              if (toleratedRejectionsBuilder_ == null) {
+                ensureToleratedRejectionsIsMutable();
+                toleratedRejections_.add(m);
+              } else {
+                toleratedRejectionsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 66
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1872,26 +2012,27 @@
       return answersBuilder_;
     }
 
-    private java.util.List<baobabcroft.notice.proto.EndpointLimit> limits_ =
+    private java.util.List<baobabcroft.notice.proto.StatedBound> limits_ =
       java.util.Collections.emptyList();
     private void ensureLimitsIsMutable() {
       if (!((bitField0_ & 0x00000020) != 0)) {
-        limits_ = new java.util.ArrayList<baobabcroft.notice.proto.EndpointLimit>(limits_);
+        limits_ = new java.util.ArrayList<baobabcroft.notice.proto.StatedBound>(limits_);
         bitField0_ |= 0x00000020;
        }
     }
 
     private com.google.protobuf.RepeatedFieldBuilder<
-        baobabcroft.notice.proto.EndpointLimit, baobabcroft.notice.proto.EndpointLimit.Builder, baobabcroft.notice.proto.EndpointLimitOrBuilder> limitsBuilder_;
+        baobabcroft.notice.proto.StatedBound, baobabcroft.notice.proto.StatedBound.Builder, baobabcroft.notice.proto.StatedBoundOrBuilder> limitsBuilder_;
 
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public java.util.List<baobabcroft.notice.proto.EndpointLimit> getLimitsList() {
+    public java.util.List<baobabcroft.notice.proto.StatedBound> getLimitsList() {
       if (limitsBuilder_ == null) {
         return java.util.Collections.unmodifiableList(limits_);
       } else {
@@ -1900,10 +2041,11 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public int getLimitsCount() {
       if (limitsBuilder_ == null) {
@@ -1914,12 +2056,13 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public baobabcroft.notice.proto.EndpointLimit getLimits(int index) {
+    public baobabcroft.notice.proto.StatedBound getLimits(int index) {
       if (limitsBuilder_ == null) {
         return limits_.get(index);
       } else {
@@ -1928,13 +2071,14 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder setLimits(
-        int index, baobabcroft.notice.proto.EndpointLimit value) {
+        int index, baobabcroft.notice.proto.StatedBound value) {
       if (limitsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -1949,13 +2093,14 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder setLimits(
-        int index, baobabcroft.notice.proto.EndpointLimit.Builder builderForValue) {
+        int index, baobabcroft.notice.proto.StatedBound.Builder builderForValue) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         limits_.set(index, builderForValue.build());
@@ -1967,12 +2112,13 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public Builder addLimits(baobabcroft.notice.proto.EndpointLimit value) {
+    public Builder addLimits(baobabcroft.notice.proto.StatedBound value) {
       if (limitsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -1987,13 +2133,14 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder addLimits(
-        int index, baobabcroft.notice.proto.EndpointLimit value) {
+        int index, baobabcroft.notice.proto.StatedBound value) {
       if (limitsBuilder_ == null) {
         if (value == null) {
           throw new NullPointerException();
@@ -2008,13 +2155,14 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder addLimits(
-        baobabcroft.notice.proto.EndpointLimit.Builder builderForValue) {
+        baobabcroft.notice.proto.StatedBound.Builder builderForValue) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         limits_.add(builderForValue.build());
@@ -2026,13 +2174,14 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder addLimits(
-        int index, baobabcroft.notice.proto.EndpointLimit.Builder builderForValue) {
+        int index, baobabcroft.notice.proto.StatedBound.Builder builderForValue) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         limits_.add(index, builderForValue.build());
@@ -2044,13 +2193,14 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder addAllLimits(
-        java.lang.Iterable<? extends baobabcroft.notice.proto.EndpointLimit> values) {
+        java.lang.Iterable<? extends baobabcroft.notice.proto.StatedBound> values) {
       if (limitsBuilder_ == null) {
         ensureLimitsIsMutable();
         com.google.protobuf.AbstractMessageLite.Builder.addAll(
@@ -2063,10 +2213,11 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder clearLimits() {
       if (limitsBuilder_ == null) {
@@ -2080,10 +2231,11 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
     public Builder removeLimits(int index) {
       if (limitsBuilder_ == null) {
@@ -2097,23 +2249,25 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public baobabcroft.notice.proto.EndpointLimit.Builder getLimitsBuilder(
+    public baobabcroft.notice.proto.StatedBound.Builder getLimitsBuilder(
         int index) {
       return internalGetLimitsFieldBuilder().getBuilder(index);
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public baobabcroft.notice.proto.EndpointLimitOrBuilder getLimitsOrBuilder(
+    public baobabcroft.notice.proto.StatedBoundOrBuilder getLimitsOrBuilder(
         int index) {
       if (limitsBuilder_ == null) {
         return limits_.get(index);  } else {
@@ -2122,12 +2276,13 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public java.util.List<? extends baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+    public java.util.List<? extends baobabcroft.notice.proto.StatedBoundOrBuilder> 
          getLimitsOrBuilderList() {
       if (limitsBuilder_ != null) {
         return limitsBuilder_.getMessageOrBuilderList();
@@ -2137,44 +2292,47 @@
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public baobabcroft.notice.proto.EndpointLimit.Builder addLimitsBuilder() {
+    public baobabcroft.notice.proto.StatedBound.Builder addLimitsBuilder() {
       return internalGetLimitsFieldBuilder().addBuilder(
-          baobabcroft.notice.proto.EndpointLimit.getDefaultInstance());
+          baobabcroft.notice.proto.StatedBound.getDefaultInstance());
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public baobabcroft.notice.proto.EndpointLimit.Builder addLimitsBuilder(
+    public baobabcroft.notice.proto.StatedBound.Builder addLimitsBuilder(
         int index) {
       return internalGetLimitsFieldBuilder().addBuilder(
-          index, baobabcroft.notice.proto.EndpointLimit.getDefaultInstance());
+          index, baobabcroft.notice.proto.StatedBound.getDefaultInstance());
     }
     /**
      * <pre>
-     * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+     * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+     * all instances together. The subject is a start of an endpoint: its id, address and start time.
      * </pre>
      *
-     * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+     * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
      */
-    public java.util.List<baobabcroft.notice.proto.EndpointLimit.Builder> 
+    public java.util.List<baobabcroft.notice.proto.StatedBound.Builder> 
          getLimitsBuilderList() {
       return internalGetLimitsFieldBuilder().getBuilderList();
     }
     private com.google.protobuf.RepeatedFieldBuilder<
-        baobabcroft.notice.proto.EndpointLimit, baobabcroft.notice.proto.EndpointLimit.Builder, baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+        baobabcroft.notice.proto.StatedBound, baobabcroft.notice.proto.StatedBound.Builder, baobabcroft.notice.proto.StatedBoundOrBuilder> 
         internalGetLimitsFieldBuilder() {
       if (limitsBuilder_ == null) {
         limitsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
-            baobabcroft.notice.proto.EndpointLimit, baobabcroft.notice.proto.EndpointLimit.Builder, baobabcroft.notice.proto.EndpointLimitOrBuilder>(
+            baobabcroft.notice.proto.StatedBound, baobabcroft.notice.proto.StatedBound.Builder, baobabcroft.notice.proto.StatedBoundOrBuilder>(
                 limits_,
                 ((bitField0_ & 0x00000020) != 0),
                 getParentForChildren(),
@@ -2331,6 +2489,318 @@
       return this;
     }
 
+    private java.util.List<baobabcroft.notice.proto.StatedBound> toleratedRejections_ =
+      java.util.Collections.emptyList();
+    private void ensureToleratedRejectionsIsMutable() {
+      if (!((bitField0_ & 0x00000080) != 0)) {
+        toleratedRejections_ = new java.util.ArrayList<baobabcroft.notice.proto.StatedBound>(toleratedRejections_);
+        bitField0_ |= 0x00000080;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.notice.proto.StatedBound, baobabcroft.notice.proto.StatedBound.Builder, baobabcroft.notice.proto.StatedBoundOrBuilder> toleratedRejectionsBuilder_;
+
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public java.util.List<baobabcroft.notice.proto.StatedBound> getToleratedRejectionsList() {
+      if (toleratedRejectionsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(toleratedRejections_);
+      } else {
+        return toleratedRejectionsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public int getToleratedRejectionsCount() {
+      if (toleratedRejectionsBuilder_ == null) {
+        return toleratedRejections_.size();
+      } else {
+        return toleratedRejectionsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public baobabcroft.notice.proto.StatedBound getToleratedRejections(int index) {
+      if (toleratedRejectionsBuilder_ == null) {
+        return toleratedRejections_.get(index);
+      } else {
+        return toleratedRejectionsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder setToleratedRejections(
+        int index, baobabcroft.notice.proto.StatedBound value) {
+      if (toleratedRejectionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.set(index, value);
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder setToleratedRejections(
+        int index, baobabcroft.notice.proto.StatedBound.Builder builderForValue) {
+      if (toleratedRejectionsBuilder_ == null) {
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder addToleratedRejections(baobabcroft.notice.proto.StatedBound value) {
+      if (toleratedRejectionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.add(value);
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder addToleratedRejections(
+        int index, baobabcroft.notice.proto.StatedBound value) {
+      if (toleratedRejectionsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.add(index, value);
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder addToleratedRejections(
+        baobabcroft.notice.proto.StatedBound.Builder builderForValue) {
+      if (toleratedRejectionsBuilder_ == null) {
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.add(builderForValue.build());
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder addToleratedRejections(
+        int index, baobabcroft.notice.proto.StatedBound.Builder builderForValue) {
+      if (toleratedRejectionsBuilder_ == null) {
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder addAllToleratedRejections(
+        java.lang.Iterable<? extends baobabcroft.notice.proto.StatedBound> values) {
+      if (toleratedRejectionsBuilder_ == null) {
+        ensureToleratedRejectionsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, toleratedRejections_);
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder clearToleratedRejections() {
+      if (toleratedRejectionsBuilder_ == null) {
+        toleratedRejections_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000080);
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public Builder removeToleratedRejections(int index) {
+      if (toleratedRejectionsBuilder_ == null) {
+        ensureToleratedRejectionsIsMutable();
+        toleratedRejections_.remove(index);
+        onChanged();
+      } else {
+        toleratedRejectionsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public baobabcroft.notice.proto.StatedBound.Builder getToleratedRejectionsBuilder(
+        int index) {
+      return internalGetToleratedRejectionsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public baobabcroft.notice.proto.StatedBoundOrBuilder getToleratedRejectionsOrBuilder(
+        int index) {
+      if (toleratedRejectionsBuilder_ == null) {
+        return toleratedRejections_.get(index);  } else {
+        return toleratedRejectionsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public java.util.List<? extends baobabcroft.notice.proto.StatedBoundOrBuilder> 
+         getToleratedRejectionsOrBuilderList() {
+      if (toleratedRejectionsBuilder_ != null) {
+        return toleratedRejectionsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(toleratedRejections_);
+      }
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public baobabcroft.notice.proto.StatedBound.Builder addToleratedRejectionsBuilder() {
+      return internalGetToleratedRejectionsFieldBuilder().addBuilder(
+          baobabcroft.notice.proto.StatedBound.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public baobabcroft.notice.proto.StatedBound.Builder addToleratedRejectionsBuilder(
+        int index) {
+      return internalGetToleratedRejectionsFieldBuilder().addBuilder(
+          index, baobabcroft.notice.proto.StatedBound.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+     */
+    public java.util.List<baobabcroft.notice.proto.StatedBound.Builder> 
+         getToleratedRejectionsBuilderList() {
+      return internalGetToleratedRejectionsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.notice.proto.StatedBound, baobabcroft.notice.proto.StatedBound.Builder, baobabcroft.notice.proto.StatedBoundOrBuilder> 
+        internalGetToleratedRejectionsFieldBuilder() {
+      if (toleratedRejectionsBuilder_ == null) {
+        toleratedRejectionsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            baobabcroft.notice.proto.StatedBound, baobabcroft.notice.proto.StatedBound.Builder, baobabcroft.notice.proto.StatedBoundOrBuilder>(
+                toleratedRejections_,
+                ((bitField0_ & 0x00000080) != 0),
+                getParentForChildren(),
+                isClean());
+        toleratedRejections_ = null;
+      }
+      return toleratedRejectionsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.PeerNotice)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
@@ -152,46 +152,51 @@
 
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
-  java.util.List<baobabcroft.notice.proto.EndpointLimit> 
+  java.util.List<baobabcroft.notice.proto.StatedBound> 
       getLimitsList();
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
-  baobabcroft.notice.proto.EndpointLimit getLimits(int index);
+  baobabcroft.notice.proto.StatedBound getLimits(int index);
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
   int getLimitsCount();
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
-  java.util.List<? extends baobabcroft.notice.proto.EndpointLimitOrBuilder> 
+  java.util.List<? extends baobabcroft.notice.proto.StatedBoundOrBuilder> 
       getLimitsOrBuilderList();
   /**
    * <pre>
-   * What endpoints have told the sender, or instances of the failure domain, of limits on their requests.
+   * What endpoints have told the sender, or instances of the failure domain, of the requests a second that they take from
+   * all instances together. The subject is a start of an endpoint: its id, address and start time.
    * </pre>
    *
-   * <code>repeated .baobabcroft.notice.EndpointLimit limits = 6;</code>
+   * <code>repeated .baobabcroft.notice.StatedBound limits = 6;</code>
    */
-  baobabcroft.notice.proto.EndpointLimitOrBuilder getLimitsOrBuilder(
+  baobabcroft.notice.proto.StatedBoundOrBuilder getLimitsOrBuilder(
       int index);
 
   /**
@@ -234,4 +239,48 @@
    */
   com.google.protobuf.ByteString
       getIsolatedInstancesBytes(int index);
+
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  java.util.List<baobabcroft.notice.proto.StatedBound> 
+      getToleratedRejectionsList();
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  baobabcroft.notice.proto.StatedBound getToleratedRejections(int index);
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  int getToleratedRejectionsCount();
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  java.util.List<? extends baobabcroft.notice.proto.StatedBoundOrBuilder> 
+      getToleratedRejectionsOrBuilderList();
+  /**
+   * <pre>
+   * The same of the rejections a second that endpoints tolerate. The subject is the name of their service.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.StatedBound tolerated_rejections = 8;</code>
+   */
+  baobabcroft.notice.proto.StatedBoundOrBuilder getToleratedRejectionsOrBuilder(
+      int index);
 }
--- a/router/src/main/java/baobabcroft/notice/proto/EndpointLimit.java
+++ b/router/src/main/java/baobabcroft/notice/proto/StatedBound.java
@@ -7,16 +7,16 @@
 
 /**
  * <pre>
- * Limit that one start of an endpoint states on the requests of all instances together.
+ * A bound that endpoints state in their answers.
  * </pre>
  *
- * Protobuf type {@code baobabcroft.notice.EndpointLimit}
+ * Protobuf type {@code baobabcroft.notice.StatedBound}
  */
 @com.google.protobuf.Generated
-public final class EndpointLimit extends
+public final class StatedBound extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:baobabcroft.notice.EndpointLimit)
-    EndpointLimitOrBuilder {
+    // @@protoc_insertion_point(message_implements:baobabcroft.notice.StatedBound)
+    StatedBoundOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -25,74 +25,74 @@
       /* minor= */ 34,
       /* patch= */ 2,
       /* suffix= */ "",
-      "EndpointLimit");
+      "StatedBound");
   }
-  // Use EndpointLimit.newBuilder() to construct.
-  private EndpointLimit(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use StatedBound.newBuilder() to construct.
+  private StatedBound(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private EndpointLimit() {
+  private StatedBound() {
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_EndpointLimit_descriptor;
+    return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_StatedBound_descriptor;
   }
 
   @java.lang.Override
   public com.google.protobuf.Descriptors.Descriptor getDescriptorForType() {
-    return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_EndpointLimit_descriptor;
+    return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_StatedBound_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_EndpointLimit_fieldAccessorTable
+    return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_StatedBound_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            baobabcroft.notice.proto.EndpointLimit.class, baobabcroft.notice.proto.EndpointLimit.Builder.class);
+            baobabcroft.notice.proto.StatedBound.class, baobabcroft.notice.proto.StatedBound.Builder.class);
   }
 
   private int bitField0_;
-  public static final int INCARNATION_HASH_FIELD_NUMBER = 1;
-  private long incarnationHash_ = 0L;
+  public static final int SUBJECT_HASH_FIELD_NUMBER = 1;
+  private long subjectHash_ = 0L;
   /**
    * <pre>
-   * Hash of the endpoint's id, address and start.
+   * Hash of what the bound applies to.
    * </pre>
    *
-   * <code>fixed64 incarnation_hash = 1;</code>
-   * @return The incarnationHash.
+   * <code>fixed64 subject_hash = 1;</code>
+   * @return The subjectHash.
    */
   @java.lang.Override
-  public long getIncarnationHash() {
-    return incarnationHash_;
+  public long getSubjectHash() {
+    return subjectHash_;
   }
 
-  public static final int PER_SECOND_FIELD_NUMBER = 2;
-  private float perSecond_ = 0F;
+  public static final int BOUND_FIELD_NUMBER = 2;
+  private float bound_ = 0F;
   /**
    * <pre>
-   * Requests a second; absent if the endpoint has stated no limit any more.
+   * The bound; absent if it is stated no more.
    * </pre>
    *
-   * <code>optional float per_second = 2;</code>
-   * @return Whether the perSecond field is set.
+   * <code>optional float bound = 2;</code>
+   * @return Whether the bound field is set.
    */
   @java.lang.Override
-  public boolean hasPerSecond() {
+  public boolean hasBound() {
     return ((bitField0_ & 0x00000001) != 0);
   }
   /**
    * <pre>
-   * Requests a second; absent if the endpoint has stated no limit any more.
+   * The bound; absent if it is stated no more.
    * </pre>
    *
-   * <code>optional float per_second = 2;</code>
-   * @return The perSecond.
+   * <code>optional float bound = 2;</code>
+   * @return The bound.
    */
   @java.lang.Override
-  public float getPerSecond() {
-    return perSecond_;
+  public float getBound() {
+    return bound_;
   }
 
   public static final int AGE_MILLIS_FIELD_NUMBER = 3;
@@ -124,11 +124,11 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (incarnationHash_ != 0L) {
-      output.writeFixed64(1, incarnationHash_);
+    if (subjectHash_ != 0L) {
+      output.writeFixed64(1, subjectHash_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
-      output.writeFloat(2, perSecond_);
+      output.writeFloat(2, bound_);
     }
     if (ageMillis_ != 0) {
       output.writeUInt32(3, ageMillis_);
@@ -142,13 +142,13 @@
     if (size != -1) return size;
 
     size = 0;
-    if (incarnationHash_ != 0L) {
+    if (subjectHash_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeFixed64Size(1, incarnationHash_);
+        .computeFixed64Size(1, subjectHash_);
     }
     if (((bitField0_ & 0x00000001) != 0)) {
       size += com.google.protobuf.CodedOutputStream
-        .computeFloatSize(2, perSecond_);
+        .computeFloatSize(2, bound_);
     }
     if (ageMillis_ != 0) {
       size += com.google.protobuf.CodedOutputStream
@@ -164,18 +164,18 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof baobabcroft.notice.proto.EndpointLimit)) {
+    if (!(obj instanceof baobabcroft.notice.proto.StatedBound)) {
       return super.equals(obj);
     }
-    baobabcroft.notice.proto.EndpointLimit other = (baobabcroft.notice.proto.EndpointLimit) obj;
+    baobabcroft.notice.proto.StatedBound other = (baobabcroft.notice.proto.StatedBound) obj;
 
-    if (getIncarnationHash()
-        != other.getIncarnationHash()) return false;
-    if (hasPerSecond() != other.hasPerSecond()) return false;
-    if (hasPerSecond()) {
-      if (java.lang.Float.floatToIntBits(getPerSecond())
+    if (getSubjectHash()
+        != other.getSubjectHash()) return false;
+    if (hasBound() != other.hasBound()) return false;
+    if (hasBound()) {
+      if (java.lang.Float.floatToIntBits(getBound())
           != java.lang.Float.floatToIntBits(
-              other.getPerSecond())) return false;
+              other.getBound())) return false;
     }
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
@@ -190,13 +190,13 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + INCARNATION_HASH_FIELD_NUMBER;
+    hash = (37 * hash) + SUBJECT_HASH_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getIncarnationHash());
-    if (hasPerSecond()) {
-      hash = (37 * hash) + PER_SECOND_FIELD_NUMBER;
+        getSubjectHash());
+    if (hasBound()) {
+      hash = (37 * hash) + BOUND_FIELD_NUMBER;
       hash = (53 * hash) + java.lang.Float.floatToIntBits(
-          getPerSecond());
+          getBound());
     }
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getAgeMillis();
@@ -205,44 +205,44 @@
     return hash;
   }
 
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(byte[] data)
+  public static baobabcroft.notice.proto.StatedBound parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(java.io.InputStream input)
+  public static baobabcroft.notice.proto.StatedBound parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -250,26 +250,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static baobabcroft.notice.proto.EndpointLimit parseDelimitedFrom(java.io.InputStream input)
+  public static baobabcroft.notice.proto.StatedBound parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static baobabcroft.notice.proto.EndpointLimit parseDelimitedFrom(
+  public static baobabcroft.notice.proto.StatedBound parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static baobabcroft.notice.proto.EndpointLimit parseFrom(
+  public static baobabcroft.notice.proto.StatedBound parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -282,7 +282,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(baobabcroft.notice.proto.EndpointLimit prototype) {
+  public static Builder newBuilder(baobabcroft.notice.proto.StatedBound prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -299,29 +299,29 @@
   }
   /**
    * <pre>
-   * Limit that one start of an endpoint states on the requests of all instances together.
+   * A bound that endpoints state in their answers.
    * </pre>
    *
-   * Protobuf type {@code baobabcroft.notice.EndpointLimit}
+   * Protobuf type {@code baobabcroft.notice.StatedBound}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:baobabcroft.notice.EndpointLimit)
-      baobabcroft.notice.proto.EndpointLimitOrBuilder {
+      // @@protoc_insertion_point(builder_implements:baobabcroft.notice.StatedBound)
+      baobabcroft.notice.proto.StatedBoundOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_EndpointLimit_descriptor;
+      return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_StatedBound_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_EndpointLimit_fieldAccessorTable
+      return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_StatedBound_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              baobabcroft.notice.proto.EndpointLimit.class, baobabcroft.notice.proto.EndpointLimit.Builder.class);
+              baobabcroft.notice.proto.StatedBound.class, baobabcroft.notice.proto.StatedBound.Builder.class);
     }
 
-    // Construct using baobabcroft.notice.proto.EndpointLimit.newBuilder()
+    // Construct using baobabcroft.notice.proto.StatedBound.newBuilder()
     private Builder() {
 
     }
@@ -335,8 +335,8 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      incarnationHash_ = 0L;
-      perSecond_ = 0F;
+      subjectHash_ = 0L;
+      bound_ = 0F;
       ageMillis_ = 0;
       return this;
     }
@@ -344,17 +344,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_EndpointLimit_descriptor;
+      return baobabcroft.notice.proto.Notice.internal_static_baobabcroft_notice_StatedBound_descriptor;
     }
 
     @java.lang.Override
-    public baobabcroft.notice.proto.EndpointLimit getDefaultInstanceForType() {
-      return baobabcroft.notice.proto.EndpointLimit.getDefaultInstance();
+    public baobabcroft.notice.proto.StatedBound getDefaultInstanceForType() {
+      return baobabcroft.notice.proto.StatedBound.getDefaultInstance();
     }
 
     @java.lang.Override
-    public baobabcroft.notice.proto.EndpointLimit build() {
-      baobabcroft.notice.proto.EndpointLimit result = buildPartial();
+    public baobabcroft.notice.proto.StatedBound build() {
+      baobabcroft.notice.proto.StatedBound result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -362,21 +362,21 @@
     }
 
     @java.lang.Override
-    public baobabcroft.notice.proto.EndpointLimit buildPartial() {
-      baobabcroft.notice.proto.EndpointLimit result = new baobabcroft.notice.proto.EndpointLimit(this);
+    public baobabcroft.notice.proto.StatedBound buildPartial() {
+      baobabcroft.notice.proto.StatedBound result = new baobabcroft.notice.proto.StatedBound(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(baobabcroft.notice.proto.EndpointLimit result) {
+    private void buildPartial0(baobabcroft.notice.proto.StatedBound result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.incarnationHash_ = incarnationHash_;
+        result.subjectHash_ = subjectHash_;
       }
       int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.perSecond_ = perSecond_;
+        result.bound_ = bound_;
         to_bitField0_ |= 0x00000001;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
@@ -387,21 +387,21 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof baobabcroft.notice.proto.EndpointLimit) {
-        return mergeFrom((baobabcroft.notice.proto.EndpointLimit)other);
+      if (other instanceof baobabcroft.notice.proto.StatedBound) {
+        return mergeFrom((baobabcroft.notice.proto.StatedBound)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(baobabcroft.notice.proto.EndpointLimit other) {
-      if (other == baobabcroft.notice.proto.EndpointLimit.getDefaultInstance()) return this;
-      if (other.getIncarnationHash() != 0L) {
-        setIncarnationHash(other.getIncarnationHash());
+    public Builder mergeFrom(baobabcroft.notice.proto.StatedBound other) {
+      if (other == baobabcroft.notice.proto.StatedBound.getDefaultInstance()) return this;
+      if (other.getSubjectHash() != 0L) {
+        setSubjectHash(other.getSubjectHash());
       }
-      if (other.hasPerSecond()) {
-        setPerSecond(other.getPerSecond());
+      if (other.hasBound()) {
+        setBound(other.getBound());
       }
       if (other.getAgeMillis() != 0) {
         setAgeMillis(other.getAgeMillis());
@@ -433,12 +433,12 @@
               done = true;
               break;
             case 9: {
-              incarnationHash_ = input.readFixed64();
+              subjectHash_ = input.readFixed64();
               bitField0_ |= 0x00000001;
               break;
             } // case 9
             case 21: {
-              perSecond_ = input.readFloat();
+              bound_ = input.readFloat();
               bitField0_ |= 0x00000002;
               break;
             } // case 21
@@ -464,102 +464,102 @@
     }
     private int bitField0_;
 
-    private long incarnationHash_ ;
+    private long subjectHash_ ;
     /**
      * <pre>
-     * Hash of the endpoint's id, address and start.
+     * Hash of what the bound applies to.
      * </pre>
      *
-     * <code>fixed64 incarnation_hash = 1;</code>
-     * @return The incarnationHash.
+     * <code>fixed64 subject_hash = 1;</code>
+     * @return The subjectHash.
      */
     @java.lang.Override
-    public long getIncarnationHash() {
-      return incarnationHash_;
+    public long getSubjectHash() {
+      return subjectHash_;
     }
     /**
      * <pre>
-     * Hash of the endpoint's id, address and start.
+     * Hash of what the bound applies to.
      * </pre>
      *
-     * <code>fixed64 incarnation_hash = 1;</code>
-     * @param value The incarnationHash to set.
+     * <code>fixed64 subject_hash = 1;</code>
+     * @param value The subjectHash to set.
      * @return This builder for chaining.
      */
-    public Builder setIncarnationHash(long value) {
+    public Builder setSubjectHash(long value) {
 
-      incarnationHash_ = value;
+      subjectHash_ = value;
       bitField0_ |= 0x00000001;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Hash of the endpoint's id, address and start.
+     * Hash of what the bound applies to.
      * </pre>
      *
-     * <code>fixed64 incarnation_hash = 1;</code>
+     * <code>fixed64 subject_hash = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearIncarnationHash() {
+    public Builder clearSubjectHash() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      incarnationHash_ = 0L;
+      subjectHash_ = 0L;
       onChanged();
       return this;
     }
 
-    private float perSecond_ ;
+    private float bound_ ;
     /**
      * <pre>
-     * Requests a second; absent if the endpoint has stated no limit any more.
+     * The bound; absent if it is stated no more.
      * </pre>
      *
-     * <code>optional float per_second = 2;</code>
-     * @return Whether the perSecond field is set.
+     * <code>optional float bound = 2;</code>
+     * @return Whether the bound field is set.
      */
     @java.lang.Override
-    public boolean hasPerSecond() {
+    public boolean hasBound() {
       return ((bitField0_ & 0x00000002) != 0);
     }
     /**
      * <pre>
-     * Requests a second; absent if the endpoint has stated no limit any more.
+     * The bound; absent if it is stated no more.
      * </pre>
      *
-     * <code>optional float per_second = 2;</code>
-     * @return The perSecond.
+     * <code>optional float bound = 2;</code>
+     * @return The bound.
      */
     @java.lang.Override
-    public float getPerSecond() {
-      return perSecond_;
+    public float getBound() {
+      return bound_;
     }
     /**
      * <pre>
-     * Requests a second; absent if the endpoint has stated no limit any more.
+     * The bound; absent if it is stated no more.
      * </pre>
      *
-     * <code>optional float per_second = 2;</code>
-     * @param value The perSecond to set.
+     * <code>optional float bound = 2;</code>
+     * @param value The bound to set.
      * @return This builder for chaining.
      */
-    public Builder setPerSecond(float value) {
+    public Builder setBound(float value) {
 
-      perSecond_ = value;
+      bound_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Requests a second; absent if the endpoint has stated no limit any more.
+     * The bound; absent if it is stated no more.
      * </pre>
      *
-     * <code>optional float per_second = 2;</code>
+     * <code>optional float bound = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearPerSecond() {
+    public Builder clearBound() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      perSecond_ = 0F;
+      bound_ = 0F;
       onChanged();
       return this;
     }
@@ -608,23 +608,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:baobabcroft.notice.EndpointLimit)
+    // @@protoc_insertion_point(builder_scope:baobabcroft.notice.StatedBound)
   }
 
-  // @@protoc_insertion_point(class_scope:baobabcroft.notice.EndpointLimit)
-  private static final baobabcroft.notice.proto.EndpointLimit DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:baobabcroft.notice.StatedBound)
+  private static final baobabcroft.notice.proto.StatedBound DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new baobabcroft.notice.proto.EndpointLimit();
+    DEFAULT_INSTANCE = new baobabcroft.notice.proto.StatedBound();
   }
 
-  public static baobabcroft.notice.proto.EndpointLimit getDefaultInstance() {
+  public static baobabcroft.notice.proto.StatedBound getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<EndpointLimit>
-      PARSER = new com.google.protobuf.AbstractParser<EndpointLimit>() {
+  private static final com.google.protobuf.Parser<StatedBound>
+      PARSER = new com.google.protobuf.AbstractParser<StatedBound>() {
     @java.lang.Override
-    public EndpointLimit parsePartialFrom(
+    public StatedBound parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -643,17 +643,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<EndpointLimit> parser() {
+  public static com.google.protobuf.Parser<StatedBound> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<EndpointLimit> getParserForType() {
+  public com.google.protobuf.Parser<StatedBound> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public baobabcroft.notice.proto.EndpointLimit getDefaultInstanceForType() {
+  public baobabcroft.notice.proto.StatedBound getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/EndpointLimitOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/StatedBoundOrBuilder.java
@@ -6,38 +6,38 @@
 package baobabcroft.notice.proto;
 
 @com.google.protobuf.Generated
-public interface EndpointLimitOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:baobabcroft.notice.EndpointLimit)
+public interface StatedBoundOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:baobabcroft.notice.StatedBound)
     com.google.protobuf.MessageOrBuilder {
 
   /**
    * <pre>
-   * Hash of the endpoint's id, address and start.
+   * Hash of what the bound applies to.
    * </pre>
    *
-   * <code>fixed64 incarnation_hash = 1;</code>
-   * @return The incarnationHash.
+   * <code>fixed64 subject_hash = 1;</code>
+   * @return The subjectHash.
    */
-  long getIncarnationHash();
+  long getSubjectHash();
 
   /**
    * <pre>
-   * Requests a second; absent if the endpoint has stated no limit any more.
+   * The bound; absent if it is stated no more.
    * </pre>
    *
-   * <code>optional float per_second = 2;</code>
-   * @return Whether the perSecond field is set.
+   * <code>optional float bound = 2;</code>
+   * @return Whether the bound field is set.
    */
-  boolean hasPerSecond();
+  boolean hasBound();
   /**
    * <pre>
-   * Requests a second; absent if the endpoint has stated no limit any more.
+   * The bound; absent if it is stated no more.
    * </pre>
    *
-   * <code>optional float per_second = 2;</code>
-   * @return The perSecond.
+   * <code>optional float bound = 2;</code>
+   * @return The bound.
    */
-  float getPerSecond();
+  float getBound();
 
   /**
    * <pre>
--- a/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
+++ b/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
@@ -16,6 +16,7 @@
  * @param leaving whether the endpoint states that it is shutting down
  * @param pauseSeconds seconds for which the endpoint wants no requests, as stated with a rejection; empty if not given
  * @param limitPerSecond requests a second that the endpoint takes from all instances together; empty if not given
+ * @param toleratedRejections rejections a second above which the endpoint falls over; empty if not given
  */
 public record AnswerMetadata(
         boolean notRun,
@@ -25,11 +26,13 @@
         OptionalInt confidencePercent,
         boolean leaving,
         Optional<String> pauseSeconds,
-        Optional<String> limitPerSecond) {
+        Optional<String> limitPerSecond,
+        Optional<String> toleratedRejections) {
     /** Validates the components. */
     public AnswerMetadata {
         checkNotNull(confidencePercent);
         checkNotNull(pauseSeconds);
         checkNotNull(limitPerSecond);
+        checkNotNull(toleratedRejections);
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -3,23 +3,32 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
-import baobabcroft.limit.LimitReport;
+import baobabcroft.limit.BoundReport;
+import baobabcroft.limit.FleetView;
+import baobabcroft.limit.SharedConcurrency;
 import baobabcroft.limit.SharedRate;
 import com.google.common.base.CharMatcher;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.hash.Hashing;
+import com.google.common.primitives.Ints;
+import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.function.BiConsumer;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.ToIntFunction;
 
 /**
  * What endpoints have stated in their answers to this instance: that they are shutting down, that they want no requests
@@ -46,7 +55,8 @@
     private final LongSupplier nowMillis;
     private final DoubleSupplier random;
     private final LongSupplier maxPauseMillis;
-    private final SharedRateFactory sharedRates;
+    private final FleetView fleet;
+    private final ToIntFunction<EndpointEntry> openRequests;
     private final Listener listener;
     /** By hash of the endpoint's incarnation. */
     private final Map<Long, Statement> statements = new LinkedHashMap<>(16, 0.75F, true) {
@@ -58,30 +68,22 @@
         }
     };
 
+    /** Rejections a second that the endpoints of a service tolerate, by hash of its name. */
+    private final Map<Long, StatedBound> toleratedByService = new HashMap<>();
+
     /** What one start of an endpoint has stated. */
     private static final class Statement {
         private final StatedLimit limit;
+        private final Brittleness brittleness;
         private boolean leaving;
         private long pausedUntilMillis = Long.MIN_VALUE;
 
-        private Statement(StatedLimit limit) {
+        private Statement(StatedLimit limit, Brittleness brittleness) {
             this.limit = limit;
+            this.brittleness = brittleness;
         }
     }
 
-    /** Creates this instance's parts of the limits that endpoints state. */
-    @FunctionalInterface
-    public interface SharedRateFactory {
-        /**
-         * Returns this instance's part of a limit.
-         *
-         * @param incarnationHash names one start of the endpoint
-         * @param perSecond requests a second that the endpoint takes from all instances together
-         * @return the part
-         */
-        SharedRate create(long incarnationHash, double perSecond);
-    }
-
     /** Notified of what endpoints state. */
     public interface Listener {
         /**
@@ -130,18 +132,35 @@
          * @param value what it stated
          */
         void onUnreadableLimit(EndpointEntry endpoint, String value);
+
+        /**
+         * Called when an endpoint has stated that it falls over if it has to reject too many requests.
+         *
+         * @param endpoint the endpoint
+         * @param toleratedRejections rejections a second that it tolerates
+         */
+        void onBrittle(EndpointEntry endpoint, int toleratedRejections);
+
+        /**
+         * Called when an endpoint no longer states that it falls over.
+         *
+         * @param endpoint the endpoint
+         */
+        void onBrittleEnded(EndpointEntry endpoint);
     }
 
     private EndpointAvailability(
             LongSupplier nowMillis,
             DoubleSupplier random,
             LongSupplier maxPauseMillis,
-            SharedRateFactory sharedRates,
+            FleetView fleet,
+            ToIntFunction<EndpointEntry> openRequests,
             Listener listener) {
         this.nowMillis = nowMillis;
         this.random = random;
         this.maxPauseMillis = maxPauseMillis;
-        this.sharedRates = sharedRates;
+        this.fleet = fleet;
+        this.openRequests = openRequests;
         this.listener = listener;
     }
 
@@ -151,7 +170,8 @@
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of numbers in [0, 1) that spread the ends of pauses
      * @param maxPauseMillis supplies the operator's limit on pauses, in milliseconds; longer ones are shortened to it
-     * @param sharedRates creates this instance's parts of the limits that endpoints state
+     * @param fleet the instances that share the limits that endpoints state
+     * @param openRequests returns how many requests this instance has open at an endpoint
      * @param listener notified of what endpoints state
      * @return the new object
      */
@@ -159,13 +179,15 @@
             LongSupplier nowMillis,
             DoubleSupplier random,
             LongSupplier maxPauseMillis,
-            SharedRateFactory sharedRates,
+            FleetView fleet,
+            ToIntFunction<EndpointEntry> openRequests,
             Listener listener) {
         return new EndpointAvailability(
                 checkNotNull(nowMillis),
                 checkNotNull(random),
                 checkNotNull(maxPauseMillis),
-                checkNotNull(sharedRates),
+                checkNotNull(fleet),
+                checkNotNull(openRequests),
                 checkNotNull(listener));
     }
 
@@ -180,6 +202,61 @@
         leaving(endpoint, answer);
         answer.pauseSeconds().ifPresent(seconds -> pause(endpoint, seconds));
         limit(endpoint, answer, (limit, stated) -> limit.onAnswer(stated, sentAtMillis));
+        brittleness(endpoint, answer, sentAtMillis);
+    }
+
+    private void brittleness(EndpointEntry endpoint, AnswerMetadata answer, long sentAtMillis) {
+        OptionalInt stated = answer.toleratedRejections()
+                .flatMap(text -> Optional.ofNullable(Ints.tryParse(text.strip())))
+                .filter(number -> number >= 0)
+                .map(OptionalInt::of)
+                .orElse(OptionalInt.empty());
+        StatedBound ofService = toleratedByService.get(hashOf(endpoint.service()));
+        if (stated.isEmpty() && ofService == null) {
+            return;
+        }
+        Brittleness brittleness = statementOf(endpoint).brittleness;
+        boolean wasBrittle = brittleness.stated().isPresent();
+        brittleness.onAnswer(stated, sentAtMillis);
+        toleratedOf(hashOf(endpoint.service()))
+                .onAnswer(
+                        stated.isPresent() ? OptionalDouble.of(stated.getAsInt()) : OptionalDouble.empty(),
+                        sentAtMillis);
+        if (answer.notRun() && !answer.otherEndpoint()) {
+            brittleness.onRejected();
+        } else {
+            brittleness.onAccepted();
+        }
+        boolean isBrittle = brittleness.stated().isPresent();
+        if (isBrittle && !wasBrittle) {
+            listener.onBrittle(endpoint, brittleness.stated().getAsInt());
+        } else if (wasBrittle && !isBrittle) {
+            listener.onBrittleEnded(endpoint);
+        }
+    }
+
+    /** Returns the rejections that an endpoint tolerates; one that has not answered yet is taken for the others. */
+    private OptionalInt toleratedRejections(EndpointEntry endpoint, Optional<Statement> statement) {
+        if (toleratedByService.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        StatedBound ofService = toleratedByService.get(hashOf(endpoint.service()));
+        if (ofService == null) {
+            return OptionalInt.empty();
+        }
+        if (statement.isPresent() && statement.get().brittleness.isStatedSince(ofService.startedAtMillis())) {
+            return statement.get().brittleness.stated();
+        }
+        OptionalDouble bound = ofService.bound();
+        return bound.isPresent() ? OptionalInt.of((int) bound.getAsDouble()) : OptionalInt.empty();
+    }
+
+    private StatedBound toleratedOf(long serviceHash) {
+        return toleratedByService.computeIfAbsent(serviceHash, hash -> new StatedBound(nowMillis));
+    }
+
+    private static long hashOf(String service) {
+        return Hashing.murmur3_128().hashString(service, StandardCharsets.UTF_8).asLong();
     }
 
     /**
@@ -268,9 +345,37 @@
      * @return false if it is shutting down, wants none yet, or takes none of this instance at the moment
      */
     public boolean isAvailable(EndpointEntry endpoint) {
-        return knownStatement(endpoint)
-                .map(statement -> isOpen(statement) && statement.limit.isAvailable())
+        Optional<Statement> statement = knownStatement(endpoint);
+        boolean isAvailable = statement
+                .map(known -> isOpen(known) && known.limit.isAvailable())
                 .orElse(true);
+        OptionalInt tolerated = toleratedRejections(endpoint, statement);
+        return isAvailable
+                && (tolerated.isEmpty()
+                        || statementOf(endpoint)
+                                .brittleness
+                                .isAvailable(
+                                        tolerated.getAsInt(), endpoint.slots(), openRequests.applyAsInt(endpoint)));
+    }
+
+    /**
+     * Returns the instances that hold a part of what the endpoints take from all instances together.
+     *
+     * @param endpoints endpoints that may get requests but none of this instance now
+     * @return the names; empty if none of the endpoints has stated such a bound
+     */
+    ImmutableSet<String> holders(Collection<EndpointEntry> endpoints) {
+        ImmutableSet.Builder<String> holders = ImmutableSet.builder();
+        for (EndpointEntry endpoint : endpoints) {
+            Optional<Statement> statement = knownStatement(endpoint);
+            if (statement.map(this::isOpen).orElse(true)) {
+                statement.ifPresent(known -> holders.addAll(known.limit.holders()));
+                toleratedRejections(endpoint, statement)
+                        .ifPresent(tolerated ->
+                                holders.addAll(statementOf(endpoint).brittleness.holders(tolerated, endpoint.slots())));
+            }
+        }
+        return holders.build();
     }
 
     private boolean isOpen(Statement statement) {
@@ -337,24 +442,42 @@
      *
      * @return the latest reports, for other instances
      */
-    public ImmutableList<LimitReport> limitReports() {
+    public ImmutableList<BoundReport> limitReports() {
         return statements.entrySet().stream()
                 .map(entry -> entry.getValue().limit.report(entry.getKey()))
                 .flatMap(Optional::stream)
-                .sorted(Comparator.comparingLong(LimitReport::ageMillis))
+                .sorted(Comparator.comparingLong(BoundReport::ageMillis))
                 .limit(MAX_LIMIT_REPORTS)
                 .collect(ImmutableList.toImmutableList());
     }
 
     /**
-     * Takes in what endpoints have told other instances of their limits.
+     * Returns what endpoints have told this instance of the rejections that they tolerate.
      *
-     * @param reports the reports
+     * @return the latest reports by service, for other instances
      */
-    public void onLimitReports(Collection<LimitReport> reports) {
-        for (LimitReport report : reports) {
-            if (report.perSecond().isPresent() || statements.containsKey(report.incarnationHash())) {
-                statementOf(report.incarnationHash()).limit.onReport(report);
+    public ImmutableList<BoundReport> toleratedRejectionReports() {
+        return toleratedByService.entrySet().stream()
+                .map(entry -> entry.getValue().report(entry.getKey()))
+                .flatMap(Optional::stream)
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /**
+     * Takes in what endpoints have told other instances.
+     *
+     * @param limits reports of limits, by start of the endpoint
+     * @param toleratedRejections reports of the rejections that endpoints tolerate, by service
+     */
+    public void onReports(Collection<BoundReport> limits, Collection<BoundReport> toleratedRejections) {
+        for (BoundReport report : limits) {
+            if (report.bound().isPresent() || statements.containsKey(report.subjectHash())) {
+                statementOf(report.subjectHash()).limit.onReport(report);
+            }
+        }
+        for (BoundReport report : toleratedRejections) {
+            if (report.bound().isPresent() || toleratedByService.containsKey(report.subjectHash())) {
+                toleratedOf(report.subjectHash()).onReport(report);
             }
         }
     }
@@ -373,6 +496,10 @@
         return statements.computeIfAbsent(
                 incarnationHash,
                 hash -> new Statement(
-                        new StatedLimit(nowMillis, random, perSecond -> sharedRates.create(hash, perSecond))));
+                        new StatedLimit(
+                                nowMillis,
+                                random,
+                                perSecond -> SharedRate.create(hash, fleet, perSecond, nowMillis, random)),
+                        new Brittleness(nowMillis, random, SharedConcurrency.create(hash, fleet))));
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -115,6 +115,16 @@
         }
     }
 
+    /**
+     * Returns how many requests of this instance are open at an endpoint.
+     *
+     * @param endpoint the endpoint
+     * @return the number, including requests whose connection is being opened
+     */
+    public int openRequests(EndpointEntry endpoint) {
+        return stateOf(endpoint).inFlight;
+    }
+
     /** Returns the observed prefill time of a token of a short prompt, in milliseconds. */
     private double tokenPrefillMillis(Optional<String> model) {
         return tokenPrefillMillis.getOrDefault(model.orElse(""), DEFAULT_TOKEN_PREFILL_MILLIS);
--- a/router/src/main/java/baobabcroft/relay/PeerForwarding.java
+++ b/router/src/main/java/baobabcroft/relay/PeerForwarding.java
@@ -3,9 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.routing.Route;
 import com.google.common.collect.ImmutableList;
+import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -25,7 +27,7 @@
     public static final PeerForwarding NONE = new PeerForwarding(() -> false, ImmutableList::of, Optional.empty());
 
     /** Instances that one request is forwarded to, one after the other. */
-    private static final int MAX_PEERS = 3;
+    private static final int MAX_PEERS = 4;
 
     private final BooleanSupplier isNeeded;
     private final Supplier<ImmutableList<EndpointEntry>> peers;
@@ -67,13 +69,7 @@
             EndpointTransport transport) {
         EndpointLoads loads = EndpointLoads.create(nowMillis, PeerLoads.create(nowMillis), () -> {});
         EndpointAvailability availability = EndpointAvailability.create(
-                nowMillis,
-                random::nextDouble,
-                () -> 0,
-                (incarnation, perSecond) -> {
-                    throw new IllegalStateException("instances state no limits");
-                },
-                IGNORED_STATEMENTS);
+                nowMillis, random::nextDouble, () -> 0, FleetView.alone(), peer -> 0, IGNORED_STATEMENTS);
         EndpointChooser chooser = new EndpointChooser(failureDomain, regions, loads, () -> {}, random);
         return new PeerForwarding(
                 checkNotNull(isNeeded),
@@ -88,10 +84,19 @@
 
     /** Returns the instance to forward a request to; empty if there is none or the request is sent to an endpoint. */
     Optional<EndpointChooser.Choice> choose(Set<String> tried) {
-        if (!isNeeded()) {
+        return isNeeded() ? choose(peers.get(), tried) : Optional.empty();
+    }
+
+    /** Returns one of the named instances to forward a request to; empty if there is none. */
+    Optional<EndpointChooser.Choice> chooseAmong(Set<String> names, Set<String> tried) {
+        if (links.isEmpty() || names.isEmpty()) {
             return Optional.empty();
         }
-        ImmutableList<EndpointEntry> candidates = peers.get();
+        return choose(
+                peers.get().stream().filter(peer -> names.contains(peer.id())).toList(), tried);
+    }
+
+    private Optional<EndpointChooser.Choice> choose(Collection<EndpointEntry> candidates, Set<String> tried) {
         long triedPeers =
                 candidates.stream().filter(peer -> tried.contains(peer.id())).count();
         return triedPeers >= MAX_PEERS
@@ -162,6 +167,7 @@
                     OptionalInt.empty(),
                     false,
                     Optional.empty(),
+                    Optional.empty(),
                     Optional.empty());
         }
 
@@ -238,5 +244,11 @@
 
         @Override
         public void onUnreadableLimit(EndpointEntry endpoint, String value) {}
+
+        @Override
+        public void onBrittle(EndpointEntry endpoint, int toleratedRejections) {}
+
+        @Override
+        public void onBrittleEnded(EndpointEntry endpoint) {}
     };
 }
--- a/router/src/main/java/baobabcroft/relay/StatedLimit.java
+++ b/router/src/main/java/baobabcroft/relay/StatedLimit.java
@@ -1,7 +1,8 @@
 package baobabcroft.relay;
 
-import baobabcroft.limit.LimitReport;
+import baobabcroft.limit.BoundReport;
 import baobabcroft.limit.SharedRate;
+import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
@@ -10,11 +11,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * The limit that one start of an endpoint states on the requests of all instances together, as told by its answers or by
- * other instances.
- *
- * <p>Answers can overtake one another. A lower limit applies at once; a higher one, or the end of the limit, only if the
- * answer belongs to a request that was sent after the limit was last stated. Not thread-safe.
+ * The limit that one start of an endpoint states on the rate of requests of all instances together, and this instance's
+ * share of it. Not thread-safe.
  */
 final class StatedLimit {
     /**
@@ -24,103 +22,59 @@
     private static final long ROTATION_MILLIS = 10_000;
     /** Longest time after the end of a limit in which an instance still sends no requests, in milliseconds. */
     private static final long MAX_RELEASE_DELAY_MILLIS = 1_000;
-    /** By how much a report may seem newer than it is, in milliseconds: its way, and the time until it is read. */
-    private static final long REPORT_DELAY_MILLIS = 300;
-    /** Time for which the end of a limit is reported, in milliseconds: several notices. */
-    private static final long END_REPORTED_MILLIS = 10_000;
 
     private final LongSupplier nowMillis;
     private final DoubleSupplier random;
     private final DoubleFunction<SharedRate> newShare;
-    private Optional<Told> toldByEndpoint = Optional.empty();
-    private OptionalDouble perSecond = OptionalDouble.empty();
+    private final StatedBound bound;
     private Optional<SharedRate> share = Optional.empty();
-    private long statedAtMillis = Long.MIN_VALUE;
-    private long endedAtMillis = Long.MIN_VALUE;
     private long releasedAtMillis = Long.MIN_VALUE;
 
-    /** The latest that the endpoint has told this instance itself. */
-    private record Told(OptionalDouble perSecond, long atMillis) {}
-
     StatedLimit(LongSupplier nowMillis, DoubleSupplier random, DoubleFunction<SharedRate> newShare) {
         this.nowMillis = nowMillis;
         this.random = random;
         this.newShare = newShare;
+        this.bound = new StatedBound(nowMillis);
     }
 
     /** Returns the limit in force, in requests a second. */
     OptionalDouble perSecond() {
-        return perSecond;
+        return bound.bound();
     }
 
     /** Takes in an answer that states a limit, or none, to a request sent at the given time. */
     void onAnswer(OptionalDouble stated, long sentAtMillis) {
-        boolean isCurrent = perSecond.isEmpty() || sentAtMillis >= statedAtMillis;
-        if (stated.isPresent() && (isCurrent || stated.getAsDouble() <= perSecond.getAsDouble())) {
-            toldByEndpoint = Optional.of(new Told(stated, nowMillis.getAsLong()));
-            state(stated.getAsDouble(), nowMillis.getAsLong());
-        } else if (stated.isEmpty() && isCurrent && wasStated()) {
-            toldByEndpoint = Optional.of(new Told(stated, sentAtMillis));
-            end(sentAtMillis);
-        }
-    }
-
-    private boolean wasStated() {
-        return statedAtMillis != Long.MIN_VALUE;
+        bound.onAnswer(stated, sentAtMillis);
+        updateShare();
     }
 
-    /** Takes in an answer of unknown age. It can lower the limit but neither raise nor end it. */
+    /** Takes in an answer of unknown age. */
     void onOtherAnswer(OptionalDouble stated) {
-        if (stated.isPresent() && (perSecond.isEmpty() || stated.getAsDouble() < perSecond.getAsDouble())) {
-            state(stated.getAsDouble(), nowMillis.getAsLong());
-        }
+        bound.onOtherAnswer(stated);
+        updateShare();
     }
 
     /** Takes in what the endpoint has told another instance. */
-    void onReport(LimitReport report) {
-        long atMillis = nowMillis.getAsLong() - report.ageMillis();
-        OptionalDouble reported = report.perSecond();
-        if (reported.isEmpty()) {
-            if (perSecond.isEmpty() || atMillis > statedAtMillis + REPORT_DELAY_MILLIS) {
-                end(atMillis);
-            }
-        } else if (perSecond.isEmpty() ? atMillis > endedAtMillis : replaces(reported.getAsDouble(), atMillis)) {
-            state(reported.getAsDouble(), atMillis);
-        }
+    void onReport(BoundReport report) {
+        bound.onReport(report);
+        updateShare();
     }
 
-    /** Returns whether a reported limit replaces the one in force: it is newer, or lower and about as old. */
-    private boolean replaces(double reported, long atMillis) {
-        boolean isLower = reported <= perSecond.getAsDouble();
-        return atMillis > statedAtMillis + (isLower ? -REPORT_DELAY_MILLIS : REPORT_DELAY_MILLIS);
+    /** Returns what the endpoint has told this instance. */
+    Optional<BoundReport> report(long incarnationHash) {
+        return bound.report(incarnationHash);
     }
 
-    /** Returns what the endpoint has told this instance; empty if nothing, or what has ended since. */
-    Optional<LimitReport> report(long incarnationHash) {
-        return toldByEndpoint
-                .map(told -> new LimitReport(
-                        incarnationHash, told.perSecond(), Math.max(0, nowMillis.getAsLong() - told.atMillis())))
-                .filter(report -> report.perSecond().isPresent()
-                        ? perSecond.isPresent()
-                        : report.ageMillis() < END_REPORTED_MILLIS);
-    }
-
-    private void state(double newPerSecond, long atMillis) {
-        perSecond = OptionalDouble.of(newPerSecond);
-        statedAtMillis = Math.max(statedAtMillis, atMillis);
-        if (share.isPresent()) {
-            share.get().setRate(newPerSecond);
+    private void updateShare() {
+        if (perSecond().isEmpty()) {
+            if (share.isPresent()) {
+                share = Optional.empty();
+                releasedAtMillis = nowMillis.getAsLong() + (long) (random.getAsDouble() * MAX_RELEASE_DELAY_MILLIS);
+            }
+        } else if (share.isPresent()) {
+            share.get().setRate(perSecond().getAsDouble());
         } else {
-            share = Optional.of(newShare.apply(newPerSecond));
-        }
-    }
-
-    private void end(long atMillis) {
-        endedAtMillis = Math.max(endedAtMillis, atMillis);
-        if (perSecond.isPresent()) {
-            perSecond = OptionalDouble.empty();
-            share = Optional.empty();
-            releasedAtMillis = nowMillis.getAsLong() + (long) (random.getAsDouble() * MAX_RELEASE_DELAY_MILLIS);
+            share = Optional.of(newShare.apply(perSecond().getAsDouble()));
         }
     }
 
@@ -139,6 +93,11 @@
         share.ifPresent(SharedRate::giveBack);
     }
 
+    /** Returns the names of the instances that hold a part of the limit; empty if there is none. */
+    ImmutableList<String> holders() {
+        return rotatedShare().map(SharedRate::holders).orElse(ImmutableList.of());
+    }
+
     /** Returns the time until this instance may send a request, in milliseconds; empty if that is not known. */
     OptionalLong millisUntilAvailable() {
         Optional<SharedRate> current = rotatedShare();
@@ -148,8 +107,7 @@
     }
 
     private Optional<SharedRate> rotatedShare() {
-        share.ifPresent(
-                current -> current.setRotation(Math.max(0, nowMillis.getAsLong() - statedAtMillis) / ROTATION_MILLIS));
+        share.ifPresent(current -> current.setRotation(bound.ageMillis() / ROTATION_MILLIS));
         return share;
     }
 }
--- a/router/src/test/java/baobabcroft/notice/NoticeExchangeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeExchangeTest.java
@@ -52,6 +52,7 @@
                     ImmutableMap.of(EndpointKey.of("engine"), new Load(1, 20, 0, 0)),
                     ImmutableMap.of(),
                     ImmutableList.of(),
+                    ImmutableList.of(),
                     ImmutableSet.of());
         }
 
