Split the choice of endpoints and the outgoing requests off RelayedRequest

Refactoring, but for one thing: a request counts for the retry budget at the instance that first sends it to an endpoint. Before, one that was forwarded a second time, because the first instance rejected it, counted nowhere.

--- /dev/null
+++ b/router/src/main/java/baobabcroft/relay/EndpointSelection.java
@@ -0,0 +1,49 @@
+package baobabcroft.relay;
+
+import baobabcroft.directory.EndpointEntry;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** Chooses endpoints of one service for one request. */
+final class EndpointSelection {
+    private final RelayServices services;
+    private final Admission.Admitted admitted;
+    private final String service;
+
+    EndpointSelection(RelayServices services, Admission.Admitted admitted, String service) {
+        this.services = services;
+        this.admitted = admitted;
+        this.service = service;
+    }
+
+    /** Returns the best endpoint whose id is not excluded; empty if none may get the request now. */
+    Optional<EndpointChooser.Choice> choose(Optional<String> model, Set<String> excluded) {
+        CallerMetadata metadata = admitted.metadata();
+        ImmutableList<EndpointEntry> selected = services.versionSelector()
+                .selectEndpoints(service, accepting(), metadata.session(), metadata.requestId());
+        return services.endpointChooser()
+                .choose(
+                        services.availability().available(selected),
+                        excluded,
+                        admitted.serviceProfile(service),
+                        model,
+                        metadata.prompt());
+    }
+
+    /** Returns the instances that hold a part of what the endpoints take from all instances together. */
+    ImmutableSet<String> partHolders() {
+        return services.availability().holders(accepting());
+    }
+
+    /** Returns the time until an endpoint takes a request of this instance, in milliseconds; 0 if that is not known. */
+    long soonestMillis() {
+        return services.availability().soonestMillis(accepting()).orElse(0);
+    }
+
+    /** Returns the service's endpoints that are not shutting down, by the endpoint list or by their own answers. */
+    private ImmutableList<EndpointEntry> accepting() {
+        return services.availability().withoutLeaving(services.directory().accepting(service));
+    }
+}
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -16,7 +16,6 @@
 import baobabcroft.routing.AccountProfile;
 import baobabcroft.routing.RoutingTable;
 import baobabcroft.routing.ServiceProfile;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
 import java.util.Locale;
@@ -52,6 +51,8 @@
 
     private final long arrivedAtMillis;
     private Admission.Admitted admitted;
+    private EndpointSelection selection;
+    private OutgoingRequests outgoingRequests;
     private RequestAttempts attempts = RequestAttempts.create(false, MAX_UNCOUNTED_ATTEMPTS);
     private RetryPolicy retryPolicy;
     private CallerStream stream;
@@ -63,8 +64,8 @@
     private Optional<StopReason> stopReason = Optional.empty();
     private long deadlineAtMillis;
     private boolean forwarded;
+    private int endpointSends;
     private boolean reachedEndpoint;
-    private boolean countedForBudget;
     private boolean delivered;
     private boolean done;
     private Scheduler.Cancellable deadlineTimer = () -> {};
@@ -158,9 +159,10 @@
         attempts = RequestAttempts.create(allowed.route().isRepeatable(), MAX_UNCOUNTED_ATTEMPTS);
         int priorRuns = priorSends.orElse(PriorSends.NONE).possibleRuns();
         retryPolicy = RetryPolicy.immediate(Math.max(1, allowed.route().maxEndpoints() - priorRuns));
-        countedForBudget = priorSends.orElse(PriorSends.NONE).sends() > 0;
         stream = new CallerStream(caller, metadata.resumeAfter());
         service = allowed.route().pickService(services.random().nextDouble());
+        selection = new EndpointSelection(services, allowed, service);
+        outgoingRequests = new OutgoingRequests(services, allowed);
         model = metadata.routerChoosesModel()
                 ? services.modelChooser().initialModel(allowed.route(), metadata.prompt())
                 : Optional.empty();
@@ -173,12 +175,12 @@
             startForwarding(peer.get());
             return;
         }
-        choose(model, attempts.triedEndpoints()).ifPresentOrElse(this::startAttempt, this::forwardToHolder);
+        selection.choose(model, attempts.triedEndpoints()).ifPresentOrElse(this::startAttempt, this::forwardToHolder);
     }
 
     /** Forwards the request to an instance that holds a part of what the service's endpoints take, or ends it. */
     private void forwardToHolder() {
-        ImmutableSet<String> holders = services.availability().holders(acceptingEndpoints());
+        ImmutableSet<String> holders = selection.partHolders();
         if (priorSends.isPresent() && attempts.execution() == Execution.NOT_RUN && !holders.isEmpty()) {
             returnToForwardingInstance("no_part");
             return;
@@ -202,30 +204,6 @@
         return services.retryBudgets().apply(service);
     }
 
-    private Optional<EndpointChooser.Choice> choose(Optional<String> wantedModel, Set<String> excluded) {
-        CallerMetadata metadata = admitted.metadata();
-        ImmutableList<EndpointEntry> selected = services.versionSelector()
-                .selectEndpoints(service, acceptingEndpoints(), metadata.session(), metadata.requestId());
-        return services.endpointChooser()
-                .choose(
-                        services.availability().available(selected),
-                        excluded,
-                        admitted.serviceProfile(service),
-                        wantedModel,
-                        metadata.prompt());
-    }
-
-    /** Returns the service's endpoints that are not shutting down, by the endpoint list or by their own answers. */
-    private ImmutableList<EndpointEntry> acceptingEndpoints() {
-        return services.availability().withoutLeaving(services.directory().accepting(service));
-    }
-
-    /** Returns when callers should come back if no endpoint could run the request, in milliseconds. */
-    private long noEndpointRetryMillis() {
-        return services.availability().soonestMillis(acceptingEndpoints()).orElse(0)
-                + withJitter(NO_ENDPOINT_RETRY_MILLIS);
-    }
-
     /** Returns whether to retry if the open attempt ends as given. A retry is taken from the service's budget. */
     private RetryDecision decideRetry(Execution execution) {
         return decideRetry(execution, budget());
@@ -261,7 +239,7 @@
             forwardOrFail(peer.get());
             return;
         }
-        Optional<EndpointChooser.Choice> next = choose(model, attempts.triedEndpoints());
+        Optional<EndpointChooser.Choice> next = selection.choose(model, attempts.triedEndpoints());
         if (next.isEmpty()) {
             forwardToHolder();
         } else if (decideRetry(Execution.NOT_RUN, endpointReached ? budget() : RetryBudget.unlimited())
@@ -290,16 +268,11 @@
     }
 
     private void startForwarding(EndpointChooser.Choice peer) {
-        CallerMetadata metadata = admitted.metadata();
-        Headers headers = services.dialect().toInstance(request, remainingMillis(), stream.lastEvent());
-        EndpointRequest outgoing = new EndpointRequest(
-                metadata.requestId(),
-                admitted.route().isRepeatable(),
-                request.method(),
-                request.target(),
-                ForwardingHeaders.withPriorSends(
-                        headers, new PriorSends(attempts.attemptCount(), attempts.possibleRuns())),
-                request.body());
+        int sends = endpointSends + priorSends.orElse(PriorSends.NONE).sends();
+        EndpointRequest outgoing = outgoingRequests.toInstance(
+                new PriorSends(Math.max(sends, attempts.possibleRuns()), attempts.possibleRuns()),
+                remainingMillis(),
+                stream.lastEvent());
         forwarded = true;
         onAttemptStarting(peer, Optional.empty());
         currentAttempt = Optional.of(services.forwarding().start(services, admitted, peer.endpoint(), outgoing, this));
@@ -313,33 +286,20 @@
     }
 
     private void startAttempt(EndpointChooser.Choice choice) {
-        if (!countedForBudget) {
-            countedForBudget = true;
+        if (endpointSends + priorSends.orElse(PriorSends.NONE).sends() == 0) {
             budget().requestStarted();
         }
+        endpointSends++;
         forwarded = false;
         EndpointEntry endpoint = choice.endpoint();
-        EndpointLoads.State state = services.loads().stateOf(endpoint);
-        CallerMetadata metadata = admitted.metadata();
-        ForwardingContext context = new ForwardingContext(
-                endpoint.id(),
-                admitted.account().map(AccountProfile::name),
-                remainingMillis(),
-                model,
-                admitted.priority() + state.priorityPenalty(model, metadata.prompt()),
-                stream.lastEvent());
-        EndpointRequest outgoing = new EndpointRequest(
-                metadata.requestId(),
-                admitted.route().isRepeatable(),
-                request.method(),
-                request.target(),
-                services.dialect().toEndpoint(request, context),
-                request.body());
+        EndpointRequest outgoing = outgoingRequests.toEndpoint(endpoint, model, remainingMillis(), stream.lastEvent());
         onAttemptStarting(choice, model);
         long cacheTokens = admitted.serviceProfile(service)
                 .map(ServiceProfile::cacheTokens)
                 .orElse(0L);
-        EndpointLoads.InFlightRequest inFlightRequest = state.startRequest(model, metadata.prompt(), cacheTokens);
+        EndpointLoads.InFlightRequest inFlightRequest = services.loads()
+                .stateOf(endpoint)
+                .startRequest(model, admitted.metadata().prompt(), cacheTokens);
         currentAttempt =
                 Optional.of(EndpointAttempt.start(services, admitted, endpoint, inFlightRequest, outgoing, this));
     }
@@ -359,7 +319,7 @@
         Set<String> otherTriedEndpoints = Sets.difference(
                 attempts.triedEndpoints(), Set.of(attempt.endpoint().id()));
         Optional<EndpointChooser.Choice> choice =
-                choose(larger, otherTriedEndpoints).filter(this::isWorthEscalating);
+                selection.choose(larger, otherTriedEndpoints).filter(this::isWorthEscalating);
         if (choice.isEmpty() || decideRetry(Execution.MAY_HAVE_RUN) instanceof Stop) {
             return;
         }
@@ -436,7 +396,8 @@
             return;
         }
         Optional<EndpointChooser.Choice> peer = choosePeer();
-        Optional<EndpointChooser.Choice> next = peer.isPresent() ? peer : choose(model, attempts.triedEndpoints());
+        Optional<EndpointChooser.Choice> next =
+                peer.isPresent() ? peer : selection.choose(model, attempts.triedEndpoints());
         if (next.isEmpty() || decideRetry(Execution.MAY_HAVE_RUN) instanceof Stop) {
             return;
         }
@@ -481,7 +442,8 @@
         } else if (attempts.execution() == Execution.NOT_RUN && reason == StopReason.POISON) {
             refuse(Admission.POISON_REFUSAL);
         } else if (attempts.execution() == Execution.NOT_RUN) {
-            refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, noEndpointRetryMillis()));
+            refuse(Refusal.retryAfter(
+                    ErrorCode.POOL_EXHAUSTED, selection.soonestMillis() + withJitter(NO_ENDPOINT_RETRY_MILLIS)));
         } else {
             refuse(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED));
         }
