Take a second of silence of an endpoint for no failure

A lookup with 2.5 s left is sent to another endpoint after a second without an answer, which serves the caller better, but that also counted as a failure of the endpoint and as evidence against its version, told to all instances; a connection that was not accepted within 600 ms counted as a failure, too. Only silence of more than 1.5 s, or a second connection in a row, does now. The half-second ejection after a connection that was not accepted stays: requests that chose the same endpoint would each lose 600 ms.

RelayedRequestTest.anEndpointThatWasSilentForASecondHasNotFailed failed before (FAILED instead of ABANDONED).

--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -32,6 +32,8 @@
     private static final long EVENT_BATCH_MILLIS = 50;
     /** Time after the first output in which a request may still be what crashes its endpoint, in milliseconds. */
     private static final long CRASH_AFTER_OUTPUT_MILLIS = 500;
+    /** Silence of an endpoint that is no failure, in milliseconds: a sound one may be silent for a second. */
+    private static final long SOUND_SILENCE_MILLIS = 1_500;
     /** Minimum gap for an inactive stream, in milliseconds: callers abandon a stream after two seconds or more. */
     private static final long MIN_INACTIVITY_GAP_MILLIS = 2_000;
 
@@ -79,6 +81,7 @@
     private Scheduler.Cancellable inactivityTimer = () -> {};
     private long timerAtMillis = Long.MAX_VALUE;
     private long inactiveAtMillis;
+    private long heardAtMillis;
     private int status;
     private Headers headers = Headers.EMPTY;
     private boolean eventStream;
@@ -141,15 +144,28 @@
         }
     }
 
-    /** Cancels the attempt because another one replaces it; records an outcome for the endpoint. */
-    void supersede(String reason, boolean endpointFailed) {
+    /** Cancels the attempt because a larger model replaces it. */
+    void supersede() {
         if (close()) {
-            if (!endpointFailed) {
-                inFlightRequest.firstOutputReceived();
+            inFlightRequest.firstOutputReceived();
+            inFlightRequest.answered(false);
+            monitor.ended(AttemptResult.SUPERSEDED);
+            services.listener().onAttemptFailed(admitted.metadata().requestId(), endpoint, "asked_larger_model");
+            exchange.cancel();
+        }
+    }
+
+    /** Cancels the attempt because the endpoint was silent and another one replaces it. */
+    void giveUpSilent() {
+        if (close()) {
+            if (services.nowMillis().getAsLong() - heardAtMillis > SOUND_SILENCE_MILLIS) {
+                inFlightRequest.answered(true);
+                monitor.ended(AttemptResult.FAILED);
+            } else {
+                inFlightRequest.cancelled();
+                monitor.ended(AttemptResult.ABANDONED);
             }
-            inFlightRequest.answered(endpointFailed);
-            monitor.ended(endpointFailed ? AttemptResult.FAILED : AttemptResult.SUPERSEDED);
-            services.listener().onAttemptFailed(admitted.metadata().requestId(), endpoint, reason);
+            services.listener().onAttemptFailed(admitted.metadata().requestId(), endpoint, "silent");
             exchange.cancel();
         }
     }
@@ -169,7 +185,8 @@
     }
 
     private void restartInactivityTimer(long waitMillis) {
-        inactiveAtMillis = services.nowMillis().getAsLong() + waitMillis;
+        heardAtMillis = services.nowMillis().getAsLong();
+        inactiveAtMillis = heardAtMillis + waitMillis;
         if (inactiveAtMillis < timerAtMillis) {
             armInactivityTimer();
         }
@@ -338,7 +355,11 @@
             return;
         }
         exchange.cancel();
-        inFlightRequest.failed();
+        if (failure == SendFailure.CONNECT_TIMEOUT) {
+            inFlightRequest.connectTimedOut();
+        } else {
+            inFlightRequest.failed();
+        }
         services.listener()
                 .onAttemptFailed(
                         admitted.metadata().requestId(),
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -416,6 +416,19 @@
             }
         }
 
+        /**
+         * Ends a request whose connection was not accepted in time, and ejects the endpoint. The first time is no
+         * failure, as a sound endpoint may be silent for longer than that.
+         */
+        void connectTimedOut() {
+            if (end()) {
+                if (state.connectionFailures > 0) {
+                    state.recordOutcome(true);
+                }
+                state.eject();
+            }
+        }
+
         private boolean end() {
             if (ended) {
                 return false;
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -323,7 +323,7 @@
         if (choice.isEmpty() || decideRetry(Execution.MAY_HAVE_RUN) instanceof Stop) {
             return;
         }
-        attempt.supersede("asked_larger_model", false);
+        attempt.supersede();
         attempts.attemptEnded(Execution.MAY_HAVE_RUN);
         attempts.allowRetryAt(attempt.endpoint().id());
         model = larger;
@@ -401,7 +401,7 @@
         if (next.isEmpty() || decideRetry(Execution.MAY_HAVE_RUN) instanceof Stop) {
             return;
         }
-        attempt.supersede("silent", true);
+        attempt.giveUpSilent();
         attempts.attemptEnded(Execution.MAY_HAVE_RUN);
         if (peer.isPresent()) {
             startForwarding(next.get());
--- a/router/src/test/java/baobabcroft/relay/EndpointLoadsTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointLoadsTest.java
@@ -20,6 +20,26 @@
         return loads.stateOf(endpoint).startRequest(Optional.empty(), Prompt.NONE, 0);
     }
 
+    /** A sound endpoint may be silent for a second. */
+    @Nested
+    class Silence {
+        @Test
+        void thatLastsOneConnectTimeoutIsNoFailure() {
+            start().connectTimedOut();
+
+            assertTrue(loads.stateOf(endpoint).isEjected());
+            assertEquals(0, loads.stateOf(endpoint).load().failureRate());
+        }
+
+        @Test
+        void thatLastsTwoConnectTimeoutsIsAFailure() {
+            start().connectTimedOut();
+            start().connectTimedOut();
+
+            assertTrue(loads.stateOf(endpoint).load().failureRate() > 0);
+        }
+    }
+
     /** Guards against RECOVER: an instance without links tells all others that every endpoint fails. */
     @Nested
     class Isolation {
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -236,6 +236,27 @@
             assertEquals("found", caller.body);
         }
 
+        /** A sound endpoint may be silent for a second; the caller is better served elsewhere, but nothing has failed. */
+        @Test
+        void anEndpointThatWasSilentForASecondHasNotFailed() {
+            relay.start("/lookup/1", caller, new Header("wait", "2500"));
+            relay.advance(1_000);
+            relay.lastRequest().answer(200, "found");
+
+            assertEquals("found", caller.body);
+            assertEquals(List.of(AttemptResult.ABANDONED, AttemptResult.ANSWERED), relay.results);
+            assertEquals(Map.of(), relay.loads.localLoads());
+        }
+
+        @Test
+        void anEndpointThatWasSilentForLongerHasFailed() {
+            relay.start("/lookup/1", caller);
+            relay.advance(2_500);
+            relay.lastRequest().answer(200, "found");
+
+            assertEquals(List.of(AttemptResult.FAILED, AttemptResult.ANSWERED), relay.results);
+        }
+
         @Test
         void deliversTheLastFailureAtTheDeadline() {
             relay.start("/lookup/1", caller);
