Find a slow version before it exceeds its exposure in short roll-outs

Callers got slow answers of a version that should have had fewer.

A slow answer counts once it is three times as late as the old version's; a fast one counted at once. So the rate of slow answers looked the lower the more requests had just been sent, and the proof came late. Besides, all requests moved at once, and a good version of a roll-out of 14 s was completed after its time.

Change: an attempt counts as not slow only once it is as old as slow ones are when they are found (RouteTrials.timed, told in notices; notices of earlier releases without it count their answers). For the first second half of the sessions move, then all; roll-outs of less than 21 s begin to move earlier, so that they end in time.

The other tests of roll-outs pass, their counts extended by the new column.

--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -69,7 +69,8 @@
                             .setAnswers(routeCounts.answers())
                             .setFailed(routeCounts.failed())
                             .setLost(routeCounts.lost())
-                            .setSlow(routeCounts.slow())));
+                            .setSlow(routeCounts.slow())
+                            .setTimed(routeCounts.timed())));
             notice.addAnswers(answers);
         });
         notice.addAllIsolatedInstances(isolatedInstances);
@@ -103,7 +104,12 @@
             for (RouteAnswers route : answers.getRoutesList()) {
                 routes.put(
                         route.getRoute(),
-                        new RouteTrials(route.getAnswers(), route.getFailed(), route.getLost(), route.getSlow()));
+                        new RouteTrials(
+                                route.getAnswers(),
+                                route.getFailed(),
+                                route.getLost(),
+                                route.getSlow(),
+                                route.hasTimed() ? route.getTimed() : route.getAnswers()));
             }
             rolloutCounts.put(
                     answers.getService(),
--- a/router/src/main/java/baobabcroft/notice/proto/RouteAnswers.java
+++ b/router/src/main/java/baobabcroft/notice/proto/RouteAnswers.java
@@ -53,6 +53,7 @@
             baobabcroft.notice.proto.RouteAnswers.class, baobabcroft.notice.proto.RouteAnswers.Builder.class);
   }
 
+  private int bitField0_;
   public static final int ROUTE_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object route_ = "";
@@ -160,6 +161,33 @@
     return lost_;
   }
 
+  public static final int TIMED_FIELD_NUMBER = 6;
+  private long timed_ = 0L;
+  /**
+   * <pre>
+   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * </pre>
+   *
+   * <code>optional uint64 timed = 6;</code>
+   * @return Whether the timed field is set.
+   */
+  @java.lang.Override
+  public boolean hasTimed() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * </pre>
+   *
+   * <code>optional uint64 timed = 6;</code>
+   * @return The timed.
+   */
+  @java.lang.Override
+  public long getTimed() {
+    return timed_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -189,6 +217,9 @@
     if (lost_ != 0L) {
       output.writeUInt64(5, lost_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeUInt64(6, timed_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -217,6 +248,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, lost_);
     }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, timed_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -242,6 +277,11 @@
         != other.getSlow()) return false;
     if (getLost()
         != other.getLost()) return false;
+    if (hasTimed() != other.hasTimed()) return false;
+    if (hasTimed()) {
+      if (getTimed()
+          != other.getTimed()) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -267,6 +307,11 @@
     hash = (37 * hash) + LOST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLost());
+    if (hasTimed()) {
+      hash = (37 * hash) + TIMED_FIELD_NUMBER;
+      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+          getTimed());
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -407,6 +452,7 @@
       failed_ = 0L;
       slow_ = 0L;
       lost_ = 0L;
+      timed_ = 0L;
       return this;
     }
 
@@ -455,6 +501,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.lost_ = lost_;
       }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.timed_ = timed_;
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -486,6 +538,9 @@
       if (other.getLost() != 0L) {
         setLost(other.getLost());
       }
+      if (other.hasTimed()) {
+        setTimed(other.getTimed());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -537,6 +592,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              timed_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -822,6 +882,62 @@
       return this;
     }
 
+    private long timed_ ;
+    /**
+     * <pre>
+     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * </pre>
+     *
+     * <code>optional uint64 timed = 6;</code>
+     * @return Whether the timed field is set.
+     */
+    @java.lang.Override
+    public boolean hasTimed() {
+      return ((bitField0_ & 0x00000020) != 0);
+    }
+    /**
+     * <pre>
+     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * </pre>
+     *
+     * <code>optional uint64 timed = 6;</code>
+     * @return The timed.
+     */
+    @java.lang.Override
+    public long getTimed() {
+      return timed_;
+    }
+    /**
+     * <pre>
+     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * </pre>
+     *
+     * <code>optional uint64 timed = 6;</code>
+     * @param value The timed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimed(long value) {
+
+      timed_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * </pre>
+     *
+     * <code>optional uint64 timed = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimed() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      timed_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.RouteAnswers)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/RouteAnswersOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/RouteAnswersOrBuilder.java
@@ -69,4 +69,23 @@
    * @return The lost.
    */
   long getLost();
+
+  /**
+   * <pre>
+   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * </pre>
+   *
+   * <code>optional uint64 timed = 6;</code>
+   * @return Whether the timed field is set.
+   */
+  boolean hasTimed();
+  /**
+   * <pre>
+   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * </pre>
+   *
+   * <code>optional uint64 timed = 6;</code>
+   * @return The timed.
+   */
+  long getTimed();
 }
--- a/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
+++ b/router/src/main/java/baobabcroft/rollout/FleetRollouts.java
@@ -196,12 +196,9 @@
                 open,
                 entry -> !entry.version().equals(targetVersion)
                         && !rollout.revertedVersions().contains(entry.version()));
-        boolean usesTarget =
-                switch (rollout.stage()) {
-                    case HOLDING, REVERTED -> false;
-                    case TRYING -> hashFraction(session.orElse(requestId), rollout.order()) < tryingShare;
-                    case MOVING, COMPLETE -> true;
-                };
+        double targetShare = rollout.targetShare(tryingShare);
+        boolean usesTarget = targetShare > 0
+                && (targetShare >= 1 || hashFraction(session.orElse(requestId), rollout.order()) < targetShare);
         if (usesTarget) {
             return target.isEmpty() ? base : target;
         }
--- a/router/src/main/java/baobabcroft/rollout/RolloutCounts.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutCounts.java
@@ -28,8 +28,7 @@
      */
     RolloutCounts max(RolloutCounts other) {
         Map<String, RouteTrials> greater = new HashMap<>(routes);
-        other.routes.forEach((route, routeCounts) ->
-                greater.merge(route, routeCounts, (a, b) -> a.answers() >= b.answers() ? a : b));
+        other.routes.forEach((route, routeCounts) -> greater.merge(route, routeCounts, RouteTrials::max));
         return new RolloutCounts(order, ImmutableMap.copyOf(greater));
     }
 
--- a/router/src/main/java/baobabcroft/rollout/RolloutPlan.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutPlan.java
@@ -1,6 +1,6 @@
 package baobabcroft.rollout;
 
-/** The schedule of a rollout: the earliest start of each stage, as a fraction of the rollout's duration. */
+/** The schedule of a rollout: the earliest start of each stage, and the share of requests that move. */
 final class RolloutPlan {
     /** Sessions must not change version in the first half; the margin allows for an order that was received late. */
     private static final double TRYING_FROM = 0.51;
@@ -12,8 +12,17 @@
     private static final double MOVING_FROM = 0.79;
     /** Earliest completion, which leaves a tenth of the duration for lost writes. */
     private static final double COMPLETE_FROM = 0.89;
-    /** Time for requests in flight on the old version to finish, in milliseconds. */
-    private static final long MIN_MOVING_MILLIS = 2_200;
+    /**
+     * Time in which half of the requests move, in milliseconds. A slow version is found by answers that are late, so
+     * those that are sent until then are exposed whatever they show.
+     */
+    private static final long HALF_MOVING_MILLIS = 1_000;
+
+    private static final double HALF = 0.5;
+    /** Time in which all requests move and those in flight on the old version finish, in milliseconds. */
+    private static final long ALL_MOVING_MILLIS = 2_000;
+    /** Time for writing the last stages and the status, in milliseconds. */
+    private static final long WRITING_MILLIS = 1_400;
 
     private RolloutPlan() {}
 
@@ -22,10 +31,28 @@
         double share = (double) elapsedMillis / order.durationMillis();
         return switch (current) {
             case HOLDING -> share >= TRYING_FROM ? RolloutStage.TRYING : current;
-            case TRYING -> share >= MOVING_FROM ? RolloutStage.MOVING : current;
+            case TRYING -> share >= movingFrom(order.durationMillis()) ? RolloutStage.MOVING : current;
             case MOVING ->
-                share >= COMPLETE_FROM && inStageMillis >= MIN_MOVING_MILLIS ? RolloutStage.COMPLETE : current;
+                share >= COMPLETE_FROM && inStageMillis >= HALF_MOVING_MILLIS + ALL_MOVING_MILLIS
+                        ? RolloutStage.COMPLETE
+                        : current;
             case COMPLETE, REVERTED -> current;
         };
     }
+
+    /** Returns when requests move, as a fraction of the duration: earlier in short rollouts, so that they end in time. */
+    private static double movingFrom(long durationMillis) {
+        double last = 1 - (double) (HALF_MOVING_MILLIS + ALL_MOVING_MILLIS + WRITING_MILLIS) / durationMillis;
+        return Math.max(TRYING_FROM, Math.min(MOVING_FROM, last));
+    }
+
+    /** Returns the share of the sessions that use the new version. */
+    static double targetShare(RolloutStage stage, double tryingShare, long inStageMillis) {
+        return switch (stage) {
+            case HOLDING, REVERTED -> 0;
+            case TRYING -> tryingShare;
+            case MOVING -> inStageMillis < HALF_MOVING_MILLIS ? HALF : 1;
+            case COMPLETE -> 1;
+        };
+    }
 }
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -128,6 +128,11 @@
         return targetIsBad && !shared.isFinal() ? RolloutStage.REVERTED : shared;
     }
 
+    /** Returns the share of the sessions that use the new version now. */
+    double targetShare(double tryingShare) {
+        return RolloutPlan.targetShare(stage(), tryingShare, nowMillis.getAsLong() - stageSinceMillis);
+    }
+
     /** Handles the return of the store in a later era, which may have lost the record and the status. */
     void onEraStarted(long era) {
         recordRevision = StoreRevision.absent(era);
--- a/router/src/main/java/baobabcroft/rollout/VersionTrials.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionTrials.java
@@ -11,7 +11,8 @@
 
 /**
  * This instance's attempts at the new and the old version during a rollout: counts by route, and the attempts that have
- * not ended. An attempt counts once, as soon as it is known to be slow or has ended. Not thread-safe.
+ * not ended. An attempt counts once, as soon as it is known to be slow or has ended; as one that is not slow, once it is
+ * as old as slow ones are when they are found. Not thread-safe.
  */
 final class VersionTrials {
     private final LongSupplier nowMillis;
@@ -21,6 +22,9 @@
     private final Map<String, ResponseTimes> firstOutputTimes = new HashMap<>();
     private final Map<String, ResponseTimes> answerTimes = new HashMap<>();
     private final Set<Attempt> openAttempts = new LinkedHashSet<>();
+    /** Answers that are not old enough to count as not slow. */
+    private final Set<Attempt> untimedAnswers = new LinkedHashSet<>();
+
     private boolean targetChanged;
 
     /**
@@ -58,9 +62,13 @@
         return changed;
     }
 
-    /** Counts the open attempts that are slow already. */
+    /** Counts the open attempts that are slow already, and the others that are old enough not to be. */
     void countSlowAttempts() {
-        Set.copyOf(openAttempts).forEach(Attempt::countIfSlow);
+        for (Attempt attempt : Set.copyOf(openAttempts)) {
+            attempt.countIfSlow();
+            attempt.countIfTimed();
+        }
+        untimedAnswers.removeIf(Attempt::countIfTimed);
     }
 
     /** Forgets all counts and open attempts. */
@@ -69,6 +77,7 @@
         targetCounts.clear();
         baseCounts.clear();
         openAttempts.clear();
+        untimedAnswers.clear();
     }
 
     /** One attempt; ignored once it is no longer among the open ones. */
@@ -79,6 +88,7 @@
         private final long sentAtMillis = nowMillis.getAsLong();
         private boolean firstOutput;
         private boolean counted;
+        private boolean timed;
 
         private Attempt(boolean ofTarget, Route route) {
             this.ofTarget = ofTarget;
@@ -111,8 +121,11 @@
             if (result == AttemptResult.ANSWERED) {
                 addToStandard(answerTimes);
             }
+            if (firstOutput && !countIfTimed()) {
+                untimedAnswers.add(this);
+            }
             if (result != AttemptResult.NOT_RUN && result != AttemptResult.ABANDONED) {
-                count(result, false);
+                countEnd(result);
             }
         }
 
@@ -126,28 +139,45 @@
             boolean slow = firstOutput
                     ? elapsedMillis() > slowAfterMillis(answerTimes, Double.MAX_VALUE)
                     : elapsedMillis() > slowAfterMillis(firstOutputTimes, (double) goalMillis);
-            if (slow) {
-                count(AttemptResult.ANSWERED, true);
+            if (slow && !counted) {
+                counted = true;
+                add(RouteTrials.NONE.plusSlowAnswer(timed));
+                timed = true;
+                if (ofTarget) {
+                    onTargetSuspect.run();
+                }
+            }
+        }
+
+        /** Counts an attempt with a first output in time, once it is old enough; returns whether it is counted. */
+        private boolean countIfTimed() {
+            if (!timed && firstOutput && elapsedMillis() >= slowAfterMillis(firstOutputTimes, (double) goalMillis)) {
+                timed = true;
+                add(RouteTrials.NONE.plusTimed());
             }
+            return timed;
         }
 
         private double slowAfterMillis(Map<String, ResponseTimes> times, double withoutStandardMillis) {
             return times.getOrDefault(route, new ResponseTimes()).slowAfterMillis(goalMillis, withoutStandardMillis);
         }
 
-        private void count(AttemptResult result, boolean slow) {
+        private void countEnd(AttemptResult result) {
             if (counted) {
                 return;
             }
             counted = true;
-            RouteTrials added = RouteTrials.NONE.plusAnswer(result, slow);
-            (ofTarget ? targetCounts : baseCounts).merge(route, added, RouteTrials::plus);
-            targetChanged |= ofTarget;
-            if (ofTarget && (slow || result == AttemptResult.FAILED || result == AttemptResult.LOST)) {
+            add(RouteTrials.NONE.plusAnswer(result));
+            if (ofTarget && (result == AttemptResult.FAILED || result == AttemptResult.LOST)) {
                 onTargetSuspect.run();
             }
         }
 
+        private void add(RouteTrials added) {
+            (ofTarget ? targetCounts : baseCounts).merge(route, added, RouteTrials::plus);
+            targetChanged |= ofTarget;
+        }
+
         private long elapsedMillis() {
             return nowMillis.getAsLong() - sentAtMillis;
         }
--- a/router/src/test/java/baobabcroft/notice/NoticeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeTest.java
@@ -31,7 +31,7 @@
 
     private static RolloutCounts counts(long order, long answers, long failed) {
         return new RolloutCounts(
-                new StoreRevision(1, order), ImmutableMap.of("chat", new RouteTrials(answers, failed, 0, 0)));
+                new StoreRevision(1, order), ImmutableMap.of("chat", new RouteTrials(answers, failed, 0, 0, answers)));
     }
 
     @Nested
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -184,6 +184,61 @@
         }
     }
 
+    /**
+     * The pattern "half of the answers slow, shortly before the end": an order of 14 s, and a new version of which half of
+     * the answers begin eight times as late as the old one's.
+     */
+    @Nested
+    class ShortRollout {
+        private static final long SHORT_MILLIS = 14_000;
+        private static final int REQUESTS_PER_TICK = 10;
+        private static final long FIRST_OUTPUT_MILLIS = 500;
+        private static final long SLOW_FIRST_OUTPUT_MILLIS = 8 * FIRST_OUTPUT_MILLIS;
+        private static final double EXPOSURE_SHARE = 0.15;
+        private static final int EXPOSURE_SLACK = 30;
+
+        private int sessions;
+        private int sentToTarget;
+
+        private void send() {
+            List<EndpointEntry> chosen = rollouts.selectEndpoints(
+                    SERVICE, ImmutableList.of(endpoint("v1"), endpoint("v2")), Optional.of("s" + sessions), "r");
+            sessions++;
+            String version = chosen.get(0).version();
+            boolean ofTarget = version.equals("v2");
+            sentToTarget += ofTarget ? 1 : 0;
+            AttemptMonitor attempt = attempt(version);
+            long outputMillis = ofTarget && sentToTarget % 2 == 0 ? SLOW_FIRST_OUTPUT_MILLIS : FIRST_OUTPUT_MILLIS;
+            time.scheduler().schedule(outputMillis, () -> {
+                attempt.firstOutputReceived();
+                attempt.ended(AttemptResult.ANSWERED);
+            });
+        }
+
+        /** Guards against EXPOSURE: once all requests move, a version is found slow only by answers that are late. */
+        @Test
+        void staysWithinTheExposureOfTheContract() {
+            rollouts.onOrder(new RolloutOrder(SERVICE, "v2", SHORT_MILLIS, new StoreRevision(0, ++revision)));
+            for (long passed = 0; passed < SHORT_MILLIS; passed += TICK_MILLIS) {
+                for (int i = 0; i < REQUESTS_PER_TICK; i++) {
+                    send();
+                }
+                run(TICK_MILLIS);
+            }
+
+            assertEquals(RolloutStage.REVERTED, lastStage());
+            assertTrue(sentToTarget <= EXPOSURE_SHARE * sessions + EXPOSURE_SLACK, sentToTarget + " of " + sessions);
+        }
+
+        @Test
+        void ofAGoodVersionIsCompletedInTime() {
+            rollouts.onOrder(new RolloutOrder(SERVICE, "v2", SHORT_MILLIS, new StoreRevision(0, ++revision)));
+            run(SHORT_MILLIS - 500);
+
+            assertEquals(RolloutStage.COMPLETE, lastStage());
+        }
+    }
+
     @Nested
     class Completion {
         /**
@@ -229,7 +284,7 @@
                     SERVICE,
                     source,
                     new RolloutCounts(
-                            record.order(), ImmutableMap.of("route", new RouteTrials(answers, failed, 0, 0))));
+                            record.order(), ImmutableMap.of("route", new RouteTrials(answers, failed, 0, 0, answers))));
         }
 
         /** Guards against EXPOSURE: an instance that restarts counts from zero; what it counted is evidence still. */
@@ -254,8 +309,8 @@
          */
         @Test
         void doNotExcuseErrorsOfTheNewVersion() {
-            Map<String, RouteTrials> base = Map.of("chat", new RouteTrials(300, 0, 135, 0));
-            Map<String, RouteTrials> target = Map.of("chat", new RouteTrials(60, 30, 0, 0));
+            Map<String, RouteTrials> base = Map.of("chat", new RouteTrials(300, 0, 135, 0, 300));
+            Map<String, RouteTrials> target = Map.of("chat", new RouteTrials(60, 30, 0, 0, 60));
 
             assertTrue(VersionComparison.isBad(target, base));
         }
