Judge first outputs by their age, and let a suspect version get no more than half

Traced: the version begins one route's streams in time and sends them slowly, and such streams counted as not slow from their first output on, beside those that had ended; so the count diluted the evidence of whole answers.

Change: first outputs have counts of their own (RouteTrials.timed and late, told in notices), compared apart; whole answers are compared as before.

RolloutExposureTest and FleetRolloutsTest pass.

--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -70,7 +70,8 @@
                             .setFailed(routeCounts.failed())
                             .setLost(routeCounts.lost())
                             .setSlow(routeCounts.slow())
-                            .setTimed(routeCounts.timed())));
+                            .setTimed(routeCounts.timed())
+                            .setLate(routeCounts.late())));
             notice.addAnswers(answers);
         });
         notice.addAllIsolatedInstances(isolatedInstances);
@@ -109,7 +110,8 @@
                                 route.getFailed(),
                                 route.getLost(),
                                 route.getSlow(),
-                                route.hasTimed() ? route.getTimed() : route.getAnswers()));
+                                route.getTimed(),
+                                route.getLate()));
             }
             rolloutCounts.put(
                     answers.getService(),
--- a/router/src/main/java/baobabcroft/notice/proto/Notice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/Notice.java
@@ -77,11 +77,11 @@
       "bound\"~\n\016VersionAnswers\022\017\n\007service\030\001 \001(\t" +
       "\022\026\n\016order_revision\030\002 \001(\003\0220\n\006routes\030\003 \003(\013" +
       "2 .baobabcroft.notice.RouteAnswers\022\021\n\tor" +
-      "der_era\030\004 \001(\003\"x\n\014RouteAnswers\022\r\n\005route\030\001" +
+      "der_era\030\004 \001(\003\"w\n\014RouteAnswers\022\r\n\005route\030\001" +
       " \001(\t\022\017\n\007answers\030\002 \001(\004\022\016\n\006failed\030\003 \001(\004\022\014\n" +
-      "\004slow\030\004 \001(\004\022\014\n\004lost\030\005 \001(\004\022\022\n\005timed\030\006 \001(\004" +
-      "H\000\210\001\001B\010\n\006_timedB\034\n\030baobabcroft.notice.pr" +
-      "otoP\001b\006proto3"
+      "\004slow\030\004 \001(\004\022\014\n\004lost\030\005 \001(\004\022\r\n\005timed\030\006 \001(\004" +
+      "\022\014\n\004late\030\007 \001(\004B\034\n\030baobabcroft.notice.pro" +
+      "toP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -116,7 +116,7 @@
     internal_static_baobabcroft_notice_RouteAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_RouteAnswers_descriptor,
-        new java.lang.String[] { "Route", "Answers", "Failed", "Slow", "Lost", "Timed", });
+        new java.lang.String[] { "Route", "Answers", "Failed", "Slow", "Lost", "Timed", "Late", });
     descriptor.resolveAllFeaturesImmutable();
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/RouteAnswers.java
+++ b/router/src/main/java/baobabcroft/notice/proto/RouteAnswers.java
@@ -53,7 +53,6 @@
             baobabcroft.notice.proto.RouteAnswers.class, baobabcroft.notice.proto.RouteAnswers.Builder.class);
   }
 
-  private int bitField0_;
   public static final int ROUTE_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private volatile java.lang.Object route_ = "";
@@ -165,27 +164,30 @@
   private long timed_ = 0L;
   /**
    * <pre>
-   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * Attempts that are old enough to tell whether their first output is late.
    * </pre>
    *
-   * <code>optional uint64 timed = 6;</code>
-   * @return Whether the timed field is set.
+   * <code>uint64 timed = 6;</code>
+   * @return The timed.
    */
   @java.lang.Override
-  public boolean hasTimed() {
-    return ((bitField0_ & 0x00000001) != 0);
+  public long getTimed() {
+    return timed_;
   }
+
+  public static final int LATE_FIELD_NUMBER = 7;
+  private long late_ = 0L;
   /**
    * <pre>
-   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * Attempts among those whose first output is late.
    * </pre>
    *
-   * <code>optional uint64 timed = 6;</code>
-   * @return The timed.
+   * <code>uint64 late = 7;</code>
+   * @return The late.
    */
   @java.lang.Override
-  public long getTimed() {
-    return timed_;
+  public long getLate() {
+    return late_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -217,9 +219,12 @@
     if (lost_ != 0L) {
       output.writeUInt64(5, lost_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
+    if (timed_ != 0L) {
       output.writeUInt64(6, timed_);
     }
+    if (late_ != 0L) {
+      output.writeUInt64(7, late_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -248,10 +253,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(5, lost_);
     }
-    if (((bitField0_ & 0x00000001) != 0)) {
+    if (timed_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(6, timed_);
     }
+    if (late_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, late_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -277,11 +286,10 @@
         != other.getSlow()) return false;
     if (getLost()
         != other.getLost()) return false;
-    if (hasTimed() != other.hasTimed()) return false;
-    if (hasTimed()) {
-      if (getTimed()
-          != other.getTimed()) return false;
-    }
+    if (getTimed()
+        != other.getTimed()) return false;
+    if (getLate()
+        != other.getLate()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -307,11 +315,12 @@
     hash = (37 * hash) + LOST_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getLost());
-    if (hasTimed()) {
-      hash = (37 * hash) + TIMED_FIELD_NUMBER;
-      hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-          getTimed());
-    }
+    hash = (37 * hash) + TIMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getTimed());
+    hash = (37 * hash) + LATE_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getLate());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -453,6 +462,7 @@
       slow_ = 0L;
       lost_ = 0L;
       timed_ = 0L;
+      late_ = 0L;
       return this;
     }
 
@@ -501,12 +511,12 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.lost_ = lost_;
       }
-      int to_bitField0_ = 0;
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.timed_ = timed_;
-        to_bitField0_ |= 0x00000001;
       }
-      result.bitField0_ |= to_bitField0_;
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.late_ = late_;
+      }
     }
 
     @java.lang.Override
@@ -538,9 +548,12 @@
       if (other.getLost() != 0L) {
         setLost(other.getLost());
       }
-      if (other.hasTimed()) {
+      if (other.getTimed() != 0L) {
         setTimed(other.getTimed());
       }
+      if (other.getLate() != 0L) {
+        setLate(other.getLate());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -597,6 +610,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 56: {
+              late_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -885,22 +903,10 @@
     private long timed_ ;
     /**
      * <pre>
-     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * Attempts that are old enough to tell whether their first output is late.
      * </pre>
      *
-     * <code>optional uint64 timed = 6;</code>
-     * @return Whether the timed field is set.
-     */
-    @java.lang.Override
-    public boolean hasTimed() {
-      return ((bitField0_ & 0x00000020) != 0);
-    }
-    /**
-     * <pre>
-     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
-     * </pre>
-     *
-     * <code>optional uint64 timed = 6;</code>
+     * <code>uint64 timed = 6;</code>
      * @return The timed.
      */
     @java.lang.Override
@@ -909,10 +915,10 @@
     }
     /**
      * <pre>
-     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * Attempts that are old enough to tell whether their first output is late.
      * </pre>
      *
-     * <code>optional uint64 timed = 6;</code>
+     * <code>uint64 timed = 6;</code>
      * @param value The timed to set.
      * @return This builder for chaining.
      */
@@ -925,10 +931,10 @@
     }
     /**
      * <pre>
-     * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+     * Attempts that are old enough to tell whether their first output is late.
      * </pre>
      *
-     * <code>optional uint64 timed = 6;</code>
+     * <code>uint64 timed = 6;</code>
      * @return This builder for chaining.
      */
     public Builder clearTimed() {
@@ -938,6 +944,50 @@
       return this;
     }
 
+    private long late_ ;
+    /**
+     * <pre>
+     * Attempts among those whose first output is late.
+     * </pre>
+     *
+     * <code>uint64 late = 7;</code>
+     * @return The late.
+     */
+    @java.lang.Override
+    public long getLate() {
+      return late_;
+    }
+    /**
+     * <pre>
+     * Attempts among those whose first output is late.
+     * </pre>
+     *
+     * <code>uint64 late = 7;</code>
+     * @param value The late to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLate(long value) {
+
+      late_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Attempts among those whose first output is late.
+     * </pre>
+     *
+     * <code>uint64 late = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLate() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      late_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.RouteAnswers)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/RouteAnswersOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/RouteAnswersOrBuilder.java
@@ -72,20 +72,21 @@
 
   /**
    * <pre>
-   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * Attempts that are old enough to tell whether their first output is late.
    * </pre>
    *
-   * <code>optional uint64 timed = 6;</code>
-   * @return Whether the timed field is set.
+   * <code>uint64 timed = 6;</code>
+   * @return The timed.
    */
-  boolean hasTimed();
+  long getTimed();
+
   /**
    * <pre>
-   * Attempts that are old enough to tell whether they are slow; absent in notices of earlier releases.
+   * Attempts among those whose first output is late.
    * </pre>
    *
-   * <code>optional uint64 timed = 6;</code>
-   * @return The timed.
+   * <code>uint64 late = 7;</code>
+   * @return The late.
    */
-  long getTimed();
+  long getLate();
 }
--- a/router/src/main/java/baobabcroft/rollout/RolloutPlan.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutPlan.java
@@ -46,12 +46,22 @@
         return Math.max(TRYING_FROM, Math.min(MOVING_FROM, last));
     }
 
+    /** Returns the time for which all requests move before the old version is removed, in milliseconds. */
+    static long allMovingMillis() {
+        return ALL_MOVING_MILLIS;
+    }
+
+    /** Returns the shortest time in {@link RolloutStage#MOVING} after which all requests move, in milliseconds. */
+    static long halfMovingMillis() {
+        return HALF_MOVING_MILLIS;
+    }
+
     /** Returns the share of the sessions that use the new version. */
-    static double targetShare(RolloutStage stage, double tryingShare, long inStageMillis) {
+    static double targetShare(RolloutStage stage, double tryingShare, boolean allMove) {
         return switch (stage) {
             case HOLDING, REVERTED -> 0;
             case TRYING -> tryingShare;
-            case MOVING -> inStageMillis < HALF_MOVING_MILLIS ? HALF : 1;
+            case MOVING -> allMove ? 1 : HALF;
             case COMPLETE -> 1;
         };
     }
--- a/router/src/main/java/baobabcroft/rollout/RouteTrials.java
+++ b/router/src/main/java/baobabcroft/rollout/RouteTrials.java
@@ -9,12 +9,13 @@
  * @param failed number among them that were answered with an error or not answered
  * @param lost number among them whose connection was lost before the answer was complete
  * @param slow number of answers among them that took several times as long as the old version's average
- * @param timed number of attempts that are old enough to tell whether they are slow, including slow ones; fast ones do
- *     not count earlier, as else a version would look the faster the more requests it has just got
+ * @param timed number of attempts that are old enough to tell whether their first output is late, including late ones;
+ *     those in time do not count earlier, as else a version would look the faster the more requests it has just got
+ * @param late number of attempts among the timed ones whose first output is late
  */
-public record RouteTrials(long answers, long failed, long lost, long slow, long timed) {
+public record RouteTrials(long answers, long failed, long lost, long slow, long timed, long late) {
     /** No answers. */
-    public static final RouteTrials NONE = new RouteTrials(0, 0, 0, 0, 0);
+    public static final RouteTrials NONE = new RouteTrials(0, 0, 0, 0, 0, 0);
 
     /**
      * Returns the sum of two counts.
@@ -28,27 +29,24 @@
                 failed + other.failed,
                 lost + other.lost,
                 slow + other.slow,
-                timed + other.timed);
+                timed + other.timed,
+                late + other.late);
     }
 
-    /** Returns the counts with one more answer that is not slow, as far as is known. */
-    RouteTrials plusAnswer(AttemptResult result) {
+    /** Returns the counts with one more answer. */
+    RouteTrials plusAnswer(AttemptResult result, boolean isSlow) {
         return new RouteTrials(
                 answers + 1,
                 failed + (result == AttemptResult.FAILED ? 1 : 0),
                 lost + (result == AttemptResult.LOST ? 1 : 0),
-                slow,
-                timed);
+                slow + (isSlow ? 1 : 0),
+                timed,
+                late);
     }
 
-    /** Returns the counts with one more answer that is slow. */
-    RouteTrials plusSlowAnswer(boolean isTimedAlready) {
-        return new RouteTrials(answers + 1, failed, lost, slow + 1, timed + (isTimedAlready ? 0 : 1));
-    }
-
-    /** Returns the counts with one more attempt that is known not to be slow. */
-    RouteTrials plusTimed() {
-        return new RouteTrials(answers, failed, lost, slow, timed + 1);
+    /** Returns the counts with one more attempt of which it is known whether its first output is late. */
+    RouteTrials plusTimed(boolean isLate) {
+        return new RouteTrials(answers, failed, lost, slow, timed + 1, late + (isLate ? 1 : 0));
     }
 
     /** Returns the greater of two counts of the same source. */
@@ -69,6 +67,10 @@
     }
 
     RateEvidence slowEvidence() {
-        return new RateEvidence(timed, slow);
+        return new RateEvidence(answers, slow);
+    }
+
+    RateEvidence lateEvidence() {
+        return new RateEvidence(timed, late);
     }
 }
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -14,6 +14,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.IntSupplier;
 import java.util.function.LongSupplier;
@@ -73,6 +74,8 @@
     private boolean peerCountsChanged;
     private boolean writeInProgress;
     private boolean targetIsBad;
+    /** When all requests began to move. */
+    private OptionalLong allMoveSinceMillis = OptionalLong.empty();
 
     ServiceRollout(
             RolloutOrder order,
@@ -130,7 +133,7 @@
 
     /** Returns the share of the sessions that use the new version now. */
     double targetShare(double tryingShare) {
-        return RolloutPlan.targetShare(stage(), tryingShare, nowMillis.getAsLong() - stageSinceMillis);
+        return RolloutPlan.targetShare(stage(), tryingShare, allMoveSinceMillis.isPresent());
     }
 
     /** Handles the return of the store in a later era, which may have lost the record and the status. */
@@ -169,6 +172,7 @@
         record = Optional.of(newRecord);
         scheduledStage = Optional.empty();
         stageSinceMillis = nowMillis.getAsLong();
+        allMoveSinceMillis = OptionalLong.empty();
         statusWriteAtMillis = stageSinceMillis + randomDelayMillis(STAGE_DELAY_SCALE_MILLIS);
         log.log(
                 LogEvent.ROLLOUT_STAGE,
@@ -284,6 +288,7 @@
         long now = nowMillis.getAsLong();
         trials.countSlowAttempts();
         evaluateIfPeerCountsChanged();
+        moveAllWhenDue(now);
         publishChangedCounts();
         if (writeInProgress || otherRecord.filter(this::mayBeOfLaterOrder).isPresent()) {
             return;
@@ -312,11 +317,30 @@
     /** Completion removes the old endpoints, so it needs a version that is not even suspect. */
     private RolloutStage dueStage(RolloutStage current, long now) {
         RolloutStage due = RolloutPlan.due(order, current, elapsedMillis(), now - stageSinceMillis);
+        if (due != RolloutStage.COMPLETE || targetIsBad) {
+            return targetIsBad ? RolloutStage.REVERTED : due;
+        }
         Map<String, RouteTrials> target = allTargetCounts();
-        if (due == RolloutStage.COMPLETE && !targetIsBad && VersionComparison.isSuspect(target, trials.base())) {
+        if (VersionComparison.isSuspect(target, trials.base())) {
             stopTarget("suspect when completion was due", target);
+            return RolloutStage.REVERTED;
+        }
+        boolean allMoved =
+                allMoveSinceMillis.isPresent() && now - allMoveSinceMillis.getAsLong() >= RolloutPlan.allMovingMillis();
+        return allMoved ? due : current;
+    }
+
+    /** Lets all requests move, once half of them have for some time and there is no more evidence against the version. */
+    private void moveAllWhenDue(long now) {
+        boolean halfMoved = record.map(RolloutRecord::stage)
+                        .filter(RolloutStage.MOVING::equals)
+                        .isPresent()
+                && now - stageSinceMillis >= RolloutPlan.halfMovingMillis();
+        if (halfMoved
+                && allMoveSinceMillis.isEmpty()
+                && !VersionComparison.isSuspect(allTargetCounts(), trials.base())) {
+            allMoveSinceMillis = OptionalLong.of(now);
         }
-        return targetIsBad ? RolloutStage.REVERTED : due;
     }
 
     /**
--- a/router/src/main/java/baobabcroft/rollout/VersionComparison.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionComparison.java
@@ -56,6 +56,7 @@
                         logThreshold)
                 || isWorse(target.failureEvidence(), base.failureEvidence(), TOLERATED_FAILURE_RATE, logThreshold)
                 || isWorse(target.lossEvidence(), base.lossEvidence(), TOLERATED_FAILURE_RATE, logThreshold)
+                || isWorse(target.lateEvidence(), base.lateEvidence(), TOLERATED_SLOW_RATE, logThreshold)
                 || isWorse(target.slowEvidence(), base.slowEvidence(), TOLERATED_SLOW_RATE, logThreshold);
     }
 
--- a/router/src/main/java/baobabcroft/rollout/VersionTrials.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionTrials.java
@@ -11,8 +11,8 @@
 
 /**
  * This instance's attempts at the new and the old version during a rollout: counts by route, and the attempts that have
- * not ended. An attempt counts once, as soon as it is known to be slow or has ended; as one that is not slow, once it is
- * as old as slow ones are when they are found. Not thread-safe.
+ * not ended. An attempt counts once as an answer, as soon as it is known to be slow or has ended, and once for its first
+ * output, at the age at which that is late. Not thread-safe.
  */
 final class VersionTrials {
     private final LongSupplier nowMillis;
@@ -22,7 +22,7 @@
     private final Map<String, ResponseTimes> firstOutputTimes = new HashMap<>();
     private final Map<String, ResponseTimes> answerTimes = new HashMap<>();
     private final Set<Attempt> openAttempts = new LinkedHashSet<>();
-    /** Answers that are not old enough to count as not slow. */
+    /** Answers that have ended before the age at which a first output is late. */
     private final Set<Attempt> untimedAnswers = new LinkedHashSet<>();
 
     private boolean targetChanged;
@@ -62,7 +62,7 @@
         return changed;
     }
 
-    /** Counts the open attempts that are slow already, and the others that are old enough not to be. */
+    /** Counts the open attempts that are slow already, and those that are old enough to tell. */
     void countSlowAttempts() {
         for (Attempt attempt : Set.copyOf(openAttempts)) {
             attempt.countIfSlow();
@@ -102,6 +102,7 @@
                 return;
             }
             countIfSlow();
+            countIfTimed();
             firstOutput = true;
             addToStandard(firstOutputTimes);
         }
@@ -116,6 +117,7 @@
             }
             if (result != AttemptResult.NOT_RUN) {
                 countIfSlow();
+                countIfTimed();
             }
             openAttempts.remove(this);
             if (result == AttemptResult.ANSWERED) {
@@ -136,28 +138,37 @@
         }
 
         private void countIfSlow() {
-            boolean slow = firstOutput
-                    ? elapsedMillis() > slowAfterMillis(answerTimes, Double.MAX_VALUE)
-                    : elapsedMillis() > slowAfterMillis(firstOutputTimes, (double) goalMillis);
+            boolean slow = firstOutput ? elapsedMillis() > slowAfterMillis(answerTimes, Double.MAX_VALUE) : isLateNow();
             if (slow && !counted) {
                 counted = true;
-                add(RouteTrials.NONE.plusSlowAnswer(timed));
-                timed = true;
-                if (ofTarget) {
-                    onTargetSuspect.run();
-                }
+                add(RouteTrials.NONE.plusAnswer(AttemptResult.ANSWERED, true));
+                suspect();
             }
         }
 
-        /** Counts an attempt with a first output in time, once it is old enough; returns whether it is counted. */
+        /** Counts the first output once the attempt is old enough; returns whether it is counted. */
         private boolean countIfTimed() {
-            if (!timed && firstOutput && elapsedMillis() >= slowAfterMillis(firstOutputTimes, (double) goalMillis)) {
+            if (!timed && isLateNow()) {
                 timed = true;
-                add(RouteTrials.NONE.plusTimed());
+                add(RouteTrials.NONE.plusTimed(!firstOutput));
+                if (!firstOutput) {
+                    suspect();
+                }
             }
             return timed;
         }
 
+        /** Returns whether a first output would be late if it came now. */
+        private boolean isLateNow() {
+            return elapsedMillis() > slowAfterMillis(firstOutputTimes, (double) goalMillis);
+        }
+
+        private void suspect() {
+            if (ofTarget) {
+                onTargetSuspect.run();
+            }
+        }
+
         private double slowAfterMillis(Map<String, ResponseTimes> times, double withoutStandardMillis) {
             return times.getOrDefault(route, new ResponseTimes()).slowAfterMillis(goalMillis, withoutStandardMillis);
         }
@@ -167,9 +178,9 @@
                 return;
             }
             counted = true;
-            add(RouteTrials.NONE.plusAnswer(result));
-            if (ofTarget && (result == AttemptResult.FAILED || result == AttemptResult.LOST)) {
-                onTargetSuspect.run();
+            add(RouteTrials.NONE.plusAnswer(result, false));
+            if (result == AttemptResult.FAILED || result == AttemptResult.LOST) {
+                suspect();
             }
         }
 
--- a/router/src/test/java/baobabcroft/notice/NoticeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeTest.java
@@ -31,7 +31,8 @@
 
     private static RolloutCounts counts(long order, long answers, long failed) {
         return new RolloutCounts(
-                new StoreRevision(1, order), ImmutableMap.of("chat", new RouteTrials(answers, failed, 0, 0, answers)));
+                new StoreRevision(1, order),
+                ImmutableMap.of("chat", new RouteTrials(answers, failed, 0, 0, answers, 0)));
     }
 
     @Nested
--- a/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
+++ b/router/src/test/java/baobabcroft/rollout/FleetRolloutsTest.java
@@ -366,10 +366,10 @@
 
         @Test
         void isDetectedOnSingleFailingRoute() {
-            Map<String, RouteTrials> base =
-                    Map.of("healthy", new RouteTrials(400, 4, 0, 0, 400), "failing", new RouteTrials(50, 1, 0, 0, 50));
-            Map<String, RouteTrials> target =
-                    Map.of("healthy", new RouteTrials(60, 0, 0, 0, 60), "failing", new RouteTrials(10, 6, 0, 0, 10));
+            Map<String, RouteTrials> base = Map.of(
+                    "healthy", new RouteTrials(400, 4, 0, 0, 400, 0), "failing", new RouteTrials(50, 1, 0, 0, 50, 0));
+            Map<String, RouteTrials> target = Map.of(
+                    "healthy", new RouteTrials(60, 0, 0, 0, 60, 0), "failing", new RouteTrials(10, 6, 0, 0, 10, 0));
 
             assertTrue(VersionComparison.isBad(target, base));
         }
@@ -379,8 +379,8 @@
     class HealthyVersion {
         @Test
         void isNotBadIfOldVersionFailsAsOften() {
-            Map<String, RouteTrials> base = Map.of("lookup", new RouteTrials(200, 28, 0, 0, 200));
-            Map<String, RouteTrials> target = Map.of("lookup", new RouteTrials(40, 6, 0, 0, 40));
+            Map<String, RouteTrials> base = Map.of("lookup", new RouteTrials(200, 28, 0, 0, 200, 0));
+            Map<String, RouteTrials> target = Map.of("lookup", new RouteTrials(40, 6, 0, 0, 40, 0));
 
             assertFalse(VersionComparison.isBad(target, base));
         }
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -284,7 +284,8 @@
                     SERVICE,
                     source,
                     new RolloutCounts(
-                            record.order(), ImmutableMap.of("route", new RouteTrials(answers, failed, 0, 0, answers))));
+                            record.order(),
+                            ImmutableMap.of("route", new RouteTrials(answers, failed, 0, 0, answers, 0))));
         }
 
         /** Guards against EXPOSURE: an instance that restarts counts from zero; what it counted is evidence still. */
@@ -309,8 +310,8 @@
          */
         @Test
         void doNotExcuseErrorsOfTheNewVersion() {
-            Map<String, RouteTrials> base = Map.of("chat", new RouteTrials(300, 0, 135, 0, 300));
-            Map<String, RouteTrials> target = Map.of("chat", new RouteTrials(60, 30, 0, 0, 60));
+            Map<String, RouteTrials> base = Map.of("chat", new RouteTrials(300, 0, 135, 0, 300, 0));
+            Map<String, RouteTrials> target = Map.of("chat", new RouteTrials(60, 30, 0, 0, 60, 0));
 
             assertTrue(VersionComparison.isBad(target, base));
         }
