Keep lines and a constructor within the style limits

Change: comments wrapped; RelayInstance creates its services in a method of its own. No logic is changed.

--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -169,7 +169,11 @@
                 store,
                 storeDialect.rolloutStatusWriter(store),
                 new SharedStoreRecords.Receivers(rollouts, crashTracker, new Peers()));
-        this.services = new RelayServices(
+        this.services = createServices(dialect);
+    }
+
+    private RelayServices createServices(RequestDialect dialect) {
+        return new RelayServices(
                 nowMillis,
                 scheduler,
                 random,
--- a/router/src/main/java/baobabcroft/limit/DomainBoundReports.java
+++ b/router/src/main/java/baobabcroft/limit/DomainBoundReports.java
@@ -10,8 +10,8 @@
 import java.util.function.LongSupplier;
 
 /**
- * What endpoints have told the other instances of this failure domain of bounds on their requests. Reports of other failure domains
- * are not kept here: passed on in a circle, they would never grow old. Not thread-safe.
+ * What endpoints have told the other instances of this failure domain of bounds on their requests. Reports of other
+ * failure domains are not kept here: passed on in a circle, they would never grow old. Not thread-safe.
  */
 public final class DomainBoundReports {
     /** Age above which the reports of an instance are ignored; tolerates several lost notices in a row. */
--- a/router/src/main/java/baobabcroft/limit/SharedConcurrency.java
+++ b/router/src/main/java/baobabcroft/limit/SharedConcurrency.java
@@ -5,8 +5,9 @@
 import com.google.common.collect.ImmutableList;
 
 /**
- * This instance's part of a number of requests that all instances together may have open. The parts differ by one at the
- * most; which instances hold the larger ones, or any at all, follows from the same hash at all instances. Not thread-safe.
+ * This instance's part of a number of requests that all instances together may have open. The parts differ by one at
+ * the most; which instances hold the larger ones, or any at all, follows from the same hash at all instances. Not
+ * thread-safe.
  */
 public final class SharedConcurrency {
     private final InstanceRanking ranking;
--- a/router/src/main/java/baobabcroft/limit/SharedRate.java
+++ b/router/src/main/java/baobabcroft/limit/SharedRate.java
@@ -11,9 +11,9 @@
 /**
  * This instance's part of a rate that holds for all instances together.
  *
- * <p>The instances agree on their parts without talking to one another: all rank the known instances by the same hash, and
- * those with the lowest ranks hold equal parts. There are only as many of them that each may send at least one request
- * at a time while all of them at once send little more than the rate of one second. Not thread-safe.
+ * <p>The instances agree on their parts without talking to one another: all rank the known instances by the same hash,
+ * and those with the lowest ranks hold equal parts. There are only as many of them that each may send at least one
+ * request at a time while all of them at once send little more than the rate of one second. Not thread-safe.
  */
 public final class SharedRate {
     /** Requests that all instances may send at once, beyond those of one second. */
--- a/router/src/main/java/baobabcroft/reach/EndpointReachability.java
+++ b/router/src/main/java/baobabcroft/reach/EndpointReachability.java
@@ -17,9 +17,9 @@
  * Finds out whether this instance is cut off from all endpoints.
  *
  * <p>Connections that fail are no proof, as endpoints fail, too. After a failure, connections to several endpoints of
- * different services and failure domains are tried at the same time: the instance is isolated if none is accepted. While
- * it is, a few endpoints are tried at intervals; after the first success, requests return to the endpoints gradually. Not
- * thread-safe.
+ * different services and failure domains are tried at the same time: the instance is isolated if none is accepted.
+ * While it is, a few endpoints are tried at intervals; after the first success, requests return to the endpoints
+ * gradually. Not thread-safe.
  */
 public final class EndpointReachability {
     /** Endpoints tried before the instance counts as isolated. */
--- a/router/src/main/java/baobabcroft/relay/Brittleness.java
+++ b/router/src/main/java/baobabcroft/relay/Brittleness.java
@@ -10,8 +10,8 @@
  * Whether one start of an endpoint falls over if it has to reject more than a few requests in a second, and this
  * instance's part of the requests that all instances together may therefore have open there.
  *
- * <p>What is open at the same time is at most what the endpoint processes and the rejections that it tolerates, less one.
- * An instance that was rejected waits for more than a second, longer each time. Not thread-safe.
+ * <p>What is open at the same time is at most what the endpoint processes and the rejections that it tolerates, less
+ * one. An instance that was rejected waits for more than a second, longer each time. Not thread-safe.
  */
 final class Brittleness {
     /** Shortest time without requests after a rejection, in milliseconds: the endpoint counts those of one second. */
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -102,8 +102,8 @@
     }
 
     /**
-     * Sets whether this instance is cut off from all endpoints. While it is, failures and delays are those of its links:
-     * what it has recorded of late is forgotten, and nothing is added.
+     * Sets whether this instance is cut off from all endpoints. While it is, failures and delays are those of its
+     * links: what it has recorded of late is forgotten, and nothing is added.
      *
      * @param nowIsolated whether it is cut off from now on
      */
--- a/router/src/main/java/baobabcroft/relay/StatedBound.java
+++ b/router/src/main/java/baobabcroft/relay/StatedBound.java
@@ -9,8 +9,8 @@
  * A bound that endpoints state in their answers, as told by answers to this instance or by other instances. The lower
  * the bound, the stricter it is.
  *
- * <p>Answers can overtake one another. A lower bound applies at once; a higher one, or the end of the bound, only if the
- * answer belongs to a request that was sent after the bound was last stated. Not thread-safe.
+ * <p>Answers can overtake one another. A lower bound applies at once; a higher one, or the end of the bound, only if
+ * the answer belongs to a request that was sent after the bound was last stated. Not thread-safe.
  */
 final class StatedBound {
     /** By how much a report may seem newer than it is, in milliseconds: its way, and the time until it is read. */
--- a/router/src/main/java/baobabcroft/rollout/RolloutPlan.java
+++ b/router/src/main/java/baobabcroft/rollout/RolloutPlan.java
@@ -40,7 +40,9 @@
         };
     }
 
-    /** Returns when requests move, as a fraction of the duration: earlier in short rollouts, so that they end in time. */
+    /**
+     * Returns when requests move, as a fraction of the duration: earlier in short rollouts, so that they end in time.
+     */
     private static double movingFrom(long durationMillis) {
         double last = 1 - (double) (HALF_MOVING_MILLIS + ALL_MOVING_MILLIS + WRITING_MILLIS) / durationMillis;
         return Math.max(TRYING_FROM, Math.min(MOVING_FROM, last));
--- a/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
+++ b/router/src/main/java/baobabcroft/rollout/ServiceRollout.java
@@ -330,7 +330,9 @@
         return allMoved ? due : current;
     }
 
-    /** Lets all requests move, once half of them have for some time and there is no more evidence against the version. */
+    /**
+     * Lets all requests move, once half of them have for some time and there is no more evidence against the version.
+     */
     private void moveAllWhenDue(long now) {
         boolean halfMoved = record.map(RolloutRecord::stage)
                         .filter(RolloutStage.MOVING::equals)
--- a/router/src/main/java/baobabcroft/rollout/VersionTrials.java
+++ b/router/src/main/java/baobabcroft/rollout/VersionTrials.java
@@ -11,8 +11,8 @@
 
 /**
  * This instance's attempts at the new and the old version during a rollout: counts by route, and the attempts that have
- * not ended. An attempt counts once as an answer, as soon as it is known to be slow or has ended, and once for its first
- * output, at the age at which that is late. Not thread-safe.
+ * not ended. An attempt counts once as an answer, as soon as it is known to be slow or has ended, and once for its
+ * first output, at the age at which that is late. Not thread-safe.
  */
 final class VersionTrials {
     private final LongSupplier nowMillis;
--- a/router/src/test/java/baobabcroft/front/NettyChannelsTest.java
+++ b/router/src/test/java/baobabcroft/front/NettyChannelsTest.java
@@ -29,7 +29,9 @@
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    /** Keep-alive probes decide when a silent connection is lost, as no TCP_USER_TIMEOUT is set, which would precede. */
+    /**
+     * Keep-alive probes decide when a silent connection is lost, as no TCP_USER_TIMEOUT is set, which would precede.
+     */
     @Test
     void silentConnectionsOutliveASecondAndAreLostInTime() throws Exception {
         try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
+++ b/router/src/test/java/baobabcroft/instance/CrashTrackerTest.java
@@ -50,7 +50,9 @@
         time.advance(PROBE_AND_PUBLISH_MILLIS);
     }
 
-    /** An instance that is cut off from all endpoints has lost its connections to all of them, and nothing has crashed. */
+    /**
+     * An instance that is cut off from all endpoints has lost its connections to all of them, and nothing has crashed.
+     */
     @Nested
     class Isolation {
         private final ImmutableList<EndpointEntry> endpoints =
--- a/router/src/test/java/baobabcroft/relay/BrittleEndpointsFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/BrittleEndpointsFleetTest.java
@@ -18,8 +18,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * The pattern "brittle endpoints under a jump of the traffic": three endpoints fall over if they have to reject more than
- * a few requests in a second, and a fleet without a network suddenly gets many times its usual traffic.
+ * The pattern "brittle endpoints under a jump of the traffic": three endpoints fall over if they have to reject more
+ * than a few requests in a second, and a fleet without a network suddenly gets many times its usual traffic.
  */
 class BrittleEndpointsFleetTest {
     /** Plays a case; more by hand, as -Dbaobabcroft.test.seeds=100. */
@@ -174,7 +174,10 @@
         }
     }
 
-    /** Guards against LIMIT: all instances send to an endpoint that has room for a few, and it falls over again and again. */
+    /**
+     * Guards against LIMIT: all instances send to an endpoint that has room for a few, and it falls over again and
+     * again.
+     */
     @ParameterizedTest(name = "{0} instances, {1} requests/s, then {2}")
     @CsvSource({"9, 12, 120", "9, 60, 400", "82, 60, 300", "300, 60, 300"})
     void endpointsDoNotFallOver(int instances, double usualPerSecond, double jumpPerSecond) {
--- a/router/src/test/java/baobabcroft/relay/EndpointLimitFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointLimitFleetTest.java
@@ -22,8 +22,8 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 /**
- * The pattern "endpoint in need": one of three endpoints states a limit on the requests of all instances together, and a
- * fleet without a network, whose instances all prefer that endpoint, has traffic for much more.
+ * The pattern "endpoint in need": one of three endpoints states a limit on the requests of all instances together, and
+ * a fleet without a network, whose instances all prefer that endpoint, has traffic for much more.
  */
 class EndpointLimitFleetTest {
     private static final String LIMITED = "orders-1";
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -236,7 +236,9 @@
             assertEquals("found", caller.body);
         }
 
-        /** A sound endpoint may be silent for a second; the caller is better served elsewhere, but nothing has failed. */
+        /**
+         * A sound endpoint may be silent for a second; the caller is better served elsewhere, but nothing has failed.
+         */
         @Test
         void anEndpointThatWasSilentForASecondHasNotFailed() {
             relay.start("/lookup/1", caller, new Header("wait", "2500"));
@@ -277,7 +279,9 @@
             assertEquals("late", caller.body);
         }
 
-        /** Guards against RECOVER: refused connections reach no endpoint, but they used up the budget for those that do. */
+        /**
+         * Guards against RECOVER: refused connections reach no endpoint, but they used up the budget for those that do.
+         */
         @Test
         void takeNothingFromTheBudgetIfNothingWasSent() {
             relay.budget = RetryBudget.of(0, 1, 0);
--- a/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutExposureTest.java
@@ -185,8 +185,8 @@
     }
 
     /**
-     * The pattern "half of the answers slow, shortly before the end": an order of 14 s, and a new version of which half of
-     * the answers begin eight times as late as the old one's.
+     * The pattern "half of the answers slow, shortly before the end": an order of 14 s, and a new version of which half
+     * of the answers begin eight times as late as the old one's.
      */
     @Nested
     class ShortRollout {
