--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -307,10 +307,11 @@
         AdminServer adminServer =
                 new AdminServer(AdminRoutes.create(admin, AdminKeys.of(settings.adminKeys())), metrics, system);
         int maxHeaderBytes = settings.limits().maxHeaderBytes();
-        return HttpBinding.bind(settings.listen().callers(), maxHeaderBytes, gateway::handle, system)
+        return HttpBinding.bind(settings.listen().callers(), maxHeaderBytes, gateway::handle, system, scheduler)
                 .thenCompose(bound -> {
                     callersBinding = bound;
-                    return HttpBinding.bind(settings.listen().admin(), maxHeaderBytes, adminServer::handle, system);
+                    return HttpBinding.bind(
+                            settings.listen().admin(), maxHeaderBytes, adminServer::handle, system, scheduler);
                 })
                 .thenApply(bound -> {
                     adminBinding = bound;
