Keep requests of the own interface away from endpoints that ask for a pause

Change: StatedPause is the one rule for such times, for both faces (a number of seconds; wrong values counted and ignored; an operator's limit; ends spread). The pool gives paused endpoints nothing and lets requests return as long after a pause as it lasted; the admission queue holds requests with time enough and refuses the others at once, with the soonest end as Retry-After. Setting limits.maxEndpointPauseMillis. Not changed: what may have run; leaving endpoints of the own interface are named by the live list.

--- a/router/src/main/java/baobabcroft/admission/AdmissionQueue.java
+++ b/router/src/main/java/baobabcroft/admission/AdmissionQueue.java
@@ -66,7 +66,7 @@
         AdmissionTicket ticket = new AdmissionTicket(this, request, checkNotNull(pending), deadlineNanos);
         PoolLoad load = poolLoad.get();
         if (load.capacity() == 0) {
-            return new Refused(ErrorCode.POOL_EXHAUSTED, EXHAUSTED_RETRY_AFTER_MILLIS);
+            return awaitPauseEnd(ticket, load, nowNanos);
         }
         double slackMillis = request.remainingMillis() - request.expectedServiceMillis();
         if (slackMillis < 0) {
@@ -82,6 +82,23 @@
         return queue(ticket, waitMillis);
     }
 
+    /** Queues a request that has time until an endpoint ends its pause, and refuses it otherwise. */
+    private AdmissionDecision awaitPauseEnd(AdmissionTicket ticket, PoolLoad load, long nowNanos) {
+        if (load.pauseMillis().isEmpty()) {
+            return new Refused(ErrorCode.POOL_EXHAUSTED, EXHAUSTED_RETRY_AFTER_MILLIS);
+        }
+        double pauseMillis = load.pauseMillis().getAsLong();
+        return hasTimeAfter(pauseMillis, ticket, load, nowNanos)
+                ? queue(ticket, pauseMillis)
+                : new Refused(ErrorCode.POOL_EXHAUSTED, retryAfterMillis(pauseMillis));
+    }
+
+    private static boolean hasTimeAfter(double pauseMillis, AdmissionTicket ticket, PoolLoad load, long nowNanos) {
+        double remainingMillis = (double) (ticket.deadlineNanos() - nowNanos) / TimeUnit.MILLISECONDS.toNanos(1);
+        double serviceMillis = Math.max(load.serviceMillis(), ticket.request().expectedServiceMillis());
+        return pauseMillis + serviceMillis <= remainingMillis;
+    }
+
     private boolean precedesWaiting(AdmissionRequest request) {
         return waitQueue
                 .next()
@@ -113,6 +130,7 @@
     /** Starts waiting requests while there is capacity, and refuses those that can no longer meet their deadline. */
     public synchronized void dispatchWaiting() {
         long nowNanos = ticker.read();
+        refuseWithoutTimeForPause(poolLoad.get(), nowNanos);
         Optional<AdmissionTicket> next = waitQueue.next();
         while (next.isPresent()) {
             AdmissionTicket ticket = next.get();
@@ -125,6 +143,17 @@
         }
     }
 
+    private void refuseWithoutTimeForPause(PoolLoad load, long nowNanos) {
+        if (load.capacity() > 0 || load.pauseMillis().isEmpty()) {
+            return;
+        }
+        double pauseMillis = load.pauseMillis().getAsLong();
+        Refused refused = new Refused(ErrorCode.POOL_EXHAUSTED, retryAfterMillis(pauseMillis));
+        waitQueue.all().stream()
+                .filter(ticket -> !hasTimeAfter(pauseMillis, ticket, load, nowNanos))
+                .forEach(ticket -> refuse(ticket, refused));
+    }
+
     private static boolean isTooLate(AdmissionTicket ticket, long nowNanos) {
         double remainingNanos = ticket.deadlineNanos() - nowNanos;
         return remainingNanos / TimeUnit.MILLISECONDS.toNanos(1)
--- a/router/src/main/java/baobabcroft/admission/WaitQueue.java
+++ b/router/src/main/java/baobabcroft/admission/WaitQueue.java
@@ -1,5 +1,6 @@
 package baobabcroft.admission;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayDeque;
 import java.util.Collection;
 import java.util.Comparator;
@@ -70,6 +71,14 @@
                 .map(entry -> entry.getValue().peekFirst()));
     }
 
+    /** Returns all waiting requests. */
+    ImmutableList<AdmissionTicket> all() {
+        return byPriority.values().stream()
+                .flatMap(accounts -> accounts.values().stream())
+                .flatMap(Deque::stream)
+                .collect(ImmutableList.toImmutableList());
+    }
+
     /** Returns the request to shed first: in the lowest priority, the newest one of the account with most waiting. */
     Optional<AdmissionTicket> shedCandidate() {
         if (byPriority.isEmpty()) {
--- a/router/src/main/java/baobabcroft/balance/BreakerSettings.java
+++ b/router/src/main/java/baobabcroft/balance/BreakerSettings.java
@@ -12,6 +12,7 @@
  * @param ejectionMillis length of the first ejection before jitter, in milliseconds; doubles with each further ejection
  * @param maxEjectionMillis maximum length of an ejection, in milliseconds
  * @param slowStartMillis time from the first successful probe to full capacity, in milliseconds
+ * @param maxPauseMillis longest time for which an endpoint may ask for no requests, in milliseconds
  */
 public record BreakerSettings(
         int consecutiveFailures,
@@ -20,7 +21,8 @@
         long halfLifeMillis,
         long ejectionMillis,
         long maxEjectionMillis,
-        long slowStartMillis) {
+        long slowStartMillis,
+        long maxPauseMillis) {
     /** Validates the values. */
     public BreakerSettings {
         checkArgument(consecutiveFailures > 0, "consecutiveFailures not positive: %s", consecutiveFailures);
@@ -33,6 +35,7 @@
                 "maxEjectionMillis less than ejectionMillis: %s",
                 maxEjectionMillis);
         checkArgument(slowStartMillis > 0, "slowStartMillis not positive: %s", slowStartMillis);
+        checkArgument(maxPauseMillis >= 0, "negative maxPauseMillis: %s", maxPauseMillis);
     }
 
     /**
@@ -41,6 +44,24 @@
      * @return the settings used when operators configure none
      */
     public static BreakerSettings defaults() {
-        return new BreakerSettings(3, 0.5, 10, 10_000, 1_000, 60_000, 10_000);
+        return new BreakerSettings(3, 0.5, 10, 10_000, 1_000, 60_000, 10_000, 60_000);
+    }
+
+    /**
+     * Returns these settings with another limit on pauses.
+     *
+     * @param millis longest time for which an endpoint may ask for no requests, in milliseconds
+     * @return the settings
+     */
+    public BreakerSettings withMaxPauseMillis(long millis) {
+        return new BreakerSettings(
+                consecutiveFailures,
+                failureShare,
+                minCalls,
+                halfLifeMillis,
+                ejectionMillis,
+                maxEjectionMillis,
+                slowStartMillis,
+                millis);
     }
 }
--- a/router/src/main/java/baobabcroft/balance/Endpoint.java
+++ b/router/src/main/java/baobabcroft/balance/Endpoint.java
@@ -1,7 +1,9 @@
 package baobabcroft.balance;
 
+import baobabcroft.common.StatedPause;
 import baobabcroft.rules.EndpointRule;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.DoubleSupplier;
 
@@ -11,6 +13,7 @@
     private static final double SERVICE_SAMPLE_WEIGHT = 0.1;
 
     private final CircuitBreaker breaker;
+    private final PauseGate pauseGate;
     private EndpointRule rule;
     private Locality locality;
     private boolean leaving;
@@ -23,6 +26,7 @@
         this.rule = rule;
         this.locality = locality;
         this.breaker = new CircuitBreaker(settings, jitter, nowNanos);
+        this.pauseGate = new PauseGate(settings, jitter);
     }
 
     synchronized void update(EndpointRule newRule, Locality newLocality) {
@@ -74,12 +78,16 @@
         }
     }
 
+    synchronized void pause(StatedPause pause, long nowNanos) {
+        pauseGate.pause(pause, nowNanos);
+    }
+
     synchronized void cancelled() {
         inFlight--;
     }
 
     synchronized PoolLoad poolLoad(long nowNanos) {
-        return new PoolLoad(inFlight, load(nowNanos), capacity(nowNanos), serviceMillis);
+        return new PoolLoad(inFlight, load(nowNanos), capacity(nowNanos), serviceMillis, pauseMillis(nowNanos));
     }
 
     synchronized EndpointStatus status(long nowNanos) {
@@ -88,7 +96,15 @@
     }
 
     private int capacity(long nowNanos) {
-        return leaving ? 0 : breaker.capacity(rule.maxConcurrent(), nowNanos);
+        return leaving
+                ? 0
+                : Math.min(
+                        breaker.capacity(rule.maxConcurrent(), nowNanos),
+                        pauseGate.capacity(rule.maxConcurrent(), nowNanos));
+    }
+
+    private OptionalLong pauseMillis(long nowNanos) {
+        return leaving ? OptionalLong.empty() : pauseGate.remainingMillis(nowNanos);
     }
 
     private double load(long nowNanos) {
--- a/router/src/main/java/baobabcroft/balance/EndpointLease.java
+++ b/router/src/main/java/baobabcroft/balance/EndpointLease.java
@@ -1,5 +1,6 @@
 package baobabcroft.balance;
 
+import baobabcroft.common.StatedPause;
 import baobabcroft.rules.EndpointRule;
 import com.google.common.base.Ticker;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -49,6 +50,15 @@
         return end(() -> endpoint.succeeded(latencyMillis, ticker.read()));
     }
 
+    /**
+     * Records that the endpoint wants no requests for some time. The lease goes on.
+     *
+     * @param pause the time that it stated
+     */
+    public void pause(StatedPause pause) {
+        endpoint.pause(pause, ticker.read());
+    }
+
     /**
      * Ends the lease after a failure.
      *
--- a/router/src/main/java/baobabcroft/balance/EndpointPool.java
+++ b/router/src/main/java/baobabcroft/balance/EndpointPool.java
@@ -11,6 +11,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -185,7 +186,11 @@
                         .mapToDouble(PoolLoad::serviceMillis)
                         .filter(serviceMillis -> serviceMillis > 0)
                         .average()
-                        .orElse(0));
+                        .orElse(0),
+                loads.stream()
+                        .map(PoolLoad::pauseMillis)
+                        .flatMapToLong(OptionalLong::stream)
+                        .min());
     }
 
     /**
--- a/router/src/main/java/baobabcroft/gateway/Dispatcher.java
+++ b/router/src/main/java/baobabcroft/gateway/Dispatcher.java
@@ -8,6 +8,7 @@
 import baobabcroft.common.Execution;
 import baobabcroft.common.RouterException;
 import baobabcroft.common.Scheduler;
+import baobabcroft.common.StatedPause;
 import baobabcroft.endpoint.EndpointCall;
 import baobabcroft.endpoint.EndpointClient;
 import baobabcroft.endpoint.EndpointResult;
@@ -30,6 +31,7 @@
 import java.util.function.Function;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.pekko.http.javadsl.model.HttpHeader;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.apache.pekko.http.javadsl.model.headers.RawHeader;
@@ -239,7 +241,9 @@
             return CompletableFuture.completedFuture(toEndpointResponse.apply(response));
         }
         discardBody.accept(response);
-        boolean busy = error.get().execution() == Execution.NOT_RUN;
+        Optional<StatedPause> pause = pauseOf(response);
+        pause.ifPresent(attempt.reservation()::pause);
+        boolean busy = error.get().execution() == Execution.NOT_RUN || pause.isPresent();
         attempt.reservation().failed(busy ? FailureKind.BUSY : FailureKind.SERVER_ERROR);
         if (!busy) {
             outcomeReporter.reportFailure(attempt.target());
@@ -280,6 +284,18 @@
         return Optional.empty();
     }
 
+    /** Returns for how long an endpoint that rejected a request wants no others. */
+    private Optional<StatedPause> pauseOf(HttpResponse response) {
+        int status = response.status().intValue();
+        if (status != STATUS_TOO_MANY_REQUESTS && status != STATUS_UNAVAILABLE) {
+            return Optional.empty();
+        }
+        Optional<String> stated = response.getHeader(Headers.RETRY_AFTER).map(HttpHeader::value);
+        Optional<StatedPause> pause = stated.flatMap(StatedPause::parse);
+        stated.ifPresent(text -> metrics.count(pause.isPresent() ? "endpoints.pauses" : "endpoints.pauses_unreadable"));
+        return pause;
+    }
+
     private static boolean matchesRequestId(DispatchRequest request, HttpResponse response) {
         return response.getHeader(Headers.REQUEST_ID)
                 .map(header -> header.value().equals(request.caller().requestId()))
--- a/router/src/main/java/baobabcroft/gateway/EndpointAdmission.java
+++ b/router/src/main/java/baobabcroft/gateway/EndpointAdmission.java
@@ -116,7 +116,7 @@
                 .orElseGet(() -> CompletableFuture.failedFuture(RouterException.notRun(
                         ErrorCode.POOL_EXHAUSTED,
                         "no other endpoint of " + target.name() + " has free capacity",
-                        RETRY_AFTER_MILLIS)));
+                        pool.load(target.endpoints()).pauseMillis().orElse(RETRY_AFTER_MILLIS))));
     }
 
     /**
--- a/router/src/main/java/baobabcroft/gateway/EndpointReservation.java
+++ b/router/src/main/java/baobabcroft/gateway/EndpointReservation.java
@@ -5,6 +5,7 @@
 import baobabcroft.admission.ServiceTimeEstimate;
 import baobabcroft.balance.EndpointLease;
 import baobabcroft.balance.FailureKind;
+import baobabcroft.common.StatedPause;
 import baobabcroft.rules.EndpointRule;
 
 /** Capacity reserved for a request on an endpoint. Thread-safe; only the first reported outcome takes effect. */
@@ -34,6 +35,11 @@
         release(lease.succeeded(latencyMillis));
     }
 
+    /** Records that the endpoint wants no requests for some time. */
+    void pause(StatedPause pause) {
+        lease.pause(pause);
+    }
+
     /** Releases the capacity after a failure. */
     void failed(FailureKind kind) {
         release(lease.failed(kind));
--- a/router/src/main/java/baobabcroft/gateway/Headers.java
+++ b/router/src/main/java/baobabcroft/gateway/Headers.java
@@ -31,6 +31,9 @@
     /** Fencing token of a request to an endpoint: the number of the configuration under which it is sent. */
     public static final String FENCING = "Baobabcroft-Fencing";
 
+    /** Delay in seconds; in a rejection by an endpoint, the time for which it wants no requests. */
+    public static final String RETRY_AFTER = "Retry-After";
+
     /** Set to {@code true} on a response that was recorded when the request ran earlier. */
     public static final String RECORDED = "Baobabcroft-Recorded";
 
--- a/router/src/main/java/baobabcroft/gateway/ProblemDetails.java
+++ b/router/src/main/java/baobabcroft/gateway/ProblemDetails.java
@@ -42,7 +42,7 @@
             return response;
         }
         long seconds = Math.max(1, ceilToSeconds(retryAfterMillis.getAsLong()));
-        return response.addHeader(RawHeader.create("Retry-After", Long.toString(seconds)));
+        return response.addHeader(RawHeader.create(Headers.RETRY_AFTER, Long.toString(seconds)));
     }
 
     /**
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -2,13 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.common.Decimals;
+import baobabcroft.common.StatedPause;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.limit.BoundReport;
 import baobabcroft.limit.FleetView;
 import baobabcroft.limit.SharedConcurrency;
 import baobabcroft.limit.SharedRate;
-import com.google.common.base.CharMatcher;
-import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
@@ -18,7 +18,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
@@ -38,20 +37,9 @@
 public final class EndpointAvailability {
     /** Starts of endpoints that are remembered; the least recently used one is forgotten first. */
     private static final int MAX_ENDPOINTS = 4_000;
-    /**
-     * Longest random extension of a pause, as a share of it. It keeps instances that an endpoint has rejected together
-     * from returning together.
-     */
-    private static final double MAX_EXTENSION_SHARE = 0.25;
-
-    private static final long MAX_EXTENSION_MILLIS = 2_000;
     /** Reports to other instances: as many as fit into a datagram next to loads. */
     private static final int MAX_LIMIT_REPORTS = 60;
 
-    private static final int MAX_DIGITS = 9;
-    private static final double MILLIS_PER_SECOND = 1_000;
-    private static final CharMatcher DIGITS = CharMatcher.inRange('0', '9');
-
     private final LongSupplier nowMillis;
     private final DoubleSupplier random;
     private final LongSupplier maxPauseMillis;
@@ -279,24 +267,22 @@
     }
 
     private void pause(EndpointEntry endpoint, String seconds) {
-        OptionalLong stated = parseMillis(seconds);
+        Optional<StatedPause> stated = StatedPause.parse(seconds);
         if (stated.isEmpty()) {
             listener.onUnreadablePause(endpoint, seconds);
             return;
         }
-        boolean capped = stated.getAsLong() > maxPauseMillis.getAsLong();
-        long pauseMillis = Math.min(stated.getAsLong(), maxPauseMillis.getAsLong());
-        double extensionMillis = Math.min(MAX_EXTENSION_MILLIS, MAX_EXTENSION_SHARE * pauseMillis);
+        StatedPause pause = stated.get().atMost(maxPauseMillis.getAsLong());
         Statement statement = statementOf(endpoint);
-        long untilMillis = nowMillis.getAsLong() + pauseMillis + (long) (random.getAsDouble() * extensionMillis);
+        long untilMillis = nowMillis.getAsLong() + pause.extendedMillis(random.getAsDouble());
         statement.pausedUntilMillis = Math.max(statement.pausedUntilMillis, untilMillis);
-        listener.onPaused(endpoint, pauseMillis, capped);
+        listener.onPaused(endpoint, pause.millis(), !pause.equals(stated.get()));
     }
 
     private void limit(EndpointEntry endpoint, AnswerMetadata answer, BiConsumer<StatedLimit, OptionalDouble> update) {
         OptionalDouble stated = OptionalDouble.empty();
         if (answer.limitPerSecond().isPresent()) {
-            stated = parseDecimal(answer.limitPerSecond().get());
+            stated = Decimals.parse(answer.limitPerSecond().get());
             if (stated.isEmpty()) {
                 listener.onUnreadableLimit(endpoint, answer.limitPerSecond().get());
                 return;
@@ -316,28 +302,6 @@
         }
     }
 
-    /** Returns a number of seconds, which may have a fraction, in milliseconds; empty for anything else. */
-    private static OptionalLong parseMillis(String seconds) {
-        OptionalDouble parsed = parseDecimal(seconds);
-        return parsed.isPresent()
-                ? OptionalLong.of((long) Math.ceil(parsed.getAsDouble() * MILLIS_PER_SECOND))
-                : OptionalLong.empty();
-    }
-
-    /** Returns a number without sign or exponent, which may have a fraction; empty for anything else. */
-    private static OptionalDouble parseDecimal(String text) {
-        List<String> parts = Splitter.on('.').splitToList(text.strip());
-        String whole = parts.get(0);
-        String fraction = parts.size() == 2 ? parts.get(1) : "0";
-        boolean isNumber = parts.size() <= 2
-                && !whole.isEmpty()
-                && !fraction.isEmpty()
-                && whole.length() <= MAX_DIGITS
-                && DIGITS.matchesAllOf(whole)
-                && DIGITS.matchesAllOf(fraction);
-        return isNumber ? OptionalDouble.of(Double.parseDouble(whole + '.' + fraction)) : OptionalDouble.empty();
-    }
-
     /**
      * Returns whether an endpoint may get a request now.
      *
--- a/router/src/main/java/baobabcroft/serve/InstanceServer.java
+++ b/router/src/main/java/baobabcroft/serve/InstanceServer.java
@@ -125,7 +125,7 @@
         this.members = Members.create(MAX_LIVE_LIST_LAG_NANOS, ticker.read());
         this.pool = EndpointPool.create(
                 settings.instance().failureDomain(),
-                BreakerSettings.defaults(),
+                BreakerSettings.defaults().withMaxPauseMillis(settings.limits().maxEndpointPauseMillis()),
                 ticker,
                 RandomSource.XO_RO_SHI_RO_128_PP.create(secureRandom.nextLong()));
         this.liveList = new LiveListPoller(
--- a/router/src/main/java/baobabcroft/settings/Settings.java
+++ b/router/src/main/java/baobabcroft/settings/Settings.java
@@ -104,8 +104,14 @@
      * @param maxHeaderBytes maximum size of a request header, in bytes
      * @param bodyReadTimeoutMillis maximum time for receiving a request body, in milliseconds
      * @param maxConcurrentRequests maximum number of open requests
+     * @param maxEndpointPauseMillis longest time for which an endpoint may ask for no requests, in milliseconds
      */
-    public record Limits(int maxBodyBytes, int maxHeaderBytes, long bodyReadTimeoutMillis, int maxConcurrentRequests) {}
+    public record Limits(
+            int maxBodyBytes,
+            int maxHeaderBytes,
+            long bodyReadTimeoutMillis,
+            int maxConcurrentRequests,
+            long maxEndpointPauseMillis) {}
 
     /**
      * Timeouts of a planned stop.
--- a/router/src/test/java/baobabcroft/admission/AdmissionQueueTest.java
+++ b/router/src/test/java/baobabcroft/admission/AdmissionQueueTest.java
@@ -11,6 +11,7 @@
 import baobabcroft.fake.VirtualTime;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
 final class AdmissionQueueTest {
@@ -22,11 +23,20 @@
     private int running;
     private final AdmissionQueue queue = AdmissionQueue.create(
             new AdmissionSettings(4, 0, 10_000),
-            () -> new PoolLoad(running, running, CAPACITY, SERVICE_MILLIS),
+            () -> PoolLoad.withoutPauses(running, running, CAPACITY, SERVICE_MILLIS),
             time.ticker());
 
     private AdmissionDecision offer(String account, int priority, long remainingMillis) {
-        PendingRequest pending = new PendingRequest() {
+        return queue.offer(
+                new AdmissionRequest(account, priority, remainingMillis, SERVICE_MILLIS), recording(account));
+    }
+
+    private static AdmissionRequest request(String account, long remainingMillis) {
+        return new AdmissionRequest(account, 0, remainingMillis, SERVICE_MILLIS);
+    }
+
+    private PendingRequest recording(String account) {
+        return new PendingRequest() {
             @Override
             public boolean tryStart() {
                 running++;
@@ -39,7 +49,6 @@
                 events.add(account + " " + refused.code().code());
             }
         };
-        return queue.offer(new AdmissionRequest(account, priority, remainingMillis, SERVICE_MILLIS), pending);
     }
 
     private void fill() {
@@ -100,6 +109,24 @@
         assertEquals(List.of("small deadline_unreachable"), events);
     }
 
+    @Test
+    void refusesWaitingRequestsAtOnceIfAPauseLeavesThemNoTime() {
+        OptionalLong[] pause = {OptionalLong.of(500)};
+        AdmissionQueue pausing = AdmissionQueue.create(
+                new AdmissionSettings(4, 0, 10_000),
+                () -> new PoolLoad(0, 1, 0, SERVICE_MILLIS, pause[0]),
+                time.ticker());
+        assertInstanceOf(Queued.class, pausing.offer(request("ample", 9_000), recording("ample")));
+        assertInstanceOf(Queued.class, pausing.offer(request("short", 3_000), recording("short")));
+        assertEquals(
+                new Refused(ErrorCode.POOL_EXHAUSTED, 500),
+                pausing.offer(request("shorter", 1_400), recording("shorter")));
+        pause[0] = OptionalLong.of(4_000);
+        pausing.dispatchWaiting();
+
+        assertEquals(List.of("short pool_exhausted"), events);
+    }
+
     @Test
     void closedTicketIsNotStarted() {
         fill();
@@ -113,7 +140,7 @@
     void reservesCapacityForHigherPrioritiesWithRecentRequests() {
         AdmissionQueue reserving = AdmissionQueue.create(
                 new AdmissionSettings(4, 0.5, 10_000),
-                () -> new PoolLoad(running, running, CAPACITY, SERVICE_MILLIS),
+                () -> PoolLoad.withoutPauses(running, running, CAPACITY, SERVICE_MILLIS),
                 time.ticker());
         PendingRequest pending = new PendingRequest() {
             @Override
--- a/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayFixture.java
@@ -47,6 +47,7 @@
 /** A gateway with scripted endpoints, a fake store and virtual time. */
 final class GatewayFixture {
     static final String VERSION = "film@1";
+    static final long MAX_PAUSE_MILLIS = 30_000;
 
     final VirtualTime time = new VirtualTime();
     final FakeStore store = new FakeStore(time);
@@ -60,7 +61,8 @@
     Runnable beforeEachRulesLookup = () -> {};
 
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(7L);
-    private final EndpointPool pool = EndpointPool.create("a1", BreakerSettings.defaults(), time.ticker(), random);
+    private final EndpointPool pool = EndpointPool.create(
+            "a1", BreakerSettings.defaults().withMaxPauseMillis(MAX_PAUSE_MILLIS), time.ticker(), random);
     private final GatewayServer gateway;
     private long requestCount;
 
@@ -184,6 +186,12 @@
                 HttpResponse.create().withStatus(status).withEntity(ContentTypes.APPLICATION_JSON, body)));
     }
 
+    /** Scripts a rejection of the next call by an endpoint that wants no requests for some time. */
+    void scriptPause(int status, String seconds) {
+        scriptedResults.add(call -> new EndpointResult.Answered(
+                HttpResponse.create().withStatus(status).addHeader(header("Retry-After", seconds))));
+    }
+
     /** Scripts a complete chat completion of the given version for the next call. */
     void scriptCompletion(String version) {
         scriptResponse(200, completionJson(version, 1_000));
--- a/router/src/test/java/baobabcroft/gateway/GatewayServerTest.java
+++ b/router/src/test/java/baobabcroft/gateway/GatewayServerTest.java
@@ -1,13 +1,16 @@
 package baobabcroft.gateway;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.endpoint.EndpointResult.Kind;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.actor.typed.javadsl.Behaviors;
 import org.apache.pekko.http.javadsl.model.ContentTypes;
@@ -18,6 +21,8 @@
 import org.junit.jupiter.api.BeforeAll;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 final class GatewayServerTest {
     private static final ObjectMapper JSON = new ObjectMapper();
@@ -98,6 +103,100 @@
         }
     }
 
+    @Nested
+    final class EndpointPause {
+        private int portOfLastCall() {
+            return gateway.sentCalls.get(gateway.sentCalls.size() - 1).address().getPort();
+        }
+
+        private HttpResponse sendChat(int deadlineMillis) {
+            return gateway.send(gateway.chatRequest("shop-key", "film")
+                    .addHeader(GatewayFixture.header(Headers.DEADLINE_MILLIS, Integer.toString(deadlineMillis))));
+        }
+
+        private void pauseBoth(String seconds) {
+            for (int i = 0; i < 2; i++) {
+                gateway.scriptPause(429, seconds);
+                sendChat(10_000);
+            }
+            assertEquals(2, gateway.sentCalls.size());
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {503, 429})
+        void keepsRequestsAwayForThatTime(int status) {
+            gateway.scriptPause(status, "2");
+            gateway.scriptCompletion(GatewayFixture.VERSION);
+            sendChat(10_000);
+            gateway.scriptedResults.clear();
+            int paused = gateway.sentCalls.get(0).address().getPort();
+            for (int i = 0; i < 4; i++) {
+                gateway.scriptCompletion(GatewayFixture.VERSION);
+                sendChat(10_000);
+                assertNotEquals(paused, portOfLastCall());
+            }
+            gateway.time.advance(2_500);
+            Set<Integer> ports = new HashSet<>();
+            for (int i = 0; i < 2; i++) {
+                gateway.scriptCompletion(GatewayFixture.VERSION);
+                sendChat(10_000);
+                ports.add(portOfLastCall());
+            }
+
+            assertTrue(ports.contains(paused));
+        }
+
+        @Test
+        void isAwaitedByCallersWithTime() {
+            pauseBoth("1.5");
+            gateway.scriptCompletion(GatewayFixture.VERSION);
+
+            assertEquals(200, sendChat(5_000).status().intValue());
+        }
+
+        @Test
+        void refusesCallersWithoutTimeAtOnce() {
+            pauseBoth("3");
+            long before = gateway.time.nowMillis();
+            HttpResponse response = sendChat(2_000);
+
+            assertRejected(503, "pool_exhausted", "not_run", response);
+            assertTrue(gateway.time.nowMillis() - before < 200, "held until the deadline");
+            String retryAfter =
+                    response.getHeader(Headers.RETRY_AFTER).orElseThrow().value();
+            assertTrue(Set.of("3", "4").contains(retryAfter), "retry after " + retryAfter);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"-1", "soon", "Fri, 04 Dec 2026 18:00:00 GMT", "1e3", ""})
+        void isIgnoredIfItIsNoNumberOfSeconds(String value) {
+            pauseBoth(value);
+            gateway.scriptCompletion(GatewayFixture.VERSION);
+
+            assertEquals(200, sendChat(300).status().intValue());
+        }
+
+        @Test
+        void isNoLongerThanTheOperatorAllows() {
+            pauseBoth("86400");
+            gateway.time.advance(GatewayFixture.MAX_PAUSE_MILLIS + 2_000);
+            gateway.scriptCompletion(GatewayFixture.VERSION);
+
+            assertEquals(200, sendChat(300).status().intValue());
+        }
+
+        @Test
+        void isNoFailureOfTheEndpoint() {
+            for (int i = 0; i < 10; i++) {
+                gateway.scriptPause(503, "0");
+                sendChat(10_000);
+            }
+            gateway.scriptCompletion(GatewayFixture.VERSION);
+
+            assertEquals(200, sendChat(300).status().intValue());
+        }
+    }
+
     @Nested
     final class ChatRequest {
         @Test
--- a/router/src/test/java/baobabcroft/settings/SettingsTest.java
+++ b/router/src/test/java/baobabcroft/settings/SettingsTest.java
@@ -50,7 +50,7 @@
         void addsDefaultsForOmittedKeys() throws IOException {
             Settings settings = load(MINIMAL);
             assertEquals(new Settings.Timing(1500, 500, 1000, 60_000), settings.timing());
-            assertEquals(new Settings.Limits(1_048_576, 16_384, 10_000, 2000), settings.limits());
+            assertEquals(new Settings.Limits(1_048_576, 16_384, 10_000, 2000, 60_000), settings.limits());
             assertEquals(new Settings.Drain(3000, 120_000), settings.drain());
             assertEquals(List.of(), settings.adminKeys());
             assertEquals(
--- a/standins/src/main/java/baobabcroft/experiment/Fleet.java
+++ b/standins/src/main/java/baobabcroft/experiment/Fleet.java
@@ -233,6 +233,6 @@
                 .toList();
         int load = alive.stream().mapToInt(rule -> trueLoad(rule.name())).sum();
         int capacity = alive.stream().mapToInt(EndpointRule::maxConcurrent).sum();
-        return new PoolLoad(own.inFlight(), load, capacity, own.serviceMillis());
+        return PoolLoad.withoutPauses(own.inFlight(), load, capacity, own.serviceMillis());
     }
 }
