--- /dev/null
+++ b/soak/src/main/java/baobabcroft/soak/LinkProxy.java
@@ -0,0 +1,143 @@
+package baobabcroft.soak;
+
+import com.google.common.net.HostAndPort;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.InetSocketAddress;
+import java.util.function.IntConsumer;
+
+/** The link from one instance to one endpoint, which can be cut. Thread-safe. */
+@SuppressWarnings("FutureReturnValueIgnored") // A failed write or connect closes the channel; the close is handled.
+final class LinkProxy implements AutoCloseable {
+    private final EventLoopGroup group;
+    private final int port;
+    private final int targetPort;
+    private final IntConsumer onSenderPort;
+    private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+    private volatile boolean silent;
+    private Channel listener;
+
+    /**
+     * Opens a link.
+     *
+     * @param group runs the channels
+     * @param port where the instance connects
+     * @param targetPort port of the endpoint
+     * @param onSenderPort receives the local port of each connection to the endpoint
+     */
+    LinkProxy(EventLoopGroup group, int port, int targetPort, IntConsumer onSenderPort) {
+        this.group = group;
+        this.port = port;
+        this.targetPort = targetPort;
+        this.onSenderPort = onSenderPort;
+        listen();
+    }
+
+    HostAndPort address() {
+        return HostAndPort.fromParts("127.0.0.1", port);
+    }
+
+    private void listen() {
+        listener = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.AUTO_READ, false)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel caller) {
+                        connect(caller);
+                    }
+                })
+                .bind("127.0.0.1", port)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private void connect(Channel caller) {
+        channels.add(caller);
+        new Bootstrap()
+                .group(caller.eventLoop())
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.AUTO_READ, false)
+                .handler(new Forwarder(caller))
+                .connect("127.0.0.1", targetPort)
+                .addListener((ChannelFutureListener) connected -> {
+                    Channel endpoint = connected.channel();
+                    if (!connected.isSuccess()) {
+                        caller.close();
+                        return;
+                    }
+                    channels.add(endpoint);
+                    onSenderPort.accept(((InetSocketAddress) endpoint.localAddress()).getPort());
+                    caller.pipeline().addLast(new Forwarder(endpoint));
+                    if (!silent) {
+                        caller.config().setAutoRead(true);
+                        endpoint.config().setAutoRead(true);
+                    }
+                });
+    }
+
+    /** Passes on what it reads. */
+    private static final class Forwarder extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+
+        Forwarder(Channel other) {
+            this.other = other;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object data) {
+            other.writeAndFlush(data);
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext context) {
+            other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable lost) {
+            context.close();
+        }
+    }
+
+    /** Refuses new connections, and lets open ones fall silent or resets them. */
+    synchronized void cut(boolean reset) {
+        listener.close().syncUninterruptibly();
+        silent = true;
+        for (Channel channel : channels) {
+            if (reset) {
+                channel.config().setOption(ChannelOption.SO_LINGER, 0);
+                channel.close();
+            } else {
+                channel.config().setAutoRead(false);
+            }
+        }
+    }
+
+    /** Ends a cut: what was sent meanwhile arrives now. */
+    synchronized void heal() {
+        silent = false;
+        listen();
+        channels.forEach(channel -> channel.config().setAutoRead(true));
+    }
+
+    @Override
+    public synchronized void close() {
+        listener.close();
+        channels.close();
+    }
+}
