--- a/soak/src/test/java/baobabcroft/soak/SoakRunTest.java
+++ b/soak/src/test/java/baobabcroft/soak/SoakRunTest.java
@@ -3,12 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -20,26 +22,14 @@
     private Path directory;
 
     private Report run(String... more) throws IOException, InterruptedException {
-        String[] options = {
-            "run",
-            "--seed",
-            "4",
-            "--minutes",
-            "0.7",
-            "--instances",
-            "3",
-            "--untimed",
-            "--jar",
-            JAR,
-            "--directory",
-            directory.toString()
-        };
-        String[] all = new String[options.length + more.length];
-        System.arraycopy(options, 0, all, 0, options.length);
-        System.arraycopy(more, 0, all, options.length, more.length);
+        List<String> options = ImmutableList.<String>builder()
+                .add("run", "--seed", "4", "--instances", "3", "--untimed")
+                .add("--jar", JAR, "--directory", directory.toString())
+                .add(more)
+                .build();
         PrintStream out = new PrintStream(OutputStream.nullOutputStream(), true, StandardCharsets.UTF_8);
         try (out) {
-            return new Soak(SoakOptions.parse(all), out).run();
+            return new Soak(SoakOptions.parse(options.toArray(String[]::new)), out).run();
         }
     }
 
