Tell instances apart in the soak by the address of each link

A fault of the rig. Change: all instances list the endpoints by the same names and resolve them by a hosts file of their own to links at 127.1.instance.endpoint; views of the store are gone.

--- a/soak/src/main/java/baobabcroft/soak/InstanceProcess.java
+++ b/soak/src/main/java/baobabcroft/soak/InstanceProcess.java
@@ -18,6 +18,7 @@
 
     private final String name;
     private final Path jar;
+    private final Path hosts;
     private final Path settings;
     private final Path log;
     private final int callersPort;
@@ -33,9 +34,11 @@
      */
     record Ports(int callers, int readiness, int metrics, int peers) {}
 
-    InstanceProcess(int number, Path jar, Path directory, Ports ports, HostAndPort store) throws IOException {
+    InstanceProcess(int number, Path jar, Path directory, Path hosts, Ports ports, HostAndPort store)
+            throws IOException {
         this.name = "instance-" + number;
         this.jar = jar;
+        this.hosts = hosts;
         this.settings = directory.resolve(name + ".json");
         this.log = directory.resolve(name + ".log");
         this.callersPort = ports.callers();
@@ -76,7 +79,7 @@
             ProcessBuilder builder = new ProcessBuilder();
             builder.command().add(ProcessHandle.current().info().command().orElse("java"));
             builder.command().addAll(JAVA_OPTIONS);
-            builder.command().addAll(List.of("-jar", jar.toString()));
+            builder.command().addAll(List.of("-Djdk.net.hosts.file=" + hosts, "-jar", jar.toString()));
             builder.environment().put("BAOBABCROFT_BOOT", settings.toString());
             process = builder.redirectErrorStream(true)
                     .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
--- a/soak/src/main/java/baobabcroft/soak/LinkProxy.java
+++ b/soak/src/main/java/baobabcroft/soak/LinkProxy.java
@@ -1,6 +1,5 @@
 package baobabcroft.soak;
 
-import com.google.common.net.HostAndPort;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
@@ -23,33 +22,30 @@
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or connect closes the channel; the close is handled.
 final class LinkProxy implements AutoCloseable {
     private final EventLoopGroup group;
+    private final String host;
     private final int port;
-    private final int targetPort;
     private final IntConsumer onSenderPort;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean silent;
     private Channel listener;
+    private int cuts;
 
     /**
      * Opens a link.
      *
      * @param group runs the channels
-     * @param port where the instance connects
-     * @param targetPort port of the endpoint
+     * @param host address of this end
+     * @param port port of both ends
      * @param onSenderPort receives the local port of each connection to the endpoint
      */
-    LinkProxy(EventLoopGroup group, int port, int targetPort, IntConsumer onSenderPort) {
+    LinkProxy(EventLoopGroup group, String host, int port, IntConsumer onSenderPort) {
         this.group = group;
+        this.host = host;
         this.port = port;
-        this.targetPort = targetPort;
         this.onSenderPort = onSenderPort;
         listen();
     }
 
-    HostAndPort address() {
-        return HostAndPort.fromParts("127.0.0.1", port);
-    }
-
     private void listen() {
         listener = new ServerBootstrap()
                 .group(group)
@@ -61,7 +57,7 @@
                         connect(caller);
                     }
                 })
-                .bind("127.0.0.1", port)
+                .bind(host, port)
                 .syncUninterruptibly()
                 .channel();
     }
@@ -73,7 +69,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.AUTO_READ, false)
                 .handler(new Forwarder(caller))
-                .connect("127.0.0.1", targetPort)
+                .connect("127.0.0.1", port)
                 .addListener((ChannelFutureListener) connected -> {
                     Channel endpoint = connected.channel();
                     if (!connected.isSuccess()) {
@@ -116,10 +112,11 @@
 
     /** Refuses new connections, and lets open ones fall silent or resets them. */
     synchronized void cut(boolean reset) {
+        cuts++;
         listener.close().syncUninterruptibly();
         silent = true;
         for (Channel channel : channels) {
-            if (reset) {
+            if (reset && channel.isOpen()) {
                 channel.config().setOption(ChannelOption.SO_LINGER, 0);
                 channel.close();
             } else {
@@ -128,8 +125,12 @@
         }
     }
 
-    /** Ends a cut: what was sent meanwhile arrives now. */
+    /** Ends a cut: once there is no other, what was sent meanwhile arrives. */
     synchronized void heal() {
+        cuts--;
+        if (cuts > 0) {
+            return;
+        }
         silent = false;
         listen();
         channels.forEach(channel -> channel.config().setAutoRead(true));
--- a/soak/src/main/java/baobabcroft/soak/Rig.java
+++ b/soak/src/main/java/baobabcroft/soak/Rig.java
@@ -5,13 +5,12 @@
 import baobabcroft.standin.platform.PlatformStoreStandin;
 import baobabcroft.testing.FreePorts;
 import com.google.common.collect.ImmutableList;
-import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
@@ -71,23 +70,32 @@
         instances.forEach(InstanceProcess::start);
     }
 
+    /**
+     * Creates an instance and its links. All instances list the endpoints by the same names, as they tell one another
+     * of them; each resolves these to its own links.
+     */
     private InstanceProcess createInstance(int number, Path jar, Path directory, FreePorts ports) throws IOException {
         List<LinkProxy> links = new ArrayList<>();
-        Map<String, String> addresses = new HashMap<>();
-        for (PlatformEndpointStandin endpoint : endpoints) {
-            LinkProxy link = new LinkProxy(
-                    group, ports.next(), endpoint.port(), sender -> instanceBySenderPort.put(sender, number));
-            links.add(link);
-            addresses.put("127.0.0.1:" + endpoint.port(), link.address().toString());
+        StringBuilder hosts = new StringBuilder("127.0.0.1 localhost\n");
+        for (int i = 0; i < endpoints.size(); i++) {
+            String address = "127.1." + number + "." + (i + 1);
+            hosts.append(address).append(' ').append(hostOf(endpoints.get(i))).append('\n');
+            links.add(new LinkProxy(
+                    group, address, endpoints.get(i).port(), sender -> instanceBySenderPort.put(sender, number)));
         }
         linksByInstance.add(links);
-        HostAndPort view = store.openView(address -> addresses.getOrDefault(address, address));
+        Path hostsFile = Files.writeString(directory.resolve("hosts-" + number), hosts);
         return new InstanceProcess(
                 number,
                 jar,
                 directory,
+                hostsFile,
                 new InstanceProcess.Ports(ports.next(), ports.next(), ports.next(), ports.nextPair()),
-                view);
+                store.address());
+    }
+
+    private static String hostOf(PlatformEndpointStandin endpoint) {
+        return endpoint.id() + ".soak";
     }
 
     private long millis(long nanos) {
@@ -134,7 +142,7 @@
     }
 
     private void register(PlatformEndpointStandin endpoint, String state) {
-        store.put("servers/" + endpoint.id(), endpoint.entry(SERVICE, state));
+        store.put("servers/" + endpoint.id(), endpoint.entry(SERVICE, state, hostOf(endpoint)));
     }
 
     /** Writes what operators and endpoints have in the store; they do so again when it has returned from a copy. */
--- a/soak/src/main/java/baobabcroft/soak/Soak.java
+++ b/soak/src/main/java/baobabcroft/soak/Soak.java
@@ -111,7 +111,7 @@
     private void runLogged(Runnable task) {
         try {
             task.run();
-        } catch (RuntimeException failed) {
+        } catch (Exception failed) { // Netty throws checked exceptions that it does not declare.
             out.println("a disturbance failed: " + failed);
         }
     }
