--- a/soak/src/main/java/baobabcroft/soak/SoakOptions.java
+++ b/soak/src/main/java/baobabcroft/soak/SoakOptions.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.base.Throwables;
 import com.sun.management.OperatingSystemMXBean;
 import java.io.IOException;
 import java.lang.management.ManagementFactory;
@@ -93,7 +94,8 @@
                     chosen,
                     plant.value(set)));
         } catch (OptionException | IllegalArgumentException unusable) {
-            throw new UsageException(unusable.getMessage());
+            // The cause of a value that cannot be converted names the values that can.
+            throw new UsageException(Throwables.getRootCause(unusable).getMessage());
         }
     }
 
--- a/soak/src/test/java/baobabcroft/soak/SoakOptionsTest.java
+++ b/soak/src/test/java/baobabcroft/soak/SoakOptionsTest.java
@@ -65,6 +65,14 @@
                     !rejected.getMessage().isEmpty() && !rejected.getMessage().contains("\n"));
         }
 
+        @Test
+        void namesTheKindsOfFaults() {
+            SoakOptions.UsageException rejected =
+                    assertThrows(SoakOptions.UsageException.class, () -> parse("--faults", "flood"));
+
+            assertTrue(rejected.getMessage().contains("link-cut"), rejected::getMessage);
+        }
+
         @Test
         void rejectsOtherCommands() {
             assertThrows(SoakOptions.UsageException.class, () -> SoakOptions.parse("walk"));
