--- a/router/src/main/java/baobabcroft/relay/PeerForwarding.java
+++ b/router/src/main/java/baobabcroft/relay/PeerForwarding.java
@@ -5,13 +5,10 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
-import baobabcroft.routing.Route;
 import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalInt;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
@@ -69,7 +66,7 @@
             EndpointTransport transport) {
         EndpointLoads loads = EndpointLoads.create(nowMillis, PeerLoads.create(nowMillis), () -> {});
         EndpointAvailability availability = EndpointAvailability.create(
-                nowMillis, random::nextDouble, () -> 0, FleetView.alone(), peer -> 0, IGNORED_STATEMENTS);
+                nowMillis, random::nextDouble, () -> 0, FleetView.alone(), peer -> 0, PeerEvidence.NO_STATEMENTS);
         EndpointChooser chooser = new EndpointChooser(failureDomain, regions, loads, () -> {}, random);
         return new PeerForwarding(
                 checkNotNull(isNeeded),
@@ -133,123 +130,10 @@
                 links.chooser(),
                 services.modelChooser(),
                 services.retryBudgets(),
-                NO_ROLLOUT,
-                NO_CRASHES,
+                PeerEvidence.NO_ROLLOUT,
+                PeerEvidence.NO_CRASHES,
                 links.transport(),
                 services.listener(),
                 NONE);
     }
-
-    /** Reads the answers of instances, which are those of endpoints or say that the request was not served. */
-    private record PeerDialect(RequestDialect dialect) implements RequestDialect {
-        @Override
-        public CallerMetadata readCaller(CallerRequest request) {
-            return dialect.readCaller(request);
-        }
-
-        @Override
-        public Headers toEndpoint(CallerRequest request, ForwardingContext context) {
-            return dialect.toEndpoint(request, context);
-        }
-
-        @Override
-        public Headers toInstance(CallerRequest request, long remainingMillis, OptionalLong resumeAfter) {
-            return dialect.toInstance(request, remainingMillis, resumeAfter);
-        }
-
-        @Override
-        public AnswerMetadata readAnswer(int status, Headers headers) {
-            AnswerMetadata answer = dialect.readAnswer(status, headers);
-            return new AnswerMetadata(
-                    ForwardingHeaders.isRejection(headers),
-                    false,
-                    answer.stamped(),
-                    answer.encoded(),
-                    OptionalInt.empty(),
-                    false,
-                    Optional.empty(),
-                    Optional.empty(),
-                    Optional.empty());
-        }
-
-        @Override
-        public boolean isResponseTo(String requestId, Headers headers) {
-            return dialect.isResponseTo(requestId, headers);
-        }
-
-        @Override
-        public Headers toCaller(Headers headers) {
-            return dialect.toCaller(headers);
-        }
-
-        @Override
-        public int statusOf(Refusal refusal) {
-            return dialect.statusOf(refusal);
-        }
-
-        @Override
-        public Headers headersOf(Refusal refusal) {
-            return dialect.headersOf(refusal);
-        }
-    }
-
-    private static final AttemptMonitor NO_MONITOR = new AttemptMonitor() {
-        @Override
-        public void firstOutputReceived() {}
-
-        @Override
-        public void ended(AttemptResult result) {}
-    };
-
-    private static final VersionSelector NO_ROLLOUT = new VersionSelector() {
-        @Override
-        public ImmutableList<EndpointEntry> selectEndpoints(
-                String service, ImmutableList<EndpointEntry> candidates, Optional<String> session, String requestId) {
-            return candidates;
-        }
-
-        @Override
-        public AttemptMonitor monitorAttempt(EndpointEntry endpoint, Route route) {
-            return NO_MONITOR;
-        }
-    };
-
-    private static final PoisonDetector NO_CRASHES = new PoisonDetector() {
-        @Override
-        public boolean isPoison(RequestIdentity request) {
-            return false;
-        }
-
-        @Override
-        public void onConnectionLost(RequestIdentity request, EndpointEntry endpoint) {}
-
-        @Override
-        public void onAnswered(RequestIdentity request) {}
-    };
-
-    private static final EndpointAvailability.Listener IGNORED_STATEMENTS = new EndpointAvailability.Listener() {
-        @Override
-        public void onLeaving(EndpointEntry endpoint) {}
-
-        @Override
-        public void onPaused(EndpointEntry endpoint, long pauseMillis, boolean capped) {}
-
-        @Override
-        public void onUnreadablePause(EndpointEntry endpoint, String value) {}
-
-        @Override
-        public void onLimited(EndpointEntry endpoint, double limitPerSecond) {}
-
-        @Override
-        public void onLimitEnded(EndpointEntry endpoint) {}
-
-        @Override
-        public void onUnreadableLimit(EndpointEntry endpoint, String value) {}
-
-        @Override
-        public void onBrittle(EndpointEntry endpoint, int toleratedRejections) {}
-
-        @Override
-        public void onBrittleEnded(EndpointEntry endpoint) {}
-    };
 }
