Withdraw callers' keys in the soak

A kind of fault (the configuration loses the callers' key for 6 to 9 s) and a promise (4 s later nobody is served with it; times without the store and interrupted instances excused), with a history that must be found and two that must pass.

--- a/soak/src/main/java/baobabcroft/soak/Callers.java
+++ b/soak/src/main/java/baobabcroft/soak/Callers.java
@@ -102,7 +102,7 @@
         HttpRequest request = HttpRequest.newBuilder(uri)
                 .timeout(Duration.ofMillis(TIMEOUT_MILLIS + MARGIN_MILLIS))
                 .header("Baobabcroft-Request-Id", id)
-                .header("Authorization", "Bearer secret")
+                .header("Authorization", "Bearer " + Configuration.KEY)
                 .POST(HttpRequest.BodyPublishers.ofString("question " + id))
                 .build();
         long sentMillis = nowMillis.getAsLong();
--- a/soak/src/main/java/baobabcroft/soak/Configuration.java
+++ b/soak/src/main/java/baobabcroft/soak/Configuration.java
@@ -6,12 +6,23 @@
 final class Configuration {
     private Configuration() {}
 
-    /** Returns a configuration with one route for each kind of request, all to one service. */
-    static String text(String service) {
+    /** The callers' key. */
+    static final String KEY = "secret";
+
+    private static final String OTHER_KEY = "other";
+
+    /**
+     * Returns a configuration with one route for each kind of request, all to one service.
+     *
+     * @param version number of the configuration
+     * @param service name of the service
+     * @param withdrawn whether the callers' key is not among the keys
+     */
+    static String text(int version, String service, boolean withdrawn) {
         return String.format(
                 Locale.ROOT,
                 """
-                {"version":1,"routes":[
+                {"version":%3$d,"routes":[
                  {"name":"chat","host":"127.0.0.1","path_prefix":"/chat/","kind":"streaming","timeout_ms":%1$d,
                   "goal_ms":2000,"priority":1,"service":"%2$s","attempts":3,"resumable":true},
                  {"name":"lookup","host":"127.0.0.1","path_prefix":"/lookup/","kind":"idempotent","timeout_ms":%1$d,
@@ -19,9 +30,11 @@
                  {"name":"order","host":"127.0.0.1","path_prefix":"/order/","kind":"non_idempotent","timeout_ms":%1$d,
                   "goal_ms":2000,"priority":1,"service":"%2$s","attempts":1}],
                  "services":[{"name":"%2$s","max_conns":64}],
-                 "tenants":[{"name":"kamera","api_keys":["secret"]}]}
+                 "tenants":[{"name":"kamera","api_keys":["%4$s"]}]}
                 """,
                 Callers.TIMEOUT_MILLIS,
-                service);
+                service,
+                version,
+                withdrawn ? OTHER_KEY : KEY);
     }
 }
--- a/soak/src/main/java/baobabcroft/soak/FaultKind.java
+++ b/soak/src/main/java/baobabcroft/soak/FaultKind.java
@@ -28,6 +28,8 @@
     ENDPOINT_BRITTLE,
     /** An endpoint says that it is shutting down, and starts again later. */
     ENDPOINT_LEAVING,
+    /** The operators withdraw the callers' key, and give it back. */
+    KEY_WITHDRAWN,
     /** Callers send several times as much. */
     BURST;
 
--- a/soak/src/main/java/baobabcroft/soak/Oracle.java
+++ b/soak/src/main/java/baobabcroft/soak/Oracle.java
@@ -43,6 +43,7 @@
                 oracle.wholeAnswer(),
                 oracle.inTime(),
                 oracle.served(),
+                oracle.withdrawn(),
                 oracle.leaving(),
                 oracle.pause(),
                 new LimitDetector(history, oracle.bySubject).verdict(),
@@ -118,6 +119,32 @@
                 broken ? List.of(served + " of " + calm.size() + " in calm times were served") : List.of());
     }
 
+    /** Excuses times in which the store was away or returned from a copy, and instances that were interrupted. */
+    private Verdict withdrawn() {
+        List<Fault> withdrawals = ofKind(FaultKind.KEY_WITHDRAWN);
+        List<Call> calls = history.calls().stream()
+                .filter(call -> withdrawals.stream()
+                        .anyMatch(fault -> call.sentMillis() > fault.atMillis() + CONTACT_MILLIS
+                                && call.endedMillis() < fault.endMillis()
+                                && isConfigurable(call, fault)))
+                .toList();
+        return verdict(
+                Promise.WITHDRAWN,
+                calls.size(),
+                calls.stream().filter(Call::isServed).map(Call::toString).toList());
+    }
+
+    private boolean isConfigurable(Call call, Fault withdrawal) {
+        return !history.wasInterrupted(call.instance(), withdrawal.atMillis(), call.endedMillis())
+                && history.faults().stream()
+                        .filter(fault -> fault.kind() == FaultKind.STORE_DOWN || fault.kind() == FaultKind.STORE_COPY)
+                        .noneMatch(fault -> fault.overlaps(withdrawal.atMillis() - CONTACT_MILLIS, call.endedMillis()));
+    }
+
+    private List<Fault> ofKind(FaultKind kind) {
+        return history.faults().stream().filter(fault -> fault.kind() == kind).toList();
+    }
+
     private Verdict leaving() {
         List<String> broken = new ArrayList<>();
         long tried = 0;
@@ -168,9 +195,7 @@
     }
 
     private Verdict brittle() {
-        List<Fault> times = history.faults().stream()
-                .filter(fault -> fault.kind() == FaultKind.ENDPOINT_BRITTLE)
-                .toList();
+        List<Fault> times = ofKind(FaultKind.ENDPOINT_BRITTLE);
         return verdict(
                 Promise.BRITTLE,
                 times.size(),
--- a/soak/src/main/java/baobabcroft/soak/Promise.java
+++ b/soak/src/main/java/baobabcroft/soak/Promise.java
@@ -12,6 +12,8 @@
     IN_TIME(true, "each request gets an answer in its time, or loses its connection"),
     /** Promise on calm times. */
     SERVED(true, "without disturbances nearly all requests are served"),
+    /** Promise on the configuration. */
+    WITHDRAWN(true, "no caller with a withdrawn key is served"),
     /** Promise on endpoints that leave. */
     LEAVING(true, "an endpoint that has said that it leaves gets nothing new"),
     /** Promise on pauses. */
--- a/soak/src/main/java/baobabcroft/soak/Rig.java
+++ b/soak/src/main/java/baobabcroft/soak/Rig.java
@@ -40,6 +40,8 @@
     private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Long> fallsMillis = new ConcurrentLinkedQueue<>();
     private final Scheduling scheduling;
+    private int configurations;
+    private int withdrawals;
 
     /** Runs a task once after some time. */
     @FunctionalInterface
@@ -147,7 +149,7 @@
 
     /** Writes what operators and endpoints have in the store; they do so again when it has returned from a copy. */
     private void registerAll() {
-        store.put("op/config", Configuration.text(SERVICE));
+        configure();
         endpoints.forEach(endpoint -> register(endpoint, "ready"));
     }
 
@@ -155,6 +157,16 @@
         return originNanos;
     }
 
+    private synchronized void configure() {
+        configurations++;
+        store.put("op/config", Configuration.text(configurations, SERVICE, withdrawals > 0));
+    }
+
+    private synchronized void withdraw(int change) {
+        withdrawals += change;
+        configure();
+    }
+
     List<InstanceProcess> instances() {
         return instances;
     }
@@ -175,6 +187,7 @@
             case INSTANCE_FREEZE -> each(fault, instance -> instance.signal("STOP"));
             case LINK_CUT, LINK_RESET -> eachLink(fault, link -> link.cut(fault.kind() == FaultKind.LINK_RESET));
             case STORE_DOWN -> store.down(true);
+            case KEY_WITHDRAWN -> withdraw(1);
             case STORE_COPY -> returnFromCopy(fault);
             case ENDPOINT_CRASH -> eachEndpoint(fault, PlatformEndpointStandin::crash);
             case ENDPOINT_SILENCE -> eachEndpoint(fault, endpoint -> endpoint.fallSilent(fault.forMillis()));
@@ -203,6 +216,7 @@
             case INSTANCE_FREEZE -> each(fault, instance -> instance.signal("CONT"));
             case LINK_CUT, LINK_RESET -> eachLink(fault, LinkProxy::heal);
             case STORE_DOWN -> store.down(false);
+            case KEY_WITHDRAWN -> withdraw(-1);
             case ENDPOINT_CRASH, ENDPOINT_LEAVING -> eachEndpoint(fault, this::restart);
             case ENDPOINT_LIMIT -> eachEndpoint(fault, PlatformEndpointStandin::stateNoLimit);
             case ENDPOINT_BRITTLE -> eachEndpoint(fault, endpoint -> endpoint.stateBrittle(OptionalInt.empty()));
--- a/soak/src/test/java/baobabcroft/soak/OracleTest.java
+++ b/soak/src/test/java/baobabcroft/soak/OracleTest.java
@@ -179,6 +179,35 @@
         }
     }
 
+    @Nested
+    class Withdrawn {
+        @Test
+        void findsCallerThatIsServedAllTheSame() {
+            fault(FaultKind.KEY_WITHDRAWN, 10_000, 9_000);
+            call("r", Call.Route.LOOKUP, 0, 15_000, 200);
+
+            assertBroken(Promise.WITHDRAWN);
+        }
+
+        @Test
+        void passesCallerWhoIsServedBeforeInstancesCanKnow() {
+            fault(FaultKind.KEY_WITHDRAWN, 10_000, 9_000);
+            call("a", Call.Route.LOOKUP, 0, 13_000, 200);
+            call("b", Call.Route.LOOKUP, 0, 15_000, 401);
+
+            assertHeld(Promise.WITHDRAWN);
+        }
+
+        @Test
+        void passesTimesWithoutStore() {
+            fault(FaultKind.KEY_WITHDRAWN, 10_000, 9_000);
+            fault(FaultKind.STORE_DOWN, 12_000, 3_000);
+            call("r", Call.Route.LOOKUP, 0, 15_000, 200);
+
+            assertFalse(verdict(Promise.WITHDRAWN).isBroken());
+        }
+    }
+
     @Nested
     class Leaves {
         private void requestAfterwards(int instance) {
