Add failing tests for old views of the store and for removals held back after a lost path

The model of a failure domain without a network gets links with a rate: what an instance sends to its followers shares one link, and so do the store's responses to it. An endpoint removed while an instance had lost its path to the store is still offered.

--- a/router/src/test/java/baobabcroft/instance/EndpointListUpdaterTest.java
+++ b/router/src/test/java/baobabcroft/instance/EndpointListUpdaterTest.java
@@ -79,6 +79,49 @@
             assertFalse(directory.find("a").isPresent());
         }
 
+        /** Guards against DRAIN: an endpoint left while this instance was cut off from a store that served others. */
+        @Test
+        void offersNoMissingEndpointAsLongAsMostAreListed() {
+            loseStoreOf("a", "b", "c");
+            updater.onUnlisted("b");
+
+            assertEquals(List.of("a", "c"), offered());
+        }
+
+        /** All entries have lapsed in an outage of the store; the endpoints register again one after the other. */
+        @Test
+        void offersMissingEndpointsIfMostAreMissing() {
+            loseStoreOf("a", "b", "c");
+            List.of("a", "b", "c").forEach(updater::onUnlisted);
+            assertEquals(List.of("a", "b", "c"), offered());
+
+            updater.onListed(endpoint("c", 1), 2);
+            assertEquals(List.of("a", "b", "c"), offered());
+
+            updater.onListed(endpoint("a", 1), 2);
+            assertEquals(List.of("a", "c"), offered());
+
+            updater.onListed(endpoint("b", 1), 2);
+            assertEquals(List.of("a", "b", "c"), offered());
+        }
+
+        private void loseStoreOf(String... ids) {
+            for (String id : ids) {
+                updater.onListed(endpoint(id, 1), 1);
+            }
+            time.advance(10_000);
+            updater.onStoreLost();
+            time.advance(2_000);
+            updater.onStoreRecovered();
+        }
+
+        private List<String> offered() {
+            return directory.accepting("work").stream()
+                    .map(EndpointEntry::id)
+                    .sorted()
+                    .toList();
+        }
+
         /** The outage is longer than endpoints need to register again, which they can only after it. */
         @Test
         void countsDelayFromTheEndOfTheOutage() {
--- a/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -1,7 +1,9 @@
 package baobabcroft.replica;
 
 import baobabcroft.external.WriteResult;
+import baobabcroft.fake.SimulatedLink;
 import baobabcroft.fake.VirtualTime;
+import baobabcroft.feed.FeedMessageSizes;
 import com.google.common.net.HostAndPort;
 import com.google.protobuf.ByteString;
 import java.util.ArrayList;
@@ -20,6 +22,7 @@
     private static final String PRESENCE = "presence/";
     private static final long MESSAGE_MILLIS = 1;
     private static final long CONNECT_TIMEOUT_MILLIS = 600;
+    private static final double FAST_LINK_MEGABITS_PER_SECOND = 10_000;
 
     private final VirtualTime time;
     private final SimulatedStore store;
@@ -39,13 +42,15 @@
         private final List<String> events = new ArrayList<>();
         private final Map<String, String> contents = new HashMap<>();
         private final List<Runnable> whileFrozen = new ArrayList<>();
+        private final SimulatedLink outgoing;
         private boolean stopped;
 
-        private Instance(String name) {
+        private Instance(String name, double linkMegabitsPerSecond) {
             this.name = name;
+            this.outgoing = new SimulatedLink(time, linkMegabitsPerSecond, MESSAGE_MILLIS);
             this.replica = StoreReplica.create(
                     name,
-                    store.callsOfInstance(name),
+                    store.callsOfInstance(name, new SimulatedLink(time, linkMegabitsPerSecond, 0)),
                     (address, position, observer) -> connect(this, address, position, observer),
                     (delayMillis, task) -> time.scheduler().schedule(delayMillis, () -> run(task)),
                     time::nowMillis,
@@ -123,7 +128,11 @@
     }
 
     Instance start(String name) {
-        Instance instance = new Instance(name);
+        return start(name, FAST_LINK_MEGABITS_PER_SECOND);
+    }
+
+    Instance start(String name, double linkMegabitsPerSecond) {
+        Instance instance = new Instance(name, linkMegabitsPerSecond);
         instances.put(name, instance);
         instance.replica.putOwnKey(PRESENCE + name, ByteString.copyFromUtf8(name));
         instance.replica.start();
@@ -162,6 +171,7 @@
             time.scheduler().schedule(CONNECT_TIMEOUT_MILLIS, () -> link.end("timeout"));
         } else {
             link.to = to;
+            link.connection = to.outgoing.open();
             time.scheduler()
                     .schedule(
                             MESSAGE_MILLIS,
@@ -178,6 +188,7 @@
         private final Instance from;
         private final FeedTransport.Observer observer;
         private Instance to;
+        private SimulatedLink.Connection connection;
         private boolean closed;
 
         private Link(Instance from, FeedTransport.Observer observer) {
@@ -187,32 +198,33 @@
 
         @Override
         public void send(FeedUpdate update) {
-            deliver(() -> observer.onUpdate(update));
+            connection.send(FeedMessageSizes.encodedBytes(update), () -> receive(() -> observer.onUpdate(update)));
         }
 
         @Override
         public void end(String reason) {
-            deliver(() -> {
-                closed = true;
-                observer.onClosed(reason);
-            });
-        }
-
-        private void deliver(Runnable message) {
             time.scheduler()
                     .schedule(
                             MESSAGE_MILLIS,
-                            () -> from.run(() -> {
-                                if (!closed) {
-                                    message.run();
-                                }
+                            () -> receive(() -> {
+                                closed = true;
+                                observer.onClosed(reason);
                             }));
         }
 
+        private void receive(Runnable message) {
+            from.run(() -> {
+                if (!closed) {
+                    message.run();
+                }
+            });
+        }
+
         @Override
         public void close() {
             closed = true;
             if (to != null) {
+                connection.close();
                 time.scheduler()
                         .schedule(
                                 MESSAGE_MILLIS,
--- a/router/src/test/java/baobabcroft/replica/SimulatedStore.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedStore.java
@@ -1,6 +1,7 @@
 package baobabcroft.replica;
 
 import baobabcroft.external.WriteResult;
+import baobabcroft.fake.SimulatedLink;
 import baobabcroft.fake.VirtualTime;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
@@ -24,6 +25,8 @@
     private static final long LATENCY_MILLIS = 4;
     private static final long TIMEOUT_MILLIS = 2_000;
     private static final long WATCH_MARGIN_MILLIS = 700;
+    /** Size of an item in a response beside its key and its value. */
+    private static final long ITEM_OVERHEAD_BYTES = 100;
 
     private final VirtualTime time;
     private final List<Watch> watches = new ArrayList<>();
@@ -42,25 +45,52 @@
 
     record State(long revision, TreeMap<String, StoreEntry> entries) {}
 
-    /** A waiting watch, which is answered once at the most. */
-    private static final class Watch {
+    /** A call that is answered once at the most, by way of the link of the instance. */
+    private final class Call<T> {
         private final String instance;
-        private final long after;
-        private final Consumer<StoreCalls.WatchReply> callback;
+        private final Optional<SimulatedLink.Connection> connection;
+        private final Consumer<? super T> callback;
         private boolean done;
 
-        private Watch(String instance, long after, Consumer<StoreCalls.WatchReply> callback) {
+        private Call(String instance, Optional<SimulatedLink> link, Consumer<? super T> callback) {
             this.instance = instance;
-            this.after = after;
+            this.connection = link.map(SimulatedLink::open);
             this.callback = callback;
         }
 
-        private void reply(StoreCalls.WatchReply reply) {
+        private void respond(T reply, long bytes) {
+            SimulatedStore.this.respond(() -> connection.ifPresentOrElse(
+                    link -> link.send(bytes, () -> end(reply)), () -> end(reply)));
+        }
+
+        private void end(T reply) {
             if (!done) {
                 done = true;
+                connection.ifPresent(SimulatedLink.Connection::close);
                 callback.accept(reply);
             }
         }
+
+        private void timeOutAfter(long millis, T reply) {
+            time.scheduler().schedule(millis, () -> end(reply));
+        }
+    }
+
+    private record Watch(Call<StoreCalls.WatchReply> call, long after) {}
+
+    private static long sizeOf(StoreEntry entry) {
+        return ITEM_OVERHEAD_BYTES + entry.key().length() + encodedSize(entry.value());
+    }
+
+    private static long sizeOf(KeyChange change) {
+        return ITEM_OVERHEAD_BYTES
+                + change.key().length()
+                + change.value().map(SimulatedStore::encodedSize).orElse(0L);
+    }
+
+    /** Returns the size of a value as base64 text. */
+    private static long encodedSize(ByteString value) {
+        return 4L * ((value.size() + 2) / 3);
     }
 
     /** Contents of the store at a moment. */
@@ -139,7 +169,7 @@
     /** Cuts the path between an instance and the store: calls time out. */
     public void cut(String instance) {
         unreachable.add(instance);
-        watches.removeIf(watch -> watch.instance.equals(instance));
+        watches.removeIf(watch -> watch.call().instance.equals(instance));
     }
 
     public void reconnect(String instance) {
@@ -186,21 +216,29 @@
     private void wakeWatches() {
         List<Watch> woken = new ArrayList<>(watches);
         watches.clear();
-        woken.forEach(watch -> respond(() -> watch.reply(changesSince(watch.after))));
+        woken.forEach(this::respondWithChanges);
+    }
+
+    private void respondWithChanges(Watch watch) {
+        StoreCalls.WatchReply reply = changesSince(watch.after());
+        long bytes = reply instanceof StoreCalls.Changes changes
+                ? changes.changes().stream().mapToLong(SimulatedStore::sizeOf).sum()
+                : 0;
+        watch.call().respond(reply, ITEM_OVERHEAD_BYTES + bytes);
     }
 
     private void cutWatches() {
         List<Watch> cut = new ArrayList<>(watches);
         watches.clear();
-        cut.forEach(watch -> watch.reply(new StoreCalls.NoReply("cut")));
+        cut.forEach(watch -> watch.call().end(new StoreCalls.NoReply("cut")));
     }
 
     private void cutWatches(String instance) {
         List<Watch> cut = watches.stream()
-                .filter(watch -> watch.instance.equals(instance))
+                .filter(watch -> watch.call().instance.equals(instance))
                 .toList();
         watches.removeAll(cut);
-        cut.forEach(watch -> watch.reply(new StoreCalls.NoReply("cut")));
+        cut.forEach(watch -> watch.call().end(new StoreCalls.NoReply("cut")));
     }
 
     private StoreCalls.WatchReply changesSince(long after) {
@@ -222,16 +260,23 @@
         }
     }
 
-    /** Returns the store as one instance calls it. */
+    /** Returns the store as one instance calls it, over a link without a limit. */
     public StoreCalls callsOfInstance(String instance) {
-        return new Calls(instance);
+        return new Calls(instance, Optional.empty());
+    }
+
+    /** Returns the store as one instance calls it, whose responses share the given link. */
+    StoreCalls callsOfInstance(String instance, SimulatedLink link) {
+        return new Calls(instance, Optional.of(link));
     }
 
     private final class Calls implements StoreCalls {
         private final String instance;
+        private final Optional<SimulatedLink> link;
 
-        private Calls(String instance) {
+        private Calls(String instance, Optional<SimulatedLink> link) {
             this.instance = instance;
+            this.link = link;
         }
 
         /** Counts a call; returns whether it is served, or else how it fails. */
@@ -248,48 +293,50 @@
         @Override
         public void readPage(Optional<String> afterKey, Freshness freshness, Consumer<PageReply> callback) {
             Optional<NoReply> failure = failure(freshness == Freshness.STALE_ALLOWED ? 0.1 : 1);
+            Call<PageReply> call = new Call<>(instance, link, callback);
+            call.timeOutAfter(TIMEOUT_MILLIS, new NoReply("timeout"));
             if (isUnreachable()) {
-                time.scheduler().schedule(TIMEOUT_MILLIS, () -> callback.accept(new NoReply("timeout")));
                 return;
             }
             if (failure.isPresent()) {
-                respond(() -> callback.accept(failure.get()));
+                call.respond(failure.get(), 0);
                 return;
             }
             ImmutableList<StoreEntry> rest = ImmutableList.copyOf(
                     state.entries().tailMap(afterKey.orElse(""), false).values());
-            Page page = new Page(
-                    new StoreRevision(era, state.revision()),
-                    rest.subList(0, Math.min(PAGE_SIZE, rest.size())),
-                    rest.size() > PAGE_SIZE);
-            respond(() -> callback.accept(page));
+            ImmutableList<StoreEntry> entries = rest.subList(0, Math.min(PAGE_SIZE, rest.size()));
+            Page page = new Page(new StoreRevision(era, state.revision()), entries, rest.size() > PAGE_SIZE);
+            call.respond(
+                    page,
+                    ITEM_OVERHEAD_BYTES
+                            + entries.stream()
+                                    .mapToLong(SimulatedStore::sizeOf)
+                                    .sum());
         }
 
         @Override
         public void watch(long afterNumber, long waitMillis, Consumer<WatchReply> callback) {
             Optional<NoReply> failure = failure(1);
-            Watch watch = new Watch(instance, afterNumber, callback);
+            Call<WatchReply> call = new Call<>(instance, link, callback);
+            Watch watch = new Watch(call, afterNumber);
+            call.timeOutAfter(waitMillis + WATCH_MARGIN_MILLIS, new NoReply("timeout"));
             if (isUnreachable()) {
-                time.scheduler().schedule(waitMillis + WATCH_MARGIN_MILLIS, () -> watch.reply(new NoReply("timeout")));
                 return;
             }
             if (failure.isPresent()) {
-                respond(() -> watch.reply(failure.get()));
+                call.respond(failure.get(), 0);
                 return;
             }
             if (afterNumber != state.revision()) {
-                WatchReply reply = changesSince(afterNumber);
-                respond(() -> watch.reply(reply));
+                respondWithChanges(watch);
                 return;
             }
             watches.add(watch);
             time.scheduler().schedule(waitMillis, () -> {
                 if (watches.remove(watch)) {
-                    WatchReply reply = changesSince(afterNumber);
-                    respond(() -> watch.reply(reply));
+                    respondWithChanges(watch);
                 }
             });
-            time.scheduler().schedule(waitMillis + WATCH_MARGIN_MILLIS, () -> watch.reply(new NoReply("timeout")));
         }
 
         @Override
