Send a follower one update at a time, so that no version waits behind older ones

Cause: the instance that reads the store wrote each change to each follower's connection as it came, up to 16 MB a follower. On a link that carries less than that, every change waited behind all former versions, and each connection made the others wait. Class of fault: a queue without a bound on the age of what is in it.

A follower now requests each update, and gets one for each request: all that changed meanwhile goes into the next one, with only the newest value of each key. The request also bounds the age of what arrives: an update shows all that the sender knew when the request was sent. `ViewAge` keeps that, for the reads of the store, too, and `endpoints_list_age_millis` and the age in updates now state the age of the view; they stated the time since something was heard, which a full queue keeps small.

--- a/router/src/main/java/baobabcroft/feed/FeedClient.java
+++ b/router/src/main/java/baobabcroft/feed/FeedClient.java
@@ -34,12 +34,7 @@
 
     @Override
     public Link connect(HostAndPort address, StoreRevision position, Observer observer) {
-        FeedRequest request = FeedRequest.newBuilder()
-                .setInstance(instance)
-                .setEra(position.era())
-                .setRevision(position.number())
-                .build();
-        Connection connection = new Connection(request, observer);
+        Connection connection = new Connection(position, observer);
         ChannelFuture connectFuture = NettyChannels.client(
                         loop,
                         CONNECT_TIMEOUT_MILLIS,
@@ -50,19 +45,35 @@
                 connection.close(String.valueOf(done.cause()));
             }
         });
-        return () -> {
-            connection.closed = true;
-            connectFuture.channel().close();
+        return new Link() {
+            @Override
+            public void request(StoreRevision newPosition) {
+                connectFuture.channel().writeAndFlush(requestFrom(newPosition));
+            }
+
+            @Override
+            public void close() {
+                connection.closed = true;
+                connectFuture.channel().close();
+            }
         };
     }
 
-    private static final class Connection extends SimpleChannelInboundHandler<FeedMessage> {
-        private final FeedRequest request;
+    private FeedRequest requestFrom(StoreRevision position) {
+        return FeedRequest.newBuilder()
+                .setInstance(instance)
+                .setEra(position.era())
+                .setRevision(position.number())
+                .build();
+    }
+
+    private final class Connection extends SimpleChannelInboundHandler<FeedMessage> {
+        private final StoreRevision position;
         private final Observer observer;
         private boolean closed;
 
-        private Connection(FeedRequest request, Observer observer) {
-            this.request = request;
+        private Connection(StoreRevision position, Observer observer) {
+            this.position = position;
             this.observer = observer;
         }
 
@@ -75,7 +86,7 @@
 
         @Override
         public void channelActive(ChannelHandlerContext context) {
-            context.writeAndFlush(request);
+            context.writeAndFlush(requestFrom(position));
         }
 
         @Override
--- a/router/src/main/java/baobabcroft/feed/FeedServer.java
+++ b/router/src/main/java/baobabcroft/feed/FeedServer.java
@@ -4,8 +4,6 @@
 
 import baobabcroft.feed.proto.FeedRequest;
 import baobabcroft.front.NettyChannels;
-import baobabcroft.log.EventLog;
-import baobabcroft.log.LogEvent;
 import baobabcroft.replica.FeedUpdate;
 import baobabcroft.replica.ReplicaFeed;
 import baobabcroft.replica.StoreRevision;
@@ -17,9 +15,6 @@
 /** Accepts the connections of followers. Not thread-safe: used on its event loop only. */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write closes the channel; the close is handled.
 public final class FeedServer {
-    /** Unsent bytes above which a follower that does not read is disconnected: more than the contents of the store. */
-    private static final long MAX_UNSENT_BYTES = 16 << 20;
-
     private FeedServer() {}
 
     /**
@@ -39,7 +34,6 @@
     private static final class Connection extends SimpleChannelInboundHandler<FeedRequest>
             implements ReplicaFeed.Subscriber {
         private final ReplicaFeed feed;
-        private final EventLog log = EventLog.of(FeedServer.class);
         private ChannelHandlerContext context;
 
         private Connection(ReplicaFeed feed) {
@@ -54,19 +48,13 @@
         @Override
         protected void channelRead0(ChannelHandlerContext unused, FeedRequest request) {
             StoreRevision position = new StoreRevision(request.getEra(), request.getRevision());
-            if (!feed.subscribe(this, position)) {
+            if (!feed.request(this, position)) {
                 context.close();
             }
         }
 
         @Override
         public void send(FeedUpdate update) {
-            if (context.channel().bytesBeforeWritable() > MAX_UNSENT_BYTES) {
-                log.log(LogEvent.PEER_REJECTED, context.channel().remoteAddress(), "does not read its feed");
-                feed.unsubscribe(this);
-                context.close();
-                return;
-            }
             context.writeAndFlush(FeedCodec.toMessage(update));
         }
 
--- a/router/src/main/java/baobabcroft/replica/FeedTransport.java
+++ b/router/src/main/java/baobabcroft/replica/FeedTransport.java
@@ -7,6 +7,23 @@
 public interface FeedTransport {
     /** A connection to the feed of another instance. */
     interface Link {
+        /** No connection. */
+        Link NONE = new Link() {
+            @Override
+            public void request(StoreRevision position) {}
+
+            @Override
+            public void close() {}
+        };
+
+        /**
+         * Requests the next update. Each update that is received answers one request, the first one that of {@link
+         * #connect}.
+         *
+         * @param position revision that this instance has
+         */
+        void request(StoreRevision position);
+
         /** Closes the connection. Nothing is reported afterwards. */
         void close();
     }
--- a/router/src/main/java/baobabcroft/replica/FeedUpdate.java
+++ b/router/src/main/java/baobabcroft/replica/FeedUpdate.java
@@ -12,7 +12,7 @@
  * @param complete whether the changes are the complete contents of the store, which replace all others
  * @param changes changes since the previous update; none in a heartbeat
  * @param contact whether the store answered the sender's last call
- * @param ageMillis time since the store last responded to the sender, in milliseconds
+ * @param ageMillis age of the sender's view of the store, in milliseconds
  */
 public record FeedUpdate(
         StoreRevision position, boolean complete, ImmutableList<KeyChange> changes, boolean contact, long ageMillis) {
--- a/router/src/main/java/baobabcroft/replica/KeyReplica.java
+++ b/router/src/main/java/baobabcroft/replica/KeyReplica.java
@@ -50,6 +50,11 @@
         return position;
     }
 
+    /** Returns the greatest revision of any entry or deletion, or the position if that is greater. */
+    StoreRevision newest() {
+        return newest;
+    }
+
     /** Returns the entry of a key, or empty if it does not exist. */
     Optional<StoreEntry> find(String key) {
         return Optional.ofNullable(entries.get(key));
@@ -184,7 +189,7 @@
      *
      * @param from position of the other replica
      * @param contact whether the store answered the last call
-     * @param ageMillis time since the store last responded, in milliseconds
+     * @param ageMillis age of this replica's view of the store, in milliseconds
      * @return the changes since then, or the complete contents if the changes are not known
      */
     FeedUpdate updateSince(StoreRevision from, boolean contact, long ageMillis) {
--- a/router/src/main/java/baobabcroft/replica/SourceSelector.java
+++ b/router/src/main/java/baobabcroft/replica/SourceSelector.java
@@ -53,6 +53,7 @@
 
     private final String self;
     private final KeyReplica replica;
+    private final ViewAge viewAge;
     private final StorePoller poller;
     private final FeedTransport transport;
     private final Scheduler scheduler;
@@ -83,8 +84,9 @@
     /** A connection to a member's feed. */
     private final class Session implements FeedTransport.Observer {
         private final Member member;
-        private FeedTransport.Link link = () -> {};
+        private FeedTransport.Link link = FeedTransport.Link.NONE;
         private long heardAtMillis = nowMillis.getAsLong();
+        private long requestedAtMillis = heardAtMillis;
         private long contactAtMillis = heardAtMillis;
         private boolean hasContact;
 
@@ -116,8 +118,11 @@
                 if (!isIn(followed)) {
                     follow(this);
                 }
+                viewAge.confirm(requestedAtMillis - update.ageMillis());
                 contact.onUpdate(update);
                 pollIfWithoutContact();
+                requestedAtMillis = heardAtMillis;
+                link.request(replica.position());
             }
         }
 
@@ -140,6 +145,7 @@
     SourceSelector(
             String self,
             KeyReplica replica,
+            ViewAge viewAge,
             StorePoller poller,
             FeedTransport transport,
             Scheduler scheduler,
@@ -147,6 +153,7 @@
             Contact contact) {
         this.self = checkNotNull(self);
         this.replica = checkNotNull(replica);
+        this.viewAge = checkNotNull(viewAge);
         this.poller = checkNotNull(poller);
         this.transport = checkNotNull(transport);
         this.scheduler = checkNotNull(scheduler);
--- a/router/src/main/java/baobabcroft/replica/StorePoller.java
+++ b/router/src/main/java/baobabcroft/replica/StorePoller.java
@@ -65,6 +65,7 @@
 
     private final StoreCalls calls;
     private final KeyReplica replica;
+    private final ViewAge viewAge;
     private final Scheduler scheduler;
     private final LongSupplier nowMillis;
     private final Backoff sourceBackoff;
@@ -75,18 +76,19 @@
     private int loop;
 
     private long highestEra;
-    private long respondedAtMillis;
     private boolean responding;
 
     StorePoller(
             StoreCalls calls,
             KeyReplica replica,
+            ViewAge viewAge,
             Scheduler scheduler,
             LongSupplier nowMillis,
             DoubleSupplier random,
             Contact contact) {
         this.calls = checkNotNull(calls);
         this.replica = checkNotNull(replica);
+        this.viewAge = checkNotNull(viewAge);
         this.scheduler = checkNotNull(scheduler);
         this.nowMillis = checkNotNull(nowMillis);
         this.sourceBackoff = new Backoff(MIN_BACKOFF_MILLIS, MAX_BACKOFF_MILLIS, random);
@@ -126,11 +128,6 @@
         return responding;
     }
 
-    /** Returns the time since the store last responded, in milliseconds. */
-    long millisSinceResponse() {
-        return nowMillis.getAsLong() - respondedAtMillis;
-    }
-
     /** Notes the era of any response of the store. A later era makes the current watch obsolete. */
     void noteEra(long era) {
         if (era > highestEra) {
@@ -151,21 +148,33 @@
 
     private void readAll(Freshness freshness) {
         loop++;
-        readPage(Optional.empty(), freshness, new ArrayList<>(), Optional.empty());
+        readPage(new FullRead(freshness, nowMillis.getAsLong()), Optional.empty());
     }
 
-    private void readPage(
-            Optional<String> afterKey, Freshness freshness, List<StoreEntry> entries, Optional<StoreRevision> oldest) {
+    /** The pages of one read of all keys. */
+    private static final class FullRead {
+        private final Freshness freshness;
+        private final long startedAtMillis;
+        private final List<StoreEntry> entries = new ArrayList<>();
+        /** Position of the first page; later pages may show later changes. */
+        private Optional<StoreRevision> oldest = Optional.empty();
+
+        private FullRead(Freshness freshness, long startedAtMillis) {
+            this.freshness = freshness;
+            this.startedAtMillis = startedAtMillis;
+        }
+    }
+
+    private void readPage(FullRead read, Optional<String> afterKey) {
         int call = loop;
-        calls.readPage(afterKey, freshness, reply -> {
+        calls.readPage(afterKey, read.freshness, reply -> {
             if (call == loop && isRunning()) {
-                onPage(reply, freshness, entries, oldest);
+                onPage(reply, read);
             }
         });
     }
 
-    private void onPage(
-            PageReply reply, Freshness freshness, List<StoreEntry> entries, Optional<StoreRevision> oldest) {
+    private void onPage(PageReply reply, FullRead read) {
         if (!(reply instanceof Page page)) {
             retryLater(((NoReply) reply).reason());
             return;
@@ -173,20 +182,26 @@
         onResponse();
         highestEra = Math.max(highestEra, page.position().era());
         boolean otherEra = page.position().era() < highestEra
-                || oldest.filter(first -> first.era() != page.position().era()).isPresent();
+                || read.oldest
+                        .filter(first -> first.era() != page.position().era())
+                        .isPresent();
         if (otherEra) {
             retryLater("page of an earlier era");
             return;
         }
-        entries.addAll(page.entries());
+        read.entries.addAll(page.entries());
         StoreRevision position =
-                oldest.filter(first -> page.position().isAfter(first)).orElse(page.position());
+                read.oldest.filter(first -> page.position().isAfter(first)).orElse(page.position());
+        read.oldest = Optional.of(position);
         if (page.truncated() && !page.entries().isEmpty()) {
-            readPage(Optional.of(Iterables.getLast(page.entries()).key()), freshness, entries, Optional.of(position));
+            readPage(read, Optional.of(Iterables.getLast(page.entries()).key()));
             return;
         }
         boolean first = !replica.isLoaded();
-        if (replica.applySnapshot(position, entries)) {
+        if (replica.applySnapshot(position, read.entries)) {
+            if (read.freshness == Freshness.CURRENT) {
+                viewAge.confirm(read.startedAtMillis);
+            }
             contact.onApplied();
             scheduleIfCurrent(first ? FIRST_WATCH_DELAY_MILLIS : BATCH_MILLIS, this::watch);
         } else {
@@ -198,14 +213,15 @@
         int call = ++loop;
         StoreRevision after = replica.position();
         long waitMillis = responding ? WATCH_ROUND_MILLIS - BATCH_MILLIS : CONFIRMATION_WAIT_MILLIS;
+        long sentAtMillis = nowMillis.getAsLong();
         calls.watch(after.number(), waitMillis, reply -> {
             if (call == loop && isRunning()) {
-                onWatched(after, reply);
+                onWatched(after, reply, sentAtMillis, waitMillis);
             }
         });
     }
 
-    private void onWatched(StoreRevision after, WatchReply reply) {
+    private void onWatched(StoreRevision after, WatchReply reply, long sentAtMillis, long waitMillis) {
         if (reply instanceof NoReply none) {
             retryLater(none.reason());
             return;
@@ -224,6 +240,9 @@
             readAll(Freshness.CURRENT);
         } else {
             replica.applyChanges(changes.position(), changes.changes());
+            // Without changes the store has waited; with changes the response may have taken long to arrive.
+            long waitedMillis = changes.changes().isEmpty() ? waitMillis : 0;
+            viewAge.confirm(Math.min(nowMillis.getAsLong(), sentAtMillis + waitedMillis));
             contact.onApplied();
             scheduleIfCurrent(BATCH_MILLIS, this::watch);
         }
@@ -233,7 +252,6 @@
         sourceBackoff.reset();
         standbyBackoff.reset();
         responding = true;
-        respondedAtMillis = nowMillis.getAsLong();
         contact.onResponse();
     }
 
--- a/router/src/main/java/baobabcroft/replica/StoreReplica.java
+++ b/router/src/main/java/baobabcroft/replica/StoreReplica.java
@@ -21,15 +21,14 @@
 
     private final StoreCalls calls;
     private final Scheduler scheduler;
-    private final LongSupplier nowMillis;
     private final ReplicaListener listener;
     private final KeyReplica replica;
+    private final ViewAge viewAge;
     private final StorePoller poller;
     private final ReplicaFeed feed;
     private final OwnKeys ownKeys;
     private final SourceSelector sources;
     private boolean available;
-    private long contactAtMillis;
 
     private StoreReplica(
             String instance,
@@ -41,14 +40,14 @@
             ReplicaListener listener) {
         this.calls = checkNotNull(calls);
         this.scheduler = checkNotNull(scheduler);
-        this.nowMillis = checkNotNull(nowMillis);
         this.listener = checkNotNull(listener);
         this.replica = new KeyReplica(listener);
-        this.poller = new StorePoller(calls, replica, scheduler, nowMillis, random, new PollerContact());
-        this.feed = new ReplicaFeed(replica, poller);
+        this.viewAge = new ViewAge(nowMillis);
+        this.poller = new StorePoller(calls, replica, viewAge, scheduler, nowMillis, random, new PollerContact());
+        this.feed = new ReplicaFeed(replica, poller, viewAge);
         this.ownKeys = new OwnKeys(replica, this, scheduler);
-        this.sources =
-                new SourceSelector(instance, replica, poller, transport, scheduler, nowMillis, new FollowerContact());
+        this.sources = new SourceSelector(
+                instance, replica, viewAge, poller, transport, scheduler, nowMillis, new FollowerContact());
     }
 
     /**
@@ -158,12 +157,12 @@
     }
 
     /**
-     * Returns the time since the store last responded, to this instance or to the one that it follows.
+     * Returns the age of the view of the store: all changes that the store made earlier than that are known.
      *
-     * @return the age of the replica, in milliseconds
+     * @return the age, in milliseconds
      */
     public long ageMillis() {
-        return nowMillis.getAsLong() - contactAtMillis;
+        return viewAge.millis();
     }
 
     /**
@@ -185,7 +184,6 @@
     }
 
     private void onContact() {
-        contactAtMillis = nowMillis.getAsLong();
         if (!available) {
             available = true;
             listener.onAvailable();
--- a/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
@@ -181,7 +181,7 @@
                     time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, callback) -> {}, unused -> {});
             TestDialect dialect = new TestDialect();
             StoreContents contents = new StoreContents(dialect, routing, list, rollouts, records, time::nowMillis);
-            FeedTransport noFeed = (address, position, observer) -> () -> {};
+            FeedTransport noFeed = (address, position, observer) -> FeedTransport.Link.NONE;
             replica = StoreReplica.create(
                     name,
                     store.callsOfInstance(name),
--- a/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -172,14 +172,7 @@
         } else {
             link.to = to;
             link.connection = to.outgoing.open();
-            time.scheduler()
-                    .schedule(
-                            MESSAGE_MILLIS,
-                            () -> to.run(() -> {
-                                if (!to.replica.feed().subscribe(link, position)) {
-                                    link.end("refused");
-                                }
-                            }));
+            link.request(position);
         }
         return link;
     }
@@ -201,6 +194,18 @@
             connection.send(FeedMessageSizes.encodedBytes(update), () -> receive(() -> observer.onUpdate(update)));
         }
 
+        @Override
+        public void request(StoreRevision position) {
+            time.scheduler()
+                    .schedule(
+                            MESSAGE_MILLIS,
+                            () -> to.run(() -> {
+                                if (!to.replica.feed().request(this, position)) {
+                                    end("refused");
+                                }
+                            }));
+        }
+
         @Override
         public void end(String reason) {
             time.scheduler()
--- a/router/src/test/java/baobabcroft/replica/SimulatedStore.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedStore.java
@@ -59,8 +59,8 @@
         }
 
         private void respond(T reply, long bytes) {
-            SimulatedStore.this.respond(() -> connection.ifPresentOrElse(
-                    link -> link.send(bytes, () -> end(reply)), () -> end(reply)));
+            SimulatedStore.this.respond(
+                    () -> connection.ifPresentOrElse(link -> link.send(bytes, () -> end(reply)), () -> end(reply)));
         }
 
         private void end(T reply) {
@@ -309,9 +309,7 @@
             call.respond(
                     page,
                     ITEM_OVERHEAD_BYTES
-                            + entries.stream()
-                                    .mapToLong(SimulatedStore::sizeOf)
-                                    .sum());
+                            + entries.stream().mapToLong(SimulatedStore::sizeOf).sum());
         }
 
         @Override
--- a/router/src/test/java/baobabcroft/replica/ViewAgeTest.java
+++ b/router/src/test/java/baobabcroft/replica/ViewAgeTest.java
@@ -73,7 +73,8 @@
     }
 
     private boolean isEverywhere(String key, int number) {
-        return instances.stream().allMatch(instance -> numberOf(instance.contents().get(key)) >= number);
+        return instances.stream()
+                .allMatch(instance -> numberOf(instance.contents().get(key)) >= number);
     }
 
     private static int numberOf(String text) {
