Read large changes of the store within bounded time on a narrow link

Callers saw CONFIG and DRAIN broken even where a single instance reads the store. Cause: a watch returns every value since the last one, however often it was replaced, and had to be received whole within 0.7 s beyond its wait. On 7 Mbit/s two versions of a configuration of 1,400 routes take longer; the watch was given up, and the next one returned more. Class of fault: a retry that grows with the time that it has failed for.

A watch whose changes would take more than all keys together is not received (by the length that the response states); the newest values are read instead.

What remains is the time in which one version is sent to all followers.

--- a/router/src/main/java/baobabcroft/replica/KeyReplica.java
+++ b/router/src/main/java/baobabcroft/replica/KeyReplica.java
@@ -31,6 +31,7 @@
     private StoreRevision newest = position;
 
     private boolean loaded;
+    private long sizeBytes;
     /** All deletions after this revision number are in {@code deletions}. */
     private long deletionsKnownAfter;
 
@@ -55,6 +56,11 @@
         return newest;
     }
 
+    /** Returns the size of all keys and values, in bytes. */
+    long sizeBytes() {
+        return sizeBytes;
+    }
+
     /** Returns the entry of a key, or empty if it does not exist. */
     Optional<StoreEntry> find(String key) {
         return Optional.ofNullable(entries.get(key));
@@ -86,6 +92,7 @@
     private void startEra(StoreRevision at, Collection<StoreEntry> contents) {
         Map<String, StoreEntry> former = new HashMap<>(entries);
         entries.clear();
+        sizeBytes = 0;
         deletions.clear();
         newest = at;
         deletionsKnownAfter = at.number();
@@ -161,7 +168,8 @@
     }
 
     private void store(StoreEntry entry) {
-        entries.put(entry.key(), entry);
+        StoreEntry former = entries.put(entry.key(), entry);
+        sizeBytes += entry.sizeBytes() - (former == null ? 0 : former.sizeBytes());
         noteRevision(entry.revision());
         listener.onPut(entry);
     }
@@ -173,9 +181,11 @@
     }
 
     private void delete(String key, StoreRevision revision) {
-        if (entries.remove(key) == null) {
+        StoreEntry former = entries.remove(key);
+        if (former == null) {
             return;
         }
+        sizeBytes -= former.sizeBytes();
         deletions.addLast(new Deletion(key, revision));
         noteRevision(revision);
         if (deletions.size() > MAX_DELETIONS) {
--- a/router/src/main/java/baobabcroft/replica/StoreCalls.java
+++ b/router/src/main/java/baobabcroft/replica/StoreCalls.java
@@ -38,6 +38,9 @@
     /** The store no longer has the history after the requested revision, or never had that revision. */
     record HistoryGone() implements WatchReply {}
 
+    /** The changes take more bytes than the caller wanted to receive; the rest was not received. */
+    record ChangesTooLarge() implements WatchReply {}
+
     /**
      * No usable response.
      *
@@ -75,9 +78,10 @@
      *
      * @param afterNumber revision number after which changes are wanted
      * @param waitMillis longest wait at the store, in milliseconds
+     * @param maxBytes keys and values beyond which the changes are not received, in bytes
      * @param callback receives the changes, none if the wait is over
      */
-    void watch(long afterNumber, long waitMillis, Consumer<WatchReply> callback);
+    void watch(long afterNumber, long waitMillis, long maxBytes, Consumer<WatchReply> callback);
 
     /**
      * Writes a key if it is still at the expected revision.
--- a/router/src/main/java/baobabcroft/replica/StoreEntry.java
+++ b/router/src/main/java/baobabcroft/replica/StoreEntry.java
@@ -18,4 +18,9 @@
         checkNotNull(value);
         checkNotNull(revision);
     }
+
+    /** Returns the size of the key and the value, in bytes. */
+    long sizeBytes() {
+        return key.length() + (long) value.size();
+    }
 }
--- a/router/src/main/java/baobabcroft/replica/StorePoller.java
+++ b/router/src/main/java/baobabcroft/replica/StorePoller.java
@@ -5,6 +5,7 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.external.Backoff;
 import baobabcroft.replica.StoreCalls.Changes;
+import baobabcroft.replica.StoreCalls.ChangesTooLarge;
 import baobabcroft.replica.StoreCalls.Freshness;
 import baobabcroft.replica.StoreCalls.HistoryGone;
 import baobabcroft.replica.StoreCalls.NoReply;
@@ -36,6 +37,9 @@
     /** Delay between the first read and the first watch, in which another instance may be found to follow. */
     private static final long FIRST_WATCH_DELAY_MILLIS = 600;
 
+    /** Changes up to this size are received even if all keys together are smaller. */
+    private static final long MIN_CHANGES_BYTES = 64 << 10;
+
     private static final long MIN_BACKOFF_MILLIS = 100;
     private static final long MAX_BACKOFF_MILLIS = 1_000;
     /** Delays after failures while another instance is followed that has no contact with the store either. */
@@ -214,7 +218,9 @@
         StoreRevision after = replica.position();
         long waitMillis = responding ? WATCH_ROUND_MILLIS - BATCH_MILLIS : CONFIRMATION_WAIT_MILLIS;
         long sentAtMillis = nowMillis.getAsLong();
-        calls.watch(after.number(), waitMillis, reply -> {
+        // A watch returns each value since, however often it was replaced; a read returns the newest ones only.
+        long maxBytes = Math.max(MIN_CHANGES_BYTES, replica.sizeBytes());
+        calls.watch(after.number(), waitMillis, maxBytes, reply -> {
             if (call == loop && isRunning()) {
                 onWatched(after, reply, sentAtMillis, waitMillis);
             }
@@ -227,7 +233,7 @@
             return;
         }
         onResponse();
-        if (reply instanceof HistoryGone) {
+        if (reply instanceof HistoryGone || reply instanceof ChangesTooLarge) {
             readAll(Freshness.CURRENT);
             return;
         }
