Compress long changes once for all followers

Changes of 2 KB and more are sent in zlib format, compressed once for all followers that lack the same ones: `KeyReplica` keeps what it last computed for each position until a key changes, and `FeedEncoder` what it encoded for that list.

Weighed: only the difference to the follower's version (shorter still, but the source has to keep former versions, and an own format), followers that read large values at the store (a call each for each version).

--- a/router/src/main/java/baobabcroft/feed/FeedServer.java
+++ b/router/src/main/java/baobabcroft/feed/FeedServer.java
@@ -26,7 +26,9 @@
      */
     public static void start(EventLoopGroup loop, HostAndPort address, ReplicaFeed feed) {
         checkNotNull(feed);
-        NettyChannels.server(loop, () -> FeedCodec.handlers(FeedRequest.getDefaultInstance(), new Connection(feed)))
+        FeedEncoder encoder = new FeedEncoder();
+        NettyChannels.server(
+                        loop, () -> FeedCodec.handlers(FeedRequest.getDefaultInstance(), new Connection(feed, encoder)))
                 .bind(address.getHost(), address.getPort())
                 .syncUninterruptibly();
     }
@@ -34,10 +36,12 @@
     private static final class Connection extends SimpleChannelInboundHandler<FeedRequest>
             implements ReplicaFeed.Subscriber {
         private final ReplicaFeed feed;
+        private final FeedEncoder encoder;
         private ChannelHandlerContext context;
 
-        private Connection(ReplicaFeed feed) {
+        private Connection(ReplicaFeed feed, FeedEncoder encoder) {
             this.feed = feed;
+            this.encoder = encoder;
         }
 
         @Override
@@ -55,7 +59,7 @@
 
         @Override
         public void send(FeedUpdate update) {
-            context.writeAndFlush(FeedCodec.toMessage(update));
+            context.writeAndFlush(encoder.encode(update));
         }
 
         @Override
--- a/router/src/main/java/baobabcroft/feed/proto/Feed.java
+++ b/router/src/main/java/baobabcroft/feed/proto/Feed.java
@@ -36,6 +36,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_baobabcroft_feed_FeedMessage_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_baobabcroft_feed_FeedChanges_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_baobabcroft_feed_FeedChanges_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_baobabcroft_feed_FeedChange_descriptor;
   static final 
@@ -52,13 +57,16 @@
     java.lang.String[] descriptorData = {
       "\n\nfeed.proto\022\020baobabcroft.feed\">\n\013FeedRe" +
       "quest\022\020\n\010instance\030\001 \001(\t\022\013\n\003era\030\002 \001(\003\022\020\n\010" +
-      "revision\030\003 \001(\003\"\222\001\n\013FeedMessage\022\013\n\003era\030\001 " +
+      "revision\030\003 \001(\003\"\256\001\n\013FeedMessage\022\013\n\003era\030\001 " +
       "\001(\003\022\020\n\010revision\030\002 \001(\003\022\020\n\010complete\030\003 \001(\010\022" +
       "-\n\007changes\030\004 \003(\0132\034.baobabcroft.feed.Feed" +
       "Change\022\017\n\007contact\030\005 \001(\010\022\022\n\nage_millis\030\006 " +
-      "\001(\003\"K\n\nFeedChange\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030" +
-      "\002 \001(\014\022\017\n\007removed\030\003 \001(\010\022\020\n\010revision\030\004 \001(\003" +
-      "B\032\n\026baobabcroft.feed.protoP\001b\006proto3"
+      "\001(\003\022\032\n\022compressed_changes\030\007 \001(\014\"<\n\013FeedC" +
+      "hanges\022-\n\007changes\030\001 \003(\0132\034.baobabcroft.fe" +
+      "ed.FeedChange\"K\n\nFeedChange\022\013\n\003key\030\001 \001(\t" +
+      "\022\r\n\005value\030\002 \001(\014\022\017\n\007removed\030\003 \001(\010\022\020\n\010revi" +
+      "sion\030\004 \001(\003B\032\n\026baobabcroft.feed.protoP\001b\006" +
+      "proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -75,9 +83,15 @@
     internal_static_baobabcroft_feed_FeedMessage_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_feed_FeedMessage_descriptor,
-        new java.lang.String[] { "Era", "Revision", "Complete", "Changes", "Contact", "AgeMillis", });
-    internal_static_baobabcroft_feed_FeedChange_descriptor =
+        new java.lang.String[] { "Era", "Revision", "Complete", "Changes", "Contact", "AgeMillis", "CompressedChanges", });
+    internal_static_baobabcroft_feed_FeedChanges_descriptor =
       getDescriptor().getMessageType(2);
+    internal_static_baobabcroft_feed_FeedChanges_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_baobabcroft_feed_FeedChanges_descriptor,
+        new java.lang.String[] { "Changes", });
+    internal_static_baobabcroft_feed_FeedChange_descriptor =
+      getDescriptor().getMessageType(3);
     internal_static_baobabcroft_feed_FeedChange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_feed_FeedChange_descriptor,
--- a/router/src/main/java/baobabcroft/feed/proto/FeedMessage.java
+++ b/router/src/main/java/baobabcroft/feed/proto/FeedMessage.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Any further message: changes of the store's keys, or a heartbeat without changes.
+ * The response to a request: changes of the store's keys, or a heartbeat without changes.
  * </pre>
  *
  * Protobuf type {@code baobabcroft.feed.FeedMessage}
@@ -33,6 +33,7 @@
   }
   private FeedMessage() {
     changes_ = java.util.Collections.emptyList();
+    compressedChanges_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -174,7 +175,7 @@
   private long ageMillis_ = 0L;
   /**
    * <pre>
-   * Time since the store last answered, in milliseconds.
+   * Age of the sender's view of the store, in milliseconds.
    * </pre>
    *
    * <code>int64 age_millis = 6;</code>
@@ -185,6 +186,21 @@
     return ageMillis_;
   }
 
+  public static final int COMPRESSED_CHANGES_FIELD_NUMBER = 7;
+  private com.google.protobuf.ByteString compressedChanges_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * Serialized FeedChanges in zlib format; used instead of `changes` if that is shorter.
+   * </pre>
+   *
+   * <code>bytes compressed_changes = 7;</code>
+   * @return The compressedChanges.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getCompressedChanges() {
+    return compressedChanges_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -217,6 +233,9 @@
     if (ageMillis_ != 0L) {
       output.writeInt64(6, ageMillis_);
     }
+    if (!compressedChanges_.isEmpty()) {
+      output.writeBytes(7, compressedChanges_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -255,6 +274,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(6, ageMillis_);
     }
+    if (!compressedChanges_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(7, compressedChanges_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -282,6 +305,8 @@
         != other.getContact()) return false;
     if (getAgeMillis()
         != other.getAgeMillis()) return false;
+    if (!getCompressedChanges()
+        .equals(other.getCompressedChanges())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -312,6 +337,8 @@
     hash = (37 * hash) + AGE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getAgeMillis());
+    hash = (37 * hash) + COMPRESSED_CHANGES_FIELD_NUMBER;
+    hash = (53 * hash) + getCompressedChanges().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -411,7 +438,7 @@
   }
   /**
    * <pre>
-   * Any further message: changes of the store's keys, or a heartbeat without changes.
+   * The response to a request: changes of the store's keys, or a heartbeat without changes.
    * </pre>
    *
    * Protobuf type {@code baobabcroft.feed.FeedMessage}
@@ -459,6 +486,7 @@
       bitField0_ = (bitField0_ & ~0x00000008);
       contact_ = false;
       ageMillis_ = 0L;
+      compressedChanges_ = com.google.protobuf.ByteString.EMPTY;
       return this;
     }
 
@@ -520,6 +548,9 @@
       if (((from_bitField0_ & 0x00000020) != 0)) {
         result.ageMillis_ = ageMillis_;
       }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.compressedChanges_ = compressedChanges_;
+      }
     }
 
     @java.lang.Override
@@ -575,6 +606,9 @@
       if (other.getAgeMillis() != 0L) {
         setAgeMillis(other.getAgeMillis());
       }
+      if (!other.getCompressedChanges().isEmpty()) {
+        setCompressedChanges(other.getCompressedChanges());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -639,6 +673,11 @@
               bitField0_ |= 0x00000020;
               break;
             } // case 48
+            case 58: {
+              compressedChanges_ = input.readBytes();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 58
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1135,7 +1174,7 @@
     private long ageMillis_ ;
     /**
      * <pre>
-     * Time since the store last answered, in milliseconds.
+     * Age of the sender's view of the store, in milliseconds.
      * </pre>
      *
      * <code>int64 age_millis = 6;</code>
@@ -1147,7 +1186,7 @@
     }
     /**
      * <pre>
-     * Time since the store last answered, in milliseconds.
+     * Age of the sender's view of the store, in milliseconds.
      * </pre>
      *
      * <code>int64 age_millis = 6;</code>
@@ -1163,7 +1202,7 @@
     }
     /**
      * <pre>
-     * Time since the store last answered, in milliseconds.
+     * Age of the sender's view of the store, in milliseconds.
      * </pre>
      *
      * <code>int64 age_millis = 6;</code>
@@ -1176,6 +1215,50 @@
       return this;
     }
 
+    private com.google.protobuf.ByteString compressedChanges_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * Serialized FeedChanges in zlib format; used instead of `changes` if that is shorter.
+     * </pre>
+     *
+     * <code>bytes compressed_changes = 7;</code>
+     * @return The compressedChanges.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getCompressedChanges() {
+      return compressedChanges_;
+    }
+    /**
+     * <pre>
+     * Serialized FeedChanges in zlib format; used instead of `changes` if that is shorter.
+     * </pre>
+     *
+     * <code>bytes compressed_changes = 7;</code>
+     * @param value The compressedChanges to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCompressedChanges(com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      compressedChanges_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Serialized FeedChanges in zlib format; used instead of `changes` if that is shorter.
+     * </pre>
+     *
+     * <code>bytes compressed_changes = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCompressedChanges() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      compressedChanges_ = getDefaultInstance().getCompressedChanges();
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.feed.FeedMessage)
   }
 
--- a/router/src/main/java/baobabcroft/feed/proto/FeedMessageOrBuilder.java
+++ b/router/src/main/java/baobabcroft/feed/proto/FeedMessageOrBuilder.java
@@ -92,11 +92,21 @@
 
   /**
    * <pre>
-   * Time since the store last answered, in milliseconds.
+   * Age of the sender's view of the store, in milliseconds.
    * </pre>
    *
    * <code>int64 age_millis = 6;</code>
    * @return The ageMillis.
    */
   long getAgeMillis();
+
+  /**
+   * <pre>
+   * Serialized FeedChanges in zlib format; used instead of `changes` if that is shorter.
+   * </pre>
+   *
+   * <code>bytes compressed_changes = 7;</code>
+   * @return The compressedChanges.
+   */
+  com.google.protobuf.ByteString getCompressedChanges();
 }
--- a/router/src/main/java/baobabcroft/feed/proto/FeedRequest.java
+++ b/router/src/main/java/baobabcroft/feed/proto/FeedRequest.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * First message of a connection, from the instance that wants to follow another one.
+ * Request for one update, from the instance that follows another one or wants to.
  * </pre>
  *
  * Protobuf type {@code baobabcroft.feed.FeedRequest}
@@ -308,7 +308,7 @@
   }
   /**
    * <pre>
-   * First message of a connection, from the instance that wants to follow another one.
+   * Request for one update, from the instance that follows another one or wants to.
    * </pre>
    *
    * Protobuf type {@code baobabcroft.feed.FeedRequest}
--- a/router/src/main/java/baobabcroft/replica/KeyReplica.java
+++ b/router/src/main/java/baobabcroft/replica/KeyReplica.java
@@ -35,8 +35,14 @@
     /** All deletions after this revision number are in {@code deletions}. */
     private long deletionsKnownAfter;
 
+    /** What replicas at other positions lack, as last computed; empty after a change. */
+    private final Map<StoreRevision, Difference> differences = new HashMap<>();
+
     private record Deletion(String key, StoreRevision revision) {}
 
+    /** The changes since a position, or the complete contents. */
+    private record Difference(boolean complete, ImmutableList<KeyChange> changes) {}
+
     KeyReplica(ReplicaListener listener) {
         this.listener = checkNotNull(listener);
     }
@@ -92,6 +98,7 @@
     private void startEra(StoreRevision at, Collection<StoreEntry> contents) {
         Map<String, StoreEntry> former = new HashMap<>(entries);
         entries.clear();
+        differences.clear();
         sizeBytes = 0;
         deletions.clear();
         newest = at;
@@ -169,6 +176,7 @@
 
     private void store(StoreEntry entry) {
         StoreEntry former = entries.put(entry.key(), entry);
+        differences.clear();
         sizeBytes += entry.sizeBytes() - (former == null ? 0 : former.sizeBytes());
         noteRevision(entry.revision());
         listener.onPut(entry);
@@ -185,6 +193,7 @@
         if (former == null) {
             return;
         }
+        differences.clear();
         sizeBytes -= former.sizeBytes();
         deletions.addLast(new Deletion(key, revision));
         noteRevision(revision);
@@ -195,7 +204,7 @@
     }
 
     /**
-     * Returns what a replica at another position lacks.
+     * Returns what a replica at another position lacks. Updates for the same position share their changes.
      *
      * @param from position of the other replica
      * @param contact whether the store answered the last call
@@ -206,6 +215,11 @@
         if (!newest.isAfter(from)) {
             return new FeedUpdate(position, false, ImmutableList.of(), contact, ageMillis);
         }
+        Difference difference = differences.computeIfAbsent(from, this::differenceSince);
+        return new FeedUpdate(position, difference.complete(), difference.changes(), contact, ageMillis);
+    }
+
+    private Difference differenceSince(StoreRevision from) {
         boolean changesKnown = from.era() == position.era() && from.number() >= deletionsKnownAfter;
         List<KeyChange> changes = new ArrayList<>();
         for (StoreEntry entry : entries.values()) {
@@ -220,7 +234,7 @@
                             changes.add(new KeyChange(deletion.key(), Optional.empty(), deletion.revision())));
         }
         changes.sort((one, other) -> one.revision().compareTo(other.revision()));
-        return new FeedUpdate(position, !changesKnown, ImmutableList.copyOf(changes), contact, ageMillis);
+        return new Difference(!changesKnown, ImmutableList.copyOf(changes));
     }
 
     /** Applies an update of another instance; returns false if it is older than the replica and was ignored. */
--- a/router/src/test/java/baobabcroft/feed/FeedMessageSizes.java
+++ b/router/src/test/java/baobabcroft/feed/FeedMessageSizes.java
@@ -4,10 +4,10 @@
 
 /** Sizes of the messages of a feed, for simulated links. */
 public final class FeedMessageSizes {
-    private FeedMessageSizes() {}
+    private final FeedEncoder encoder = new FeedEncoder();
 
     /** Returns the bytes that an update takes on a connection. */
-    public static long encodedBytes(FeedUpdate update) {
-        return FeedCodec.toMessage(update).getSerializedSize();
+    public long encodedBytes(FeedUpdate update) {
+        return encoder.encode(update).getSerializedSize();
     }
 }
--- a/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -26,6 +26,7 @@
 
     private final VirtualTime time;
     private final SimulatedStore store;
+    private final FeedMessageSizes messageSizes = new FeedMessageSizes();
     private final Map<String, Instance> instances = new LinkedHashMap<>();
     private final Set<String> frozen = new HashSet<>();
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
@@ -191,7 +192,7 @@
 
         @Override
         public void send(FeedUpdate update) {
-            connection.send(FeedMessageSizes.encodedBytes(update), () -> receive(() -> observer.onUpdate(update)));
+            connection.send(messageSizes.encodedBytes(update), () -> receive(() -> observer.onUpdate(update)));
         }
 
         @Override
