Let the instance with the fastest link read the store for its failure domain

An instance of an earlier release states none and ranks last.

StoreReplicaTest.Following.instanceWithFastestLinkPolls: the fastest polls, and after it is killed the next one.

--- a/router/src/main/java/baobabcroft/instance/InstanceLocation.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceLocation.java
@@ -8,5 +8,7 @@
  * @param address host and port that receive datagrams
  * @param failureDomain failure domain of the instance
  * @param forwardingAddress host and port that take forwarded requests; empty if the instance takes none
+ * @param linkMegabitsPerSecond rate of its network link; 0 if unknown
  */
-record InstanceLocation(String address, String failureDomain, Optional<String> forwardingAddress) {}
+record InstanceLocation(
+        String address, String failureDomain, Optional<String> forwardingAddress, double linkMegabitsPerSecond) {}
--- a/router/src/main/java/baobabcroft/instance/InstanceSettings.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceSettings.java
@@ -18,6 +18,7 @@
  * @param metrics address that serves the metrics
  * @param peers address that receives the datagrams of other instances
  * @param forwarding address that takes requests forwarded by other instances; empty if this instance takes none
+ * @param linkMegabitsPerSecond rate of the network link; 0 if unknown
  * @param keepFromPercent lowest confidence, in percent, with which the answer of a smaller model is used
  * @param maxEndpointPauseMillis longest time for which an endpoint gets no requests because it said so, in milliseconds
  * @param bounds bounds that the contract of the deployment sets
@@ -31,6 +32,7 @@
         HostAndPort metrics,
         HostAndPort peers,
         Optional<HostAndPort> forwarding,
+        double linkMegabitsPerSecond,
         int keepFromPercent,
         long maxEndpointPauseMillis,
         DeploymentBounds bounds) {
@@ -44,6 +46,10 @@
         checkNotNull(metrics);
         checkNotNull(peers);
         checkNotNull(forwarding);
+        checkArgument(
+                linkMegabitsPerSecond >= 0,
+                "linkMegabitsPerSecond negative or not a number: %s",
+                linkMegabitsPerSecond);
         checkArgument(maxEndpointPauseMillis > 0, "maxEndpointPauseMillis not positive: %s", maxEndpointPauseMillis);
         checkNotNull(bounds);
     }
@@ -71,6 +77,7 @@
                 metrics,
                 peers,
                 forwarding,
+                linkMegabitsPerSecond,
                 read.keepFromPercent,
                 read.maxEndpointPauseMillis,
                 changed);
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -160,6 +160,7 @@
         this.storeContents = new StoreContents(storeDialect, routing, endpointList, rollouts, sharedRecords, nowMillis);
         this.store = StoreReplica.create(
                 settings.instance(),
+                settings.linkMegabitsPerSecond(),
                 storeCalls,
                 new FeedClient(loop.next(), settings.instance()),
                 aligned,
@@ -243,7 +244,8 @@
         sharedRecords.publishLocation(new InstanceLocation(
                 settings.peers().toString(),
                 settings.failureDomain(),
-                settings.forwarding().map(HostAndPort::toString)));
+                settings.forwarding().map(HostAndPort::toString),
+                settings.linkMegabitsPerSecond()));
         store.start();
     }
 
@@ -256,7 +258,7 @@
             HostAndPort address = HostAndPort.fromString(location.address());
             noticeExchange.ifPresent(notices -> notices.putPeer(peer, address, location.failureDomain()));
             if (location.failureDomain().equals(settings.failureDomain())) {
-                store.putMember(peer, address);
+                store.putMember(peer, location.linkMegabitsPerSecond(), address);
             }
         }
 
--- a/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
+++ b/router/src/main/java/baobabcroft/instance/SharedRecordCodec.java
@@ -32,6 +32,7 @@
     private static final String ADDRESS = "address";
     private static final String FAILURE_DOMAIN = "failureDomain";
     private static final String FORWARDING_ADDRESS = "forwardingAddress";
+    private static final String LINK_RATE = "linkMegabitsPerSecond";
 
     private final ObjectMapper json = new ObjectMapper();
 
@@ -115,11 +116,15 @@
         ObjectNode document =
                 json.createObjectNode().put(ADDRESS, location.address()).put(FAILURE_DOMAIN, location.failureDomain());
         location.forwardingAddress().ifPresent(address -> document.put(FORWARDING_ADDRESS, address));
+        if (location.linkMegabitsPerSecond() > 0) {
+            document.put(LINK_RATE, location.linkMegabitsPerSecond());
+        }
         return bytes(document);
     }
 
     /**
-     * Returns the location that an instance has published. Earlier releases take no forwarded requests.
+     * Returns the location that an instance has published. Earlier releases take no forwarded requests and state no
+     * rate of their link.
      *
      * @throws IOException if a member is missing or malformed
      */
@@ -130,7 +135,8 @@
                 member(document, FAILURE_DOMAIN).asText(),
                 Optional.of(document.path(FORWARDING_ADDRESS))
                         .filter(JsonNode::isTextual)
-                        .map(JsonNode::asText));
+                        .map(JsonNode::asText),
+                Math.max(0, document.path(LINK_RATE).asDouble(0)));
     }
 
     private JsonNode read(ByteString text) throws IOException {
--- a/router/src/main/java/baobabcroft/replica/SourceSelector.java
+++ b/router/src/main/java/baobabcroft/replica/SourceSelector.java
@@ -6,9 +6,7 @@
 import baobabcroft.external.Backoff;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
-import com.google.common.hash.Hashing;
 import com.google.common.net.HostAndPort;
-import java.nio.charset.StandardCharsets;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Map;
@@ -18,7 +16,7 @@
 /**
  * Chooses the source of the replica: the store itself, or another instance of the failure domain that polls it.
  *
- * <p>The instances are ranked by a hash of their names. Each follows the highest-ranked one that polls the store and is
+ * <p>The instances are ranked by {@link SourceRank}. Each follows the highest-ranked one that polls the store and is
  * up to date, and polls the store itself if there is none above it. There is no agreement: if several poll, or none
  * does for a moment, the only effect is more calls or a delay. An instance without contact to the store also follows
  * lower-ranked ones. Not thread-safe.
@@ -51,7 +49,7 @@
         void onUpdate(FeedUpdate update);
     }
 
-    private final String self;
+    private final SourceRank self;
     private final KeyReplica replica;
     private final ViewAge viewAge;
     private final StorePoller poller;
@@ -66,13 +64,13 @@
 
     /** Another instance of the failure domain. */
     private final class Member {
-        private final String name;
+        private final SourceRank rank;
         private final HostAndPort address;
         private final Backoff penalty = new Backoff(MIN_PENALTY_MILLIS, MAX_PENALTY_MILLIS, () -> 1);
         private long notBeforeMillis = Long.MIN_VALUE;
 
-        private Member(String name, HostAndPort address) {
-            this.name = name;
+        private Member(SourceRank rank, HostAndPort address) {
+            this.rank = rank;
             this.address = address;
         }
 
@@ -143,7 +141,7 @@
     }
 
     SourceSelector(
-            String self,
+            SourceRank self,
             KeyReplica replica,
             ViewAge viewAge,
             StorePoller poller,
@@ -172,10 +170,11 @@
     }
 
     /** Adds an instance of the failure domain, or changes its address. */
-    void putMember(String name, HostAndPort address) {
-        Member known = members.get(name);
-        if (!name.equals(self) && (known == null || !known.address.equals(address))) {
-            members.put(name, new Member(name, address));
+    void putMember(SourceRank rank, HostAndPort address) {
+        Member known = members.get(rank.instance());
+        boolean changed = known == null || !known.address.equals(address) || !known.rank.equals(rank);
+        if (changed && !rank.instance().equals(self.instance())) {
+            members.put(rank.instance(), new Member(rank, address));
         }
     }
 
@@ -204,20 +203,11 @@
 
     private Optional<Member> candidate() {
         boolean anyRank = followed.isEmpty() && !poller.isResponding();
-        String worst = followed.map(session -> session.member.name).orElse(self);
+        SourceRank worst = followed.map(session -> session.member.rank).orElse(self);
         return members.values().stream()
                 .filter(member -> member.notBeforeMillis <= nowMillis.getAsLong())
-                .filter(member -> anyRank || BY_RANK.compare(member.name, worst) < 0)
-                .min(Comparator.comparing(member -> member.name, BY_RANK));
-    }
-
-    private static final Comparator<String> BY_RANK =
-            Comparator.<String>comparingInt(SourceSelector::hash).thenComparing(Comparator.naturalOrder());
-
-    private static int hash(String name) {
-        return Hashing.murmur3_32_fixed()
-                .hashString(name, StandardCharsets.UTF_8)
-                .asInt();
+                .filter(member -> anyRank || member.rank.compareTo(worst) < 0)
+                .min(Comparator.comparing(member -> member.rank));
     }
 
     private void open(Member member) {
@@ -231,7 +221,7 @@
         followed = Optional.of(session);
         tried = Optional.empty();
         session.member.penalty.reset();
-        log.log(LogEvent.REPLICA_SOURCE, session.member.name, replica.position());
+        log.log(LogEvent.REPLICA_SOURCE, session.member.rank.instance(), replica.position());
         contact.onFollowing();
     }
 
@@ -242,7 +232,7 @@
         session.link.close();
         session.member.onFailed();
         if (wasFollowed) {
-            log.log(LogEvent.REPLICA_SOURCE_LOST, session.member.name, reason);
+            log.log(LogEvent.REPLICA_SOURCE_LOST, session.member.rank.instance(), reason);
             scheduler.schedule(poller.isResponding() ? 0 : takeoverDelayMillis(), this::pollUnlessFollowing);
         }
         review();
@@ -251,7 +241,7 @@
     private long takeoverDelayMillis() {
         long ranksAbove = members.values().stream()
                 .filter(member -> member.notBeforeMillis <= nowMillis.getAsLong())
-                .filter(member -> BY_RANK.compare(member.name, self) < 0)
+                .filter(member -> member.rank.compareTo(self) < 0)
                 .count();
         return Math.min(MAX_TAKEOVER_DELAY_MILLIS, TAKEOVER_DELAY_MILLIS_PER_RANK * ranksAbove);
     }
--- a/router/src/main/java/baobabcroft/replica/StoreReplica.java
+++ b/router/src/main/java/baobabcroft/replica/StoreReplica.java
@@ -31,7 +31,7 @@
     private boolean available;
 
     private StoreReplica(
-            String instance,
+            SourceRank self,
             StoreCalls calls,
             FeedTransport transport,
             Scheduler scheduler,
@@ -47,13 +47,14 @@
         this.feed = new ReplicaFeed(replica, poller, viewAge);
         this.ownKeys = new OwnKeys(replica, this, scheduler);
         this.sources = new SourceSelector(
-                instance, replica, viewAge, poller, transport, scheduler, nowMillis, new FollowerContact());
+                self, replica, viewAge, poller, transport, scheduler, nowMillis, new FollowerContact());
     }
 
     /**
      * Returns an empty replica.
      *
      * @param instance name of this instance
+     * @param linkMegabitsPerSecond rate of this instance's network link; 0 if unknown
      * @param calls calls of the store
      * @param transport connects to the feeds of other instances
      * @param scheduler runs timers on the thread of the replica
@@ -64,13 +65,15 @@
      */
     public static StoreReplica create(
             String instance,
+            double linkMegabitsPerSecond,
             StoreCalls calls,
             FeedTransport transport,
             Scheduler scheduler,
             LongSupplier nowMillis,
             DoubleSupplier random,
             ReplicaListener listener) {
-        return new StoreReplica(instance, calls, transport, scheduler, nowMillis, random, listener);
+        SourceRank self = new SourceRank(instance, linkMegabitsPerSecond);
+        return new StoreReplica(self, calls, transport, scheduler, nowMillis, random, listener);
     }
 
     /** Starts reading the store. */
@@ -102,10 +105,11 @@
      * Adds an instance of the same failure domain, whose feed may be followed, or changes its address.
      *
      * @param name name of the instance; this instance itself is ignored
+     * @param linkMegabitsPerSecond rate of its network link; 0 if unknown
      * @param address address of its feed
      */
-    public void putMember(String name, HostAndPort address) {
-        sources.putMember(name, address);
+    public void putMember(String name, double linkMegabitsPerSecond, HostAndPort address) {
+        sources.putMember(new SourceRank(name, linkMegabitsPerSecond), address);
     }
 
     /**
--- a/router/src/test/java/baobabcroft/fake/SimulatedLink.java
+++ b/router/src/test/java/baobabcroft/fake/SimulatedLink.java
@@ -14,17 +14,22 @@
     private static final double BYTES_PER_MILLI_OF_MEGABIT = 125;
 
     private final VirtualTime time;
-    private final double bytesPerMilli;
+    private double bytesPerMilli;
     private final long delayMillis;
     private final Deque<Connection> sending = new ArrayDeque<>();
     private double freeAtMillis;
     private boolean busy;
 
     public SimulatedLink(VirtualTime time, double megabitsPerSecond, long delayMillis) {
-        checkArgument(megabitsPerSecond > 0, "megabitsPerSecond not positive: %s", megabitsPerSecond);
         this.time = time;
-        this.bytesPerMilli = megabitsPerSecond * BYTES_PER_MILLI_OF_MEGABIT;
         this.delayMillis = delayMillis;
+        setRate(megabitsPerSecond);
+    }
+
+    /** Changes the rate from the next segment on. */
+    public void setRate(double megabitsPerSecond) {
+        checkArgument(megabitsPerSecond > 0, "megabitsPerSecond not positive: %s", megabitsPerSecond);
+        bytesPerMilli = megabitsPerSecond * BYTES_PER_MILLI_OF_MEGABIT;
     }
 
     /** Opens a connection over the link. */
--- a/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
+++ b/router/src/test/java/baobabcroft/instance/SharedRecordCodecTest.java
@@ -27,7 +27,8 @@
                 ImmutableSetMultimap.of("digest", "e-1#5", "digest", "e-2#6"),
                 ImmutableSetMultimap.of("part", "e-1#5"),
                 ImmutableSetMultimap.of("other", "e-1#5"));
-        InstanceLocation location = new InstanceLocation("10.0.0.1:7000", "north-a", Optional.of("10.0.0.1:7001"));
+        InstanceLocation location =
+                new InstanceLocation("10.0.0.1:7000", "north-a", Optional.of("10.0.0.1:7001"), 10.5);
 
         assertEquals(rollout, codec.decodeRollout(codec.encode(rollout)));
         assertEquals(crashes, codec.decodeCrashes(codec.encode(crashes)));
--- a/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
@@ -184,6 +184,7 @@
             FeedTransport noFeed = (address, position, observer) -> FeedTransport.Link.NONE;
             replica = StoreReplica.create(
                     name,
+                    0,
                     store.callsOfInstance(name),
                     noFeed,
                     time.scheduler(),
@@ -194,7 +195,7 @@
                     replica,
                     dialect.rolloutStatusWriter(replica),
                     new SharedStoreRecords.Receivers(rollouts, crashes, new NoPeers()));
-            records.publishLocation(new InstanceLocation("127.0.0.1:1", "here", Optional.empty()));
+            records.publishLocation(new InstanceLocation("127.0.0.1:1", "here", Optional.empty(), 0));
             replica.start();
             tick(rollouts, time);
         }
--- a/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -28,6 +28,9 @@
     private final SimulatedStore store;
     private final FeedMessageSizes messageSizes = new FeedMessageSizes();
     private final Map<String, Instance> instances = new LinkedHashMap<>();
+    /** By name of the instance, also of one that was killed. */
+    private final Map<String, Double> linkRates = new HashMap<>();
+
     private final Set<String> frozen = new HashSet<>();
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(11);
 
@@ -51,6 +54,7 @@
             this.outgoing = new SimulatedLink(time, linkMegabitsPerSecond, MESSAGE_MILLIS);
             this.replica = StoreReplica.create(
                     name,
+                    linkMegabitsPerSecond,
                     store.callsOfInstance(name, new SimulatedLink(time, linkMegabitsPerSecond, 0)),
                     (address, position, observer) -> connect(this, address, position, observer),
                     (delayMillis, task) -> time.scheduler().schedule(delayMillis, () -> run(task)),
@@ -94,7 +98,7 @@
             events.add("put " + entry.key() + "=" + entry.value().toStringUtf8());
             if (entry.key().startsWith(PRESENCE)) {
                 String member = entry.key().substring(PRESENCE.length());
-                replica.putMember(member, address(member));
+                replica.putMember(member, linkRates.getOrDefault(member, 0.0), address(member));
             }
         }
 
@@ -133,6 +137,7 @@
     }
 
     Instance start(String name, double linkMegabitsPerSecond) {
+        linkRates.put(name, linkMegabitsPerSecond);
         Instance instance = new Instance(name, linkMegabitsPerSecond);
         instances.put(name, instance);
         instance.replica.putOwnKey(PRESENCE + name, ByteString.copyFromUtf8(name));
@@ -147,6 +152,11 @@
         instance.replica.feed().endAll("killed");
     }
 
+    /** Limits what an instance sends from now on, also on its open connections. */
+    void slowOutgoingLink(Instance instance, double megabitsPerSecond) {
+        instance.outgoing.setRate(megabitsPerSecond);
+    }
+
     void freeze(Instance instance) {
         frozen.add(instance.name);
     }
--- a/router/src/test/java/baobabcroft/replica/StoreReplicaTest.java
+++ b/router/src/test/java/baobabcroft/replica/StoreReplicaTest.java
@@ -279,6 +279,24 @@
             assertTrue(store.calls() - before < 16 * 60 / 4.0, "calls: " + (store.calls() - before));
         }
 
+        /** A source sends everything to all others of its failure domain, so its link decides how long that takes. */
+        @Test
+        void instanceWithFastestLinkPolls() {
+            startFleet(8);
+            Instance fast = fleet.start("fast", 20_000);
+            Instance faster = fleet.start("faster", 30_000);
+            time.advance(10_000);
+            assertEquals(List.of(faster), fleet.polling());
+
+            fleet.kill(faster);
+            time.advance(10_000);
+            assertEquals(List.of(fast), fleet.polling());
+
+            fleet.kill(fast);
+            time.advance(10_000);
+            assertEquals(1, fleet.polling().size());
+        }
+
         @Test
         void restartedInstanceReadsStaleAndFollows() {
             List<Instance> instances = startFleet(8);
