Take a source whose view of the store is old for one without contact

Callers of followers would see CONFIG and DRAIN broken as long as their source hears anything from the store: a follower took every message of its source for contact with the store, however old the view was that the message carried. Since responses may take long as long as something arrives, a source on a full link has contact and knows nothing new. Class of fault: a sign of life taken for progress.

A source that states a view older than 2.2 s (a watch confirms it within 2.1 s) counts as without contact: its followers read the store themselves after 0.7 s, and leave it once the store answers them. The loss of contact is sent to followers at once instead of with the next heartbeat, and 0.7 s are counted by the clock instead of at the next message. A call of the store ends at ten times its longest silence in any case.

--- a/router/src/main/java/baobabcroft/front/PooledHttpClient.java
+++ b/router/src/main/java/baobabcroft/front/PooledHttpClient.java
@@ -41,6 +41,9 @@
     private static final int MAX_RESPONSE_BYTES = 8 << 20;
 
     private static final int MAX_IDLE_CONNECTIONS = 2;
+    /** Longest time of a call, as a multiple of the longest silence, for a server that sends a little at a time. */
+    private static final int MAX_CALL_SILENCES = 10;
+
     private static final byte[] NO_BODY = {};
 
     private final EventLoop eventLoop;
@@ -182,6 +185,7 @@
         private Channel channel;
         private Call call;
         private ScheduledFuture<?> timeout;
+        private ScheduledFuture<?> deadline;
 
         private Connection(boolean reusable) {
             this.reusable = reusable;
@@ -195,6 +199,8 @@
         private void send(Call newCall) {
             call = newCall;
             restartTimeout();
+            deadline = eventLoop.schedule(
+                    () -> fail("deadline"), MAX_CALL_SILENCES * call.silenceMillis(), TimeUnit.MILLISECONDS);
             channel.writeAndFlush(call.request());
         }
 
@@ -223,9 +229,7 @@
                 fail("malformed response");
                 return;
             }
-            timeout.cancel(false);
-            Consumer<Result> pendingCallback = call.callback();
-            call = null;
+            Consumer<Result> pendingCallback = takeCallback();
             if (reusable && HttpUtil.isKeepAlive(response) && idleConnections.size() < MAX_IDLE_CONNECTIONS) {
                 idleConnections.addLast(this);
             } else {
@@ -246,13 +250,18 @@
             idleConnections.remove(this);
             channel.close();
             if (call != null) {
-                timeout.cancel(false);
-                Consumer<Result> pendingCallback = call.callback();
-                call = null;
-                pendingCallback.accept(result);
+                takeCallback().accept(result);
             }
         }
 
+        private Consumer<Result> takeCallback() {
+            timeout.cancel(false);
+            deadline.cancel(false);
+            Consumer<Result> pendingCallback = call.callback();
+            call = null;
+            return pendingCallback;
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             fail("connection closed");
--- a/router/src/main/java/baobabcroft/replica/SourceSelector.java
+++ b/router/src/main/java/baobabcroft/replica/SourceSelector.java
@@ -28,6 +28,11 @@
     private static final long SILENCE_MILLIS = 1_600;
     /** Time without contact of a followed instance to the store after which this instance calls the store itself. */
     private static final long MAX_NO_CONTACT_MILLIS = 700;
+    /**
+     * Age of a followed instance's view of the store above which it counts as without contact. A view that a watch
+     * confirms is at most 2.1 s old.
+     */
+    private static final long MAX_VIEW_AGE_MILLIS = 2_200;
     /** Shortest and longest time in which an instance that cannot be followed is not tried again. */
     private static final long MIN_PENALTY_MILLIS = 400;
 
@@ -45,8 +50,8 @@
         /** Called when an instance is followed from now on. */
         void onFollowing();
 
-        /** Called for each update of the followed instance. */
-        void onUpdate(FeedUpdate update);
+        /** Called for each update of the followed instance, with whether that has contact with the store. */
+        void onUpdate(boolean hasContact);
     }
 
     private final SourceRank self;
@@ -106,7 +111,7 @@
                 return;
             }
             heardAtMillis = nowMillis.getAsLong();
-            hasContact = update.contact();
+            hasContact = update.contact() && update.ageMillis() <= MAX_VIEW_AGE_MILLIS;
             contactAtMillis = hasContact ? heardAtMillis : contactAtMillis;
             if (!replica.applyUpdate(update)) {
                 end(this, "feed out of date");
@@ -117,7 +122,7 @@
                     follow(this);
                 }
                 viewAge.confirm(requestedAtMillis - update.ageMillis());
-                contact.onUpdate(update);
+                contact.onUpdate(hasContact);
                 pollIfWithoutContact();
                 requestedAtMillis = heardAtMillis;
                 link.request(replica.position());
@@ -127,7 +132,7 @@
         private void pollIfWithoutContact() {
             if (hasContact) {
                 poller.stop();
-            } else if (poller.isRunning() || heardAtMillis - contactAtMillis > MAX_NO_CONTACT_MILLIS) {
+            } else if (poller.isRunning() || nowMillis.getAsLong() - contactAtMillis > MAX_NO_CONTACT_MILLIS) {
                 poller.start(StorePoller.Role.STANDBY);
             }
         }
@@ -196,6 +201,7 @@
         long silentSince = nowMillis.getAsLong() - SILENCE_MILLIS;
         followed.filter(session -> session.heardAtMillis < silentSince).ifPresent(session -> end(session, "silent"));
         tried.filter(session -> session.heardAtMillis < silentSince).ifPresent(session -> end(session, "no reply"));
+        followed.filter(session -> !session.hasContact).ifPresent(Session::pollIfWithoutContact);
         if (tried.isEmpty() && replica.isLoaded()) {
             candidate().ifPresent(this::open);
         }
--- a/router/src/main/java/baobabcroft/replica/StoreReplica.java
+++ b/router/src/main/java/baobabcroft/replica/StoreReplica.java
@@ -217,14 +217,15 @@
         @Override
         public void onFailure(String reason) {
             onContactLost(reason);
+            publish();
         }
     }
 
     /** Contact with the store by way of a followed instance. */
     private final class FollowerContact implements SourceSelector.Contact {
         @Override
-        public void onUpdate(FeedUpdate update) {
-            if (update.contact()) {
+        public void onUpdate(boolean hasContact) {
+            if (hasContact) {
                 onContact();
             } else {
                 onContactLost("the followed instance has no contact with the store");
--- a/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -47,15 +47,17 @@
         private final Map<String, String> contents = new HashMap<>();
         private final List<Runnable> whileFrozen = new ArrayList<>();
         private final SimulatedLink outgoing;
+        private final SimulatedLink incoming;
         private boolean stopped;
 
         private Instance(String name, double linkMegabitsPerSecond) {
             this.name = name;
             this.outgoing = new SimulatedLink(time, linkMegabitsPerSecond, MESSAGE_MILLIS);
+            this.incoming = new SimulatedLink(time, linkMegabitsPerSecond, 0);
             this.replica = StoreReplica.create(
                     name,
                     linkMegabitsPerSecond,
-                    store.callsOfInstance(name, new SimulatedLink(time, linkMegabitsPerSecond, 0)),
+                    store.callsOfInstance(name, incoming),
                     (address, position, observer) -> connect(this, address, position, observer),
                     (delayMillis, task) -> time.scheduler().schedule(delayMillis, () -> run(task)),
                     time::nowMillis,
@@ -157,6 +159,11 @@
         instance.outgoing.setRate(megabitsPerSecond);
     }
 
+    /** Limits what an instance receives from the store from now on. */
+    void slowIncomingLink(Instance instance, double megabitsPerSecond) {
+        instance.incoming.setRate(megabitsPerSecond);
+    }
+
     void freeze(Instance instance) {
         frozen.add(instance.name);
     }
--- a/router/src/test/java/baobabcroft/replica/ViewAgeTest.java
+++ b/router/src/test/java/baobabcroft/replica/ViewAgeTest.java
@@ -19,6 +19,11 @@
     /** Time between two changes of a series. */
     private static final long CHANGE_INTERVAL_MILLIS = 330;
 
+    /** The shortest bound of a deployment. */
+    private static final long SHORTEST_BOUND_MILLIS = 3_000;
+    /** Leaves half a second of that bound to requests that have been sent and to waits for a connection. */
+    private static final long MAX_LOST_PATH_MILLIS = 2_500;
+
     private static final long SAMPLE_MILLIS = 10;
     private static final int CHANGES = 12;
     private static final String CONFIGURATION = "configuration";
@@ -114,4 +119,44 @@
 
         assertTrue(oldest <= PROPAGATION_BOUND_MILLIS, "oldest view: " + oldest + " ms");
     }
+
+    /** The source's messages arrive late. */
+    @Test
+    void changeArrivesInTimeWhileOutgoingLinkOfTheSourceIsFull() {
+        startInstances(8, 140, 10);
+        fleet.slowOutgoingLink(fleet.polling().get(0), 0.02);
+        long oldest = oldestViewMillis(CHANGES, 10);
+
+        assertTrue(oldest <= SHORTEST_BOUND_MILLIS, "oldest view: " + oldest + " ms");
+    }
+
+    /**
+     * The source receives the store's responses slowly and sends heartbeats in time. Guards against CONFIG: followers
+     * took any message for contact with the store, however old the view was that it carried.
+     */
+    @Test
+    void changeArrivesInTimeWhileIncomingLinkOfTheSourceIsFull() {
+        startInstances(8, 140, 10);
+        Instance source = fleet.polling().get(0);
+        fleet.slowIncomingLink(source, 0.001);
+        instances.remove(source);
+        long oldest = oldestViewMillis(CHANGES, 10);
+
+        assertTrue(oldest <= SHORTEST_BOUND_MILLIS, "oldest view: " + oldest + " ms");
+    }
+
+    /** The store stops responding to the source at different times of its watch; the others could read it. */
+    @Test
+    void changeArrivesInTimeAfterSourceLostItsPath() {
+        startInstances(8, 140, 10);
+        for (int cut = 0; cut < 6; cut++) {
+            advance(10_000 + 230 * cut);
+            store.cut(fleet.polling().get(0).name());
+            instances.remove(fleet.polling().get(0));
+            write(ENDPOINT, 100 + cut, Integer.toString(100 + cut));
+            advance(SHORTEST_BOUND_MILLIS);
+        }
+
+        assertTrue(oldestMillis <= MAX_LOST_PATH_MILLIS, "oldest view: " + oldestMillis + " ms");
+    }
 }
