Read on after a key of the store that cannot be read

Reported by other operators: another writer left one odd entry among those of the endpoints, and the machines that read the list stopped following it. Here, too: an entry with an empty service name, or a key without an id, threw an IllegalArgumentException from the callback that goes on reading; nothing was read any more, and callers would have been sent to endpoints that were long gone (LOST, DRAIN).

Whatever else a key holds, `StoreContents` logs it (BC3006) and applies the others.

--- a/router/src/main/java/baobabcroft/instance/StoreContents.java
+++ b/router/src/main/java/baobabcroft/instance/StoreContents.java
@@ -60,12 +60,21 @@
 
     @Override
     public void onPut(StoreEntry entry) {
-        dialect.read(entry, this);
+        apply(entry.key(), () -> dialect.read(entry, this));
     }
 
     @Override
     public void onDelete(String key) {
-        dialect.readDeletion(key, this);
+        apply(key, () -> dialect.readDeletion(key, this));
+    }
+
+    /** Applies one key. Whatever is wrong with it, the others hold, and the store is read on. */
+    private void apply(String key, Runnable change) {
+        try {
+            change.run();
+        } catch (RuntimeException unreadable) {
+            log.log(LogEvent.SHARED_KEY_UNREADABLE, key, unreadable.toString());
+        }
     }
 
     @Override
