Keep what has no event id out of streams of events with ids

Looked for here: answers with the status of a failure never reach a stream that has begun (test added, passed before). An answer with the status of a success did: an event without an id was taken for the next one wherever it came, so "overloaded", a whole response head or "data: overloaded" became part of the stream, which then ended as complete.

Once an event of a stream has had an id, one without an id that is not a comment breaks the attempt off as malformed, and the stream goes on elsewhere or is broken off for the caller. The own interface resumes no streams.

RelayedStreamTest.Streams.takesNoEventWithoutIdIntoAStreamOfEventsWithIds failed before (the error's text was in the body) and passes now. Open: a successful answer without any event, after which the stream ends, cannot be told from the rest of a stream whose last event had arrived.

--- a/router/src/main/java/baobabcroft/relay/CallerStream.java
+++ b/router/src/main/java/baobabcroft/relay/CallerStream.java
@@ -39,9 +39,12 @@
 
     /** Returns the position of an event relative to the last one that the caller has. */
     Position positionOf(EventSplitter.Event event) {
-        if (event.id().isEmpty() || lastEvent.isEmpty()) {
+        if (lastEvent.isEmpty()) {
             return Position.NEXT;
         }
+        if (event.id().isEmpty()) {
+            return event.isComment() ? Position.NEXT : Position.GAP;
+        }
         long expected = lastEvent.getAsLong() + 1;
         long id = event.id().getAsLong();
         if (id == expected) {
@@ -81,11 +84,11 @@
 
     /** Position of an event relative to the last one that the caller has. */
     enum Position {
-        /** The event directly follows the last one, or has no id to compare. */
+        /** The event directly follows the last one, is a comment, or no event had an id before. */
         NEXT,
         /** The caller already has the event. */
         DUPLICATE,
-        /** Events between the last one and this one are missing. */
+        /** Events between the last one and this one are missing, or it has no id and those before it had. */
         GAP
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EventSplitter.java
+++ b/router/src/main/java/baobabcroft/relay/EventSplitter.java
@@ -9,6 +9,7 @@
 final class EventSplitter {
     private static final byte LINE_FEED = '\n';
     private static final byte CARRIAGE_RETURN = '\r';
+    private static final byte COMMENT = ':';
     private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
     private static final byte[] ID_FIELD = {'i', 'd', ':'};
     /** Longest id that fits into a {@code long} for certain. */
@@ -26,9 +27,10 @@
      * @param bytes the bytes of the event, including the empty line that ends it
      * @param id the event id; empty if there is none or it is not a number
      * @param hasData whether the event carries data; comments and empty events do not
+     * @param isComment whether all lines are comments or empty
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Event(byte[] bytes, OptionalLong id, boolean hasData) {}
+    record Event(byte[] bytes, OptionalLong id, boolean hasData, boolean isComment) {}
 
     /** Adds received bytes and returns the events that they complete, in order. */
     List<Event> feed(byte[] data) {
@@ -79,6 +81,7 @@
     private static Event event(byte[] bytes) {
         OptionalLong id = OptionalLong.empty();
         boolean hasData = false;
+        boolean isComment = true;
         int line = 0;
         while (line < bytes.length) {
             int end = endOfLine(bytes, line);
@@ -86,9 +89,10 @@
                 id = number(bytes, line + ID_FIELD.length, end);
             }
             hasData |= startsWith(bytes, line, end, DATA_FIELD) && hasText(bytes, line + DATA_FIELD.length, end);
+            isComment &= !hasText(bytes, line, end) || bytes[line] == COMMENT;
             line = end + 1;
         }
-        return new Event(bytes, id, hasData);
+        return new Event(bytes, id, hasData, isComment);
     }
 
     private static int endOfLine(byte[] bytes, int from) {
--- a/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
@@ -218,6 +218,40 @@
             assertEquals("id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n", caller.body);
         }
 
+        /** Guards against ORDER and MIXED: the error of the next endpoint would be part of the caller's stream. */
+        @Test
+        void keepsErrorsOfOtherEndpointsOutOfStreamsThatHaveBegun() {
+            for (String error : List.of("overloaded", "id: 2\ndata: overloaded\n\n", "HTTP/1.1 500 Error\r\n\r\n")) {
+                assertBrokenOffAfterFirstEvent(500, error);
+            }
+        }
+
+        /** Guards against ORDER and MIXED: an error that is sent with the status of a success. */
+        @Test
+        void takesNoEventWithoutIdIntoAStreamOfEventsWithIds() {
+            for (String error : List.of("overloaded\n\n", "HTTP/1.1 500 Error\r\n\r\n", "data: overloaded\n\n")) {
+                assertBrokenOffAfterFirstEvent(200, error);
+            }
+        }
+
+        /** A stream breaks off after its first event, and all other endpoints answer with the given error. */
+        private void assertBrokenOffAfterFirstEvent(int status, String error) {
+            RelayFixture fixture = RelayFixture.create();
+            Caller streamCaller = new Caller();
+            fixture.start("/chat/1", streamCaller);
+            fixture.lastRequest().head(200);
+            fixture.lastRequest().event(1);
+            fixture.lastRequest().listener.onFailure(SendFailure.CONNECTION_LOST);
+            for (int answered = 1; answered < fixture.sentRequests.size(); answered++) {
+                fixture.lastRequest().answer(status, error);
+            }
+
+            assertEquals("id: 1\ndata: piece 1\n\n", streamCaller.body);
+            assertFalse(streamCaller.ended);
+            assertTrue(streamCaller.aborted);
+            assertEquals(1, streamCaller.answers);
+        }
+
         @Test
         void resumesAtAnotherEndpointWhenEventsAreMissing() {
             relay.start("/chat/1", caller);
