--- a/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
+++ b/router/src/main/java/baobabcroft/relay/AnswerMetadata.java
@@ -8,7 +8,8 @@
 /**
  * Values read from the status and headers of an endpoint's answer.
  *
- * @param notRun whether the endpoint states that it has not run the request
+ * @param notRun whether the endpoint states that it has not run this request
+ * @param promisesNotRun whether callers would take the status for a promise that the request has not run
  * @param otherEndpoint whether the endpoint is not the one that the request was addressed to
  * @param stamped whether the answer carries the endpoint's response stamp; a success without it is malformed
  * @param encoded whether the body has a content encoding, which endpoints do not apply; such a success is malformed
@@ -20,6 +21,7 @@
  */
 public record AnswerMetadata(
         boolean notRun,
+        boolean promisesNotRun,
         boolean otherEndpoint,
         boolean stamped,
         boolean encoded,
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -238,6 +238,10 @@
             owner.onFailed(this, Execution.NOT_RUN);
             return;
         }
+        if (answer.promisesNotRun()) {
+            onFailure(SendFailure.REJECTION_UNPROVEN);
+            return;
+        }
         boolean success = status >= 200 && status < 300;
         if (success && (!answer.stamped() || answer.encoded())) {
             onFailure(SendFailure.ANSWER_MALFORMED);
--- a/router/src/main/java/baobabcroft/relay/PeerDialect.java
+++ b/router/src/main/java/baobabcroft/relay/PeerDialect.java
@@ -27,6 +27,7 @@
         return new AnswerMetadata(
                 ForwardingHeaders.isRejection(headers),
                 false,
+                false,
                 answer.stamped(),
                 answer.encoded(),
                 OptionalInt.empty(),
--- a/router/src/main/java/baobabcroft/relay/SendFailure.java
+++ b/router/src/main/java/baobabcroft/relay/SendFailure.java
@@ -12,6 +12,8 @@
     CONNECTION_LOST(true),
     /** The answer violates the protocol. */
     ANSWER_MALFORMED(true),
+    /** The answer's status promises that the request has not run, and nothing proves it. */
+    REJECTION_UNPROVEN(true),
     /** The answer exceeds the router's limit on its length. */
     ANSWER_TOO_LARGE(true);
 
--- a/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointAvailabilityTest.java
@@ -267,6 +267,7 @@
 
         private AnswerMetadata answerWithPause(String seconds) {
             return new AnswerMetadata(
+                    true,
                     true,
                     false,
                     true,
@@ -394,7 +395,16 @@
 
         private AnswerMetadata answerWithLimit(Optional<String> limit) {
             return new AnswerMetadata(
-                    false, false, true, false, OptionalInt.empty(), false, Optional.empty(), limit, Optional.empty());
+                    false,
+                    false,
+                    false,
+                    true,
+                    false,
+                    OptionalInt.empty(),
+                    false,
+                    Optional.empty(),
+                    limit,
+                    Optional.empty());
         }
 
         @ParameterizedTest
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -202,6 +202,7 @@
                     .orElse(OptionalInt.empty());
             return new AnswerMetadata(
                     headers.first("not-run").isPresent(),
+                    status == 503,
                     false,
                     headers.first("no-receipt").isEmpty(),
                     false,
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -74,6 +74,16 @@
 
     @Nested
     class Refusals {
+        /** Guards against REFUSED and TWICE: the rejection may be a copy of that of an earlier request. */
+        @Test
+        void areNotPassedOnWithoutProofThatTheRequestHasNotRun() {
+            relay.start("/order/1", caller);
+            relay.lastRequest().answer(503, "busy");
+
+            assertEquals(502, caller.status);
+            assertEquals(1, relay.sentRequests.size());
+        }
+
         @Test
         void refusesWithARetryDelayWithoutConfiguration() {
             RelayFixture empty = new RelayFixture();
