--- a/router/src/main/java/baobabcroft/instance/EndpointListUpdater.java
+++ b/router/src/main/java/baobabcroft/instance/EndpointListUpdater.java
@@ -20,8 +20,9 @@
  * Applies the platform's endpoint list to the directory.
  *
  * <p>An endpoint that disappears from the list around a loss of contact with the store is removed with a delay, because
- * live endpoints register again after an outage; until then it counts as missing. When the store has returned from a copy, entries in its first contents that are older than
- * what is known are ignored: an endpoint that was leaving or gone does not receive requests again. Not thread-safe.
+ * live endpoints register again after an outage; until then it counts as missing. When the store has returned from a
+ * copy, entries in its first contents that are older than what is known are ignored: an endpoint that was leaving or
+ * gone does not receive requests again. Not thread-safe.
  */
 public final class EndpointListUpdater {
     /** Time after an outage of the store in which live endpoints register again. */
--- a/router/src/main/java/baobabcroft/replica/SourceRank.java
+++ b/router/src/main/java/baobabcroft/replica/SourceRank.java
@@ -14,7 +14,6 @@
  * @param linkMegabitsPerSecond rate of its network link; 0 if unknown
  */
 record SourceRank(String instance, double linkMegabitsPerSecond) implements Comparable<SourceRank> {
-    /** Validates the components. */
     SourceRank {
         checkArgument(
                 linkMegabitsPerSecond >= 0,
