--- a/router/src/test/java/baobabcroft/replica/ViewAgeTest.java
+++ b/router/src/test/java/baobabcroft/replica/ViewAgeTest.java
@@ -61,8 +61,8 @@
         }
 
         /**
-         * The source receives the store's responses slowly and sends heartbeats in time. Guards against CONFIG: followers
-         * took any message for contact with the store, however old the view was that it carried.
+         * The source receives the store's responses slowly and sends heartbeats in time. Guards against CONFIG:
+         * followers took any message for contact with the store, however old the view was that it carried.
          */
         @Test
         void areLeftWhileTheirIncomingLinkIsFull() {
--- a/standins/src/main/java/baobabcroft/standin/StandinMain.java
+++ b/standins/src/main/java/baobabcroft/standin/StandinMain.java
@@ -1,6 +1,8 @@
 package baobabcroft.standin;
 
 import baobabcroft.experiment.ExperimentCommand;
+import baobabcroft.ledger.DaysCommand;
+import baobabcroft.ledger.LedgerCommand;
 import baobabcroft.load.LoadCommands;
 import com.google.common.collect.ImmutableSortedMap;
 import java.util.Arrays;
@@ -12,9 +14,11 @@
     private static final ImmutableSortedMap<String, Command> COMMANDS =
             ImmutableSortedMap.<String, Command>naturalOrder()
                     .put("all", ServeCommands::all)
+                    .put("days", DaysCommand::run)
                     .put("engine", ServeCommands::engine)
                     .put("experiment", ExperimentCommand::run)
                     .put("kv", ServeCommands::keyValue)
+                    .put("ledger", LedgerCommand::run)
                     .put("load", LoadCommands::load)
                     .put("overhead", LoadCommands::overhead)
                     .put("live-list", ServeCommands::liveList)
