--- a/standins/src/main/java/baobabcroft/ledger/LedgerCommand.java
+++ b/standins/src/main/java/baobabcroft/ledger/LedgerCommand.java
@@ -80,7 +80,6 @@
             }
         }
         out.println();
-        out.println(
-                "The journal does not say when the disturbances of a day began, and no kinds of days that were varied.");
+        out.println("The journal does not say when the disturbances of a day began, nor the kinds of varied days.");
     }
 }
