--- a/soak/src/main/java/baobabcroft/soak/Configuration.java
+++ b/soak/src/main/java/baobabcroft/soak/Configuration.java
@@ -1,6 +1,8 @@
 package baobabcroft.soak;
 
 import java.util.Locale;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /** The operators' configuration of a run. */
 final class Configuration {
@@ -17,8 +19,9 @@
      * @param version number of the configuration
      * @param service name of the service
      * @param withdrawn whether the callers' key is not among the keys
+     * @param otherRoutes number of routes that no caller uses
      */
-    static String text(int version, String service, boolean withdrawn) {
+    static String text(int version, String service, boolean withdrawn, int otherRoutes) {
         return String.format(
                 Locale.ROOT,
                 """
@@ -28,13 +31,27 @@
                  {"name":"lookup","host":"127.0.0.1","path_prefix":"/lookup/","kind":"idempotent","timeout_ms":%1$d,
                   "goal_ms":2000,"priority":1,"service":"%2$s","attempts":3},
                  {"name":"order","host":"127.0.0.1","path_prefix":"/order/","kind":"non_idempotent","timeout_ms":%1$d,
-                  "goal_ms":2000,"priority":1,"service":"%2$s","attempts":1}],
+                  "goal_ms":2000,"priority":1,"service":"%2$s","attempts":1}%5$s],
                  "services":[{"name":"%2$s","max_conns":64}],
                  "tenants":[{"name":"kamera","api_keys":["%4$s"]}]}
                 """,
                 Callers.TIMEOUT_MILLIS,
                 service,
                 version,
-                withdrawn ? OTHER_KEY : KEY);
+                withdrawn ? OTHER_KEY : KEY,
+                otherRoutes(otherRoutes, service));
+    }
+
+    private static String otherRoutes(int count, String service) {
+        return IntStream.range(0, count)
+                .mapToObj(number -> String.format(
+                        Locale.ROOT,
+                        """
+                        ,{"name":"other-%1$d","host":"other.example","path_prefix":"/%1$d/","kind":"idempotent",
+                          "timeout_ms":6000,"goal_ms":2000,"priority":1,"service":"%2$s","attempts":3,"public":false}
+                        """,
+                        number,
+                        service))
+                .collect(Collectors.joining());
     }
 }
--- a/soak/src/main/java/baobabcroft/soak/FaultKind.java
+++ b/soak/src/main/java/baobabcroft/soak/FaultKind.java
@@ -30,6 +30,8 @@
     ENDPOINT_LEAVING,
     /** The operators withdraw the callers' key, and give it back. */
     KEY_WITHDRAWN,
+    /** The operators write large configurations in series. */
+    CONFIG_SERIES,
     /** Callers send several times as much. */
     BURST;
 
--- a/soak/src/main/java/baobabcroft/soak/InstanceProcess.java
+++ b/soak/src/main/java/baobabcroft/soak/InstanceProcess.java
@@ -52,6 +52,7 @@
                          "regions":{"zone-0":"north","zone-1":"north","zone-2":"south","here":"north"},
                          "listen":{"callers":"127.0.0.1:%d","readiness":"127.0.0.1:%d","metricsPort":%d},
                          "store":{"address":"%s"},"cascade":{"keepFromPercent":50},
+                         "endpoints":{"hostNames":true},
                          "bounds":{"contactMillis":%d,"graceSeconds":8,"retryRatio":0.2,"retrySlack":10,
                           "exposureShare":0.1}}
                         """,
--- a/soak/src/main/java/baobabcroft/soak/LinkProxy.java
+++ b/soak/src/main/java/baobabcroft/soak/LinkProxy.java
@@ -14,17 +14,27 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.traffic.GlobalTrafficShapingHandler;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.function.IntConsumer;
 
-/** The link from one instance to one endpoint, which can be cut. Thread-safe. */
+/**
+ * The link from one instance to one server, which can be cut, and may carry only so much to the instance. Thread-safe.
+ */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or connect closes the channel; the close is handled.
 final class LinkProxy implements AutoCloseable {
+    /** Rate of a link that carries whatever it is given. */
+    static final double UNLIMITED = 0;
+
+    private static final double BYTES_PER_MEGABIT = 125_000;
+    private static final long SHAPING_INTERVAL_MILLIS = 50;
+
     private final EventLoopGroup group;
     private final String host;
     private final int port;
     private final IntConsumer onSenderPort;
+    private final GlobalTrafficShapingHandler shaper;
     private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
     private volatile boolean silent;
     private Channel listener;
@@ -36,13 +46,16 @@
      * @param group runs the channels
      * @param host address of this end
      * @param port port of both ends
+     * @param megabitsPerSecond rate of what the instance receives, over all connections; or {@link #UNLIMITED}
      * @param onSenderPort receives the local port of each connection to the endpoint
      */
-    LinkProxy(EventLoopGroup group, String host, int port, IntConsumer onSenderPort) {
+    LinkProxy(EventLoopGroup group, String host, int port, double megabitsPerSecond, IntConsumer onSenderPort) {
         this.group = group;
         this.host = host;
         this.port = port;
         this.onSenderPort = onSenderPort;
+        this.shaper = new GlobalTrafficShapingHandler(
+                group, (long) (megabitsPerSecond * BYTES_PER_MEGABIT), 0, SHAPING_INTERVAL_MILLIS);
         listen();
     }
 
@@ -64,6 +77,7 @@
 
     private void connect(Channel caller) {
         channels.add(caller);
+        caller.pipeline().addLast(shaper);
         new Bootstrap()
                 .group(caller.eventLoop())
                 .channel(NioSocketChannel.class)
@@ -140,5 +154,6 @@
     public synchronized void close() {
         listener.close();
         channels.close();
+        shaper.release();
     }
 }
--- a/soak/src/main/java/baobabcroft/soak/Rig.java
+++ b/soak/src/main/java/baobabcroft/soak/Rig.java
@@ -5,6 +5,7 @@
 import baobabcroft.standin.platform.PlatformStoreStandin;
 import baobabcroft.testing.FreePorts;
 import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
 import java.io.IOException;
@@ -27,6 +28,10 @@
     private static final PlatformEndpointStandin.Capacity CAPACITY = new PlatformEndpointStandin.Capacity(8, 16, 40);
     private static final int TOLERATED_REJECTIONS = 3;
     private static final long FALL_MILLIS = 3_000;
+    /** Time between two configurations of a series. */
+    private static final long SERIES_INTERVAL_MILLIS = 330;
+
+    private static final int MAX_OTHER_ROUTES = 1_500;
 
     private final LongSupplier nowMillis;
     private final long originNanos;
@@ -36,12 +41,15 @@
     private final List<PlatformEndpointStandin> endpoints = new ArrayList<>();
     private final List<InstanceProcess> instances = new ArrayList<>();
     private final List<List<LinkProxy>> linksByInstance = new ArrayList<>();
+    private final List<LinkProxy> storeLinks = new ArrayList<>();
     private final Map<Integer, Integer> instanceBySenderPort = new ConcurrentHashMap<>();
     private final ConcurrentLinkedQueue<Arrival> arrivals = new ConcurrentLinkedQueue<>();
     private final ConcurrentLinkedQueue<Long> fallsMillis = new ConcurrentLinkedQueue<>();
     private final Scheduling scheduling;
     private int configurations;
     private int withdrawals;
+    private int otherRoutes;
+    private boolean writesSeries;
 
     /** Runs a task once after some time. */
     @FunctionalInterface
@@ -66,7 +74,7 @@
             }
         }
         for (int i = 0; i < options.instances(); i++) {
-            instances.add(createInstance(i, options.jar(), directory, ports));
+            instances.add(createInstance(i, options, directory, ports));
         }
         registerAll();
         instances.forEach(InstanceProcess::start);
@@ -76,24 +84,37 @@
      * Creates an instance and its links. All instances list the endpoints by the same names, as they tell one another
      * of them; each resolves these to its own links.
      */
-    private InstanceProcess createInstance(int number, Path jar, Path directory, FreePorts ports) throws IOException {
+    private InstanceProcess createInstance(int number, SoakOptions options, Path directory, FreePorts ports)
+            throws IOException {
         List<LinkProxy> links = new ArrayList<>();
         StringBuilder hosts = new StringBuilder("127.0.0.1 localhost\n");
         for (int i = 0; i < endpoints.size(); i++) {
             String address = "127.1." + number + "." + (i + 1);
             hosts.append(address).append(' ').append(hostOf(endpoints.get(i))).append('\n');
             links.add(new LinkProxy(
-                    group, address, endpoints.get(i).port(), sender -> instanceBySenderPort.put(sender, number)));
+                    group,
+                    address,
+                    endpoints.get(i).port(),
+                    LinkProxy.UNLIMITED,
+                    sender -> instanceBySenderPort.put(sender, number)));
         }
         linksByInstance.add(links);
         Path hostsFile = Files.writeString(directory.resolve("hosts-" + number), hosts);
         return new InstanceProcess(
                 number,
-                jar,
+                options.jar(),
                 directory,
                 hostsFile,
                 new InstanceProcess.Ports(ports.next(), ports.next(), ports.next(), ports.nextPair()),
-                store.address());
+                storeLink(number, options));
+    }
+
+    /** Returns the address at which an instance reaches the store, over a link with a rate. */
+    private HostAndPort storeLink(int number, SoakOptions options) {
+        String address = "127.3." + number + ".1";
+        int port = store.address().getPort();
+        storeLinks.add(new LinkProxy(group, address, port, options.storeMegabitsPerSecond(), sender -> {}));
+        return HostAndPort.fromParts(address, port);
     }
 
     private static String hostOf(PlatformEndpointStandin endpoint) {
@@ -159,7 +180,7 @@
 
     private synchronized void configure() {
         configurations++;
-        store.put("op/config", Configuration.text(configurations, SERVICE, withdrawals > 0));
+        store.put("op/config", Configuration.text(configurations, SERVICE, withdrawals > 0, otherRoutes));
     }
 
     private synchronized void withdraw(int change) {
@@ -167,6 +188,25 @@
         configure();
     }
 
+    private synchronized void beginSeries(Fault fault) {
+        otherRoutes = (int) (MAX_OTHER_ROUTES * fault.strength());
+        writesSeries = true;
+        continueSeries();
+    }
+
+    private synchronized void continueSeries() {
+        if (writesSeries) {
+            configure();
+            scheduling.schedule(SERIES_INTERVAL_MILLIS, this::continueSeries);
+        }
+    }
+
+    private synchronized void endSeries() {
+        writesSeries = false;
+        otherRoutes = 0;
+        configure();
+    }
+
     List<InstanceProcess> instances() {
         return instances;
     }
@@ -188,6 +228,7 @@
             case LINK_CUT, LINK_RESET -> eachLink(fault, link -> link.cut(fault.kind() == FaultKind.LINK_RESET));
             case STORE_DOWN -> store.down(true);
             case KEY_WITHDRAWN -> withdraw(1);
+            case CONFIG_SERIES -> beginSeries(fault);
             case STORE_COPY -> returnFromCopy(fault);
             case ENDPOINT_CRASH -> eachEndpoint(fault, PlatformEndpointStandin::crash);
             case ENDPOINT_SILENCE -> eachEndpoint(fault, endpoint -> endpoint.fallSilent(fault.forMillis()));
@@ -217,6 +258,7 @@
             case LINK_CUT, LINK_RESET -> eachLink(fault, LinkProxy::heal);
             case STORE_DOWN -> store.down(false);
             case KEY_WITHDRAWN -> withdraw(-1);
+            case CONFIG_SERIES -> endSeries();
             case ENDPOINT_CRASH, ENDPOINT_LEAVING -> eachEndpoint(fault, this::restart);
             case ENDPOINT_LIMIT -> eachEndpoint(fault, PlatformEndpointStandin::stateNoLimit);
             case ENDPOINT_BRITTLE -> eachEndpoint(fault, endpoint -> endpoint.stateBrittle(OptionalInt.empty()));
@@ -249,6 +291,7 @@
     public void close() {
         instances.forEach(InstanceProcess::close);
         linksByInstance.forEach(links -> links.forEach(LinkProxy::close));
+        storeLinks.forEach(LinkProxy::close);
         endpoints.forEach(PlatformEndpointStandin::close);
         store.close();
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
--- a/soak/src/main/java/baobabcroft/soak/SoakOptions.java
+++ b/soak/src/main/java/baobabcroft/soak/SoakOptions.java
@@ -22,6 +22,7 @@
  * @param seed seed of all random choices
  * @param durationMillis length of the run, in milliseconds
  * @param instances number of instances
+ * @param storeMegabitsPerSecond rate at which an instance receives from the store
  * @param jar the platform's program
  * @param directory where logs and the report are written
  * @param untimed whether only promises that do not depend on the machine's speed decide
@@ -32,6 +33,7 @@
         long seed,
         long durationMillis,
         int instances,
+        double storeMegabitsPerSecond,
         Path jar,
         Path directory,
         boolean untimed,
@@ -68,6 +70,10 @@
                 .withRequiredArg()
                 .ofType(Integer.class)
                 .defaultsTo(3);
+        OptionSpec<Double> storeMegabits = parser.accepts("store-megabits")
+                .withRequiredArg()
+                .ofType(Double.class)
+                .defaultsTo(10.0);
         OptionSpec<String> jar = parser.accepts("jar").withRequiredArg().defaultsTo("target/baobabcroft.jar");
         OptionSpec<String> directory =
                 parser.accepts("directory").withRequiredArg().defaultsTo("run/soak");
@@ -88,6 +94,7 @@
                     seed.value(set),
                     (long) (minutes.value(set) * MILLIS_PER_MINUTE),
                     instances.value(set),
+                    storeMegabits.value(set),
                     Path.of(jar.value(set)),
                     Path.of(directory.value(set)),
                     set.has(untimed),
@@ -110,6 +117,10 @@
                 "--instances must be from 2 to %s, was %s",
                 MAX_INSTANCES,
                 options.instances);
+        checkArgument(
+                options.storeMegabitsPerSecond > 0,
+                "--store-megabits must be positive, was %s",
+                options.storeMegabitsPerSecond);
         long needed = options.instances * INSTANCE_MEMORY_BYTES;
         checkArgument(
                 needed <= MAX_MEMORY_SHARE * memoryBytes(),
