Let the soak's link to the store read no faster than it sends

The proxy of the link read the whole response from the store at once and its traffic shaping counted it as sent, although the connection was closed: megabytes that no one received blocked the link. On a real link the rest of a closed connection is not sent. The proxy now reads only while what it has queued is less than 64 KB.

--- a/soak/src/main/java/baobabcroft/soak/LinkProxy.java
+++ b/soak/src/main/java/baobabcroft/soak/LinkProxy.java
@@ -29,6 +29,8 @@
 
     private static final double BYTES_PER_MEGABIT = 125_000;
     private static final long SHAPING_INTERVAL_MILLIS = 50;
+    /** What a connection has queued at the most, as the buffers of a socket; the rest is not read. */
+    private static final long MAX_QUEUED_BYTES = 64 << 10;
 
     private final EventLoopGroup group;
     private final String host;
@@ -56,6 +58,7 @@
         this.onSenderPort = onSenderPort;
         this.shaper = new GlobalTrafficShapingHandler(
                 group, (long) (megabitsPerSecond * BYTES_PER_MEGABIT), 0, SHAPING_INTERVAL_MILLIS);
+        shaper.setMaxWriteSize(MAX_QUEUED_BYTES);
         listen();
     }
 
@@ -100,8 +103,8 @@
                 });
     }
 
-    /** Passes on what it reads. */
-    private static final class Forwarder extends ChannelInboundHandlerAdapter {
+    /** Passes on what it reads, no faster than the other side takes it. */
+    private final class Forwarder extends ChannelInboundHandlerAdapter {
         private final Channel other;
 
         Forwarder(Channel other) {
@@ -113,6 +116,11 @@
             other.writeAndFlush(data);
         }
 
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext context) {
+            other.config().setAutoRead(!silent && context.channel().isWritable());
+        }
+
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             other.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
