Use neutral member names in the model of views

The sample configuration of ViewAgeModel had names of the users' platform, which belong to the adapter. Checks are unchanged.

--- a/router/src/test/java/baobabcroft/replica/ViewAgeModel.java
+++ b/router/src/test/java/baobabcroft/replica/ViewAgeModel.java
@@ -71,10 +71,10 @@
         StringBuilder text = new StringBuilder("{\"version\":" + version + ",\"routes\":[");
         for (int i = 0; i < routes; i++) {
             String name = Long.toString(random.nextLong(1L << 36), 36);
-            text.append("{\"name\":\"r-" + name + "\",\"host\":\"caller.example\",\"path_prefix\":\"/" + name
-                    + "/\",\"kind\":\"streaming\",\"timeout_ms\":6000,\"goal_ms\":2008,\"priority\":0,\"sizes\":"
+            text.append("{\"name\":\"r-" + name + "\",\"host\":\"caller.example\",\"pathPrefix\":\"/" + name
+                    + "/\",\"kind\":\"streaming\",\"timeoutMillis\":6000,\"goalMillis\":2008,\"priority\":0,\"sizes\":"
                     + "[\"small\",\"medium\",\"large\"],\"service\":\"models\",\"attempts\":3,\"public\":false,"
-                    + "\"sticky\":true,\"resumable\":true,\"gap_target_ms\":1000},");
+                    + "\"sticky\":true,\"resumable\":true,\"maxGapMillis\":1000},");
         }
         return text.append("]}").toString();
     }
