--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -1,19 +1,26 @@
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.HttpURLConnection;
+import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
 /** One process of the project, started with the run command and the settings template of the deploy file. */
 final class Instance implements AutoCloseable {
-    static final int FRONT_PORT = 8227;
-    private static final int READY_PORT = 8220;
+    /** Ports of all instances; each instance has an address of its own. */
+    static final int FRONT_PORT = freePort();
+
+    private static final int READY_PORT = freePort();
+    private static final int FIRST_PEER_PORT =
+            7340 + 16 * ThreadLocalRandom.current().nextInt(100);
 
     final String name;
     final String host;
@@ -35,7 +42,7 @@
         Map<String, String> values = Map.ofEntries(
                 Map.entry("node", quoted(name)),
                 Map.entry("ip", quoted(host)),
-                Map.entry("port_range", "[7340,7355]"),
+                Map.entry("port_range", "[" + FIRST_PEER_PORT + "," + (FIRST_PEER_PORT + 15) + "]"),
                 Map.entry("limits.link_mbps", "1000.0"),
                 Map.entry("zone", quoted(zone)),
                 Map.entry(
@@ -62,6 +69,14 @@
         return text.toString();
     }
 
+    private static int freePort() {
+        try (ServerSocket probe = new ServerSocket(0)) {
+            return probe.getLocalPort();
+        } catch (IOException failed) {
+            throw new UncheckedIOException(failed);
+        }
+    }
+
     private static String quoted(String text) {
         return "\"" + text + "\"";
     }
--- a/review/standins/Setup.java
+++ b/review/standins/Setup.java
@@ -22,8 +22,6 @@
     /** Whether the case's disruption is made. */
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
 
-    private static final int STORE_PORT = 8223;
-
     final Record record;
     final Store store;
     final List<Instance> instances = new ArrayList<>();
@@ -41,7 +39,7 @@
         folder = Files.createTempDirectory("review");
         ThreadLocalRandom random = ThreadLocalRandom.current();
         net = "127." + random.nextInt(16, 240) + "." + random.nextInt(1, 250) + ".";
-        store = new Store(net + 1, STORE_PORT);
+        store = new Store(net + 1);
     }
 
     /** Runs a case in its folder and ends this process with its status. */
@@ -52,7 +50,7 @@
             setup.record.line("trouble %s", TROUBLE);
             status = body.run(setup);
             setup.record.line("exit status %d", status);
-        } catch (Exception failed) {
+        } catch (Throwable failed) {
             failed.printStackTrace();
         }
         System.exit(status);
@@ -67,7 +65,7 @@
                 zone,
                 Path.of("").toAbsolutePath(),
                 folder,
-                net + 1 + ":" + STORE_PORT);
+                store.address());
         instances.add(instance);
         instance.start();
         record.line("started %s at %s", instance.name, instance.host);
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -32,8 +32,8 @@
     private long revision = 100;
     private long cutWatchesAt;
 
-    Store(String host, int port) throws IOException {
-        server = HttpServer.create(new InetSocketAddress(host, port), 64);
+    Store(String host) throws IOException {
+        server = HttpServer.create(new InetSocketAddress(host, 0), 64);
         server.setExecutor(Executors.newCachedThreadPool(task -> {
             Thread thread = new Thread(task);
             thread.setDaemon(true);
@@ -43,6 +43,10 @@
         server.start();
     }
 
+    String address() {
+        return server.getAddress().getHostString() + ":" + server.getAddress().getPort();
+    }
+
     /** Writes a key and returns its revision. */
     synchronized long put(String key, String value) {
         return write(key, value.getBytes(StandardCharsets.UTF_8));
