--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -5,6 +5,7 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.feed.FeedClient;
 import baobabcroft.feed.FeedServer;
 import baobabcroft.front.EndpointConnectionPool;
@@ -24,9 +25,12 @@
 import baobabcroft.relay.ConfidenceCascade;
 import baobabcroft.relay.EndpointAvailability;
 import baobabcroft.relay.EndpointChooser;
+import baobabcroft.relay.EndpointEligibility;
 import baobabcroft.relay.EndpointLoads;
+import baobabcroft.relay.Ineligibility;
 import baobabcroft.relay.PauseQueue;
 import baobabcroft.relay.PlannedStop;
+import baobabcroft.relay.RegionRule;
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RelayedRequest;
 import baobabcroft.relay.RequestDialect;
@@ -38,6 +42,7 @@
 import baobabcroft.routing.CallerLimits;
 import baobabcroft.routing.RoutingTable;
 import baobabcroft.routing.RoutingTableHolder;
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
@@ -91,6 +96,7 @@
     private final MemoryBudget memory = MemoryBudget.ofHeap(Runtime.getRuntime().maxMemory());
     private final RoutingTableHolder routing = new RoutingTableHolder();
     private final EndpointDirectory directory = new EndpointDirectory();
+    private final EvacuatedDomains evacuated = new EvacuatedDomains();
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final EndpointConnectionPool connections;
     private final UniformRandomProvider random =
@@ -161,7 +167,8 @@
                 scheduler, nowMillis, random::nextDouble, forwarding::checkFailed, sharedRecords::publishCrashes);
         EndpointListUpdater endpointList = new EndpointListUpdater(
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
-        this.storeContents = new StoreContents(storeDialect, routing, endpointList, rollouts, sharedRecords, nowMillis);
+        this.storeContents =
+                new StoreContents(storeDialect, routing, endpointList, evacuated, rollouts, sharedRecords, nowMillis);
         this.store = StoreReplica.create(
                 settings.instance(),
                 settings.linkMegabitsPerSecond(),
@@ -183,6 +190,21 @@
         return new FleetView(settings.instance(), members::names);
     }
 
+    private ImmutableList<EndpointEligibility.Rule> placementRules() {
+        return ImmutableList.of(
+                new RegionRule(settings.regions()),
+                (endpoint, request) -> when(evacuated.contains(endpoint.failureDomain()), Ineligibility.EVACUATED),
+                (endpoint, request) -> when(availability.isLeaving(endpoint), Ineligibility.LEAVING));
+    }
+
+    private ImmutableList<EndpointEligibility.Rule> admissionRules() {
+        return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint));
+    }
+
+    private static Optional<Ineligibility> when(boolean excluded, Ineligibility reason) {
+        return excluded ? Optional.of(reason) : Optional.empty();
+    }
+
     private RelayServices createServices(RequestDialect dialect) {
         return new RelayServices(
                 nowMillis,
@@ -194,6 +216,7 @@
                 loads,
                 memory,
                 availability,
+                EndpointEligibility.of(placementRules(), admissionRules()),
                 PauseQueue.create(fleetView(), random::nextDouble),
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
--- a/router/src/main/java/baobabcroft/instance/StoreContents.java
+++ b/router/src/main/java/baobabcroft/instance/StoreContents.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.replica.ReplicaListener;
@@ -24,6 +25,7 @@
     private final StoreDialect dialect;
     private final RoutingTableHolder routing;
     private final EndpointListUpdater endpointList;
+    private final EvacuatedDomains evacuated;
     private final FleetRollouts rollouts;
     private final SharedStoreRecords sharedRecords;
     private final LongSupplier nowMillis;
@@ -35,12 +37,14 @@
             StoreDialect dialect,
             RoutingTableHolder routing,
             EndpointListUpdater endpointList,
+            EvacuatedDomains evacuated,
             FleetRollouts rollouts,
             SharedStoreRecords sharedRecords,
             LongSupplier nowMillis) {
         this.dialect = checkNotNull(dialect);
         this.routing = checkNotNull(routing);
         this.endpointList = checkNotNull(endpointList);
+        this.evacuated = checkNotNull(evacuated);
         this.rollouts = checkNotNull(rollouts);
         this.sharedRecords = checkNotNull(sharedRecords);
         this.nowMillis = checkNotNull(nowMillis);
@@ -110,6 +114,17 @@
         endpointList.onListed(entry, reportNumber);
     }
 
+    @Override
+    public void onWarmUp(EndpointEntry entry, long remainingMillis) {}
+
+    @Override
+    public void onEvacuation(String failureDomain, boolean ordered) {
+        boolean changed = ordered ? evacuated.add(failureDomain) : evacuated.remove(failureDomain);
+        if (changed) {
+            log.log(LogEvent.EVACUATION_CHANGED, failureDomain, ordered ? "ordered" : "ended");
+        }
+    }
+
     @Override
     public void onEndpointUnlisted(String id) {
         endpointList.onUnlisted(id);
--- a/router/src/main/java/baobabcroft/instance/StoreDocuments.java
+++ b/router/src/main/java/baobabcroft/instance/StoreDocuments.java
@@ -25,6 +25,22 @@
      */
     void onEndpointListed(EndpointEntry entry, long reportNumber);
 
+    /**
+     * Receives how much longer an endpoint stays cold, after its entry was received.
+     *
+     * @param entry the endpoint
+     * @param remainingMillis time for which it stays cold, in milliseconds; 0 if it is warm
+     */
+    void onWarmUp(EndpointEntry entry, long remainingMillis);
+
+    /**
+     * Receives an operator's order to send nothing to the endpoints of a failure domain, or its end.
+     *
+     * @param failureDomain name of the failure domain
+     * @param ordered whether the order is in force
+     */
+    void onEvacuation(String failureDomain, boolean ordered);
+
     /**
      * Called when an endpoint's entry was deleted or names no usable endpoint.
      *
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -60,6 +60,10 @@
     CONFIG_LOST_BY_STORE(2010, WARN, "key-value service lost a configuration; writing it again", "number"),
     /** A configuration delta from a peer does not apply to a recent configuration. */
     CONFIG_DELTA_REJECTED(2011, WARN, "configuration delta does not apply; fetching the full configuration", "peer"),
+    /** Operators have ordered the evacuation of a failure domain, or have ended it. */
+    EVACUATION_CHANGED(2012, INFO, "evacuation of a failure domain", "failureDomain", "change"),
+    /** An operator's order names a failure domain that does not exist. */
+    EVACUATION_UNKNOWN(2013, WARN, "evacuation of an unknown failure domain; ignored", "failureDomain"),
 
     /** The key-value service is unavailable. */
     STORE_UNAVAILABLE(3001, WARN, "key-value service unavailable", "reason"),
--- a/router/src/main/java/baobabcroft/notice/proto/EndpointLoad.java
+++ b/router/src/main/java/baobabcroft/notice/proto/EndpointLoad.java
@@ -127,6 +127,21 @@
     return lateMillis_;
   }
 
+  public static final int HELD_TOKENS_FIELD_NUMBER = 6;
+  private int heldTokens_ = 0;
+  /**
+   * <pre>
+   * Tokens of the endpoint's memory that the requests under way hold or are going to hold.
+   * </pre>
+   *
+   * <code>uint32 held_tokens = 6;</code>
+   * @return The heldTokens.
+   */
+  @java.lang.Override
+  public int getHeldTokens() {
+    return heldTokens_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -156,6 +171,9 @@
     if (lateMillis_ != 0) {
       output.writeUInt32(5, lateMillis_);
     }
+    if (heldTokens_ != 0) {
+      output.writeUInt32(6, heldTokens_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -185,6 +203,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt32Size(5, lateMillis_);
     }
+    if (heldTokens_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt32Size(6, heldTokens_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -210,6 +232,8 @@
         != other.getFailurePercent()) return false;
     if (getLateMillis()
         != other.getLateMillis()) return false;
+    if (getHeldTokens()
+        != other.getHeldTokens()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -231,6 +255,8 @@
     hash = (53 * hash) + getFailurePercent();
     hash = (37 * hash) + LATE_MILLIS_FIELD_NUMBER;
     hash = (53 * hash) + getLateMillis();
+    hash = (37 * hash) + HELD_TOKENS_FIELD_NUMBER;
+    hash = (53 * hash) + getHeldTokens();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -371,6 +397,7 @@
       unreadMillis_ = 0;
       failurePercent_ = 0;
       lateMillis_ = 0;
+      heldTokens_ = 0;
       return this;
     }
 
@@ -419,6 +446,9 @@
       if (((from_bitField0_ & 0x00000010) != 0)) {
         result.lateMillis_ = lateMillis_;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.heldTokens_ = heldTokens_;
+      }
     }
 
     @java.lang.Override
@@ -448,6 +478,9 @@
       if (other.getLateMillis() != 0) {
         setLateMillis(other.getLateMillis());
       }
+      if (other.getHeldTokens() != 0) {
+        setHeldTokens(other.getHeldTokens());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -499,6 +532,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 40
+            case 48: {
+              heldTokens_ = input.readUInt32();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -736,6 +774,50 @@
       return this;
     }
 
+    private int heldTokens_ ;
+    /**
+     * <pre>
+     * Tokens of the endpoint's memory that the requests under way hold or are going to hold.
+     * </pre>
+     *
+     * <code>uint32 held_tokens = 6;</code>
+     * @return The heldTokens.
+     */
+    @java.lang.Override
+    public int getHeldTokens() {
+      return heldTokens_;
+    }
+    /**
+     * <pre>
+     * Tokens of the endpoint's memory that the requests under way hold or are going to hold.
+     * </pre>
+     *
+     * <code>uint32 held_tokens = 6;</code>
+     * @param value The heldTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldTokens(int value) {
+
+      heldTokens_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Tokens of the endpoint's memory that the requests under way hold or are going to hold.
+     * </pre>
+     *
+     * <code>uint32 held_tokens = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldTokens() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      heldTokens_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.EndpointLoad)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/EndpointLoadOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/EndpointLoadOrBuilder.java
@@ -59,4 +59,14 @@
    * @return The lateMillis.
    */
   int getLateMillis();
+
+  /**
+   * <pre>
+   * Tokens of the endpoint's memory that the requests under way hold or are going to hold.
+   * </pre>
+   *
+   * <code>uint32 held_tokens = 6;</code>
+   * @return The heldTokens.
+   */
+  int getHeldTokens();
 }
--- a/router/src/main/java/baobabcroft/notice/proto/Notice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/Notice.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_baobabcroft_notice_PeerNotice_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_baobabcroft_notice_AccountLoad_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_baobabcroft_notice_AccountLoad_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_baobabcroft_notice_EndpointLoad_descriptor;
   static final 
@@ -60,7 +65,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\014notice.proto\022\022baobabcroft.notice\"\272\002\n\nP" +
+      "\n\014notice.proto\022\022baobabcroft.notice\"\355\002\n\nP" +
       "eerNotice\022\020\n\010instance\030\001 \001(\t\022\020\n\010sequence\030" +
       "\002 \001(\003\022\026\n\016failure_domain\030\003 \001(\t\022/\n\005loads\030\004" +
       " \003(\0132 .baobabcroft.notice.EndpointLoad\0223" +
@@ -68,20 +73,24 @@
       "sionAnswers\022/\n\006limits\030\006 \003(\0132\037.baobabcrof" +
       "t.notice.StatedBound\022\032\n\022isolated_instanc" +
       "es\030\007 \003(\t\022=\n\024tolerated_rejections\030\010 \003(\0132\037" +
-      ".baobabcroft.notice.StatedBound\"}\n\014Endpo" +
-      "intLoad\022\025\n\rendpoint_hash\030\001 \001(\007\022\021\n\tin_fli" +
-      "ght\030\002 \001(\r\022\025\n\runread_millis\030\003 \001(\r\022\027\n\017fail" +
-      "ure_percent\030\004 \001(\r\022\023\n\013late_millis\030\005 \001(\r\"U" +
-      "\n\013StatedBound\022\024\n\014subject_hash\030\001 \001(\006\022\022\n\005b" +
-      "ound\030\002 \001(\002H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\rB\010\n\006_" +
-      "bound\"~\n\016VersionAnswers\022\017\n\007service\030\001 \001(\t" +
-      "\022\026\n\016order_revision\030\002 \001(\003\0220\n\006routes\030\003 \003(\013" +
-      "2 .baobabcroft.notice.RouteAnswers\022\021\n\tor" +
-      "der_era\030\004 \001(\003\"w\n\014RouteAnswers\022\r\n\005route\030\001" +
-      " \001(\t\022\017\n\007answers\030\002 \001(\004\022\016\n\006failed\030\003 \001(\004\022\014\n" +
-      "\004slow\030\004 \001(\004\022\014\n\004lost\030\005 \001(\004\022\r\n\005timed\030\006 \001(\004" +
-      "\022\014\n\004late\030\007 \001(\004B\034\n\030baobabcroft.notice.pro" +
-      "toP\001b\006proto3"
+      ".baobabcroft.notice.StatedBound\0221\n\010accou" +
+      "nts\030\t \003(\0132\037.baobabcroft.notice.AccountLo" +
+      "ad\"K\n\013AccountLoad\022\024\n\014subject_hash\030\001 \001(\007\022" +
+      "\021\n\tin_flight\030\002 \001(\r\022\023\n\013held_tokens\030\003 \001(\r\"" +
+      "\222\001\n\014EndpointLoad\022\025\n\rendpoint_hash\030\001 \001(\007\022" +
+      "\021\n\tin_flight\030\002 \001(\r\022\025\n\runread_millis\030\003 \001(" +
+      "\r\022\027\n\017failure_percent\030\004 \001(\r\022\023\n\013late_milli" +
+      "s\030\005 \001(\r\022\023\n\013held_tokens\030\006 \001(\r\"U\n\013StatedBo" +
+      "und\022\024\n\014subject_hash\030\001 \001(\006\022\022\n\005bound\030\002 \001(\002" +
+      "H\000\210\001\001\022\022\n\nage_millis\030\003 \001(\rB\010\n\006_bound\"~\n\016V" +
+      "ersionAnswers\022\017\n\007service\030\001 \001(\t\022\026\n\016order_" +
+      "revision\030\002 \001(\003\0220\n\006routes\030\003 \003(\0132 .baobabc" +
+      "roft.notice.RouteAnswers\022\021\n\torder_era\030\004 " +
+      "\001(\003\"w\n\014RouteAnswers\022\r\n\005route\030\001 \001(\t\022\017\n\007an" +
+      "swers\030\002 \001(\004\022\016\n\006failed\030\003 \001(\004\022\014\n\004slow\030\004 \001(" +
+      "\004\022\014\n\004lost\030\005 \001(\004\022\r\n\005timed\030\006 \001(\004\022\014\n\004late\030\007" +
+      " \001(\004B\034\n\030baobabcroft.notice.protoP\001b\006prot" +
+      "o3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -92,27 +101,33 @@
     internal_static_baobabcroft_notice_PeerNotice_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_PeerNotice_descriptor,
-        new java.lang.String[] { "Instance", "Sequence", "FailureDomain", "Loads", "Answers", "Limits", "IsolatedInstances", "ToleratedRejections", });
-    internal_static_baobabcroft_notice_EndpointLoad_descriptor =
+        new java.lang.String[] { "Instance", "Sequence", "FailureDomain", "Loads", "Answers", "Limits", "IsolatedInstances", "ToleratedRejections", "Accounts", });
+    internal_static_baobabcroft_notice_AccountLoad_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_baobabcroft_notice_AccountLoad_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_baobabcroft_notice_AccountLoad_descriptor,
+        new java.lang.String[] { "SubjectHash", "InFlight", "HeldTokens", });
+    internal_static_baobabcroft_notice_EndpointLoad_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_baobabcroft_notice_EndpointLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_EndpointLoad_descriptor,
-        new java.lang.String[] { "EndpointHash", "InFlight", "UnreadMillis", "FailurePercent", "LateMillis", });
+        new java.lang.String[] { "EndpointHash", "InFlight", "UnreadMillis", "FailurePercent", "LateMillis", "HeldTokens", });
     internal_static_baobabcroft_notice_StatedBound_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_baobabcroft_notice_StatedBound_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_StatedBound_descriptor,
         new java.lang.String[] { "SubjectHash", "Bound", "AgeMillis", });
     internal_static_baobabcroft_notice_VersionAnswers_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_baobabcroft_notice_VersionAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_VersionAnswers_descriptor,
         new java.lang.String[] { "Service", "OrderRevision", "Routes", "OrderEra", });
     internal_static_baobabcroft_notice_RouteAnswers_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_baobabcroft_notice_RouteAnswers_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_baobabcroft_notice_RouteAnswers_descriptor,
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNotice.java
@@ -41,6 +41,7 @@
     isolatedInstances_ =
         com.google.protobuf.LazyStringArrayList.emptyList();
     toleratedRejections_ = java.util.Collections.emptyList();
+    accounts_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -474,6 +475,67 @@
     return toleratedRejections_.get(index);
   }
 
+  public static final int ACCOUNTS_FIELD_NUMBER = 9;
+  @SuppressWarnings("serial")
+  private java.util.List<baobabcroft.notice.proto.AccountLoad> accounts_;
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<baobabcroft.notice.proto.AccountLoad> getAccountsList() {
+    return accounts_;
+  }
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends baobabcroft.notice.proto.AccountLoadOrBuilder> 
+      getAccountsOrBuilderList() {
+    return accounts_;
+  }
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  @java.lang.Override
+  public int getAccountsCount() {
+    return accounts_.size();
+  }
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.notice.proto.AccountLoad getAccounts(int index) {
+    return accounts_.get(index);
+  }
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  @java.lang.Override
+  public baobabcroft.notice.proto.AccountLoadOrBuilder getAccountsOrBuilder(
+      int index) {
+    return accounts_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -512,6 +574,9 @@
     for (int i = 0; i < toleratedRejections_.size(); i++) {
       output.writeMessage(8, toleratedRejections_.get(i));
     }
+    for (int i = 0; i < accounts_.size(); i++) {
+      output.writeMessage(9, accounts_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -575,6 +640,15 @@
           }
           size += 1 * count;
         }
+
+        {
+          final int count = accounts_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(accounts_.get(i));
+          }
+          size += 1 * count;
+        }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -606,6 +680,8 @@
         .equals(other.getIsolatedInstancesList())) return false;
     if (!getToleratedRejectionsList()
         .equals(other.getToleratedRejectionsList())) return false;
+    if (!getAccountsList()
+        .equals(other.getAccountsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -644,6 +720,10 @@
       hash = (37 * hash) + TOLERATED_REJECTIONS_FIELD_NUMBER;
       hash = (53 * hash) + getToleratedRejectionsList().hashCode();
     }
+    if (getAccountsCount() > 0) {
+      hash = (37 * hash) + ACCOUNTS_FIELD_NUMBER;
+      hash = (53 * hash) + getAccountsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -813,6 +893,13 @@
         toleratedRejectionsBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000080);
+      if (accountsBuilder_ == null) {
+        accounts_ = java.util.Collections.emptyList();
+      } else {
+        accounts_ = null;
+        accountsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000100);
       return this;
     }
 
@@ -882,6 +969,15 @@
       } else {
         result.toleratedRejections_ = toleratedRejectionsBuilder_.build();
       }
+      if (accountsBuilder_ == null) {
+        if (((bitField0_ & 0x00000100) != 0)) {
+          accounts_ = java.util.Collections.unmodifiableList(accounts_);
+          bitField0_ = (bitField0_ & ~0x00000100);
+        }
+        result.accounts_ = accounts_;
+      } else {
+        result.accounts_ = accountsBuilder_.build();
+      }
     }
 
     private void buildPartial0(baobabcroft.notice.proto.PeerNotice result) {
@@ -1040,6 +1136,32 @@
           }
         }
       }
+      if (accountsBuilder_ == null) {
+        if (!other.accounts_.isEmpty()) {
+          if (accounts_.isEmpty()) {
+            accounts_ = other.accounts_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+          } else {
+            ensureAccountsIsMutable();
+            accounts_.addAll(other.accounts_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.accounts_.isEmpty()) {
+          if (accountsBuilder_.isEmpty()) {
+            accountsBuilder_.dispose();
+            accountsBuilder_ = null;
+            accounts_ = other.accounts_;
+            bitField0_ = (bitField0_ & ~0x00000100);
+            accountsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetAccountsFieldBuilder() : null;
+          } else {
+            accountsBuilder_.addAllMessages(other.accounts_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -1138,6 +1260,19 @@
               }
               break;
             } // case 66
+            case 74: {
+              baobabcroft.notice.proto.AccountLoad m =
+                  input.readMessage(
+                      baobabcroft.notice.proto.AccountLoad.parser(),
+                      extensionRegistry);
+              if (accountsBuilder_ == null) {
+                ensureAccountsIsMutable();
+                accounts_.add(m);
+              } else {
+                accountsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 74
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -2801,6 +2936,318 @@
       return toleratedRejectionsBuilder_;
     }
 
+    private java.util.List<baobabcroft.notice.proto.AccountLoad> accounts_ =
+      java.util.Collections.emptyList();
+    private void ensureAccountsIsMutable() {
+      if (!((bitField0_ & 0x00000100) != 0)) {
+        accounts_ = new java.util.ArrayList<baobabcroft.notice.proto.AccountLoad>(accounts_);
+        bitField0_ |= 0x00000100;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.notice.proto.AccountLoad, baobabcroft.notice.proto.AccountLoad.Builder, baobabcroft.notice.proto.AccountLoadOrBuilder> accountsBuilder_;
+
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public java.util.List<baobabcroft.notice.proto.AccountLoad> getAccountsList() {
+      if (accountsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(accounts_);
+      } else {
+        return accountsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public int getAccountsCount() {
+      if (accountsBuilder_ == null) {
+        return accounts_.size();
+      } else {
+        return accountsBuilder_.getCount();
+      }
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public baobabcroft.notice.proto.AccountLoad getAccounts(int index) {
+      if (accountsBuilder_ == null) {
+        return accounts_.get(index);
+      } else {
+        return accountsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder setAccounts(
+        int index, baobabcroft.notice.proto.AccountLoad value) {
+      if (accountsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAccountsIsMutable();
+        accounts_.set(index, value);
+        onChanged();
+      } else {
+        accountsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder setAccounts(
+        int index, baobabcroft.notice.proto.AccountLoad.Builder builderForValue) {
+      if (accountsBuilder_ == null) {
+        ensureAccountsIsMutable();
+        accounts_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        accountsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder addAccounts(baobabcroft.notice.proto.AccountLoad value) {
+      if (accountsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAccountsIsMutable();
+        accounts_.add(value);
+        onChanged();
+      } else {
+        accountsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder addAccounts(
+        int index, baobabcroft.notice.proto.AccountLoad value) {
+      if (accountsBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureAccountsIsMutable();
+        accounts_.add(index, value);
+        onChanged();
+      } else {
+        accountsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder addAccounts(
+        baobabcroft.notice.proto.AccountLoad.Builder builderForValue) {
+      if (accountsBuilder_ == null) {
+        ensureAccountsIsMutable();
+        accounts_.add(builderForValue.build());
+        onChanged();
+      } else {
+        accountsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder addAccounts(
+        int index, baobabcroft.notice.proto.AccountLoad.Builder builderForValue) {
+      if (accountsBuilder_ == null) {
+        ensureAccountsIsMutable();
+        accounts_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        accountsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder addAllAccounts(
+        java.lang.Iterable<? extends baobabcroft.notice.proto.AccountLoad> values) {
+      if (accountsBuilder_ == null) {
+        ensureAccountsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, accounts_);
+        onChanged();
+      } else {
+        accountsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder clearAccounts() {
+      if (accountsBuilder_ == null) {
+        accounts_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000100);
+        onChanged();
+      } else {
+        accountsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public Builder removeAccounts(int index) {
+      if (accountsBuilder_ == null) {
+        ensureAccountsIsMutable();
+        accounts_.remove(index);
+        onChanged();
+      } else {
+        accountsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public baobabcroft.notice.proto.AccountLoad.Builder getAccountsBuilder(
+        int index) {
+      return internalGetAccountsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public baobabcroft.notice.proto.AccountLoadOrBuilder getAccountsOrBuilder(
+        int index) {
+      if (accountsBuilder_ == null) {
+        return accounts_.get(index);  } else {
+        return accountsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public java.util.List<? extends baobabcroft.notice.proto.AccountLoadOrBuilder> 
+         getAccountsOrBuilderList() {
+      if (accountsBuilder_ != null) {
+        return accountsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(accounts_);
+      }
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public baobabcroft.notice.proto.AccountLoad.Builder addAccountsBuilder() {
+      return internalGetAccountsFieldBuilder().addBuilder(
+          baobabcroft.notice.proto.AccountLoad.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public baobabcroft.notice.proto.AccountLoad.Builder addAccountsBuilder(
+        int index) {
+      return internalGetAccountsFieldBuilder().addBuilder(
+          index, baobabcroft.notice.proto.AccountLoad.getDefaultInstance());
+    }
+    /**
+     * <pre>
+     * What client accounts have under way at services whose endpoints are full; empty for all other services.
+     * </pre>
+     *
+     * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+     */
+    public java.util.List<baobabcroft.notice.proto.AccountLoad.Builder> 
+         getAccountsBuilderList() {
+      return internalGetAccountsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        baobabcroft.notice.proto.AccountLoad, baobabcroft.notice.proto.AccountLoad.Builder, baobabcroft.notice.proto.AccountLoadOrBuilder> 
+        internalGetAccountsFieldBuilder() {
+      if (accountsBuilder_ == null) {
+        accountsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            baobabcroft.notice.proto.AccountLoad, baobabcroft.notice.proto.AccountLoad.Builder, baobabcroft.notice.proto.AccountLoadOrBuilder>(
+                accounts_,
+                ((bitField0_ & 0x00000100) != 0),
+                getParentForChildren(),
+                isClean());
+        accounts_ = null;
+      }
+      return accountsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:baobabcroft.notice.PeerNotice)
   }
 
--- a/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
+++ b/router/src/main/java/baobabcroft/notice/proto/PeerNoticeOrBuilder.java
@@ -283,4 +283,48 @@
    */
   baobabcroft.notice.proto.StatedBoundOrBuilder getToleratedRejectionsOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  java.util.List<baobabcroft.notice.proto.AccountLoad> 
+      getAccountsList();
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  baobabcroft.notice.proto.AccountLoad getAccounts(int index);
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  int getAccountsCount();
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  java.util.List<? extends baobabcroft.notice.proto.AccountLoadOrBuilder> 
+      getAccountsOrBuilderList();
+  /**
+   * <pre>
+   * What client accounts have under way at services whose endpoints are full; empty for all other services.
+   * </pre>
+   *
+   * <code>repeated .baobabcroft.notice.AccountLoad accounts = 9;</code>
+   */
+  baobabcroft.notice.proto.AccountLoadOrBuilder getAccountsOrBuilder(
+      int index);
 }
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -3,6 +3,7 @@
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.RouterException;
 import baobabcroft.routing.AccountProfile;
+import baobabcroft.routing.AllowedRegions;
 import baobabcroft.routing.Route;
 import baobabcroft.routing.RoutingTable;
 import baobabcroft.routing.ServiceProfile;
@@ -57,6 +58,18 @@
             return Math.min(route.timeoutMillis(), metadata.timeoutMillis().orElse(Long.MAX_VALUE));
         }
 
+        /** Returns the regions that both the route and the client account allow. */
+        AllowedRegions allowedRegions() {
+            return account.map(AccountProfile::allowedRegions)
+                    .orElse(AllowedRegions.ALL)
+                    .and(route.allowedRegions());
+        }
+
+        /** Returns what rules on endpoints of a service know of the request. */
+        EligibilityRequest eligibilityRequest(String service, Optional<String> model) {
+            return new EligibilityRequest(allowedRegions(), serviceProfile(service), model, metadata.prompt());
+        }
+
         Optional<ServiceProfile> serviceProfile(String service) {
             return table.service(service);
         }
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -233,7 +233,9 @@
 
     @Override
     public boolean confirmSend() {
-        return permit.confirm();
+        boolean placeable = services.eligibility()
+                .isPlaceable(endpoint, admitted.eligibilityRequest(endpoint.service(), Optional.empty()));
+        return placeable && permit.confirm();
     }
 
     @Override
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -309,17 +309,34 @@
      * @return false if it is shutting down, wants none yet, or takes none of this instance at the moment
      */
     public boolean isAvailable(EndpointEntry endpoint) {
+        return unavailability(endpoint).isEmpty();
+    }
+
+    /**
+     * Returns why an endpoint may not get a request now.
+     *
+     * @param endpoint the endpoint
+     * @return the reason; empty if it may get one
+     */
+    public Optional<Ineligibility> unavailability(EndpointEntry endpoint) {
         Optional<Statement> statement = knownStatement(endpoint);
-        boolean isAvailable = statement
-                .map(known -> isOpen(known) && known.limit.isAvailable())
-                .orElse(true);
+        if (statement.isPresent()) {
+            if (statement.get().leaving) {
+                return Optional.of(Ineligibility.LEAVING);
+            }
+            if (!isOpen(statement.get())) {
+                return Optional.of(Ineligibility.PAUSED);
+            }
+            if (!statement.get().limit.isAvailable()) {
+                return Optional.of(Ineligibility.LIMIT_REACHED);
+            }
+        }
         OptionalInt tolerated = toleratedRejections(endpoint, statement);
-        return isAvailable
-                && (tolerated.isEmpty()
-                        || statementOf(endpoint)
-                                .brittleness
-                                .isAvailable(
-                                        tolerated.getAsInt(), endpoint.slots(), openRequests.applyAsInt(endpoint)));
+        boolean hasRoom = tolerated.isEmpty()
+                || statementOf(endpoint)
+                        .brittleness
+                        .isAvailable(tolerated.getAsInt(), endpoint.slots(), openRequests.applyAsInt(endpoint));
+        return hasRoom ? Optional.empty() : Optional.of(Ineligibility.BRITTLE);
     }
 
     /**
@@ -374,9 +391,14 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the endpoints that may get a request now. */
-    ImmutableList<EndpointEntry> available(Collection<EndpointEntry> endpoints) {
-        return endpoints.stream().filter(this::isAvailable).collect(ImmutableList.toImmutableList());
+    /**
+     * Returns whether an endpoint has stated that it is shutting down.
+     *
+     * @param endpoint the endpoint
+     * @return whether it has, since its last start
+     */
+    public boolean isLeaving(EndpointEntry endpoint) {
+        return knownStatement(endpoint).map(statement -> statement.leaving).orElse(false);
     }
 
     /**
--- a/router/src/main/java/baobabcroft/relay/EndpointSelection.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointSelection.java
@@ -26,7 +26,7 @@
                 .selectEndpoints(service, accepting(), metadata.session(), metadata.requestId());
         return services.endpointChooser()
                 .choose(
-                        services.availability().available(selected),
+                        services.eligibility().admitting(selected, admitted.eligibilityRequest(service, model)),
                         excluded,
                         admitted.serviceProfile(service),
                         model,
@@ -52,8 +52,11 @@
         services.pauseQueue().leave(service);
     }
 
-    /** Returns the service's endpoints that are not shutting down, by the endpoint list or by their own answers. */
+    /** Returns the service's endpoints at which the request may be served, and that are not shutting down. */
     private ImmutableList<EndpointEntry> accepting() {
-        return services.availability().withoutLeaving(services.directory().accepting(service));
+        return services.eligibility()
+                .placeable(
+                        services.directory().accepting(service),
+                        admitted.eligibilityRequest(service, Optional.empty()));
     }
 }
--- a/router/src/main/java/baobabcroft/relay/PeerForwarding.java
+++ b/router/src/main/java/baobabcroft/relay/PeerForwarding.java
@@ -5,8 +5,10 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
+import baobabcroft.routing.AllowedRegions;
 import com.google.common.collect.ImmutableList;
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -35,6 +37,7 @@
             EndpointLoads loads,
             EndpointAvailability availability,
             EndpointChooser chooser,
+            RegionRule regions,
             EndpointTransport transport) {}
 
     private PeerForwarding(
@@ -71,7 +74,7 @@
         return new PeerForwarding(
                 checkNotNull(isNeeded),
                 checkNotNull(peers),
-                Optional.of(new Links(loads, availability, chooser, checkNotNull(transport))));
+                Optional.of(new Links(loads, availability, chooser, new RegionRule(regions), checkNotNull(transport))));
     }
 
     /** Decides for one request whether it is to be forwarded, if there is an instance to forward it to. */
@@ -79,21 +82,30 @@
         return links.isPresent() && isNeeded.getAsBoolean();
     }
 
-    /** Returns the instance to forward a request to; empty if there is none or the request is sent to an endpoint. */
-    Optional<EndpointChooser.Choice> choose(Set<String> tried) {
-        return isNeeded() ? choose(peers.get(), tried) : Optional.empty();
+    /**
+     * Returns the instance in an allowed region to forward a request to; empty if there is none or the request is sent
+     * to an endpoint.
+     */
+    Optional<EndpointChooser.Choice> choose(AllowedRegions allowed, Set<String> tried) {
+        return isNeeded() ? choose(allowed, peers.get(), tried) : Optional.empty();
     }
 
-    /** Returns one of the named instances to forward a request to; empty if there is none. */
-    Optional<EndpointChooser.Choice> chooseAmong(Set<String> names, Set<String> tried) {
+    /** Returns one of the named instances to forward a request to; empty if there is none in an allowed region. */
+    Optional<EndpointChooser.Choice> chooseAmong(AllowedRegions allowed, Set<String> names, Set<String> tried) {
         if (links.isEmpty() || names.isEmpty()) {
             return Optional.empty();
         }
         return choose(
-                peers.get().stream().filter(peer -> names.contains(peer.id())).toList(), tried);
+                allowed,
+                peers.get().stream().filter(peer -> names.contains(peer.id())).toList(),
+                tried);
     }
 
-    private Optional<EndpointChooser.Choice> choose(Collection<EndpointEntry> candidates, Set<String> tried) {
+    private Optional<EndpointChooser.Choice> choose(
+            AllowedRegions allowed, Collection<EndpointEntry> peersToChoose, Set<String> tried) {
+        List<EndpointEntry> candidates = peersToChoose.stream()
+                .filter(peer -> links.get().regions().allows(allowed, peer.failureDomain()))
+                .toList();
         long triedPeers =
                 candidates.stream().filter(peer -> tried.contains(peer.id())).count();
         return triedPeers >= MAX_PEERS
@@ -136,6 +148,7 @@
                 links.loads(),
                 services.memory(),
                 links.availability(),
+                EndpointEligibility.of(ImmutableList.of(links.regions()), ImmutableList.of()),
                 services.pauseQueue(),
                 links.chooser(),
                 services.modelChooser(),
--- a/router/src/main/java/baobabcroft/relay/RelayServices.java
+++ b/router/src/main/java/baobabcroft/relay/RelayServices.java
@@ -21,6 +21,7 @@
  * @param loads state of the endpoints
  * @param memory memory of the instance, which answers and streams take from
  * @param availability what endpoints have stated about taking requests
+ * @param eligibility decides which endpoints a request may use
  * @param pauseQueue requests that wait until endpoints have ended a pause
  * @param endpointChooser chooses endpoints
  * @param modelChooser chooses models
@@ -42,6 +43,7 @@
         EndpointLoads loads,
         MemoryBudget memory,
         EndpointAvailability availability,
+        EndpointEligibility eligibility,
         PauseQueue pauseQueue,
         EndpointChooser endpointChooser,
         ModelChooser modelChooser,
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -211,7 +211,7 @@
         }
         Optional<EndpointChooser.Choice> holder = priorSends.isPresent()
                 ? Optional.empty()
-                : services.forwarding().chooseAmong(holders, attempts.triedEndpoints());
+                : services.forwarding().chooseAmong(admitted.allowedRegions(), holders, attempts.triedEndpoints());
         if (holder.isPresent()) {
             forwardOrFail(holder.get());
         } else {
@@ -251,7 +251,9 @@
 
     /** Returns the instance to forward the request to; empty if it is to be sent to an endpoint. */
     private Optional<EndpointChooser.Choice> choosePeer() {
-        return priorSends.isPresent() ? Optional.empty() : services.forwarding().choose(attempts.triedEndpoints());
+        return priorSends.isPresent()
+                ? Optional.empty()
+                : services.forwarding().choose(admitted.allowedRegions(), attempts.triedEndpoints());
     }
 
     private RetryBudget budget() {
--- a/router/src/main/java/baobabcroft/routing/Route.java
+++ b/router/src/main/java/baobabcroft/routing/Route.java
@@ -21,6 +21,7 @@
  * @param resumable whether another endpoint may continue an interrupted stream
  * @param models the models that may answer, smallest first; empty if callers name the model
  * @param targets the services that serve the route, with their weights; not empty
+ * @param allowedRegions the regions in which its requests may be served
  */
 public record Route(
         String name,
@@ -35,7 +36,8 @@
         boolean publicAccess,
         boolean resumable,
         ImmutableList<String> models,
-        ImmutableList<RouteTarget> targets) {
+        ImmutableList<RouteTarget> targets,
+        AllowedRegions allowedRegions) {
     /** Validates the components. */
     public Route {
         checkNotNull(name);
@@ -46,6 +48,7 @@
         checkArgument(maxEndpoints > 0, "maxEndpoints not positive: %s", maxEndpoints);
         checkArgument(maxGapMillis >= 0, "negative maxGapMillis: %s", maxGapMillis);
         checkArgument(!targets.isEmpty(), "route %s has no target", name);
+        checkNotNull(allowedRegions);
     }
 
     /**
--- a/router/src/test/java/baobabcroft/instance/StoreContentsTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreContentsTest.java
@@ -4,6 +4,7 @@
 
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.replica.SharedKeyWriter;
 import baobabcroft.replica.StoreEntry;
@@ -31,6 +32,7 @@
             new FailingDialect(),
             new RoutingTableHolder(),
             new EndpointListUpdater(directory, time.scheduler(), time::nowMillis, CONTACT_MILLIS, endpoint -> {}),
+            new EvacuatedDomains(),
             rollouts,
             records,
             time::nowMillis);
--- a/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
@@ -6,6 +6,7 @@
 
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.external.WriteResult;
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.replica.FeedTransport;
@@ -180,7 +181,8 @@
             CrashTracker crashes = new CrashTracker(
                     time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, callback) -> {}, unused -> {});
             TestDialect dialect = new TestDialect();
-            StoreContents contents = new StoreContents(dialect, routing, list, rollouts, records, time::nowMillis);
+            StoreContents contents = new StoreContents(
+                    dialect, routing, list, new EvacuatedDomains(), rollouts, records, time::nowMillis);
             FeedTransport noFeed = (address, position, observer) -> FeedTransport.Link.NONE;
             replica = StoreReplica.create(
                     name,
--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -25,9 +25,9 @@
     private static final long SEED = 11;
     private static final Optional<String> MODEL = Optional.of("large");
     private static final Optional<ServiceProfile> ENGINE =
-            Optional.of(new ServiceProfile("engines", 300, 64, 50_000, ImmutableMap.of()));
+            Optional.of(new ServiceProfile("engines", 300, 64, 50_000, ImmutableMap.of(), Optional.empty()));
     private static final Optional<ServiceProfile> PLAIN =
-            Optional.of(new ServiceProfile("orders", 100, 0, 0, ImmutableMap.of()));
+            Optional.of(new ServiceProfile("orders", 100, 0, 0, ImmutableMap.of(), Optional.empty()));
 
     private long nowMillis;
     private final PeerLoads remoteLoads = PeerLoads.create(() -> nowMillis);
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -11,6 +11,7 @@
 import baobabcroft.memory.MemoryBudget;
 import baobabcroft.retry.RetryBudget;
 import baobabcroft.routing.AccountProfile;
+import baobabcroft.routing.AllowedRegions;
 import baobabcroft.routing.CallerLimits;
 import baobabcroft.routing.Route;
 import baobabcroft.routing.RouteKind;
@@ -413,13 +414,13 @@
         Route chat = route("chat", RouteKind.STREAMING, 3, true, ImmutableList.of("small", "large"), "engines");
         Route order = route("order", RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders");
         Route lookup = route("lookup", RouteKind.IDEMPOTENT, 2, false, ImmutableList.of(), "orders");
-        ServiceProfile engines = new ServiceProfile("engines", 300, 64, 300_000, ImmutableMap.of());
+        ServiceProfile engines = new ServiceProfile("engines", 300, 64, 300_000, ImmutableMap.of(), Optional.empty());
         return RoutingTable.of(
                 version,
                 List.of(chat, order, lookup),
                 ImmutableMap.of("engines", engines),
                 CallerLimits.DEFAULT,
-                ImmutableMap.of("secret", new AccountProfile("kamera", OptionalInt.empty())),
+                ImmutableMap.of("secret", new AccountProfile("kamera", OptionalInt.empty(), AllowedRegions.ALL)),
                 true);
     }
 
@@ -443,7 +444,8 @@
                 false,
                 resumable,
                 models,
-                ImmutableList.of(new RouteTarget(service, 1)));
+                ImmutableList.of(new RouteTarget(service, 1)),
+                AllowedRegions.ALL);
     }
 
     long now() {
@@ -460,6 +462,16 @@
         return RelayedRequest.start(services(), request, caller);
     }
 
+    private EndpointEligibility eligibility() {
+        return EndpointEligibility.of(
+                ImmutableList.of(
+                        new RegionRule(ImmutableMap.of()),
+                        (endpoint, request) -> availability.isLeaving(endpoint)
+                                ? Optional.of(Ineligibility.LEAVING)
+                                : Optional.empty()),
+                ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint)));
+    }
+
     RelayServices services() {
         EndpointChooser chooser = new EndpointChooser(
                 failureDomain, ImmutableMap.of(), loads, () -> {}, RandomSource.XO_RO_SHI_RO_128_PP.create(SEED));
@@ -473,6 +485,7 @@
                 loads,
                 memory,
                 availability,
+                eligibility(),
                 pauseQueue,
                 chooser,
                 models,
--- a/router/src/test/java/baobabcroft/rollout/RolloutRoutes.java
+++ b/router/src/test/java/baobabcroft/rollout/RolloutRoutes.java
@@ -1,5 +1,6 @@
 package baobabcroft.rollout;
 
+import baobabcroft.routing.AllowedRegions;
 import baobabcroft.routing.Route;
 import baobabcroft.routing.RouteKind;
 import baobabcroft.routing.RouteTarget;
@@ -26,6 +27,7 @@
                 false,
                 true,
                 ImmutableList.of(),
-                ImmutableList.of(new RouteTarget(service, 1)));
+                ImmutableList.of(new RouteTarget(service, 1)),
+                AllowedRegions.ALL);
     }
 }
