Obey regions and evacuations on every way of a request, and hold orders that a restored store lacks

One that had not read the new version yet sent it outside of the regions in force at its arrival. It now carries Router-Allowed-Regions, and the other instance takes the intersection; older builds ignore the header. - An instance without a placeable endpoint refused a forwarded request. It now returns it, so the next one is asked. - An isolated instance tried endpoints, up to 600 ms each, for requests whose regions hold no other instance. - An order missing after the return of the store from a copy ended at once. Without a placeable endpoint Retry-After is 2 s on average rather than 0.4 s.

--- a/router/src/main/java/baobabcroft/directory/EvacuatedDomains.java
+++ b/router/src/main/java/baobabcroft/directory/EvacuatedDomains.java
@@ -39,4 +39,13 @@
     public boolean contains(String failureDomain) {
         return names.contains(failureDomain);
     }
+
+    /**
+     * Returns the number of evacuated failure domains.
+     *
+     * @return the number
+     */
+    public int size() {
+        return names.size();
+    }
 }
--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -1,7 +1,6 @@
 package baobabcroft.instance;
 
 import baobabcroft.common.Scheduler;
-import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.front.ConnectionObserver;
 import baobabcroft.front.EndpointConnectionPool;
@@ -16,6 +15,7 @@
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RequestDialect;
 import baobabcroft.routing.CallerLimits;
+import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import java.util.Locale;
@@ -67,7 +67,7 @@
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of random choices
      * @param dialect headers and statuses of the platform
-     * @param directory the listed endpoints
+     * @param endpoints supplies the endpoints that may get requests
      * @param metrics counts what happens
      * @param onChange called with whether this instance is isolated, when that has changed
      */
@@ -79,7 +79,7 @@
             LongSupplier nowMillis,
             UniformRandomProvider random,
             RequestDialect dialect,
-            EndpointDirectory directory,
+            Supplier<ImmutableList<EndpointEntry>> endpoints,
             RouterMetrics metrics,
             Consumer<Boolean> onChange) {
         this.settings = settings;
@@ -89,7 +89,7 @@
         this.endpointConnections = new EndpointConnectionPool(
                 loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable(), new EndpointObserver());
         this.reachability = EndpointReachability.create(
-                directory::accepting,
+                endpoints,
                 endpointConnections::probe,
                 scheduler,
                 nowMillis,
@@ -99,6 +99,7 @@
         this.peers = new ForwardingPeers(isolation::isIsolated);
         this.route = PeerForwarding.create(
                 () -> !reachability.drawsDirect(),
+                reachability::isIsolated,
                 peers::connected,
                 settings.failureDomain(),
                 settings.regions(),
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -27,10 +27,8 @@
 import baobabcroft.relay.EndpointChooser;
 import baobabcroft.relay.EndpointEligibility;
 import baobabcroft.relay.EndpointLoads;
-import baobabcroft.relay.Ineligibility;
 import baobabcroft.relay.PauseQueue;
 import baobabcroft.relay.PlannedStop;
-import baobabcroft.relay.RegionRule;
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RelayedRequest;
 import baobabcroft.relay.RequestDialect;
@@ -97,6 +95,7 @@
     private final RoutingTableHolder routing = new RoutingTableHolder();
     private final EndpointDirectory directory = new EndpointDirectory();
     private final EvacuatedDomains evacuated = new EvacuatedDomains();
+    private final PlacementRules placement = new PlacementRules(directory, evacuated);
     private final Map<String, RetryBudget> retryBudgets = new HashMap<>();
     private final EndpointConnectionPool connections;
     private final UniformRandomProvider random =
@@ -142,7 +141,7 @@
                 nowMillis,
                 random,
                 dialect,
-                directory,
+                placement::reachableEndpoints,
                 metrics,
                 this::onIsolationChanged);
         this.connections = forwarding.endpointConnections();
@@ -167,8 +166,15 @@
                 scheduler, nowMillis, random::nextDouble, forwarding::checkFailed, sharedRecords::publishCrashes);
         EndpointListUpdater endpointList = new EndpointListUpdater(
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
+        EvacuationOrders evacuations = new EvacuationOrders(
+                evacuated,
+                scheduler,
+                nowMillis,
+                this::viewAgeMillis,
+                settings.bounds().contactMillis(),
+                this::onEvacuationOrdered);
         this.storeContents =
-                new StoreContents(storeDialect, routing, endpointList, evacuated, rollouts, sharedRecords, nowMillis);
+                new StoreContents(storeDialect, routing, endpointList, evacuations, rollouts, sharedRecords, nowMillis);
         this.store = StoreReplica.create(
                 settings.instance(),
                 settings.linkMegabitsPerSecond(),
@@ -190,21 +196,10 @@
         return new FleetView(settings.instance(), members::names);
     }
 
-    private ImmutableList<EndpointEligibility.Rule> placementRules() {
-        return ImmutableList.of(
-                new RegionRule(settings.regions()),
-                (endpoint, request) -> when(evacuated.contains(endpoint.failureDomain()), Ineligibility.EVACUATED),
-                (endpoint, request) -> when(availability.isLeaving(endpoint), Ineligibility.LEAVING));
-    }
-
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
         return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint));
     }
 
-    private static Optional<Ineligibility> when(boolean excluded, Ineligibility reason) {
-        return excluded ? Optional.of(reason) : Optional.empty();
-    }
-
     private RelayServices createServices(RequestDialect dialect) {
         return new RelayServices(
                 nowMillis,
@@ -216,7 +211,7 @@
                 loads,
                 memory,
                 availability,
-                EndpointEligibility.of(placementRules(), admissionRules()),
+                EndpointEligibility.of(placement.rules(settings.regions(), availability), admissionRules()),
                 PauseQueue.create(fleetView(), random::nextDouble),
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
@@ -309,6 +304,14 @@
         onLoadChanged();
     }
 
+    private long viewAgeMillis() {
+        return store.ageMillis();
+    }
+
+    private void onEvacuationOrdered() {
+        services.pauseQueue().onPlacementChanged();
+    }
+
     private void onLoadChanged() {
         noticeExchange.ifPresent(NoticeExchange::scheduleNotice);
     }
@@ -415,6 +418,7 @@
                 "config.version",
                 () -> routing.current().map(RoutingTable::version).orElse(0L));
         metrics.gauge("endpoints.listed", directory::size);
+        placement.registerGauges(metrics, loads::openRequests);
         metrics.gauge("endpoints.isolated", () -> forwarding.isIsolated() ? 1 : 0);
         metrics.gauge("endpoints.list_age_millis", store::ageMillis);
         metrics.gauge("store.era", store::era);
--- a/router/src/main/java/baobabcroft/instance/RelayRecorder.java
+++ b/router/src/main/java/baobabcroft/instance/RelayRecorder.java
@@ -7,9 +7,11 @@
 import baobabcroft.log.LogEvent;
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.relay.AttemptInfo;
+import baobabcroft.relay.Ineligibility;
 import baobabcroft.relay.RelayListener;
 import baobabcroft.relay.RelaySummary;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMultiset;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +19,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
 /**
  * Counts the events of all requests and logs those of requests that were refused, failed, sent repeatedly or slow, and
@@ -71,6 +74,15 @@
         buffer(requestId, LogEvent.SEND_FAILED, requestId, endpoint.id(), reason);
     }
 
+    @Override
+    public void onNoEndpoint(String requestId, ImmutableMultiset<Ineligibility> exclusions) {
+        exclusions.elementSet().forEach(reason -> metrics.count("endpoints.ineligible." + reason.label()));
+        String reasons = exclusions.entrySet().stream()
+                .map(entry -> entry.getElement().label() + ':' + entry.getCount())
+                .collect(Collectors.joining(","));
+        buffer(requestId, LogEvent.NO_ENDPOINT, requestId, reasons.isEmpty() ? NONE : reasons);
+    }
+
     @Override
     public void onWaiting(String requestId, long waitMillis) {
         metrics.count("relay.pause_waits");
--- a/router/src/main/java/baobabcroft/instance/StoreContents.java
+++ b/router/src/main/java/baobabcroft/instance/StoreContents.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import baobabcroft.directory.EndpointEntry;
-import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.replica.ReplicaListener;
@@ -25,7 +24,7 @@
     private final StoreDialect dialect;
     private final RoutingTableHolder routing;
     private final EndpointListUpdater endpointList;
-    private final EvacuatedDomains evacuated;
+    private final EvacuationOrders evacuations;
     private final FleetRollouts rollouts;
     private final SharedStoreRecords sharedRecords;
     private final LongSupplier nowMillis;
@@ -37,14 +36,14 @@
             StoreDialect dialect,
             RoutingTableHolder routing,
             EndpointListUpdater endpointList,
-            EvacuatedDomains evacuated,
+            EvacuationOrders evacuations,
             FleetRollouts rollouts,
             SharedStoreRecords sharedRecords,
             LongSupplier nowMillis) {
         this.dialect = checkNotNull(dialect);
         this.routing = checkNotNull(routing);
         this.endpointList = checkNotNull(endpointList);
-        this.evacuated = checkNotNull(evacuated);
+        this.evacuations = checkNotNull(evacuations);
         this.rollouts = checkNotNull(rollouts);
         this.sharedRecords = checkNotNull(sharedRecords);
         this.nowMillis = checkNotNull(nowMillis);
@@ -59,6 +58,7 @@
     public void onEraStarted(long era) {
         log.log(LogEvent.STORE_ERA_STARTED, era);
         endpointList.onEraStarted();
+        evacuations.onEraStarted();
         rollouts.onEraStarted(era);
     }
 
@@ -84,6 +84,7 @@
     @Override
     public void onSnapshotEnd() {
         endpointList.onSnapshotEnd();
+        evacuations.onSnapshotEnd();
         complete = true;
     }
 
@@ -119,9 +120,10 @@
 
     @Override
     public void onEvacuation(String failureDomain, boolean ordered) {
-        boolean changed = ordered ? evacuated.add(failureDomain) : evacuated.remove(failureDomain);
-        if (changed) {
-            log.log(LogEvent.EVACUATION_CHANGED, failureDomain, ordered ? "ordered" : "ended");
+        if (ordered) {
+            evacuations.onOrdered(failureDomain);
+        } else {
+            evacuations.onRemoved(failureDomain);
         }
     }
 
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -199,6 +199,8 @@
     SEND_FAILED(7002, INFO, "send failed", "request", "endpoint", "reason", "agoMillis"),
     /** A request waits, as all endpoints that it could be sent to want no requests for some time. */
     REQUEST_WAITING(7004, INFO, "request waits for the end of a pause", "request", "waitMillis", "agoMillis"),
+    /** A request found no endpoint; why the service's endpoints are excluded, with their number for each reason. */
+    NO_ENDPOINT(7005, INFO, "no endpoint for the request", "request", "reasons", "agoMillis"),
     /** A request received its final response. */
     REQUEST_FINISHED(
             7003,
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -38,13 +38,15 @@
      * @param route its route
      * @param account its client account; empty if the caller presented no known key
      * @param metadata the values of its headers
+     * @param allowedRegions the regions that its route, its account and the instance that forwarded it all allow
      */
     record Admitted(
             CallerRequest request,
             RoutingTable table,
             Route route,
             Optional<AccountProfile> account,
-            CallerMetadata metadata)
+            CallerMetadata metadata,
+            AllowedRegions allowedRegions)
             implements Result {
         /** Returns the priority, 0 being the highest: the client account's if it has one, else the route's. */
         int priority() {
@@ -58,16 +60,9 @@
             return Math.min(route.timeoutMillis(), metadata.timeoutMillis().orElse(Long.MAX_VALUE));
         }
 
-        /** Returns the regions that both the route and the client account allow. */
-        AllowedRegions allowedRegions() {
-            return account.map(AccountProfile::allowedRegions)
-                    .orElse(AllowedRegions.ALL)
-                    .and(route.allowedRegions());
-        }
-
         /** Returns what rules on endpoints of a service know of the request. */
         EligibilityRequest eligibilityRequest(String service, Optional<String> model) {
-            return new EligibilityRequest(allowedRegions(), serviceProfile(service), model, metadata.prompt());
+            return new EligibilityRequest(allowedRegions, serviceProfile(service), model, metadata.prompt());
         }
 
         Optional<ServiceProfile> serviceProfile(String service) {
@@ -80,8 +75,14 @@
         }
     }
 
-    /** Returns whether a request is admitted under a routing table, or why it is refused. */
-    static Result decide(RelayServices services, RoutingTable table, CallerRequest request) {
+    /**
+     * Returns whether a request is admitted under a routing table, or why it is refused.
+     *
+     * @param statedRegions the regions that the instance states that forwarded the request, whose configuration may be
+     *     another one; all for a caller's own request
+     */
+    static Result decide(
+            RelayServices services, RoutingTable table, CallerRequest request, AllowedRegions statedRegions) {
         CallerMetadata metadata;
         try {
             metadata = services.dialect().readCaller(request);
@@ -96,7 +97,11 @@
         if (account.isEmpty() && table.needsKey(route.get())) {
             return new Refused(metadata.requestId(), Refusal.of(ErrorCode.UNKNOWN_ACCOUNT));
         }
-        Admitted admitted = new Admitted(request, table, route.get(), account, metadata);
+        AllowedRegions allowedRegions = account.map(AccountProfile::allowedRegions)
+                .orElse(AllowedRegions.ALL)
+                .and(route.get().allowedRegions())
+                .and(statedRegions);
+        Admitted admitted = new Admitted(request, table, route.get(), account, metadata, allowedRegions);
         if (!services.poisonDetector().admit(admitted.identity())) {
             return new Refused(metadata.requestId(), POISON_REFUSAL);
         }
--- a/router/src/main/java/baobabcroft/relay/EndpointSelection.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointSelection.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.directory.EndpointEntry;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMultiset;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -33,6 +34,19 @@
                         metadata.prompt());
     }
 
+    /** Returns whether any endpoint may serve the request, whatever its load. */
+    boolean hasPlaceable() {
+        return !accepting().isEmpty();
+    }
+
+    /** Returns why the service's endpoints are excluded, with the number of endpoints for each reason. */
+    ImmutableMultiset<Ineligibility> exclusions() {
+        return services.eligibility()
+                .reasons(
+                        services.directory().accepting(service),
+                        admitted.eligibilityRequest(service, Optional.empty()));
+    }
+
     /** Returns the instances that hold a part of what the endpoints take from all instances together. */
     ImmutableSet<String> partHolders() {
         return services.availability().holders(accepting());
@@ -43,13 +57,23 @@
         return services.availability().soonestMillis(accepting()).orElse(0);
     }
 
-    /** Returns how long the request waits for the end of a pause, in milliseconds; empty if it cannot. */
-    OptionalLong enterPauseQueue(long maxWaitMillis) {
-        return services.pauseQueue().tryEnter(service, services.availability().pauses(accepting()), maxWaitMillis);
+    /**
+     * Returns how long the request waits for the end of a pause, in milliseconds; empty if it cannot.
+     *
+     * @param onPlacementChanged run while it waits, when endpoints have been excluded
+     */
+    OptionalLong enterPauseQueue(long maxWaitMillis, Runnable onPlacementChanged) {
+        OptionalLong waitMillis = services.pauseQueue()
+                .tryEnter(service, services.availability().pauses(accepting()), maxWaitMillis);
+        if (waitMillis.isPresent()) {
+            services.pauseQueue().addPlacementListener(onPlacementChanged);
+        }
+        return waitMillis;
     }
 
-    void leavePauseQueue() {
+    void leavePauseQueue(Runnable onPlacementChanged) {
         services.pauseQueue().leave(service);
+        services.pauseQueue().removePlacementListener(onPlacementChanged);
     }
 
     /** Returns the service's endpoints at which the request may be served, and that are not shutting down. */
--- a/router/src/main/java/baobabcroft/relay/PauseQueue.java
+++ b/router/src/main/java/baobabcroft/relay/PauseQueue.java
@@ -5,8 +5,10 @@
 import baobabcroft.limit.FleetView;
 import com.google.common.collect.HashMultiset;
 import com.google.common.collect.Multiset;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
 
 /**
@@ -28,6 +30,7 @@
     private final FleetView fleet;
     private final DoubleSupplier random;
     private final Multiset<String> waitingByService = HashMultiset.create();
+    private final Set<Runnable> placementListeners = new LinkedHashSet<>();
 
     private PauseQueue(FleetView fleet, DoubleSupplier random) {
         this.fleet = fleet;
@@ -80,4 +83,18 @@
     void leave(String service) {
         waitingByService.remove(service);
     }
+
+    /** Adds a waiting request's listener, which is run when endpoints have been excluded. */
+    void addPlacementListener(Runnable listener) {
+        placementListeners.add(listener);
+    }
+
+    void removePlacementListener(Runnable listener) {
+        placementListeners.remove(listener);
+    }
+
+    /** Called when operators have excluded endpoints: requests that no endpoint may serve any more do not wait on. */
+    public void onPlacementChanged() {
+        List.copyOf(placementListeners).forEach(Runnable::run);
+    }
 }
--- a/router/src/main/java/baobabcroft/relay/PeerForwarding.java
+++ b/router/src/main/java/baobabcroft/relay/PeerForwarding.java
@@ -23,12 +23,13 @@
  */
 public final class PeerForwarding {
     /** No way by way of other instances. */
-    public static final PeerForwarding NONE = new PeerForwarding(() -> false, ImmutableList::of, Optional.empty());
+    public static final PeerForwarding NONE = new PeerForwarding(() -> false, () -> false, ImmutableList::of, Optional.empty());
 
     /** Instances that one request is forwarded to, one after the other. */
     private static final int MAX_PEERS = 4;
 
     private final BooleanSupplier isNeeded;
+    private final BooleanSupplier isIsolated;
     private final Supplier<ImmutableList<EndpointEntry>> peers;
     private final Optional<Links> links;
 
@@ -41,8 +42,12 @@
             EndpointTransport transport) {}
 
     private PeerForwarding(
-            BooleanSupplier isNeeded, Supplier<ImmutableList<EndpointEntry>> peers, Optional<Links> links) {
+            BooleanSupplier isNeeded,
+            BooleanSupplier isIsolated,
+            Supplier<ImmutableList<EndpointEntry>> peers,
+            Optional<Links> links) {
         this.isNeeded = isNeeded;
+        this.isIsolated = isIsolated;
         this.peers = peers;
         this.links = links;
     }
@@ -51,6 +56,7 @@
      * Returns a way by way of other instances.
      *
      * @param isNeeded decides for one request whether it is to be forwarded
+     * @param isIsolated whether this instance reaches no endpoint
      * @param peers supplies the other instances that reach the endpoints, as far as is known, nearest or not
      * @param failureDomain failure domain of this instance
      * @param regions region by failure domain
@@ -61,6 +67,7 @@
      */
     public static PeerForwarding create(
             BooleanSupplier isNeeded,
+            BooleanSupplier isIsolated,
             Supplier<ImmutableList<EndpointEntry>> peers,
             String failureDomain,
             Map<String, String> regions,
@@ -73,6 +80,7 @@
         EndpointChooser chooser = new EndpointChooser(failureDomain, regions, loads, () -> {}, random);
         return new PeerForwarding(
                 checkNotNull(isNeeded),
+                checkNotNull(isIsolated),
                 checkNotNull(peers),
                 Optional.of(new Links(loads, availability, chooser, new RegionRule(regions), checkNotNull(transport))));
     }
@@ -82,6 +90,11 @@
         return links.isPresent() && isNeeded.getAsBoolean();
     }
 
+    /** Returns whether this instance reaches no endpoint. */
+    boolean isIsolated() {
+        return isIsolated.getAsBoolean();
+    }
+
     /**
      * Returns the instance in an allowed region to forward a request to; empty if there is none or the request is sent
      * to an endpoint.
--- a/router/src/main/java/baobabcroft/relay/RelayListener.java
+++ b/router/src/main/java/baobabcroft/relay/RelayListener.java
@@ -1,6 +1,7 @@
 package baobabcroft.relay;
 
 import baobabcroft.directory.EndpointEntry;
+import com.google.common.collect.ImmutableMultiset;
 
 /** Notified of each step of a request. Called on the requests' thread; must not block. */
 public interface RelayListener {
@@ -21,6 +22,15 @@
      */
     void onAttemptFailed(String requestId, EndpointEntry endpoint, String reason);
 
+    /**
+     * Called when a request finds no endpoint and ends.
+     *
+     * @param requestId id of the caller's request
+     * @param exclusions why the service's endpoints are excluded, with the number of endpoints for each reason; without
+     *     those that the request was sent to before
+     */
+    void onNoEndpoint(String requestId, ImmutableMultiset<Ineligibility> exclusions);
+
     /**
      * Called when a request waits until an endpoint ends a pause.
      *
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -37,6 +37,11 @@
     private static final int MAX_UNCOUNTED_ATTEMPTS = 3;
     /** Mean retry delay given to callers when no endpoint could run the request, in milliseconds. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
+    /**
+     * Mean retry delay given to callers when no endpoint may serve the request at all, in milliseconds: about the time
+     * in which a change of the configuration, or the end of an evacuation, reaches the instances.
+     */
+    private static final long NO_PLACEMENT_RETRY_MILLIS = 2_000;
     /** Maximum wait for the first configuration, in milliseconds: an eighth of goals of a few seconds. */
     private static final long CONFIG_WAIT_MILLIS = 250;
 
@@ -73,6 +78,7 @@
     private boolean delivered;
     private boolean done;
     private Optional<Scheduler.Cancellable> pauseWait = Optional.empty();
+    private final Runnable placementListener = this::onPlacementChanged;
     private Scheduler.Cancellable deadlineTimer = () -> {};
     private Scheduler.Cancellable plannedStopEnd = () -> {};
 
@@ -136,7 +142,8 @@
             awaitConfiguration();
             return;
         }
-        Admission.Result result = Admission.decide(services, table.get(), request);
+        Admission.Result result = Admission.decide(
+                services, table.get(), request, priorSends.orElse(PriorSends.NONE).allowedRegions());
         if (result instanceof Admission.Refused refused) {
             requestId = refused.requestId();
             refuse(refused.refusal());
@@ -199,11 +206,25 @@
             startForwarding(peer.get());
             return;
         }
-        selection.choose(model, attempts.triedEndpoints()).ifPresentOrElse(this::startAttempt, this::forwardToHolder);
+        chooseEndpoint().ifPresentOrElse(this::startAttempt, this::forwardToHolder);
+    }
+
+    /**
+     * Returns the endpoint for the next attempt. An isolated instance tries endpoints only for requests that any other
+     * instance could have served: for the others, there is no endpoint or instance in their regions within reach.
+     */
+    private Optional<EndpointChooser.Choice> chooseEndpoint() {
+        boolean outOfReach = admitted.allowedRegions().isRestricted()
+                && services.forwarding().isIsolated();
+        return outOfReach ? Optional.empty() : selection.choose(model, attempts.triedEndpoints());
     }
 
     /** Forwards the request to an instance that holds a part of what the service's endpoints take, or ends it. */
     private void forwardToHolder() {
+        if (priorSends.isPresent() && attempts.execution() == Execution.NOT_RUN && !selection.hasPlaceable()) {
+            returnToForwardingInstance("no_allowed_endpoint");
+            return;
+        }
         ImmutableSet<String> holders = selection.partHolders();
         if (priorSends.isPresent() && attempts.execution() == Execution.NOT_RUN && !holders.isEmpty()) {
             returnToForwardingInstance("no_part");
@@ -225,7 +246,7 @@
      */
     private void awaitPauseEnd() {
         OptionalLong waitMillis = attempts.attemptCount() == 0 && !waited
-                ? selection.enterPauseQueue(remainingMillis() / 2)
+                ? selection.enterPauseQueue(remainingMillis() / 2, placementListener)
                 : OptionalLong.empty();
         if (waitMillis.isEmpty()) {
             fail(StopReason.NO_ENDPOINT);
@@ -241,10 +262,17 @@
         startFirstAttempt();
     }
 
+    /** Ends the wait for the end of a pause if no endpoint may serve the request any more. */
+    private void onPlacementChanged() {
+        if (!selection.hasPlaceable()) {
+            onPauseEnd();
+        }
+    }
+
     private void leavePauseQueue() {
         pauseWait.ifPresent(timer -> {
             timer.cancel();
-            selection.leavePauseQueue();
+            selection.leavePauseQueue(placementListener);
         });
         pauseWait = Optional.empty();
     }
@@ -295,7 +323,7 @@
             forwardOrFail(peer.get());
             return;
         }
-        Optional<EndpointChooser.Choice> next = selection.choose(model, attempts.triedEndpoints());
+        Optional<EndpointChooser.Choice> next = chooseEndpoint();
         if (next.isEmpty()) {
             forwardToHolder();
         } else if (decideRetry(Execution.NOT_RUN, endpointReached ? budget() : RetryBudget.unlimited())
@@ -326,7 +354,8 @@
     private void startForwarding(EndpointChooser.Choice peer) {
         int sends = endpointSends + priorSends.orElse(PriorSends.NONE).sends();
         EndpointRequest outgoing = outgoingRequests.toInstance(
-                new PriorSends(Math.max(sends, attempts.possibleRuns()), attempts.possibleRuns()),
+                new PriorSends(
+                        Math.max(sends, attempts.possibleRuns()), attempts.possibleRuns(), admitted.allowedRegions()),
                 remainingMillis(),
                 stream.lastEvent());
         forwarded = true;
@@ -452,8 +481,7 @@
             return;
         }
         Optional<EndpointChooser.Choice> peer = choosePeer();
-        Optional<EndpointChooser.Choice> next =
-                peer.isPresent() ? peer : selection.choose(model, attempts.triedEndpoints());
+        Optional<EndpointChooser.Choice> next = peer.isPresent() ? peer : chooseEndpoint();
         if (next.isEmpty() || decideRetry(Execution.MAY_HAVE_RUN) instanceof Stop) {
             return;
         }
@@ -490,6 +518,9 @@
 
     private void fail(StopReason reason) {
         stopReason = Optional.of(reason);
+        if (reason == StopReason.NO_ENDPOINT) {
+            services.listener().onNoEndpoint(requestId, selection.exclusions());
+        }
         if (stream.hasStarted()) {
             stream.abort();
             finish("stream_lost", 0);
@@ -498,13 +529,18 @@
         } else if (attempts.execution() == Execution.NOT_RUN && reason == StopReason.POISON) {
             refuse(Admission.POISON_REFUSAL);
         } else if (attempts.execution() == Execution.NOT_RUN) {
-            refuse(Refusal.retryAfter(
-                    ErrorCode.POOL_EXHAUSTED, selection.soonestMillis() + withJitter(NO_ENDPOINT_RETRY_MILLIS)));
+            refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, retryAfterMillis()));
         } else {
             refuse(Refusal.mayHaveRun(ErrorCode.ENDPOINT_FAILED));
         }
     }
 
+    private long retryAfterMillis() {
+        return selection.hasPlaceable()
+                ? selection.soonestMillis() + withJitter(NO_ENDPOINT_RETRY_MILLIS)
+                : withJitter(NO_PLACEMENT_RETRY_MILLIS);
+    }
+
     /** Adds a jitter of 40 percent to a delay, so that callers refused at the same time do not retry together. */
     private long withJitter(long millis) {
         return (long) (millis * (0.6 + 0.8 * services.random().nextDouble()));
--- a/router/src/main/java/baobabcroft/routing/AllowedRegions.java
+++ b/router/src/main/java/baobabcroft/routing/AllowedRegions.java
@@ -40,6 +40,15 @@
                         Sets.intersection(names.get(), other.names.get()).immutableCopy()));
     }
 
+    /**
+     * Returns whether some region may be excluded.
+     *
+     * @return false if all regions are allowed
+     */
+    public boolean isRestricted() {
+        return names.isPresent();
+    }
+
     /**
      * Returns whether a region is allowed.
      *
--- a/router/src/test/java/baobabcroft/instance/RelayRecorderTest.java
+++ b/router/src/test/java/baobabcroft/instance/RelayRecorderTest.java
@@ -7,10 +7,12 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.metrics.RouterMetrics;
 import baobabcroft.relay.AttemptInfo;
+import baobabcroft.relay.Ineligibility;
 import baobabcroft.relay.RelaySummary;
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.spi.ILoggingEvent;
 import ch.qos.logback.core.read.ListAppender;
+import com.google.common.collect.ImmutableMultiset;
 import com.google.common.net.HostAndPort;
 import java.util.List;
 import java.util.Optional;
@@ -75,6 +77,24 @@
         assertTrue(lines().get(1).contains("outcome=stream_lost stopped=budget"), lines().toString());
     }
 
+    /** Guards against refusals of which operators cannot see whether regions or an evacuation cause them. */
+    @Test
+    void countsAndLogsWhyThereIsNoEndpoint() {
+        recorder.onNoEndpoint(
+                "r-1",
+                ImmutableMultiset.of(
+                        Ineligibility.REGION_NOT_ALLOWED, Ineligibility.REGION_NOT_ALLOWED, Ineligibility.EVACUATED));
+        serve("r-1", "pool_exhausted", Optional.of("no_endpoint"), 0);
+
+        assertTrue(
+                lines().get(0)
+                        .startsWith("BC7005 no endpoint for the request request=r-1"
+                                + " reasons=region_not_allowed:2,evacuated:1 "),
+                lines().toString());
+        assertEquals(1, metrics.counter("endpoints.ineligible.region_not_allowed").getCount());
+        assertEquals(1, metrics.counter("endpoints.ineligible.evacuated").getCount());
+    }
+
     @Test
     void logsSampleOfSuccessfulRequests() {
         for (int i = 0; i < 100; i++) {
--- a/router/src/test/java/baobabcroft/instance/StoreContentsTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreContentsTest.java
@@ -32,7 +32,8 @@
             new FailingDialect(),
             new RoutingTableHolder(),
             new EndpointListUpdater(directory, time.scheduler(), time::nowMillis, CONTACT_MILLIS, endpoint -> {}),
-            new EvacuatedDomains(),
+            new EvacuationOrders(
+                    new EvacuatedDomains(), time.scheduler(), time::nowMillis, () -> 0, CONTACT_MILLIS, () -> {}),
             rollouts,
             records,
             time::nowMillis);
--- a/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
@@ -181,8 +181,10 @@
             CrashTracker crashes = new CrashTracker(
                     time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, callback) -> {}, unused -> {});
             TestDialect dialect = new TestDialect();
-            StoreContents contents = new StoreContents(
-                    dialect, routing, list, new EvacuatedDomains(), rollouts, records, time::nowMillis);
+            EvacuationOrders evacuations = new EvacuationOrders(
+                    new EvacuatedDomains(), time.scheduler(), time::nowMillis, () -> 0, CONTACT_MILLIS, () -> {});
+            StoreContents contents =
+                    new StoreContents(dialect, routing, list, evacuations, rollouts, records, time::nowMillis);
             FeedTransport noFeed = (address, position, observer) -> FeedTransport.Link.NONE;
             replica = StoreReplica.create(
                     name,
--- a/router/src/test/java/baobabcroft/relay/ForwardingFleet.java
+++ b/router/src/test/java/baobabcroft/relay/ForwardingFleet.java
@@ -32,6 +32,9 @@
         final RelayFixture relay;
         final EndpointReachability reachability;
         long forwardedIn;
+        /** Called when a request arrives from another instance. */
+        Consumer<EndpointRequest> onForwarded = request -> {};
+
         private boolean down;
         private final List<Link> links = new ArrayList<>();
         private final EndpointEntry entry;
@@ -68,6 +71,7 @@
             relay.onConnectFailed = reachability::onFailure;
             relay.forwarding = PeerForwarding.create(
                     () -> !reachability.drawsDirect(),
+                    reachability::isIsolated,
                     this::peers,
                     entry.failureDomain(),
                     ImmutableMap.of(),
@@ -116,6 +120,7 @@
 
         private void serve(EndpointRequest request, Link link) {
             forwardedIn++;
+            onForwarded.accept(request);
             links.add(link);
             ForwardedRequests requests = ForwardedRequests.create(
                     relay.services(), () -> reachability.isIsolated() ? Optional.of("isolated") : Optional.empty());
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -5,6 +5,7 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
@@ -21,6 +22,7 @@
 import baobabcroft.routing.ServiceProfile;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableMultiset;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.net.HostAndPort;
 import java.nio.charset.StandardCharsets;
@@ -29,6 +31,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.DoubleSupplier;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
@@ -45,6 +48,12 @@
     final EndpointDirectory directory = new EndpointDirectory();
     final List<SentRequest> sentRequests = new ArrayList<>();
     final List<RelaySummary> summaries = new ArrayList<>();
+    /** Why endpoints were excluded, for each request that found none. */
+    final List<ImmutableMultiset<Ineligibility>> exclusions = new ArrayList<>();
+    /** Region by failure domain. */
+    ImmutableMap<String, String> regions = ImmutableMap.of();
+
+    final EvacuatedDomains evacuated = new EvacuatedDomains();
     final List<String> lostEndpoints = new ArrayList<>();
     final PeerLoads remoteLoads = PeerLoads.create(this::now);
     final EndpointLoads loads = EndpointLoads.create(this::now, remoteLoads, () -> {});
@@ -63,6 +72,12 @@
     /** Whether the links to all endpoints are cut, and after how long a connection that is being opened then fails. */
     boolean cutOff;
 
+    /** How long it takes to open a connection. */
+    long connectMillis;
+
+    /** Called when a request is written. */
+    Consumer<SentRequest> onWritten = sent -> {};
+
     long connectFailureMillis;
     SendFailure connectFailure = SendFailure.CONNECTION_REFUSED;
     /** Endpoints that are down. */
@@ -304,6 +319,11 @@
         @Override
         public void onAttemptFailed(String requestId, EndpointEntry endpoint, String reason) {}
 
+        @Override
+        public void onNoEndpoint(String requestId, ImmutableMultiset<Ineligibility> reasons) {
+            exclusions.add(reasons);
+        }
+
         @Override
         public void onWaiting(String requestId, long waitMillis) {}
 
@@ -411,16 +431,22 @@
     }
 
     static RoutingTable table(long version) {
-        Route chat = route("chat", RouteKind.STREAMING, 3, true, ImmutableList.of("small", "large"), "engines");
-        Route order = route("order", RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders");
-        Route lookup = route("lookup", RouteKind.IDEMPOTENT, 2, false, ImmutableList.of(), "orders");
+        return table(version, AllowedRegions.ALL, AllowedRegions.ALL);
+    }
+
+    /** Returns such a table whose routes, and whose client account, allow some regions. */
+    static RoutingTable table(long version, AllowedRegions ofRoutes, AllowedRegions ofAccount) {
+        Route chat =
+                route("chat", RouteKind.STREAMING, 3, true, ImmutableList.of("small", "large"), "engines", ofRoutes);
+        Route order = route("order", RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders", ofRoutes);
+        Route lookup = route("lookup", RouteKind.IDEMPOTENT, 2, false, ImmutableList.of(), "orders", ofRoutes);
         ServiceProfile engines = new ServiceProfile("engines", 300, 64, 300_000, ImmutableMap.of(), Optional.empty());
         return RoutingTable.of(
                 version,
                 List.of(chat, order, lookup),
                 ImmutableMap.of("engines", engines),
                 CallerLimits.DEFAULT,
-                ImmutableMap.of("secret", new AccountProfile("kamera", OptionalInt.empty(), AllowedRegions.ALL)),
+                ImmutableMap.of("secret", new AccountProfile("kamera", OptionalInt.empty(), ofAccount)),
                 true);
     }
 
@@ -430,7 +456,8 @@
             int maxEndpoints,
             boolean resumable,
             ImmutableList<String> models,
-            String service) {
+            String service,
+            AllowedRegions allowedRegions) {
         return new Route(
                 name,
                 "shop.example",
@@ -445,7 +472,7 @@
                 resumable,
                 models,
                 ImmutableList.of(new RouteTarget(service, 1)),
-                AllowedRegions.ALL);
+                allowedRegions);
     }
 
     long now() {
@@ -465,7 +492,10 @@
     private EndpointEligibility eligibility() {
         return EndpointEligibility.of(
                 ImmutableList.of(
-                        new RegionRule(ImmutableMap.of()),
+                        new RegionRule(regions),
+                        (endpoint, request) -> evacuated.contains(endpoint.failureDomain())
+                                ? Optional.of(Ineligibility.EVACUATED)
+                                : Optional.empty(),
                         (endpoint, request) -> availability.isLeaving(endpoint)
                                 ? Optional.of(Ineligibility.LEAVING)
                                 : Optional.empty()),
@@ -512,14 +542,26 @@
         }
         onConnected.run();
         SentRequest sent = new SentRequest(endpoint, request, listener, now());
-        if (listener.confirmSend()) {
-            sentRequests.add(sent);
+        if (connectMillis > 0) {
+            time.scheduler().schedule(connectMillis, () -> write(sent));
         } else {
-            time.scheduler().schedule(0, () -> listener.onFailure(SendFailure.ENDPOINT_UNAVAILABLE));
+            write(sent);
         }
         return () -> sent.cancelled = true;
     }
 
+    private void write(SentRequest sent) {
+        if (sent.cancelled) {
+            return;
+        }
+        if (sent.listener.confirmSend()) {
+            sentRequests.add(sent);
+            onWritten.accept(sent);
+        } else {
+            time.scheduler().schedule(0, () -> sent.listener.onFailure(SendFailure.ENDPOINT_UNAVAILABLE));
+        }
+    }
+
     private void failConnect(PendingConnect pending) {
         if (pendingConnects.remove(pending)) {
             onConnectFailed.run();
