Learn the speed of each endpoint, and expect waits at plain services by slots

Cause: prefill times were learned by model only, so an engine of 0.6 times the usual speed looked like one of 1.6 times until requests queued there. At plain services each request in flight counted as 50 ms, although six run at once.

EndpointSpeeds keeps the usual time of a kind of work, and a factor by endpoint: averages of logarithms, steps bounded by a factor of two, prior 1, forgotten in a minute. Only requests without a known queue count, without the round trip to another region, and only if other instances cannot have had most of the tokens cached. The usual time is no longer moved by one late output without bound. At plain services the expected time is that of a request, of those beyond the slots, and half a request for full slots as notices are late. RecentOutcomes holds what EndpointLoads kept of failures and delays.

Ruled out: observing all requests (a shared part that another instance had cached there looks like a threefold speed).

--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -27,10 +27,14 @@
     private static final double SAME_REGION_COST_MILLIS = 15;
     /** Round trip between regions, plus the same again as a surcharge for paid traffic, in milliseconds. */
     private static final double OTHER_REGION_COST_MILLIS = 120;
+    /** Round trip between regions, in milliseconds. */
+    private static final double OTHER_REGION_ROUND_TRIP_MILLIS = 60;
     /** Delay that each in-flight request adds to the others on a model engine, in milliseconds. */
     private static final double ENGINE_REQUEST_DELAY_MILLIS = 10;
-    /** Delay that each in-flight request adds on a plain service with one slot, in milliseconds. */
-    private static final double PLAIN_REQUEST_DELAY_MILLIS = 300;
+    /** Delay that each in-flight request adds on another instance with one slot, in milliseconds. */
+    private static final double PEER_REQUEST_DELAY_MILLIS = 300;
+    /** Share of a request's time that a plain endpoint with full slots and no known queue is expected to add. */
+    private static final double UNKNOWN_REQUESTS_SHARE = 0.5;
     /** Cost of an endpoint that fails all its requests, in milliseconds: about a whole deadline. */
     private static final double FAILURE_COST_MILLIS = 3_000;
     /** Probability that another instance has already sent a new shared part to its rendezvous endpoint. */
@@ -74,8 +78,9 @@
      * @param endpoint the endpoint
      * @param firstOutputMillis expected time to the first output, including the cost of a failure, in milliseconds
      * @param waitMillis the part of it that other requests cause, in milliseconds
+     * @param roundTripMillis round trip to the endpoint, in milliseconds
      */
-    record Choice(EndpointEntry endpoint, double firstOutputMillis, double waitMillis) {}
+    record Choice(EndpointEntry endpoint, double firstOutputMillis, double waitMillis, double roundTripMillis) {}
 
     /** Returns the best candidate whose id is not in {@code used}, or empty if there is none. */
     Optional<Choice> choose(
@@ -103,7 +108,7 @@
         return best == null
                 ? Optional.empty()
                 : Optional.of(new Choice(
-                        best, bestMillis, waitMillis(loads.stateOf(best).load())));
+                        best, bestMillis, waitMillis(loads.stateOf(best).load()), roundTripMillis(best)));
     }
 
     private double expectedMillis(
@@ -122,15 +127,33 @@
             if (isRendezvous) {
                 tokens -= RENDEZVOUS_CACHED_PROBABILITY * Math.max(0, tokens - prompt.ownTokens());
             }
-            return millis + loads.prefillMillis(model, prompt, tokens) + waitMillis(load);
+            return millis + loads.prefillMillis(model, prompt, tokens) * state.timeFactor() + waitMillis(load);
         }
-        return millis + load.inFlight() * PLAIN_REQUEST_DELAY_MILLIS / candidate.slots();
+        if (profile.isEmpty()) {
+            return millis + load.inFlight() * PEER_REQUEST_DELAY_MILLIS / candidate.slots();
+        }
+        return millis + plainMillis(state.plainRequestMillis(), load.inFlight(), candidate.slots());
+    }
+
+    /**
+     * Returns the expected time of a request at a plain service, in milliseconds. Requests beyond the slots wait for
+     * their turn; a part of those under way at other instances is not known yet and may take a free slot.
+     */
+    private static double plainMillis(double requestMillis, int inFlight, int slots) {
+        double waitMillis = Math.max(0, inFlight + 1 - slots) * requestMillis / slots;
+        double unknownMillis = UNKNOWN_REQUESTS_SHARE * requestMillis * Math.min(inFlight, slots) / slots;
+        return requestMillis + waitMillis + unknownMillis;
     }
 
     private static double waitMillis(PeerLoads.Load load) {
         return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS;
     }
 
+    private double roundTripMillis(EndpointEntry candidate) {
+        double costMillis = networkCostMillis(candidate);
+        return costMillis >= OTHER_REGION_COST_MILLIS ? OTHER_REGION_ROUND_TRIP_MILLIS : 0;
+    }
+
     private double networkCostMillis(EndpointEntry candidate) {
         if (candidate.failureDomain().equals(failureDomain)) {
             return 0;
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -18,42 +18,21 @@
  * recent failures and delays, and cached prompt parts. Not thread-safe.
  */
 public final class EndpointLoads {
-    /** Time constant of the decay of failures and delays, in milliseconds. Shorter than the restart of an endpoint. */
-    private static final double DECAY_TIME_CONSTANT_MILLIS = 4_000;
-    /** Weight of a new outcome in the moving average of the failure rate. */
-    private static final double FAILURE_SMOOTHING = 0.2;
-    /** Recent own outcomes from which other instances' reports of failures and delays are ignored. */
-    private static final double SUFFICIENT_OWN_OUTCOMES = 3;
-    /**
-     * Weight of other instances' reports of failures and delays while there are no own outcomes. Below 1 because the
-     * cause may not affect this instance.
-     */
-    private static final double REPORT_WEIGHT = 0.7;
-    /** Failure rate from which an endpoint is reported to other instances. */
-    private static final double MIN_REPORTED_FAILURE_RATE = 0.05;
-    /** Delay from which an endpoint is reported to other instances, in milliseconds. */
-    private static final double MIN_REPORTED_DELAY_MILLIS = 50;
     /** Multiple of the expected time to the first output above which the output is late. */
     private static final double LATE_FACTOR = 2;
     /** Minimum excess over the expected time for a late output, in milliseconds: engine steps and a round trip. */
     private static final double MIN_LATE_EXCESS_MILLIS = 300;
-    /** Upper bound of a recorded delay, in milliseconds: the goal of the longest requests. */
-    private static final double MAX_DELAY_MILLIS = 3_000;
-    /** Weight of a new delay in the moving average of an endpoint's delay. */
-    private static final double DELAY_SMOOTHING = 0.3;
-    /** Ejection time after a first connection failure, in milliseconds; doubles with each consecutive failure. */
-    private static final long MIN_EJECTION_MILLIS = 500;
-    /** Maximum ejection time, in milliseconds. */
-    private static final long MAX_EJECTION_MILLIS = 4_000;
-
     /** Prefill time of a token before any observation, in milliseconds: order of magnitude of the engines. */
     private static final double DEFAULT_TOKEN_PREFILL_MILLIS = 0.07;
     /** Context length at which the prefill time of a token doubles: order of magnitude of the engines. */
     private static final double DOUBLING_CONTEXT_TOKENS = 24_000;
-    /** Weight of a new observation in the moving average of the prefill time of a token. */
-    private static final double TOKEN_PREFILL_SMOOTHING = 0.1;
     /** Minimum uncached tokens for observing the prefill time; with shorter prompts other delays dominate. */
     private static final int MIN_OBSERVED_TOKENS = 400;
+    /** Largest share of tokens that another instance's request may have had cached, for observing an endpoint's speed. */
+    private static final double MAX_DOUBTFUL_SHARE = 0.3;
+
+    /** Time of a request at a plain service before any observation, in milliseconds: more than services usually take. */
+    private static final double DEFAULT_PLAIN_REQUEST_MILLIS = 300;
 
     /** Uncached tokens above which a request's priority drops by one more: one prefill chunk, then several. */
     private static final ImmutableList<Integer> PRIORITY_PENALTY_TOKENS =
@@ -63,13 +42,15 @@
     private final PeerLoads remoteLoads;
     private final Runnable onChange;
     private final Map<String, State> states = new HashMap<>();
-    private final Map<String, Double> tokenPrefillMillis = new HashMap<>();
+    private final EndpointSpeeds speeds;
     private boolean isolated;
 
-    private EndpointLoads(LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange) {
-        this.nowMillis = nowMillis;
-        this.remoteLoads = remoteLoads;
-        this.onChange = onChange;
+    private EndpointLoads(
+            LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange, EndpointSpeeds speeds) {
+        this.nowMillis = checkNotNull(nowMillis);
+        this.remoteLoads = checkNotNull(remoteLoads);
+        this.onChange = checkNotNull(onChange);
+        this.speeds = checkNotNull(speeds);
     }
 
     /**
@@ -81,7 +62,13 @@
      * @return the loads
      */
     public static EndpointLoads create(LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange) {
-        return new EndpointLoads(checkNotNull(nowMillis), checkNotNull(remoteLoads), checkNotNull(onChange));
+        return create(nowMillis, remoteLoads, onChange, EndpointSpeeds.create(nowMillis));
+    }
+
+    /** Returns loads without any request that learn the speeds of endpoints in a given way. */
+    static EndpointLoads create(
+            LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange, EndpointSpeeds speeds) {
+        return new EndpointLoads(nowMillis, remoteLoads, onChange, speeds);
     }
 
     /**
@@ -94,7 +81,7 @@
     public Map<EndpointKey, Load> localLoads() {
         Map<EndpointKey, Load> loads = new HashMap<>();
         states.values().forEach(state -> {
-            if (state.inFlight > 0 || state.isReportable()) {
+            if (state.inFlight > 0 || state.outcomes.isReportable()) {
                 loads.put(state.key, state.localLoad());
             }
         });
@@ -110,7 +97,7 @@
     public void setIsolated(boolean nowIsolated) {
         isolated = nowIsolated;
         if (nowIsolated) {
-            states.values().forEach(State::forgetFailures);
+            states.values().forEach(state -> state.outcomes.forget());
             onChange.run();
         }
     }
@@ -125,14 +112,11 @@
         return stateOf(endpoint).inFlight;
     }
 
-    /** Returns the observed prefill time of a token of a short prompt, in milliseconds. */
-    private double tokenPrefillMillis(Optional<String> model) {
-        return tokenPrefillMillis.getOrDefault(model.orElse(""), DEFAULT_TOKEN_PREFILL_MILLIS);
-    }
-
-    /** Returns the expected prefill time of the last tokens of a prompt, in milliseconds. */
+    /** Returns the expected prefill time of the last tokens of a prompt at the usual speed, in milliseconds. */
     double prefillMillis(Optional<String> model, Prompt prompt, double tokensToPrefill) {
-        return tokensToPrefill * lengthFactor(prompt, tokensToPrefill) * tokenPrefillMillis(model);
+        return tokensToPrefill
+                * lengthFactor(prompt, tokensToPrefill)
+                * speeds.usualMillis(EndpointSpeeds.prefillKind(model), DEFAULT_TOKEN_PREFILL_MILLIS);
     }
 
     /** Returns the factor by which a long context slows down prefill, as each token attends to all before it. */
@@ -157,7 +141,7 @@
     State stateOf(EndpointEntry endpoint) {
         State state = states.get(endpoint.id());
         if (state == null || state.startedAtEpochMillis != endpoint.startedAtEpochMillis()) {
-            state = new State(endpoint.id(), endpoint.startedAtEpochMillis());
+            state = new State(endpoint);
             states.put(endpoint.id(), state);
         }
         return state;
@@ -167,20 +151,32 @@
     final class State {
         private final EndpointKey key;
         private final long startedAtEpochMillis;
+        private final int slots;
+        /** Kind of work of one request, if the endpoint belongs to a plain service. */
+        private final String requestKind;
+
+        private final EndpointSpeeds.Speed speed = speeds.newEndpoint();
         private final LinkedHashMap<String, Integer> cachedParts = new LinkedHashMap<>(16, 0.75f, true);
         private long cachedTokens;
         private int inFlight;
         private double pendingPrefillMillis;
-        private double failureRate;
-        private double lateMillis;
-        private double outcomes;
-        private long decayedAtMillis;
-        private int connectionFailures;
-        private long ejectedUntilMillis = Long.MIN_VALUE;
-
-        private State(String endpointId, long startedAtEpochMillis) {
-            this.key = EndpointKey.of(endpointId);
-            this.startedAtEpochMillis = startedAtEpochMillis;
+        private final RecentOutcomes outcomes = new RecentOutcomes(nowMillis);
+
+        private State(EndpointEntry endpoint) {
+            this.key = EndpointKey.of(endpoint.id());
+            this.startedAtEpochMillis = endpoint.startedAtEpochMillis();
+            this.slots = endpoint.slots();
+            this.requestKind = "service/" + endpoint.service();
+        }
+
+        /** Returns the expected time of work at this endpoint, as a multiple of the usual time. */
+        double timeFactor() {
+            return speed.timeFactor();
+        }
+
+        /** Returns the expected time of a request at a plain service without waiting, in milliseconds. */
+        double plainRequestMillis() {
+            return speeds.usualMillis(requestKind, DEFAULT_PLAIN_REQUEST_MILLIS) * speed.timeFactor();
         }
 
         /** Returns the key that names the endpoint in notices. */
@@ -195,7 +191,7 @@
         Load load() {
             Load local = localLoad();
             Load remote = remoteLoads.loadOf(key);
-            double remoteWeight = REPORT_WEIGHT * Math.max(0, 1 - outcomes * decayFactor() / SUFFICIENT_OWN_OUTCOMES);
+            double remoteWeight = outcomes.reportWeight();
             return new Load(
                     local.inFlight() + remote.inFlight(),
                     local.prefillBacklogMillis() + remote.prefillBacklogMillis(),
@@ -205,22 +201,12 @@
 
         /** Returns the load that this instance causes, and the failures and delays that it has seen. */
         private Load localLoad() {
-            return new Load(inFlight, pendingPrefillMillis, failureRate * decayFactor(), lateMillis * decayFactor());
-        }
-
-        private boolean isReportable() {
-            return failureRate * decayFactor() >= MIN_REPORTED_FAILURE_RATE
-                    || lateMillis * decayFactor() >= MIN_REPORTED_DELAY_MILLIS;
-        }
-
-        /** Returns the factor by which the recorded failures and delays have decayed since the last one. */
-        private double decayFactor() {
-            return Math.exp((decayedAtMillis - nowMillis.getAsLong()) / DECAY_TIME_CONSTANT_MILLIS);
+            return new Load(inFlight, pendingPrefillMillis, outcomes.failureRate(), outcomes.lateMillis());
         }
 
         /** Returns whether the endpoint is ejected because of recent connection failures. */
         boolean isEjected() {
-            return nowMillis.getAsLong() < ejectedUntilMillis;
+            return outcomes.isEjected();
         }
 
         /** Returns the number of prompt tokens to prefill: those from the first uncached part to the end. */
@@ -250,16 +236,37 @@
 
         /** Registers a request that is being sent and returns the handle that tracks it. */
         InFlightRequest startRequest(Optional<String> model, Prompt prompt, long cacheTokens) {
+            return startRequest(model, prompt, cacheTokens, 0);
+        }
+
+        /**
+         * Registers a request that is being sent and returns the handle that tracks it.
+         *
+         * @param roundTripMillis round trip to the endpoint, which is no part of its own time, in milliseconds
+         */
+        InFlightRequest startRequest(
+                Optional<String> model, Prompt prompt, long cacheTokens, double roundTripMillis) {
             int tokensToPrefill = tokensToPrefill(model, prompt);
-            double prefillMillis = EndpointLoads.this.prefillMillis(model, prompt, tokensToPrefill);
+            double prefillMillis =
+                    EndpointLoads.this.prefillMillis(model, prompt, tokensToPrefill) * speed.timeFactor();
             Load before = load();
             boolean noPendingPrefill = before.prefillBacklogMillis() == 0;
+            boolean slotFree = before.inFlight() < slots;
             inFlight++;
             pendingPrefillMillis += prefillMillis;
             onChange.run();
             double expectedMillis = prefillMillis + before.prefillBacklogMillis();
             return new InFlightRequest(
-                    this, model, prompt, tokensToPrefill, prefillMillis, expectedMillis, noPendingPrefill, cacheTokens);
+                    this,
+                    model,
+                    prompt,
+                    tokensToPrefill,
+                    prefillMillis,
+                    expectedMillis,
+                    noPendingPrefill,
+                    slotFree,
+                    cacheTokens,
+                    roundTripMillis);
         }
 
         private void cacheParts(Optional<String> model, Prompt prompt, long cacheTokens) {
@@ -274,46 +281,16 @@
             }
         }
 
-        private void forgetFailures() {
-            failureRate = 0;
-            lateMillis = 0;
-            outcomes = 0;
-            connectionFailures = 0;
-            ejectedUntilMillis = Long.MIN_VALUE;
-        }
-
         private void recordOutcome(boolean failed) {
-            if (isolated) {
-                return;
+            if (!isolated) {
+                outcomes.record(failed);
             }
-            decay();
-            outcomes++;
-            failureRate += FAILURE_SMOOTHING * ((failed ? 1 : 0) - failureRate);
-        }
-
-        private void recordDelay(double millis) {
-            if (isolated) {
-                return;
-            }
-            decay();
-            lateMillis += DELAY_SMOOTHING * (Math.min(millis, MAX_DELAY_MILLIS) - lateMillis);
-        }
-
-        private void decay() {
-            double factor = decayFactor();
-            failureRate *= factor;
-            lateMillis *= factor;
-            outcomes *= factor;
-            decayedAtMillis = nowMillis.getAsLong();
         }
 
         private void eject() {
-            if (isolated) {
-                return;
+            if (!isolated) {
+                outcomes.eject();
             }
-            long ejectionMillis = Math.min(MAX_EJECTION_MILLIS, MIN_EJECTION_MILLIS << Math.min(connectionFailures, 3));
-            connectionFailures++;
-            ejectedUntilMillis = nowMillis.getAsLong() + ejectionMillis;
         }
 
         private static String partKey(Optional<String> model, PromptPart part) {
@@ -330,7 +307,9 @@
         private final double prefillMillis;
         private final double expectedMillis;
         private final boolean noPendingPrefill;
+        private final boolean slotFree;
         private final long cacheTokens;
+        private final double roundTripMillis;
         private final long sentAtMillis = nowMillis.getAsLong();
         private boolean prefillDone;
         private boolean ended;
@@ -343,7 +322,9 @@
                 double prefillMillis,
                 double expectedMillis,
                 boolean noPendingPrefill,
-                long cacheTokens) {
+                boolean slotFree,
+                long cacheTokens,
+                double roundTripMillis) {
             this.state = state;
             this.model = model;
             this.prompt = prompt;
@@ -351,7 +332,9 @@
             this.prefillMillis = prefillMillis;
             this.expectedMillis = expectedMillis;
             this.noPendingPrefill = noPendingPrefill;
+            this.slotFree = slotFree;
             this.cacheTokens = cacheTokens;
+            this.roundTripMillis = roundTripMillis;
         }
 
         /** Records the first output, with which the prefill of the prompt has ended. */
@@ -375,26 +358,49 @@
 
         /** Ignores requests without a prompt: only the prefill time of engines can be predicted. */
         private void observeDelay() {
-            if (prompt.promptTokens() > 0) {
+            if (!isolated && prompt.promptTokens() > 0) {
                 double boundMillis = Math.max(LATE_FACTOR * expectedMillis, expectedMillis + MIN_LATE_EXCESS_MILLIS);
-                state.recordDelay(Math.max(0, nowMillis.getAsLong() - sentAtMillis - boundMillis));
+                state.outcomes.recordDelay(Math.max(0, nowMillis.getAsLong() - sentAtMillis - boundMillis));
             }
         }
 
+        /**
+         * Observes the prefill time of a token. If shared parts are most of what is to be prefilled, it is not known how
+         * much was: other instances may have sent these parts to the endpoint.
+         */
         private void observeTokenPrefill() {
-            if (noPendingPrefill && tokensToPrefill >= MIN_OBSERVED_TOKENS) {
-                double observed = (nowMillis.getAsLong() - sentAtMillis)
-                        / (tokensToPrefill * lengthFactor(prompt, tokensToPrefill));
-                double before = EndpointLoads.this.tokenPrefillMillis(model);
-                tokenPrefillMillis.put(model.orElse(""), before + TOKEN_PREFILL_SMOOTHING * (observed - before));
+            if (isolated || !noPendingPrefill || tokensToPrefill < MIN_OBSERVED_TOKENS) {
+                return;
+            }
+            String kind = EndpointSpeeds.prefillKind(model);
+            double tokenMillis = endpointMillis() / (tokensToPrefill * lengthFactor(prompt, tokensToPrefill));
+            if (tokensToPrefill - prompt.ownTokens() > MAX_DOUBTFUL_SHARE * tokensToPrefill) {
+                speeds.observeDoubtful(kind, DEFAULT_TOKEN_PREFILL_MILLIS, tokenMillis);
+            } else {
+                state.speed.observe(kind, DEFAULT_TOKEN_PREFILL_MILLIS, tokenMillis);
+            }
+        }
+
+        /** Observes the time of a request at a plain service that had a free slot, as far as is known. */
+        private void observePlainRequest() {
+            if (!isolated && slotFree && prompt.promptTokens() == 0) {
+                state.speed.observe(state.requestKind, DEFAULT_PLAIN_REQUEST_MILLIS, endpointMillis());
             }
         }
 
+        /** Returns the time since the request was sent without the round trip, in milliseconds; at least 1. */
+        private double endpointMillis() {
+            return Math.max(1, nowMillis.getAsLong() - sentAtMillis - roundTripMillis);
+        }
+
         /** Ends the request with an answer of the endpoint, which may be a failure. */
         void answered(boolean failed) {
             if (end()) {
-                state.connectionFailures = 0;
+                state.outcomes.onAnswered();
                 state.recordOutcome(failed);
+                if (!failed) {
+                    observePlainRequest();
+                }
             }
         }
 
@@ -422,7 +428,7 @@
          */
         void connectTimedOut() {
             if (end()) {
-                if (state.connectionFailures > 0) {
+                if (state.outcomes.connectionFailures() > 0) {
                     state.recordOutcome(true);
                 }
                 state.eject();
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -355,7 +355,7 @@
                 .orElse(0L);
         EndpointLoads.InFlightRequest inFlightRequest = services.loads()
                 .stateOf(endpoint)
-                .startRequest(model, admitted.metadata().prompt(), cacheTokens);
+                .startRequest(model, admitted.metadata().prompt(), cacheTokens, choice.roundTripMillis());
         currentAttempt =
                 Optional.of(EndpointAttempt.start(services, admitted, endpoint, inFlightRequest, outgoing, this));
     }
