--- a/router/src/test/java/baobabcroft/relay/AllowedRegionsTest.java
+++ b/router/src/test/java/baobabcroft/relay/AllowedRegionsTest.java
@@ -9,6 +9,7 @@
 import baobabcroft.relay.RelayFixture.SentRequest;
 import baobabcroft.routing.AllowedRegions;
 import com.google.common.collect.ImmutableMultiset;
+import java.util.Collections;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -74,7 +75,7 @@
                     Long.parseLong(caller.headers.first("retry-after-millis").orElseThrow());
             assertTrue(retryMillis >= 1_200 && retryMillis <= 2_800, "retry after " + retryMillis);
             assertEquals(
-                    ImmutableMultiset.copyOf(java.util.Collections.nCopies(3, Ineligibility.REGION_NOT_ALLOWED)),
+                    ImmutableMultiset.copyOf(Collections.nCopies(3, Ineligibility.REGION_NOT_ALLOWED)),
                     relay.exclusions.get(0));
         }
 
@@ -197,6 +198,7 @@
         @Test
         void isRefusedAtOnceIfNoInstanceInTheRegionIsLeft() {
             configure(cutOff, 2, regions("domain-2"));
+            cutOff.relay.connectFailureMillis = 600;
             fleet.members.get(1).crash();
             cutOff.relay.start("/order/1", caller);
             fleet.advance(5);
--- a/router/src/test/java/baobabcroft/relay/PlacementPropertyTest.java
+++ b/router/src/test/java/baobabcroft/relay/PlacementPropertyTest.java
@@ -11,12 +11,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
@@ -57,10 +59,14 @@
     @Provide
     static Arbitrary<List<Step>> histories() {
         return Combinators.combine(
-                        Arbitraries.of(Event.class),
+                        Arbitraries.frequencyOf(
+                                Tuple.of(1, Arbitraries.of(Event.class)),
+                                Tuple.of(1, Arbitraries.of(Event.REQUEST, Event.CONFIGURE, Event.EVACUATE))),
                         Arbitraries.integers().between(0, INSTANCES - 1),
                         Arbitraries.integers().between(0, 63),
-                        Arbitraries.integers().between(0, 400))
+                        Arbitraries.frequencyOf(
+                                Tuple.of(1, Arbitraries.integers().between(0, 10)),
+                                Tuple.of(1, Arbitraries.integers().between(0, 400))))
                 .as(Step::new)
                 .list()
                 .ofMinSize(10)
@@ -127,9 +133,14 @@
                 }
                 case EVACUATE -> {
                     relay.evacuated.add(domain);
+                    relay.evacuated.add("domain-" + (1 + step.choice() / DOMAINS % DOMAINS));
                     relay.services().pauseQueue().onPlacementChanged();
                 }
-                case RETURN -> relay.evacuated.remove(domain);
+                case RETURN -> {
+                    for (int i = 1; i <= DOMAINS; i++) {
+                        relay.evacuated.remove("domain-" + i);
+                    }
+                }
                 case REQUEST -> request(step);
                 case REQUEST_ANY_MODEL -> request(step, new Header("model", "*"));
                 case ANSWER -> answer(step, sent -> sent.answer(200, "done"));
@@ -172,7 +183,7 @@
                     .start(PATHS.get(step.choice() % PATHS.size()) + id, caller, all.toArray(Header[]::new));
         }
 
-        private void answer(Step step, java.util.function.Consumer<SentRequest> how) {
+        private void answer(Step step, Consumer<SentRequest> how) {
             if (open.isEmpty()) {
                 return;
             }
--- a/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
+++ b/router/src/test/java/baobabcroft/replica/SimulatedFleet.java
@@ -170,6 +170,21 @@
         return instance;
     }
 
+    /** Returns the age of an instance's view of the store, in milliseconds. */
+    public long ageMillis(String name) {
+        return instances.get(name).replica.ageMillis();
+    }
+
+    /** Returns whether an instance follows another one. */
+    public boolean isFollowing(String name) {
+        return instances.get(name).replica.isFollowing();
+    }
+
+    /** Kills an instance: its connections are reset. */
+    public void kill(String name) {
+        kill(instances.get(name));
+    }
+
     /** Kills an instance: its connections are reset. */
     void kill(Instance instance) {
         instance.stopped = true;
