Keep cold endpoints at the stated rate over all instances

Cause: an endpoint that has just started looks idle to every instance, so all of them prefer it at once and it gets more requests in a second than the contract allows (warmup_per_s x 1.5 + 5, 18.2 for payroll engines).

Change: the package baobabcroft.pace. Few instances hold a share of a cold endpoint, ranked by hash with those of its failure domain and region first. A holder keeps a minimum time between its requests, checked when the request is written to the open connection. Others do not choose the endpoint, and forward to a holder only if no other endpoint is left. An instance holds no share in its first 5 s. Endpoints whose connections failed, or whose domain returned from an evacuation, are paced until an entry has been received that was written since. Settings bounds.warmUpExcess and bounds.warmUpSlack.

Ruled out: SharedRate, whose buckets count beside its rate, so that two holders that the others do not know of exceed the bound; ranking by the start of the endpoint, because instances that know the former start would choose other holders.

--- a/router/src/main/java/baobabcroft/instance/InstanceSettings.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceSettings.java
@@ -67,7 +67,9 @@
                 bounds.contactMillis(),
                 read.bounds.retryRatio(),
                 read.bounds.retrySlack(),
-                bounds.exposureShare());
+                bounds.exposureShare(),
+                read.bounds.warmUpExcess(),
+                read.bounds.warmUpSlack());
         return new InstanceSettings(
                 instance,
                 failureDomain,
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -107,6 +107,7 @@
     private final EndpointLoads loads;
     private final EndpointAvailability availability;
     private final DomainRolloutCounts rolloutCounts = new DomainRolloutCounts();
+    private final InstancePace pace;
     private final StoreContents storeContents;
     private final StoreReplica store;
     private final SharedStoreRecords sharedRecords;
@@ -155,6 +156,16 @@
                 fleetView(),
                 loads::openRequests,
                 new AvailabilityRecorder(metrics));
+        this.pace = new InstancePace(
+                settings,
+                () -> this.settings.bounds(),
+                members::names,
+                directory,
+                routing,
+                peerLoads,
+                metrics,
+                nowMillis,
+                random::nextDouble);
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
                 sharedRecords,
@@ -169,6 +180,7 @@
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
         this.storeContents =
                 new StoreContents(storeDialect, routing, endpointList, evacuated, rollouts, sharedRecords, nowMillis);
+        storeContents.notify(pace.pace());
         this.store = StoreReplica.create(
                 settings.instance(),
                 settings.linkMegabitsPerSecond(),
@@ -198,7 +210,8 @@
     }
 
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
-        return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint));
+        return ImmutableList.of(
+                (endpoint, request) -> availability.unavailability(endpoint), pace.limit(availability));
     }
 
     private static Optional<Ineligibility> when(boolean excluded, Ineligibility reason) {
@@ -225,7 +238,7 @@
                 crashTracker,
                 connections,
                 plannedStop,
-                new RelayRecorder(metrics, store::ageMillis, peerLoads::millisSinceLastUpdate),
+                pace.observe(new RelayRecorder(metrics, store::ageMillis, peerLoads::millisSinceLastUpdate)),
                 forwarding.route());
     }
 
@@ -283,6 +296,7 @@
         @Override
         public void onLocation(String peer, InstanceLocation location) {
             members.add(peer);
+            pace.putPeer(peer, location.failureDomain());
             forwarding.putPeer(peer, location);
             HostAndPort address = HostAndPort.fromString(location.address());
             noticeExchange.ifPresent(notices -> notices.putPeer(peer, address, location.failureDomain()));
@@ -315,6 +329,7 @@
 
     private void tick() {
         rollouts.tick();
+        pace.tick();
         aligned.schedule(TICK_MILLIS, this::tick);
     }
 
--- a/router/src/main/java/baobabcroft/instance/StoreContents.java
+++ b/router/src/main/java/baobabcroft/instance/StoreContents.java
@@ -6,6 +6,7 @@
 import baobabcroft.directory.EvacuatedDomains;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import baobabcroft.pace.EndpointPace;
 import baobabcroft.replica.ReplicaListener;
 import baobabcroft.replica.StoreEntry;
 import baobabcroft.replica.StoreRevision;
@@ -30,6 +31,7 @@
     private final SharedStoreRecords sharedRecords;
     private final LongSupplier nowMillis;
     private final EventLog log = EventLog.of(StoreContents.class);
+    private Optional<EndpointPace> pace = Optional.empty();
     private boolean complete;
     private long unavailableSinceMillis;
 
@@ -50,6 +52,11 @@
         this.nowMillis = checkNotNull(nowMillis);
     }
 
+    /** Sets what is notified of the starts of endpoints and of returned failure domains. */
+    void notify(EndpointPace newPace) {
+        pace = Optional.of(newPace);
+    }
+
     /** Returns whether the complete contents were read once, a condition of readiness. */
     boolean isComplete() {
         return complete;
@@ -85,6 +92,7 @@
     public void onSnapshotEnd() {
         endpointList.onSnapshotEnd();
         complete = true;
+        pace.ifPresent(EndpointPace::onContentsRead);
     }
 
     @Override
@@ -115,7 +123,9 @@
     }
 
     @Override
-    public void onWarmUp(EndpointEntry entry, long remainingMillis) {}
+    public void onWarmUp(EndpointEntry entry, long remainingMillis) {
+        pace.ifPresent(paces -> paces.onEntry(entry, remainingMillis));
+    }
 
     @Override
     public void onEvacuation(String failureDomain, boolean ordered) {
@@ -123,6 +133,9 @@
         if (changed) {
             log.log(LogEvent.EVACUATION_CHANGED, failureDomain, ordered ? "ordered" : "ended");
         }
+        if (changed && !ordered) {
+            pace.ifPresent(paces -> paces.onDomainReturned(failureDomain));
+        }
     }
 
     @Override
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -151,6 +151,26 @@
             "request",
             "requestsOnConnection",
             "detail"),
+    /** An endpoint that has started or recovered gets requests at a limited pace. */
+    ENDPOINT_PACE_STARTED(
+            5029,
+            INFO,
+            "endpoint gets requests at a limited pace",
+            "endpoint",
+            "startedAtEpochMillis",
+            "reason",
+            "perSecond",
+            "holders",
+            "holdsShare"),
+    /** An endpoint gets requests without a limited pace again. */
+    ENDPOINT_PACE_ENDED(
+            5030,
+            INFO,
+            "endpoint gets requests without a limited pace again",
+            "endpoint",
+            "reason",
+            "pacedMillis",
+            "sent"),
     /** No endpoint accepts connections of this instance; they may accept those of others. */
     ENDPOINTS_UNREACHABLE(5024, WARN, "no endpoint can be reached from this instance", "triedEndpoints", "peers"),
     /** An endpoint has accepted a connection of this instance again. */
--- a/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAvailability.java
@@ -46,6 +46,7 @@
     private final FleetView fleet;
     private final ToIntFunction<EndpointEntry> openRequests;
     private final Listener listener;
+    private SendGate gate = SendGate.OPEN;
     /** By hash of the endpoint's incarnation. */
     private final Map<Long, Statement> statements = new LinkedHashMap<>(16, 0.75F, true) {
         private static final long serialVersionUID = 1L;
@@ -179,6 +180,15 @@
                 checkNotNull(listener));
     }
 
+    /**
+     * Sets what limits the sends to endpoints beside their own statements; to be called before the first request.
+     *
+     * @param newGate grants each send
+     */
+    public void limitSends(SendGate newGate) {
+        gate = checkNotNull(newGate);
+    }
+
     /**
      * Takes in the answer to a request of this instance.
      *
@@ -350,6 +360,7 @@
         for (EndpointEntry endpoint : endpoints) {
             Optional<Statement> statement = knownStatement(endpoint);
             if (statement.map(this::isOpen).orElse(true)) {
+                holders.addAll(gate.holders(endpoint));
                 statement.ifPresent(known -> holders.addAll(known.limit.holders()));
                 toleratedRejections(endpoint, statement)
                         .ifPresent(tolerated ->
@@ -366,14 +377,16 @@
     /** Returns a permit for one request to an endpoint that has just been chosen. */
     SendPermit permit(EndpointEntry endpoint) {
         Optional<Boolean> taken = tryTake(endpoint);
+        SendGate.Pass pass = gate.enter(endpoint);
         BooleanSupplier onConfirm = () -> {
             boolean isOpen = knownStatement(endpoint).map(this::isOpen).orElse(true);
-            return isOpen && taken.or(() -> tryTake(endpoint)).orElse(true);
+            return isOpen && taken.or(() -> tryTake(endpoint)).orElse(true) && pass.confirm();
         };
         Runnable onRelease = () -> {
             if (taken.orElse(false)) {
                 statementOf(endpoint).limit.giveBack();
             }
+            pass.release();
         };
         return new SendPermit(onConfirm, onRelease);
     }
