--- a/router/src/main/java/baobabcroft/instance/EvacuationOrders.java
+++ b/router/src/main/java/baobabcroft/instance/EvacuationOrders.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 
 /**
@@ -29,6 +30,7 @@
     private final LongSupplier viewAgeMillis;
     private final long contactMillis;
     private final Runnable onOrdered;
+    private final Consumer<String> onEnded;
     /** Orders that are missing after a return of the store, by failure domain, with the time to be confirmed. */
     private final Map<String, Long> heldUntilMillis = new HashMap<>();
 
@@ -45,6 +47,7 @@
      * @param viewAgeMillis age of the view of the store: all changes before that are known, in milliseconds
      * @param contactMillis time after a return of the store from a copy for which missing orders hold, in milliseconds
      * @param onOrdered run after an order has come into force
+     * @param onEnded called with the failure domain after an order has ended
      */
     EvacuationOrders(
             EvacuatedDomains evacuated,
@@ -52,7 +55,8 @@
             LongSupplier nowMillis,
             LongSupplier viewAgeMillis,
             long contactMillis,
-            Runnable onOrdered) {
+            Runnable onOrdered,
+            Consumer<String> onEnded) {
         checkArgument(contactMillis > 0, "contactMillis not positive: %s", contactMillis);
         this.evacuated = checkNotNull(evacuated);
         this.scheduler = checkNotNull(scheduler);
@@ -60,6 +64,7 @@
         this.viewAgeMillis = checkNotNull(viewAgeMillis);
         this.contactMillis = contactMillis;
         this.onOrdered = checkNotNull(onOrdered);
+        this.onEnded = checkNotNull(onEnded);
     }
 
     /** Called with an order that the store contains. */
@@ -120,5 +125,6 @@
         heldUntilMillis.remove(failureDomain);
         evacuated.remove(failureDomain);
         log.log(LogEvent.EVACUATION_CHANGED, failureDomain, "ended");
+        onEnded.accept(failureDomain);
     }
 }
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -106,6 +106,7 @@
     private final EndpointLoads loads;
     private final EndpointAvailability availability;
     private final DomainRolloutCounts rolloutCounts = new DomainRolloutCounts();
+    private final InstancePace pace;
     private final StoreContents storeContents;
     private final StoreReplica store;
     private final SharedStoreRecords sharedRecords;
@@ -154,6 +155,16 @@
                 fleetView(),
                 loads::openRequests,
                 new AvailabilityRecorder(metrics));
+        this.pace = new InstancePace(
+                settings,
+                () -> this.settings.bounds(),
+                members::names,
+                directory,
+                routing,
+                peerLoads,
+                metrics,
+                nowMillis,
+                random::nextDouble);
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
                 sharedRecords,
@@ -172,9 +183,11 @@
                 nowMillis,
                 this::viewAgeMillis,
                 settings.bounds().contactMillis(),
-                this::onEvacuationOrdered);
+                this::onEvacuationOrdered,
+                pace.pace()::onDomainReturned);
         this.storeContents =
                 new StoreContents(storeDialect, routing, endpointList, evacuations, rollouts, sharedRecords, nowMillis);
+        storeContents.notify(pace.pace());
         this.store = StoreReplica.create(
                 settings.instance(),
                 settings.linkMegabitsPerSecond(),
@@ -197,7 +210,8 @@
     }
 
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
-        return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint));
+        return ImmutableList.of(
+                (endpoint, request) -> availability.unavailability(endpoint), pace.limit(availability));
     }
 
     private RelayServices createServices(RequestDialect dialect) {
@@ -220,7 +234,7 @@
                 crashTracker,
                 connections,
                 plannedStop,
-                new RelayRecorder(metrics, store::ageMillis, peerLoads::millisSinceLastUpdate),
+                pace.observe(new RelayRecorder(metrics, store::ageMillis, peerLoads::millisSinceLastUpdate)),
                 forwarding.route());
     }
 
@@ -278,6 +292,7 @@
         @Override
         public void onLocation(String peer, InstanceLocation location) {
             members.add(peer);
+            pace.putPeer(peer, location.failureDomain());
             forwarding.putPeer(peer, location);
             HostAndPort address = HostAndPort.fromString(location.address());
             noticeExchange.ifPresent(notices -> notices.putPeer(peer, address, location.failureDomain()));
@@ -318,6 +333,7 @@
 
     private void tick() {
         rollouts.tick();
+        pace.tick();
         aligned.schedule(TICK_MILLIS, this::tick);
     }
 
--- a/router/src/main/java/baobabcroft/instance/StoreContents.java
+++ b/router/src/main/java/baobabcroft/instance/StoreContents.java
@@ -5,6 +5,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
+import baobabcroft.pace.EndpointPace;
 import baobabcroft.replica.ReplicaListener;
 import baobabcroft.replica.StoreEntry;
 import baobabcroft.replica.StoreRevision;
@@ -29,6 +30,7 @@
     private final SharedStoreRecords sharedRecords;
     private final LongSupplier nowMillis;
     private final EventLog log = EventLog.of(StoreContents.class);
+    private Optional<EndpointPace> pace = Optional.empty();
     private boolean complete;
     private long unavailableSinceMillis;
 
@@ -49,6 +51,11 @@
         this.nowMillis = checkNotNull(nowMillis);
     }
 
+    /** Sets what is notified of the starts of endpoints and of returned failure domains. */
+    void notify(EndpointPace newPace) {
+        pace = Optional.of(newPace);
+    }
+
     /** Returns whether the complete contents were read once, a condition of readiness. */
     boolean isComplete() {
         return complete;
@@ -86,6 +93,7 @@
         endpointList.onSnapshotEnd();
         evacuations.onSnapshotEnd();
         complete = true;
+        pace.ifPresent(EndpointPace::onContentsRead);
     }
 
     @Override
@@ -116,7 +124,9 @@
     }
 
     @Override
-    public void onWarmUp(EndpointEntry entry, long remainingMillis) {}
+    public void onWarmUp(EndpointEntry entry, long remainingMillis) {
+        pace.ifPresent(paces -> paces.onEntry(entry, remainingMillis));
+    }
 
     @Override
     public void onEvacuation(String failureDomain, boolean ordered) {
--- a/router/src/test/java/baobabcroft/instance/EvacuationFleetTest.java
+++ b/router/src/test/java/baobabcroft/instance/EvacuationFleetTest.java
@@ -81,7 +81,8 @@
                         time::nowMillis,
                         () -> fleet.ageMillis(name),
                         CONTACT_MILLIS,
-                        () -> {})));
+                        () -> {},
+                        domain -> {})));
     }
 
     /** Returns the instances that know the failure domain as evacuated. */
