--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -166,15 +166,8 @@
                 scheduler, nowMillis, random::nextDouble, forwarding::checkFailed, sharedRecords::publishCrashes);
         EndpointListUpdater endpointList = new EndpointListUpdater(
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
-        EvacuationOrders evacuations = new EvacuationOrders(
-                evacuated,
-                scheduler,
-                nowMillis,
-                this::viewAgeMillis,
-                settings.bounds().contactMillis(),
-                this::onEvacuationOrdered);
-        this.storeContents =
-                new StoreContents(storeDialect, routing, endpointList, evacuations, rollouts, sharedRecords, nowMillis);
+        this.storeContents = new StoreContents(
+                storeDialect, routing, endpointList, createEvacuations(), rollouts, sharedRecords, nowMillis);
         this.store = StoreReplica.create(
                 settings.instance(),
                 settings.linkMegabitsPerSecond(),
@@ -304,12 +297,14 @@
         onLoadChanged();
     }
 
-    private long viewAgeMillis() {
-        return store.ageMillis();
-    }
-
-    private void onEvacuationOrdered() {
-        services.pauseQueue().onPlacementChanged();
+    private EvacuationOrders createEvacuations() {
+        return new EvacuationOrders(
+                evacuated,
+                scheduler,
+                nowMillis,
+                () -> store.ageMillis(),
+                settings.bounds().contactMillis(),
+                () -> services.pauseQueue().onPlacementChanged());
     }
 
     private void onLoadChanged() {
--- a/router/src/main/java/baobabcroft/relay/EndpointSelection.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointSelection.java
@@ -63,8 +63,8 @@
      * @param onPlacementChanged run while it waits, when endpoints have been excluded
      */
     OptionalLong enterPauseQueue(long maxWaitMillis, Runnable onPlacementChanged) {
-        OptionalLong waitMillis = services.pauseQueue()
-                .tryEnter(service, services.availability().pauses(accepting()), maxWaitMillis);
+        OptionalLong waitMillis =
+                services.pauseQueue().tryEnter(service, services.availability().pauses(accepting()), maxWaitMillis);
         if (waitMillis.isPresent()) {
             services.pauseQueue().addPlacementListener(onPlacementChanged);
         }
--- a/router/src/main/java/baobabcroft/relay/PeerForwarding.java
+++ b/router/src/main/java/baobabcroft/relay/PeerForwarding.java
@@ -23,7 +23,8 @@
  */
 public final class PeerForwarding {
     /** No way by way of other instances. */
-    public static final PeerForwarding NONE = new PeerForwarding(() -> false, () -> false, ImmutableList::of, Optional.empty());
+    public static final PeerForwarding NONE =
+            new PeerForwarding(() -> false, () -> false, ImmutableList::of, Optional.empty());
 
     /** Instances that one request is forwarded to, one after the other. */
     private static final int MAX_PEERS = 4;
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -143,7 +143,10 @@
             return;
         }
         Admission.Result result = Admission.decide(
-                services, table.get(), request, priorSends.orElse(PriorSends.NONE).allowedRegions());
+                services,
+                table.get(),
+                request,
+                priorSends.orElse(PriorSends.NONE).allowedRegions());
         if (result instanceof Admission.Refused refused) {
             requestId = refused.requestId();
             refuse(refused.refusal());
--- a/router/src/test/java/baobabcroft/instance/RelayRecorderTest.java
+++ b/router/src/test/java/baobabcroft/instance/RelayRecorderTest.java
@@ -91,7 +91,8 @@
                         .startsWith("BC7005 no endpoint for the request request=r-1"
                                 + " reasons=region_not_allowed:2,evacuated:1 "),
                 lines().toString());
-        assertEquals(1, metrics.counter("endpoints.ineligible.region_not_allowed").getCount());
+        assertEquals(
+                1, metrics.counter("endpoints.ineligible.region_not_allowed").getCount());
         assertEquals(1, metrics.counter("endpoints.ineligible.evacuated").getCount());
     }
 
--- a/router/src/test/java/baobabcroft/relay/AllowedRegionsTest.java
+++ b/router/src/test/java/baobabcroft/relay/AllowedRegionsTest.java
@@ -181,7 +181,8 @@
 
             assertEquals(20, fleet.members.get(1).forwardedIn);
             assertEquals(20, sent().size());
-            assertTrue(sent().stream().allMatch(sent -> sent.endpoint.failureDomain().equals("domain-2")));
+            assertTrue(sent().stream()
+                    .allMatch(sent -> sent.endpoint.failureDomain().equals("domain-2")));
         }
 
         /** Guards against an instance that trusts the choice of another one, such as one with an older build. */
--- a/router/src/test/java/baobabcroft/relay/PlacementPropertyTest.java
+++ b/router/src/test/java/baobabcroft/relay/PlacementPropertyTest.java
@@ -23,8 +23,8 @@
 
 /**
  * Checks on random histories of configurations, evacuations, failures and cuts that no request reaches an endpoint, and
- * no body an instance, outside of the regions that were allowed at its arrival, and none an endpoint of a failure domain
- * that the sending instance knows to be evacuated. Each instance learns of changes at a time of its own.
+ * no body an instance, outside of the regions that were allowed at its arrival, and none an endpoint of a failure
+ * domain that the sending instance knows to be evacuated. Each instance learns of changes at a time of its own.
  */
 class PlacementPropertyTest {
     private static final int INSTANCES = 4;
@@ -146,19 +146,21 @@
                 case ANSWER -> answer(step, sent -> sent.answer(200, "done"));
                 case FAIL_ANSWER -> answer(step, sent -> sent.answer(500, "broken"));
                 case DOUBT -> answer(step, sent -> sent.head(200, new Header("confidence", "1")));
-                case STREAM -> answer(step, sent -> {
-                    sent.head(200);
-                    sent.event(0);
-                    sent.listener.onFailure(SendFailure.CONNECTION_LOST);
-                });
+                case STREAM ->
+                    answer(step, sent -> {
+                        sent.head(200);
+                        sent.event(0);
+                        sent.listener.onFailure(SendFailure.CONNECTION_LOST);
+                    });
                 case LOSE_CONNECTION -> answer(step, sent -> sent.listener.onFailure(SendFailure.CONNECTION_LOST));
                 case REJECT -> answer(step, sent -> sent.answer(503, "", new Header("not-run", "1")));
-                case PAUSE_ENDPOINT -> answer(
-                        step, sent -> sent.answer(503, "", new Header("not-run", "1"), new Header("pause", "1")));
-                case LEAVE -> answer(
-                        step, sent -> sent.answer(503, "", new Header("not-run", "1"), new Header("leaving", "1")));
-                case REFUSE_CONNECTIONS -> relay.refuses = endpoint ->
-                        step.choice() % 2 == 0 && endpoint.failureDomain().equals(domain);
+                case PAUSE_ENDPOINT ->
+                    answer(step, sent -> sent.answer(503, "", new Header("not-run", "1"), new Header("pause", "1")));
+                case LEAVE ->
+                    answer(step, sent -> sent.answer(503, "", new Header("not-run", "1"), new Header("leaving", "1")));
+                case REFUSE_CONNECTIONS ->
+                    relay.refuses = endpoint ->
+                            step.choice() % 2 == 0 && endpoint.failureDomain().equals(domain);
                 case CUT -> {
                     relay.cutOff = true;
                     fleet.members.get(step.instance()).reachability.onFailure();
@@ -166,6 +168,7 @@
                 case RECONNECT -> relay.cutOff = false;
                 case SLOW_CONNECTIONS -> relay.connectMillis = 5L * step.choice();
                 case PASS -> {}
+                default -> throw new AssertionError(step);
             }
             fleet.advance(step.millis());
         }
