--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -177,16 +177,8 @@
                 scheduler, nowMillis, random::nextDouble, forwarding::checkFailed, sharedRecords::publishCrashes);
         EndpointListUpdater endpointList = new EndpointListUpdater(
                 directory, scheduler, nowMillis, settings.bounds().contactMillis(), this::onEndpointRemoved);
-        EvacuationOrders evacuations = new EvacuationOrders(
-                evacuated,
-                scheduler,
-                nowMillis,
-                this::viewAgeMillis,
-                settings.bounds().contactMillis(),
-                this::onEvacuationOrdered,
-                pace.pace()::onDomainReturned);
-        this.storeContents =
-                new StoreContents(storeDialect, routing, endpointList, evacuations, rollouts, sharedRecords, nowMillis);
+        this.storeContents = new StoreContents(
+                storeDialect, routing, endpointList, createEvacuations(), rollouts, sharedRecords, nowMillis);
         storeContents.notify(pace.pace());
         this.store = StoreReplica.create(
                 settings.instance(),
@@ -319,12 +311,15 @@
         onLoadChanged();
     }
 
-    private long viewAgeMillis() {
-        return store.ageMillis();
-    }
-
-    private void onEvacuationOrdered() {
-        services.pauseQueue().onPlacementChanged();
+    private EvacuationOrders createEvacuations() {
+        return new EvacuationOrders(
+                evacuated,
+                scheduler,
+                nowMillis,
+                () -> store.ageMillis(),
+                settings.bounds().contactMillis(),
+                () -> services.pauseQueue().onPlacementChanged(),
+                pace.pace()::onDomainReturned);
     }
 
     private void onLoadChanged() {
