--- a/router/src/main/java/baobabcroft/instance/InstancePace.java
+++ b/router/src/main/java/baobabcroft/instance/InstancePace.java
@@ -9,12 +9,14 @@
 import baobabcroft.log.EventLog;
 import baobabcroft.log.LogEvent;
 import baobabcroft.metrics.RouterMetrics;
+import baobabcroft.pace.EndpointEvidence;
 import baobabcroft.pace.EndpointPace;
 import baobabcroft.pace.PaceFleet;
 import baobabcroft.pace.PaceReason;
 import baobabcroft.relay.AttemptInfo;
 import baobabcroft.relay.EndpointAvailability;
 import baobabcroft.relay.EndpointEligibility;
+import baobabcroft.relay.EndpointLoads;
 import baobabcroft.relay.Ineligibility;
 import baobabcroft.relay.RelayListener;
 import baobabcroft.relay.RelaySummary;
@@ -40,6 +42,7 @@
      * @param directory the listed endpoints
      * @param routing holds the current routing table
      * @param peerLoads what other instances report of endpoints
+     * @param loads what this instance has seen of endpoints
      * @param metrics counts what happens
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of numbers in [0, 1)
@@ -51,11 +54,11 @@
             EndpointDirectory directory,
             RoutingTableHolder routing,
             PeerLoads peerLoads,
+            EndpointLoads loads,
             RouterMetrics metrics,
             LongSupplier nowMillis,
             DoubleSupplier random) {
         checkNotNull(routing);
-        checkNotNull(peerLoads);
         this.fleet = new PaceFleet(settings.instance(), settings.failureDomain(), settings.regions(), names);
         this.pace = new EndpointPace(
                 fleet,
@@ -64,7 +67,7 @@
                 random,
                 service ->
                         routing.current().flatMap(table -> table.service(service)).flatMap(ServiceProfile::warmUp),
-                endpoint -> peerLoads.loadOf(EndpointKey.of(endpoint.id())).failureRate(),
+                new Evidence(peerLoads, loads),
                 statedPerSecond -> bounds.get().warmUpRequests(statedPerSecond),
                 new Recorder(metrics));
         metrics.gauge("pace.endpoints", pace::pacedEndpoints);
@@ -94,6 +97,24 @@
         pace.tick();
     }
 
+    private record Evidence(PeerLoads peerLoads, EndpointLoads loads) implements EndpointEvidence {
+        private Evidence {
+            checkNotNull(peerLoads);
+            checkNotNull(loads);
+        }
+
+        @Override
+        public double reportedFailureRate(EndpointEntry endpoint) {
+            return peerLoads.loadOf(EndpointKey.of(endpoint.id())).failureRate();
+        }
+
+        @Override
+        public PeerLoads.Load seenByAll(EndpointEntry endpoint) {
+            EndpointKey key = EndpointKey.of(endpoint.id());
+            return loads.localLoads().getOrDefault(key, PeerLoads.Load.NONE).plus(peerLoads.loadOf(key));
+        }
+    }
+
     private final class FailureObserver implements RelayListener {
         private final RelayListener next;
 
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -163,6 +163,7 @@
                 directory,
                 routing,
                 peerLoads,
+                loads,
                 metrics,
                 nowMillis,
                 random::nextDouble);
--- a/router/src/main/java/baobabcroft/pace/EndpointPace.java
+++ b/router/src/main/java/baobabcroft/pace/EndpointPace.java
@@ -17,14 +17,15 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.function.DoubleSupplier;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import java.util.function.ToDoubleFunction;
 
 /**
- * Keeps endpoints that are or may be cold at the rate that their service states, over all instances together.
+ * Keeps endpoints that are or may be cold at the rate that their service states, over all instances together, or, if
+ * it states none, at a rate that grows from a small one ({@link LearnedPace}).
  *
  * <p>Few instances hold a share of an endpoint's pace ({@link PacePlan}); the others send it nothing while it is paced.
  * An instance that has just started holds no share until the others can have learned of it and it of them. An endpoint
@@ -52,7 +53,8 @@
     private final LongSupplier nowMillis;
     private final DoubleSupplier random;
     private final Function<String, Optional<WarmUp>> warmUpOfService;
-    private final ToDoubleFunction<EndpointEntry> reportedFailureRate;
+    private final EndpointEvidence evidence;
+    private final LearnedPaces learned;
     private final Bound bound;
     private final Listener listener;
     private final Map<HostAndPort, PacedEndpoint> paced = new HashMap<>();
@@ -114,7 +116,7 @@
      * @param nowMillis monotonic clock, in milliseconds
      * @param random source of numbers in [0, 1) that spread the first requests of the holders
      * @param warmUpOfService returns what a service states of cold endpoints, by its name
-     * @param reportedFailureRate returns the failure rate of an endpoint as seen by other instances, from 0 to 1
+     * @param evidence what instances have seen of endpoints of late
      * @param bound the bound on the requests of a cold endpoint
      * @param listener notified of the paces of endpoints
      */
@@ -124,7 +126,7 @@
             LongSupplier nowMillis,
             DoubleSupplier random,
             Function<String, Optional<WarmUp>> warmUpOfService,
-            ToDoubleFunction<EndpointEntry> reportedFailureRate,
+            EndpointEvidence evidence,
             Bound bound,
             Listener listener) {
         this.fleet = checkNotNull(fleet);
@@ -132,7 +134,8 @@
         this.nowMillis = checkNotNull(nowMillis);
         this.random = checkNotNull(random);
         this.warmUpOfService = checkNotNull(warmUpOfService);
-        this.reportedFailureRate = checkNotNull(reportedFailureRate);
+        this.evidence = checkNotNull(evidence);
+        this.learned = new LearnedPaces(fleet, directory, evidence, nowMillis);
         this.bound = checkNotNull(bound);
         this.listener = checkNotNull(listener);
     }
@@ -161,6 +164,9 @@
         boolean started = contentsRead && (knownStart == null || knownStart != entry.startedAtEpochMillis());
         Optional<WarmUp> warmUp = warmUpOfService.apply(entry.service());
         if (warmUp.isEmpty()) {
+            if (started) {
+                learn(entry, PaceReason.STARTED);
+            }
             return;
         }
         Optional<PacedEndpoint> known = Optional.ofNullable(paced.get(entry.address()));
@@ -189,12 +195,29 @@
         if (isConnectionFailure(failure)) {
             doubtByFailure(endpoint);
         }
+        if (isNamed(SendFailure.CONNECTION_REFUSED, failure)
+                && directory.find(endpoint.id()).isPresent()
+                && warmUpOfService.apply(endpoint.service()).isEmpty()) {
+            learn(endpoint, PaceReason.FAILED);
+        }
+    }
+
+    /** Lets the pace of an endpoint grow from a small one, as its service states nothing. */
+    private void learn(EndpointEntry endpoint, PaceReason reason) {
+        learned.start(endpoint);
+        if (learned.ratePerSecond(endpoint).isPresent()) {
+            stateOf(endpoint, reason);
+        }
     }
 
     private static boolean isConnectionFailure(String failure) {
         return List.of(SendFailure.CONNECTION_REFUSED, SendFailure.CONNECT_TIMEOUT, SendFailure.CONNECTION_LOST)
                 .stream()
-                .anyMatch(kind -> kind.name().toLowerCase(Locale.ROOT).equals(failure));
+                .anyMatch(kind -> isNamed(kind, failure));
+    }
+
+    private static boolean isNamed(SendFailure kind, String failure) {
+        return kind.name().toLowerCase(Locale.ROOT).equals(failure);
     }
 
     private void doubtByFailure(EndpointEntry endpoint) {
@@ -218,7 +241,12 @@
         long now = nowMillis.getAsLong();
         for (EndpointEntry endpoint : directory.accepting()) {
             Optional<WarmUp> warmUp = warmUpOfService.apply(endpoint.service());
-            if (endpoint.failureDomain().equals(failureDomain) && warmUp.isPresent()) {
+            if (!endpoint.failureDomain().equals(failureDomain)) {
+                continue;
+            }
+            if (warmUp.isEmpty()) {
+                learn(endpoint, PaceReason.RETURNED);
+            } else {
                 long pacedMillis = Math.max(STORE_DELAY_MILLIS, warmUp.get().durationMillis());
                 stateOf(endpoint, PaceReason.RETURNED).doubt(PaceReason.RETURNED, now, now + pacedMillis);
             }
@@ -229,18 +257,20 @@
     public void tick() {
         for (EndpointEntry endpoint : directory.accepting()) {
             if (warmUpOfService.apply(endpoint.service()).isPresent()
-                    && reportedFailureRate.applyAsDouble(endpoint) >= DOUBTFUL_FAILURE_RATE) {
+                    && evidence.reportedFailureRate(endpoint) >= DOUBTFUL_FAILURE_RATE) {
                 doubtByFailure(endpoint);
             }
         }
         if (paced.isEmpty()) {
             return;
         }
+        learned.tick();
         long now = nowMillis.getAsLong();
         for (PacedEndpoint state : ImmutableList.copyOf(paced.values())) {
             boolean isListed = directory.find(state.entry().id()).isPresent();
             boolean outdated = !isListed && now - state.doubtfulSinceMillis() > UNLISTED_DOUBT_MILLIS;
-            if (!state.isCold(now) && (!state.isDoubtful() || outdated)) {
+            boolean learning = learned.ratePerSecond(state.entry()).isPresent();
+            if (!state.isCold(now) && !learning && (!state.isDoubtful() || outdated)) {
                 paced.remove(state.entry().address());
                 listener.onEnded(state.entry(), state.reason(), now - state.pacedSinceMillis(), state.sent());
             }
@@ -279,10 +309,16 @@
     }
 
     private void updatePlan(PacedEndpoint state) {
-        warmUpOfService
-                .apply(state.entry().service())
-                .ifPresent(warmUp -> state.plan(
-                        warmUp.requestsPerSecond(), bound.perSecond(warmUp.requestsPerSecond())));
+        OptionalDouble stated = statedRate(state.entry());
+        (stated.isPresent() ? stated : learned.ratePerSecond(state.entry()))
+                .ifPresent(perSecond -> state.plan(perSecond, bound.perSecond(perSecond)));
+    }
+
+    private OptionalDouble statedRate(EndpointEntry endpoint) {
+        Optional<WarmUp> warmUp = warmUpOfService.apply(endpoint.service());
+        return warmUp.isPresent()
+                ? OptionalDouble.of(warmUp.get().requestsPerSecond())
+                : OptionalDouble.empty();
     }
 
     private boolean mayHold() {
@@ -305,8 +341,10 @@
     private boolean isPaced(PacedEndpoint state) {
         boolean ignored = state.isDoubtfulByFailures()
                 && massFailures.contains(state.entry().service());
-        return (state.isCold(nowMillis.getAsLong()) || (state.isDoubtful() && !ignored))
-                && warmUpOfService.apply(state.entry().service()).isPresent();
+        boolean maybeCold = state.isCold(nowMillis.getAsLong()) || (state.isDoubtful() && !ignored);
+        return statedRate(state.entry()).isPresent()
+                ? maybeCold
+                : learned.ratePerSecond(state.entry()).isPresent();
     }
 
     /**
@@ -332,6 +370,7 @@
 
     @Override
     public Pass enter(EndpointEntry endpoint) {
+        learned.onRequest(endpoint.service());
         Optional<PacedEndpoint> state = pacedState(endpoint);
         state.ifPresent(entered -> entered.addPending(nowMillis.getAsLong()));
         return new PacePass(endpoint, state);
--- a/router/src/main/java/baobabcroft/pace/PacedEndpoint.java
+++ b/router/src/main/java/baobabcroft/pace/PacedEndpoint.java
@@ -14,7 +14,6 @@
     private final PaceFleet fleet;
     private final double phase;
     private final long pacedSinceMillis;
-    private long firstSendAtMillis;
     private EndpointEntry entry;
     private PaceReason reason;
     private long coldUntilMillis = NEVER;
@@ -115,15 +114,11 @@
             return;
         }
         ImmutableList<String> ranked = fleet.ranked(entry);
-        boolean first = plannedNames.isEmpty();
         plannedNames = Optional.of(names);
         plannedRate = ratePerSecond;
         plannedBound = boundPerSecond;
         plan = PacePlan.of(ratePerSecond, boundPerSecond, ranked.size());
         holders = ranked.subList(0, Math.min(plan.holders(), ranked.size()));
-        if (first) {
-            firstSendAtMillis = pacedSinceMillis + (long) (phase * plan.spacingMillis());
-        }
     }
 
     PacePlan plan() {
@@ -148,7 +143,8 @@
     /** Returns whether a request may be written now. */
     boolean maySend(long nowMillis) {
         boolean spaced = sentAtMillis == NEVER || nowMillis - sentAtMillis >= plan.spacingMillis();
-        return holdsShare() && spaced && nowMillis >= firstSendAtMillis;
+        boolean begun = nowMillis - pacedSinceMillis >= phase * plan.spacingMillis();
+        return holdsShare() && spaced && begun;
     }
 
     void addPending(long nowMillis) {
--- a/router/src/test/java/baobabcroft/pace/EndpointPaceTest.java
+++ b/router/src/test/java/baobabcroft/pace/EndpointPaceTest.java
@@ -239,6 +239,65 @@
         }
     }
 
+    /** Load scenario: a service that states nothing, with steady traffic of 16 requests a second at each endpoint. */
+    @Nested
+    class LearnedRate {
+        private final PaceFixture fleet = new PaceFixture(20, 4);
+        private final PaceFixture.Member member = fleet.members.get(0);
+
+        private void steadyTraffic() {
+            fleet.warmUp = Optional.empty();
+            for (int number = 1; number <= 6; number++) {
+                fleet.listAll(endpoint(number, 1), 0);
+            }
+            fleet.settled();
+            for (int step = 0; step < 1_000; step++) {
+                fleet.nowMillis += 20;
+                if (step % 10 == 0) {
+                    member.pace.enter(endpoint(1 + step / 10 % 6, 1)).release();
+                }
+            }
+        }
+
+        private long pacedMillis() {
+            long start = fleet.nowMillis;
+            while (member.pace.pacedEndpoints() > 0 && fleet.nowMillis - start < 60_000) {
+                fleet.nowMillis += 250;
+                member.pace.tick();
+            }
+            return fleet.nowMillis - start;
+        }
+
+        @Test
+        void growsUntilItReachesTheAverage() {
+            steadyTraffic();
+            member.list(endpoint(1, 2), 0);
+
+            assertEquals(1, member.pace.pacedEndpoints());
+            assertEquals(3_000, pacedMillis());
+        }
+
+        @Test
+        void doesNotGrowWhileFirstOutputsAreLate() {
+            steadyTraffic();
+            member.list(endpoint(1, 2), 0);
+            member.lateMillis = 200;
+
+            assertEquals(15_000, pacedMillis());
+        }
+
+        /** Guards against a system that is slower after a restart of everything than without pacing. */
+        @Test
+        void isNotUsedIfMostEndpointsAreNew() {
+            steadyTraffic();
+            for (int number = 1; number <= 6; number++) {
+                member.list(endpoint(number, 2), 0);
+            }
+
+            assertEquals(0, member.pace.pacedEndpoints());
+        }
+    }
+
     /** A request may be chosen before the endpoint turns cold, and its connection opens afterwards. */
     @Test
     void requestsAreCheckedAgainWhenTheyAreWritten() {
--- a/router/src/test/java/baobabcroft/pace/PaceFixture.java
+++ b/router/src/test/java/baobabcroft/pace/PaceFixture.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.load.PeerLoads;
 import baobabcroft.relay.SendGate;
 import baobabcroft.routing.WarmUp;
 import com.google.common.collect.ImmutableMap;
@@ -43,6 +44,7 @@
         final List<String> ended = new ArrayList<>();
         ImmutableSet<String> known;
         double clockRate = 1;
+        double lateMillis;
         Predicate<EndpointEntry> failsForOthers = endpoint -> false;
         boolean sends = true;
 
@@ -59,7 +61,7 @@
                     () -> (long) (nowMillis * clockRate),
                     random::nextDouble,
                     service -> warmUp,
-                    endpoint -> failsForOthers.test(endpoint) ? 0.2 : 0,
+                    new Seen(),
                     stated -> stated * 1.5 + 5,
                     new EndpointPace.Listener() {
                         @Override
@@ -73,6 +75,18 @@
                     });
         }
 
+        private final class Seen implements EndpointEvidence {
+            @Override
+            public double reportedFailureRate(EndpointEntry endpoint) {
+                return failsForOthers.test(endpoint) ? 0.2 : 0;
+            }
+
+            @Override
+            public PeerLoads.Load seenByAll(EndpointEntry endpoint) {
+                return new PeerLoads.Load(0, 0, reportedFailureRate(endpoint), lateMillis);
+            }
+        }
+
         void list(EndpointEntry entry, long remainingMillis) {
             directory.put(entry);
             pace.onEntry(entry, remainingMillis);
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -54,6 +54,7 @@
 
     final EndpointAvailability availability;
     private final PauseQueue pauseQueue;
+    EndpointEligibility.Rule otherRule = (endpoint, request) -> Optional.empty();
     final PlannedStop plannedStop = PlannedStop.create(this::now, time.scheduler());
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
@@ -469,7 +470,9 @@
                         (endpoint, request) -> availability.isLeaving(endpoint)
                                 ? Optional.of(Ineligibility.LEAVING)
                                 : Optional.empty()),
-                ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint)));
+                ImmutableList.of(
+                        (endpoint, request) -> availability.unavailability(endpoint),
+                        (endpoint, request) -> otherRule.check(endpoint, request)));
     }
 
     RelayServices services() {
