--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -162,6 +162,7 @@
                 directory,
                 routing,
                 peerLoads,
+                loads,
                 metrics,
                 nowMillis,
                 random::nextDouble);
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -63,6 +63,7 @@
 
     final EndpointAvailability availability;
     private final PauseQueue pauseQueue;
+    EndpointEligibility.Rule otherRule = (endpoint, request) -> Optional.empty();
     final PlannedStop plannedStop = PlannedStop.create(this::now, time.scheduler());
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
@@ -499,7 +500,9 @@
                         (endpoint, request) -> availability.isLeaving(endpoint)
                                 ? Optional.of(Ineligibility.LEAVING)
                                 : Optional.empty()),
-                ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint)));
+                ImmutableList.of(
+                        (endpoint, request) -> availability.unavailability(endpoint),
+                        (endpoint, request) -> otherRule.check(endpoint, request)));
     }
 
     RelayServices services() {
