Bound what unfinished requests of callers cost

Cause: a parsed header line takes about 50 times its length, uncounted; one-byte chunks were a message each, also while the connection waited for memory; a connection read 16 times 64 KB in a turn of the event loop; bodies without progress kept their memory until their timeout. Ruled out: refusing heads by a number of lines, as a legal head may have thousands of lines. Change: RequestDecoder keeps a head as received until it is complete, joins short chunks and decodes nothing while the connection takes no messages; heads and connections count against the budget; a connection is read once, 32 KB at most, in a turn; under pressure, ConnectionReclaimer refuses the requests without progress that hold the most for the longest time, and closes the quietest connection above 0.35 of the descriptors. Trailers are not kept. RequestMemoryTest counts undecoded heads beside pipelined messages: they are what is kept now, and the bounds are unchanged.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -7,9 +7,12 @@
 import baobabcroft.relay.Headers;
 import baobabcroft.relay.RequestInProgress;
 import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
@@ -22,16 +25,13 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -44,11 +44,11 @@
  * <p>The channel is read while a request is served, so that a close by the caller is detected immediately.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes the channel; the close is handled.
-final class CallerConnection extends ChannelInboundHandlerAdapter {
-    /** Pipelined HTTP messages that are buffered while a request is served; beyond that, reading is paused. */
-    private static final int MAX_PIPELINED_MESSAGES = 64;
-    /** Memory of a message without its text and content, in bytes: about that of its objects. */
-    private static final int MESSAGE_OVERHEAD_BYTES = 200;
+final class CallerConnection extends ChannelInboundHandlerAdapter implements RequestDecoder.Intake {
+    /** Memory of a connection without a request, in bytes: about that of its channel, handlers and their buffers. */
+    private static final int CONNECTION_BYTES = 8 << 10;
+    /** Time in which a caller takes a refusal before the connection is closed though it has not closed it. */
+    private static final long REFUSAL_LINGER_MILLIS = 1_000;
     /** Unsent bytes of a stream above which the connection is closed, because the caller does not keep up. */
     private static final long MAX_UNSENT_BYTES = 4 << 20;
     /**
@@ -67,15 +67,22 @@
 
     private final FrontContext front;
     private final Consumer<CallerConnection> onClosed;
-    private final Deque<HttpObject> pipelinedMessages = new ArrayDeque<>();
+    private final PipelinedMessages pipelinedMessages;
+    private final RequestDecoder decoder;
+    private final MemoryReservation connectionMemory;
+    private final MemoryReservation headMemory;
     private ChannelHandlerContext context;
     private Optional<HttpRequest> requestHead = Optional.empty();
     private final IncomingBody requestBody;
     private final MemoryReservation unsentMemory;
-    private final MemoryReservation pipelinedMemory;
     private Optional<RequestInProgress> relayedRequest = Optional.empty();
     private ScheduledFuture<?> timeout;
     private final long acceptedAtMillis;
+    private long requestSinceMillis;
+    private long lastReceivedMillis;
+    private long requestBytes;
+    private long headBytes;
+    private int undecodedBytes;
     private boolean headerTimeoutStarted;
     private boolean requestReceived;
     private boolean busy;
@@ -88,7 +95,11 @@
         this.front = front;
         this.onClosed = onClosed;
         this.acceptedAtMillis = front.nowMillis().getAsLong();
-        this.pipelinedMemory = front.memory().reserve(MemoryUse.PIPELINED);
+        this.lastReceivedMillis = acceptedAtMillis;
+        this.decoder = new RequestDecoder(front.limits().get(), this);
+        this.connectionMemory = front.memory().reserve(MemoryUse.CONNECTION);
+        this.headMemory = front.memory().reserve(MemoryUse.REQUEST_HEAD);
+        this.pipelinedMessages = new PipelinedMessages(front.memory().reserve(MemoryUse.PIPELINED));
         this.unsentMemory = front.memory().reserve(MemoryUse.UNSENT);
         this.requestBody = new IncomingBody(front.memory().reserve(MemoryUse.REQUEST_BODY));
     }
@@ -97,6 +108,95 @@
     public void channelActive(ChannelHandlerContext active) {
         context = active;
         awaitRequest();
+        if (!reserve(connectionMemory, CONNECTION_BYTES)) {
+            refuseForMemory();
+        }
+    }
+
+    /** Returns the handlers of the connection's channel, this one last. */
+    List<ChannelHandler> handlers() {
+        ChannelInboundHandlerAdapter arrivals = new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext channel, Object message) {
+                onBytesReceived(((ByteBuf) message).readableBytes());
+                channel.fireChannelRead(message);
+            }
+        };
+        return ImmutableList.of(arrivals, decoder, new HttpResponseEncoder(), this);
+    }
+
+    /** Enlarges a reservation, at the expense of unfinished requests without progress if need be. */
+    private boolean reserve(MemoryReservation memory, long bytes) {
+        boolean reserved = memory.grow(bytes) || front.reclaimer().makeRoom(() -> memory.grow(bytes));
+        if (!reserved) {
+            memory.countRefusal();
+        }
+        return reserved;
+    }
+
+    @Override
+    public boolean takesMessages() {
+        return closing || !(awaitingMemory || pipelinedMessages.isFull());
+    }
+
+    @Override
+    public void onUndecoded(int bytes) {
+        undecodedBytes = bytes;
+        if (closing) {
+            return;
+        }
+        if (!busy && !awaitingMemory) {
+            if (!reserveHead()) {
+                refuseForMemory();
+            }
+        } else if (!headMemory.resize(headBytes + bytes)) {
+            context.channel().config().setAutoRead(false);
+        }
+    }
+
+    private boolean reserveHead() {
+        long bytes = headBytes + undecodedBytes;
+        return bytes <= headMemory.heldBytes() ? headMemory.resize(bytes) : reserve(headMemory, bytes);
+    }
+
+    /** Returns the memory that is given back if the request that is being received is refused, in bytes. */
+    long reclaimableBytes() {
+        return headMemory.heldBytes() + requestBody.heldBytes();
+    }
+
+    /** Returns whether a request is being received, and not held up by this instance. */
+    boolean isReceiving() {
+        return !closing && !busy && !awaitingMemory && (headerTimeoutStarted || requestHead.isPresent());
+    }
+
+    /** Returns whether no request is being received or served. */
+    boolean isIdle() {
+        return !closing && !busy && !awaitingMemory && !headerTimeoutStarted && requestHead.isEmpty();
+    }
+
+    /** Returns when bytes were received last, or the connection was accepted, in milliseconds. */
+    long lastReceivedMillis() {
+        return lastReceivedMillis;
+    }
+
+    /** Returns when the first bytes of the request that is being received arrived, in milliseconds. */
+    long requestSinceMillis() {
+        return requestSinceMillis;
+    }
+
+    /** Returns the number of bytes received of the request that is being received. */
+    long requestBytes() {
+        return requestBytes;
+    }
+
+    /** Refuses the request that is being received, and closes the connection. */
+    void reclaim() {
+        if (isReceiving()) {
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
+        } else {
+            closing = true;
+            context.close();
+        }
     }
 
     /**
@@ -124,9 +224,13 @@
     }
 
     /** Called for all received bytes; the first bytes of a new request start the header timeout. */
-    void onBytesReceived() {
+    private void onBytesReceived(int bytes) {
+        lastReceivedMillis = front.nowMillis().getAsLong();
+        requestBytes += bytes;
         if (!busy && !closing && requestHead.isEmpty() && context != null && !headerTimeoutStarted) {
             headerTimeoutStarted = true;
+            requestSinceMillis = lastReceivedMillis;
+            requestBytes = bytes;
             startTimeout(front.limits().get().headerTimeoutMillis(), this::onRequestTimeout);
         }
     }
@@ -166,34 +270,15 @@
 
     private void keepPipelined(HttpObject message) {
         pipelinedMessages.add(message);
-        boolean fits = pipelinedMemory.resize(pipelinedMemory.heldBytes() + bytesOf(message));
-        if (!fits || pipelinedMessages.size() > MAX_PIPELINED_MESSAGES) {
+        if (pipelinedMessages.isFull()) {
             context.channel().config().setAutoRead(false);
         }
     }
 
-    private HttpObject nextPipelined() {
-        HttpObject message = pipelinedMessages.remove();
-        pipelinedMemory.resize(pipelinedMemory.heldBytes() - bytesOf(message));
-        return message;
-    }
-
-    /** Returns about how much memory a message takes up, in bytes. */
-    private static int bytesOf(HttpObject message) {
-        int bytes = MESSAGE_OVERHEAD_BYTES;
-        if (message instanceof HttpContent content) {
-            bytes += content.content().readableBytes();
-        }
-        if (message instanceof HttpRequest request) {
-            bytes += request.uri().length() + NettyHeaders.lengthOf(request.headers());
-        }
-        return bytes;
-    }
-
     private void read(HttpObject message) {
         try {
             if (message.decoderResult().isFailure()) {
-                refuse(statusOf(message.decoderResult().cause()));
+                refuse(Refusals.statusOf(message.decoderResult().cause()));
                 return;
             }
             if (message instanceof HttpRequest request) {
@@ -207,22 +292,17 @@
         }
     }
 
-    private static HttpResponseStatus statusOf(Throwable cause) {
-        if (cause instanceof TooLongHttpHeaderException) {
-            return HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE;
-        }
-        if (cause instanceof TooLongHttpLineException) {
-            return HttpResponseStatus.REQUEST_URI_TOO_LONG;
-        }
-        return HttpResponseStatus.BAD_REQUEST;
-    }
-
     private void readHead(HttpRequest request) {
-        if (!hasUnambiguousFraming(request)) {
+        if (!Refusals.hasUnambiguousFraming(request)) {
             refuse(HttpResponseStatus.BAD_REQUEST);
             return;
         }
         requestHead = Optional.of(request);
+        headBytes = PipelinedMessages.bytesOf(request);
+        if (!reserveHead()) {
+            refuseForMemory();
+            return;
+        }
         if (IncomingBody.statedBytes(request) > front.limits().get().maxBodyBytes()) {
             refuseUnread(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
@@ -248,6 +328,7 @@
         context.channel().config().setAutoRead(false);
         long waitMillis = Math.min(MAX_MEMORY_WAIT_MILLIS, front.limits().get().idleTimeoutMillis());
         startTimeout(waitMillis, this::refuseForMemory);
+        front.reclaimer().makeRoom(() -> !requestBody.isWaiting());
     }
 
     /** Called from within another connection's release of memory, so the reading is resumed in a task of its own. */
@@ -259,25 +340,23 @@
                 context.channel().config().setAutoRead(true);
                 next.run();
                 readPipelined();
+                resumeDecoding();
             }
         });
     }
 
     private void readPipelined() {
         while (!busy && !awaitingMemory && !closing && !pipelinedMessages.isEmpty()) {
-            read(nextPipelined());
+            read(pipelinedMessages.next());
         }
     }
 
-    private static boolean hasUnambiguousFraming(HttpRequest request) {
-        List<String> encodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean chunkedOnly = encodings.isEmpty()
-                || (encodings.size() == 1 && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(encodings.get(0)));
-        boolean lengthOnce =
-                request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() <= 1;
-        boolean hostOnce = request.headers().getAll(HttpHeaderNames.HOST).size() == 1;
-        boolean originForm = request.uri().startsWith("/");
-        return chunkedOnly && lengthOnce && hostOnce && originForm;
+    private void resumeDecoding() {
+        try {
+            decoder.resume();
+        } catch (Exception failed) { // Declared by Netty's handlers; treated as one that a handler throws.
+            exceptionCaught(context, failed);
+        }
     }
 
     private void readContent(HttpContent content) {
@@ -333,23 +412,27 @@
         busy = true;
         closing = true;
         stopTimeout();
-        requestBody.release();
-        onResponseEnded(context.writeAndFlush(refusal(status)), false);
+        releaseRequest();
+        onResponseEnded(context.writeAndFlush(Refusals.response(status)), false);
     }
 
-    private static DefaultFullHttpResponse refusal(HttpResponseStatus status) {
-        DefaultFullHttpResponse answer =
-                new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, Unpooled.EMPTY_BUFFER);
-        answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0).set(HttpHeaderNames.CONNECTION, "close");
-        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            answer.headers().set(HttpHeaderNames.RETRY_AFTER, MEMORY_RETRY_AFTER_SECONDS);
+    private void refuseForMemory() {
+        requestBody.abandonWait();
+        if (requestHead.isPresent()) {
+            refuseUnread(HttpResponseStatus.SERVICE_UNAVAILABLE);
+            return;
         }
-        return answer;
+        closing = true;
+        decoder.skipAll();
+        releaseRequest();
+        context.writeAndFlush(Refusals.response(HttpResponseStatus.SERVICE_UNAVAILABLE));
+        startTimeout(REFUSAL_LINGER_MILLIS, context::close);
     }
 
-    private void refuseForMemory() {
-        requestBody.abandonWait();
-        refuseUnread(HttpResponseStatus.SERVICE_UNAVAILABLE);
+    private void releaseRequest() {
+        requestBody.release();
+        headBytes = 0;
+        headMemory.release();
     }
 
     /**
@@ -365,13 +448,14 @@
         awaitingMemory = false;
         headerTimeoutStarted = false;
         requestHead = Optional.empty();
-        requestBody.release();
-        discardingAfter = Optional.of(context.writeAndFlush(refusal(status)));
+        releaseRequest();
+        discardingAfter = Optional.of(context.writeAndFlush(Refusals.response(status)));
         startTimeout(front.limits().get().idleTimeoutMillis(), context::close);
         context.channel().config().setAutoRead(true);
         while (!pipelinedMessages.isEmpty()) {
-            discard(nextPipelined());
+            discard(pipelinedMessages.next());
         }
+        resumeDecoding();
     }
 
     private void discard(HttpObject message) {
@@ -384,6 +468,8 @@
     private void onResponseEnded(ChannelFuture write, boolean keepAlive) {
         relayedRequest = Optional.empty();
         requestBody.release();
+        headBytes = 0;
+        headMemory.resize(Math.min(headMemory.heldBytes(), undecodedBytes));
         closing |= !keepAlive;
         if (!write.isDone()) {
             awaitWriteProgress(unsentBytes());
@@ -417,6 +503,7 @@
         awaitRequest();
         context.channel().config().setAutoRead(true);
         readPipelined();
+        resumeDecoding();
     }
 
     /** Counts response data that is about to be written; returns false if the caller must keep up or be cut off. */
@@ -432,13 +519,12 @@
     public void channelInactive(ChannelHandlerContext unused) {
         closing = true;
         stopTimeout();
-        pipelinedMessages.forEach(ReferenceCountUtil::release);
-        pipelinedMessages.clear();
-        pipelinedMemory.release();
+        pipelinedMessages.release();
         Optional<RequestInProgress> interrupted = relayedRequest;
         relayedRequest = Optional.empty();
         interrupted.ifPresent(RequestInProgress::onCallerDisconnected);
-        requestBody.release();
+        releaseRequest();
+        connectionMemory.release();
         onClosed.accept(this);
     }
 
--- /dev/null
+++ b/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
@@ -0,0 +1,103 @@
+package baobabcroft.front;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+
+/**
+ * Takes memory and descriptors back from connections that hold them without progress, when others need them. A request
+ * that is being served is never touched. Not thread-safe.
+ */
+final class ConnectionReclaimer {
+    /** Silence after which a request that is being received counts as without progress: several round trips. */
+    private static final long STALL_MILLIS = 1_000;
+    /** Slowest rate at which a request makes progress, from its first byte on; 128 kbit/s. */
+    private static final long MIN_BYTES_PER_MILLI = 16;
+    /** Interval at which candidates are searched for; a search looks at all connections. */
+    private static final long SEARCH_MILLIS = 100;
+
+    private final Collection<CallerConnection> connections;
+    private final LongSupplier nowMillis;
+    private final Deque<CallerConnection> candidates = new ArrayDeque<>();
+    private Optional<Long> searchedMillis = Optional.empty();
+    private long reclaimedRequests;
+    private long reclaimedIdle;
+
+    ConnectionReclaimer(Collection<CallerConnection> connections, LongSupplier nowMillis) {
+        this.connections = checkNotNull(connections);
+        this.nowMillis = checkNotNull(nowMillis);
+    }
+
+    /** Returns how many unfinished requests were refused so that others were received. */
+    long reclaimedRequests() {
+        return reclaimedRequests;
+    }
+
+    /** Returns how many connections were closed so that others were accepted. */
+    long reclaimedIdle() {
+        return reclaimedIdle;
+    }
+
+    /**
+     * Refuses requests that are received without progress, those first that hold the most for the longest time, until
+     * there is room; returns whether there is.
+     */
+    boolean makeRoom(BooleanSupplier hasRoom) {
+        long now = nowMillis.getAsLong();
+        if (searchedMillis.filter(millis -> now - millis < SEARCH_MILLIS).isEmpty()) {
+            searchedMillis = Optional.of(now);
+            candidates.clear();
+            connections.stream()
+                    .filter(connection -> isStalled(connection, now))
+                    .sorted(Comparator.comparingLong(
+                            (CallerConnection connection) -> -connection.reclaimableBytes() * ageMillis(connection, now)))
+                    .forEach(candidates::add);
+        }
+        while (!candidates.isEmpty()) {
+            CallerConnection next = candidates.poll();
+            if (isStalled(next, now)) {
+                reclaimedRequests++;
+                next.reclaim();
+                if (hasRoom.getAsBoolean()) {
+                    return true;
+                }
+            }
+        }
+        return false;
+    }
+
+    private static long ageMillis(CallerConnection connection, long now) {
+        return now - connection.requestSinceMillis();
+    }
+
+    private static boolean isStalled(CallerConnection connection, long now) {
+        long ageMillis = ageMillis(connection, now);
+        return connection.isReceiving()
+                && ageMillis >= STALL_MILLIS
+                && (now - connection.lastReceivedMillis() >= STALL_MILLIS
+                        || connection.requestBytes() < ageMillis * MIN_BYTES_PER_MILLI);
+    }
+
+    /**
+     * Closes the connection that has been silent the longest among those without a request, or with a request that is
+     * received without progress; returns whether there was one.
+     */
+    boolean closeOne() {
+        long now = nowMillis.getAsLong();
+        Optional<CallerConnection> quietest = connections.stream()
+                .filter(connection -> isStalled(connection, now)
+                        || (connection.isIdle() && now - connection.lastReceivedMillis() >= STALL_MILLIS))
+                .min(Comparator.comparingLong(CallerConnection::lastReceivedMillis));
+        quietest.ifPresent(connection -> {
+            reclaimedIdle++;
+            connection.reclaim();
+        });
+        return quietest.isPresent();
+    }
+}
--- a/router/src/main/java/baobabcroft/front/FrontContext.java
+++ b/router/src/main/java/baobabcroft/front/FrontContext.java
@@ -15,6 +15,7 @@
  *
  * @param limits current limits on callers' requests
  * @param memory memory of the instance
+ * @param reclaimer takes memory back from connections without progress
  * @param draining whether the instance is draining before a stop
  * @param nowMillis monotonic clock, in milliseconds
  * @param relay starts serving a request
@@ -22,6 +23,7 @@
 record FrontContext(
         Supplier<CallerLimits> limits,
         MemoryBudget memory,
+        ConnectionReclaimer reclaimer,
         BooleanSupplier draining,
         LongSupplier nowMillis,
         BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {}
--- a/router/src/main/java/baobabcroft/front/FrontServer.java
+++ b/router/src/main/java/baobabcroft/front/FrontServer.java
@@ -10,11 +10,11 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.HttpResponseEncoder;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.BiFunction;
@@ -24,8 +24,13 @@
 /** Server for callers' connections. Not thread-safe: apart from creation, used on its event loop only. */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes the channel; the close is handled.
 public final class FrontServer {
+    /** Every request needs a connection of its caller and one to an endpoint or instance, each a descriptor. */
+    private static final int MAX_CONNECTIONS = DescriptorLimit.share(0.35);
+
     private final FrontContext context;
-    private final Set<CallerConnection> connections = new HashSet<>();
+    private final ConnectionReclaimer reclaimer;
+    private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private long rejectedConnections;
     private boolean draining;
     private Channel listener;
 
@@ -34,7 +39,8 @@
             MemoryBudget memory,
             LongSupplier nowMillis,
             BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {
-        this.context = new FrontContext(limits, memory, () -> draining, nowMillis, relay);
+        this.reclaimer = new ConnectionReclaimer(connections, nowMillis);
+        this.context = new FrontContext(limits, memory, reclaimer, () -> draining, nowMillis, relay);
     }
 
     /**
@@ -64,18 +70,46 @@
         return server;
     }
 
-    private List<io.netty.channel.ChannelHandler> handlers() {
+    private List<ChannelHandler> handlers() {
+        if (connections.size() >= MAX_CONNECTIONS && !reclaimer.closeOne()) {
+            rejectedConnections++;
+            return ImmutableList.of(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelActive(ChannelHandlerContext channel) {
+                    channel.close();
+                }
+            });
+        }
         CallerConnection connection = new CallerConnection(context, connections::remove);
         connections.add(connection);
-        ChannelInboundHandlerAdapter arrivals = new ChannelInboundHandlerAdapter() {
-            @Override
-            public void channelRead(ChannelHandlerContext channel, Object message) {
-                connection.onBytesReceived();
-                channel.fireChannelRead(message);
-            }
-        };
-        return ImmutableList.of(
-                arrivals, new RequestDecoder(context.limits().get()), new HttpResponseEncoder(), connection);
+        return connection.handlers();
+    }
+
+    /**
+     * Returns the number of open connections.
+     *
+     * @return the connections, with or without a request
+     */
+    public int openConnections() {
+        return connections.size();
+    }
+
+    /**
+     * Returns how many unfinished requests without progress were refused so that others were received.
+     *
+     * @return the requests since the start
+     */
+    public long reclaimedRequests() {
+        return reclaimer.reclaimedRequests();
+    }
+
+    /**
+     * Returns how many connections were closed, or not accepted, because too many were open.
+     *
+     * @return the connections since the start
+     */
+    public long excessConnections() {
+        return reclaimer.reclaimedIdle() + rejectedConnections;
     }
 
     /** Makes every response from now on close its connection. */
--- a/router/src/main/java/baobabcroft/front/IncomingBody.java
+++ b/router/src/main/java/baobabcroft/front/IncomingBody.java
@@ -57,6 +57,16 @@
         return bytes.size();
     }
 
+    /** Returns the memory that is reserved, in bytes. */
+    long heldBytes() {
+        return memory.heldBytes();
+    }
+
+    /** Returns whether the body waits for memory. */
+    boolean isWaiting() {
+        return memory.isWaiting();
+    }
+
     /** Returns whether the last part was added. */
     boolean isComplete() {
         return complete;
--- a/router/src/main/java/baobabcroft/front/NettyChannels.java
+++ b/router/src/main/java/baobabcroft/front/NettyChannels.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelInitializer;
@@ -23,6 +24,12 @@
     /** Enough pending connections for a burst of callers that reconnect after a restart. */
     private static final int BACKLOG = 512;
 
+    /** Bytes that one connection may have read and decoded in a turn of the event loop, before others are served. */
+    private static final int MAX_TURN_BYTES = 32 << 10;
+
+    private static final int MIN_READ_BYTES = 512;
+    private static final int FIRST_READ_BYTES = 2 << 10;
+
     private NettyChannels() {}
 
     /**
@@ -63,6 +70,10 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, FIRST_READ_BYTES, MAX_TURN_BYTES)
+                                .maxMessagesPerRead(1))
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)
                 .childHandler(initializer(handlers));
--- a/router/src/main/java/baobabcroft/front/RequestDecoder.java
+++ b/router/src/main/java/baobabcroft/front/RequestDecoder.java
@@ -1,16 +1,217 @@
 package baobabcroft.front;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import baobabcroft.routing.CallerLimits;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import java.util.ArrayList;
+import java.util.List;
 
-/** Decodes callers' requests and rejects ambiguous framing, which would allow request smuggling. */
+/**
+ * Decodes callers' requests and rejects ambiguous framing, which would allow request smuggling.
+ *
+ * <p>A header line takes many times its length once it is decoded, so a head is kept as received until it is complete.
+ * Chunks that were received together become one message. Nothing is decoded while the connection takes no messages.
+ */
 final class RequestDecoder extends HttpRequestDecoder {
-    RequestDecoder(CallerLimits limits) {
+    private static final int LINE_END_BYTES = 2;
+
+    private final Intake intake;
+    private final int maxHeaderBytes;
+    private final ContentMerger merger = new ContentMerger();
+    private ChannelHandlerContext context;
+    private boolean decoding;
+    private boolean inBody;
+    private boolean failed;
+    /** Bytes of the incomplete head that were searched for its end. */
+    private int searchedBytes;
+
+    private int lines;
+    private int firstLineBytes;
+    private int heldBytes;
+
+    /** What the connection does with decoded and undecoded bytes. */
+    interface Intake {
+        /** Takes messages at all times, for connections that are limited otherwise. */
+        Intake ALWAYS = new Intake() {
+            @Override
+            public boolean takesMessages() {
+                return true;
+            }
+
+            @Override
+            public void onUndecoded(int bytes) {
+                // Limited by the length of a head and the number of connections.
+            }
+        };
+
+        /** Returns whether the connection takes messages now. */
+        boolean takesMessages();
+
+        /**
+         * Called when the memory that undecoded bytes take has changed.
+         *
+         * @param bytes the memory, in bytes
+         */
+        void onUndecoded(int bytes);
+    }
+
+    RequestDecoder(CallerLimits limits, Intake intake) {
         super(new HttpDecoderConfig()
                 .setMaxInitialLineLength(limits.maxHeaderBytes())
-                .setMaxHeaderSize(limits.maxHeaderBytes()));
+                .setMaxHeaderSize(limits.maxHeaderBytes())
+                .setTrailersFactory(UnreadTrailers.FACTORY));
+        this.maxHeaderBytes = limits.maxHeaderBytes();
+        this.intake = checkNotNull(intake);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext added) {
+        context = added;
+    }
+
+    /** Drops what has been received of an incomplete message, and all that follows. */
+    void skipAll() {
+        failed = true;
+    }
+
+    /** Decodes what was received while the connection took no messages. */
+    void resume() throws Exception {
+        if (!decoding && actualReadableBytes() > 0) {
+            channelRead(context, Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext channel, Object message) throws Exception {
+        decoding = true;
+        try {
+            super.channelRead(channel, message);
+        } finally {
+            decoding = false;
+            reportUndecoded();
+        }
+    }
+
+    private void reportUndecoded() {
+        int bytes = actualReadableBytes() == 0 ? 0 : internalBuffer().capacity();
+        if (bytes != heldBytes) {
+            heldBytes = bytes;
+            intake.onUndecoded(bytes);
+        }
+    }
+
+    /** The superclass reads on, though reading is paused, if a read has not led to a message. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext channel) throws Exception {
+        if (channel.channel().config().isAutoRead()) {
+            super.channelReadComplete(channel);
+        } else {
+            channel.fireChannelReadComplete();
+        }
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext channel, ByteBuf buffer, List<Object> out) throws Exception {
+        if (!intake.takesMessages()) {
+            return;
+        }
+        if (failed) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        if (!inBody && !hasHead(buffer, out)) {
+            return;
+        }
+        int decoded = out.size();
+        decodeMessages(channel, buffer, out);
+        for (Object message : out.subList(decoded, out.size())) {
+            failed |= ((HttpObject) message).decoderResult().isFailure();
+            inBody |= message instanceof HttpRequest;
+            inBody &= !(message instanceof LastHttpContent);
+        }
+        if (!inBody) {
+            startHead();
+        }
+    }
+
+    private void decodeMessages(ChannelHandlerContext channel, ByteBuf buffer, List<Object> out) throws Exception {
+        if (!inBody) {
+            super.decode(channel, buffer, out);
+            return;
+        }
+        List<Object> parts = new ArrayList<>();
+        int before;
+        do {
+            before = buffer.readerIndex();
+            super.decode(channel, buffer, parts);
+        } while (merger.merge(channel.alloc(), parts, buffer.readableBytes(), out)
+                && buffer.isReadable()
+                && buffer.readerIndex() > before);
+        merger.flush(out);
+    }
+
+    private void startHead() {
+        searchedBytes = 0;
+        lines = 0;
+        firstLineBytes = 0;
+    }
+
+    /** Returns whether the buffer holds a complete head; adds a failure if the head is too long. */
+    private boolean hasHead(ByteBuf buffer, List<Object> out) {
+        if (searchedBytes == 0) {
+            skipBlanks(buffer);
+        }
+        int start = buffer.readerIndex();
+        while (true) {
+            int from = start + searchedBytes;
+            int lineFeed = buffer.indexOf(from, buffer.writerIndex(), HttpConstants.LF);
+            if (lineFeed < 0) {
+                break;
+            }
+            searchedBytes = lineFeed + 1 - start;
+            int lineBytes = lineFeed - from;
+            if (lines > 0 && (lineBytes == 0 || (lineBytes == 1 && buffer.getByte(lineFeed - 1) == HttpConstants.CR))) {
+                return true;
+            }
+            lines++;
+            firstLineBytes = lines == 1 ? searchedBytes : firstLineBytes;
+        }
+        int headerBytes = buffer.readableBytes() - firstLineBytes - LINE_END_BYTES * lines;
+        if (headerBytes > maxHeaderBytes) {
+            out.add(tooLong());
+            buffer.skipBytes(buffer.readableBytes());
+        }
+        return false;
+    }
+
+    private static void skipBlanks(ByteBuf buffer) {
+        while (buffer.isReadable() && isBlank(buffer.getByte(buffer.readerIndex()))) {
+            buffer.skipBytes(1);
+        }
+    }
+
+    private static boolean isBlank(byte value) {
+        return Character.isISOControl(value & 0xff) || Character.isWhitespace(value & 0xff);
+    }
+
+    private HttpMessage tooLong() {
+        HttpMessage message = createInvalidMessage();
+        message.setDecoderResult(
+                DecoderResult.failure(new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes)));
+        failed = true;
+        return message;
     }
 
     @Override
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -421,6 +421,9 @@
         metrics.gauge("store.following", () -> store.isFollowing() ? 1 : 0);
         metrics.gauge("store.followers", store::followerCount);
         metrics.gauge("callers.busy_connections", () -> front.busyConnections());
+        metrics.gauge("callers.open_connections", () -> front.openConnections());
+        metrics.gauge("callers.refused_without_progress", () -> front.reclaimedRequests());
+        metrics.gauge("callers.excess_connections", () -> front.excessConnections());
         metrics.gauge("loads.age_millis", peerLoads::millisSinceLastUpdate);
         metrics.gauge("memory.capacity_bytes", memory::capacityBytes);
         metrics.gauge("memory.awaited_bytes", memory::waitingBytes);
--- a/router/src/main/java/baobabcroft/memory/MemoryReservation.java
+++ b/router/src/main/java/baobabcroft/memory/MemoryReservation.java
@@ -55,6 +55,36 @@
         return allowed;
     }
 
+    /**
+     * Enlarges the reservation if there is room; otherwise leaves it unchanged.
+     *
+     * @param bytes the new size, in bytes; not less than the present one
+     * @return whether the memory is reserved
+     */
+    public boolean grow(long bytes) {
+        checkArgument(bytes >= heldBytes, "bytes %s less than %s", bytes, heldBytes);
+        checkState(onGranted.isEmpty(), "waiting for %s bytes", wantedBytes);
+        if (!budget.fits(use, heldBytes, bytes)) {
+            return false;
+        }
+        set(bytes);
+        return true;
+    }
+
+    /** Counts that the holder was refused because {@link #grow} found no room. */
+    public void countRefusal() {
+        budget.countRefusal(use);
+    }
+
+    /**
+     * Returns whether the reservation waits for memory.
+     *
+     * @return whether {@link #growOrWait} has not been followed by a grant, a release or the end of the wait
+     */
+    public boolean isWaiting() {
+        return onGranted.isPresent();
+    }
+
     /**
      * Enlarges the reservation, or waits for memory. Those that wait are served in order; a small reservation passes
      * them, and so does one that has grown before.
--- a/router/src/main/java/baobabcroft/memory/MemoryUse.java
+++ b/router/src/main/java/baobabcroft/memory/MemoryUse.java
@@ -7,6 +7,10 @@
  * others, so that requests that have been received can be completed.
  */
 public enum MemoryUse {
+    /** Connections of callers: the objects that each needs, whether it has a request or not. */
+    CONNECTION(0.5),
+    /** Heads of requests, from their first byte until the request has ended. */
+    REQUEST_HEAD(0.5),
     /** Bodies of requests, until the request has ended. */
     REQUEST_BODY(0.75),
     /** Requests that are received while an earlier one on the same connection is served. */
--- a/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
@@ -345,12 +345,17 @@
             }
             await("full", 1, () -> isFull() ? 1 : 0);
 
-            onLoop(() -> assertBounded(memory.usedBytes(MemoryUse.PIPELINED)));
+            onLoop(() -> assertBounded(usedBytes()));
+        }
+
+        /** Heads that are not decoded yet count as heads, also if an earlier request is served. */
+        private long usedBytes() {
+            return memory.usedBytes(MemoryUse.PIPELINED) + memory.usedBytes(MemoryUse.REQUEST_HEAD);
         }
 
         private boolean isFull() {
-            return memory.refusals(MemoryUse.PIPELINED) > CONNECTIONS / 2
-                    && memory.usedBytes(MemoryUse.PIPELINED) > CAPACITY_BYTES / 2;
+            long refusals = memory.refusals(MemoryUse.PIPELINED) + memory.refusals(MemoryUse.REQUEST_HEAD);
+            return refusals > CONNECTIONS / 2 && usedBytes() > CAPACITY_BYTES / 2;
         }
 
         private void assertBounded(long bytes) {
