--- a/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
+++ b/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
@@ -55,8 +55,8 @@
             candidates.clear();
             connections.stream()
                     .filter(connection -> isStalled(connection, now))
-                    .sorted(Comparator.comparingLong(
-                            (CallerConnection connection) -> -connection.reclaimableBytes() * ageMillis(connection, now)))
+                    .sorted(Comparator.comparingLong((CallerConnection connection) ->
+                            -connection.reclaimableBytes() * ageMillis(connection, now)))
                     .forEach(candidates::add);
         }
         while (!candidates.isEmpty()) {
--- a/router/src/main/java/baobabcroft/front/DescriptorLimit.java
+++ b/router/src/main/java/baobabcroft/front/DescriptorLimit.java
@@ -1,5 +1,6 @@
 package baobabcroft.front;
 
+import com.google.common.base.Splitter;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -14,6 +15,8 @@
     /** Where the limit is not stated; lower than the usual ones. */
     private static final int DEFAULT_LIMIT = 4_096;
 
+    private static final Splitter COLUMNS = Splitter.on(' ').omitEmptyStrings();
+
     private DescriptorLimit() {}
 
     /**
@@ -28,7 +31,8 @@
     private static int limit() {
         try (Stream<String> lines = Files.lines(LIMITS)) {
             return lines.filter(line -> line.startsWith(LINE))
-                    .map(line -> line.substring(LINE.length()).trim().split(" +")[0])
+                    .map(line ->
+                            COLUMNS.splitToList(line.substring(LINE.length())).get(0))
                     .mapToInt(soft -> soft.matches("[0-9]{1,9}") ? Integer.parseInt(soft) : Integer.MAX_VALUE)
                     .findFirst()
                     .orElse(DEFAULT_LIMIT);
--- a/router/src/main/java/baobabcroft/front/UnreadTrailers.java
+++ b/router/src/main/java/baobabcroft/front/UnreadTrailers.java
@@ -18,9 +18,7 @@
         }
     };
 
-    private UnreadTrailers() {
-        super(false);
-    }
+    private UnreadTrailers() {}
 
     @Override
     public HttpHeaders add(String name, Object value) {
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -45,8 +45,7 @@
     private final EndpointSpeeds speeds;
     private boolean isolated;
 
-    private EndpointLoads(
-            LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange, EndpointSpeeds speeds) {
+    private EndpointLoads(LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange, EndpointSpeeds speeds) {
         this.nowMillis = checkNotNull(nowMillis);
         this.remoteLoads = checkNotNull(remoteLoads);
         this.onChange = checkNotNull(onChange);
@@ -244,8 +243,7 @@
          *
          * @param roundTripMillis round trip to the endpoint, which is no part of its own time, in milliseconds
          */
-        InFlightRequest startRequest(
-                Optional<String> model, Prompt prompt, long cacheTokens, double roundTripMillis) {
+        InFlightRequest startRequest(Optional<String> model, Prompt prompt, long cacheTokens, double roundTripMillis) {
             int tokensToPrefill = tokensToPrefill(model, prompt);
             double prefillMillis =
                     EndpointLoads.this.prefillMillis(model, prompt, tokensToPrefill) * speed.timeFactor();
--- a/router/src/test/java/baobabcroft/instance/EvacuationOrdersTest.java
+++ b/router/src/test/java/baobabcroft/instance/EvacuationOrdersTest.java
@@ -20,7 +20,13 @@
     private boolean storeOut;
     private int changes;
     private final EvacuationOrders orders = new EvacuationOrders(
-            evacuated, time.scheduler(), time::nowMillis, this::viewAgeMillis, CONTACT_MILLIS, () -> changes++, domain -> {});
+            evacuated,
+            time.scheduler(),
+            time::nowMillis,
+            this::viewAgeMillis,
+            CONTACT_MILLIS,
+            () -> changes++,
+            domain -> {});
 
     private long viewAgeMillis() {
         viewOfMillis = storeOut ? viewOfMillis : time.nowMillis();
--- a/router/src/test/java/baobabcroft/instance/StoreContentsTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreContentsTest.java
@@ -33,7 +33,13 @@
             new RoutingTableHolder(),
             new EndpointListUpdater(directory, time.scheduler(), time::nowMillis, CONTACT_MILLIS, endpoint -> {}),
             new EvacuationOrders(
-                    new EvacuatedDomains(), time.scheduler(), time::nowMillis, () -> 0, CONTACT_MILLIS, () -> {}, domain -> {}),
+                    new EvacuatedDomains(),
+                    time.scheduler(),
+                    time::nowMillis,
+                    () -> 0,
+                    CONTACT_MILLIS,
+                    () -> {},
+                    domain -> {}),
             rollouts,
             records,
             time::nowMillis);
--- a/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
+++ b/router/src/test/java/baobabcroft/instance/StoreHistoryPropertyTest.java
@@ -182,7 +182,13 @@
                     time.scheduler(), time::nowMillis, () -> 0.5, (endpoint, callback) -> {}, unused -> {});
             TestDialect dialect = new TestDialect();
             EvacuationOrders evacuations = new EvacuationOrders(
-                    new EvacuatedDomains(), time.scheduler(), time::nowMillis, () -> 0, CONTACT_MILLIS, () -> {}, domain -> {});
+                    new EvacuatedDomains(),
+                    time.scheduler(),
+                    time::nowMillis,
+                    () -> 0,
+                    CONTACT_MILLIS,
+                    () -> {},
+                    domain -> {});
             StoreContents contents =
                     new StoreContents(dialect, routing, list, evacuations, rollouts, records, time::nowMillis);
             FeedTransport noFeed = (address, position, observer) -> FeedTransport.Link.NONE;
--- a/router/src/test/java/baobabcroft/pace/PaceFixture.java
+++ b/router/src/test/java/baobabcroft/pace/PaceFixture.java
@@ -10,6 +10,7 @@
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -25,6 +26,7 @@
     private static final int DOMAINS = 6;
     /** Enough to exceed the bound at once if an instance does not limit its requests. */
     private static final int MAX_REQUESTS_PER_STEP = 20;
+
     private static final int MAX_CONNECT_MILLIS = 60;
     private static final int MAX_JITTER_MILLIS = 60;
 
@@ -93,7 +95,7 @@
         }
 
         /** Sends all that is allowed now; each request is written when its connection is open. */
-        private void sendTo(EndpointEntry endpoint, TreeMap<Long, List<Runnable>> later) {
+        private void sendTo(EndpointEntry endpoint, Map<Long, List<Runnable>> later) {
             int budget = MAX_REQUESTS_PER_STEP;
             while (sends && budget-- > 0 && !pace.isHeldBack(endpoint)) {
                 SendGate.Pass pass = pace.enter(endpoint);
