Reclaim connections and memory by progress, and document the limits

Cause: idle connections were not counted against memory or descriptors, silent refused requests kept their connection, and messages of responses were decoded chunk by chunk. Short chunks of endpoints' responses are joined. Conclusion: whole for callers; heads of endpoints' responses are not counted by line.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -2,9 +2,7 @@
 
 import baobabcroft.memory.MemoryReservation;
 import baobabcroft.memory.MemoryUse;
-import baobabcroft.relay.CallerExchange;
 import baobabcroft.relay.CallerRequest;
-import baobabcroft.relay.Headers;
 import baobabcroft.relay.RequestInProgress;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
@@ -17,14 +15,10 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -45,12 +39,8 @@
  */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes the channel; the close is handled.
 final class CallerConnection extends ChannelInboundHandlerAdapter implements RequestDecoder.Intake {
-    /** Memory of a connection without a request, in bytes: about that of its channel, handlers and their buffers. */
-    private static final int CONNECTION_BYTES = 8 << 10;
     /** Time in which a caller takes a refusal before the connection is closed though it has not closed it. */
     private static final long REFUSAL_LINGER_MILLIS = 1_000;
-    /** Unsent bytes of a stream above which the connection is closed, because the caller does not keep up. */
-    private static final long MAX_UNSENT_BYTES = 4 << 20;
     /**
      * Time in which a caller that has connected sends its request: a round trip between regions, several times. In a
      * planned stop, what is taken later may not end in time.
@@ -69,8 +59,8 @@
     private final Consumer<CallerConnection> onClosed;
     private final PipelinedMessages pipelinedMessages;
     private final RequestDecoder decoder;
-    private final MemoryReservation connectionMemory;
-    private final MemoryReservation headMemory;
+    private final HeadMemory headMemory;
+    private final ReceiveProgress progress;
     private ChannelHandlerContext context;
     private Optional<HttpRequest> requestHead = Optional.empty();
     private final IncomingBody requestBody;
@@ -78,11 +68,6 @@
     private Optional<RequestInProgress> relayedRequest = Optional.empty();
     private ScheduledFuture<?> timeout;
     private final long acceptedAtMillis;
-    private long requestSinceMillis;
-    private long lastReceivedMillis;
-    private long requestBytes;
-    private long headBytes;
-    private int undecodedBytes;
     private boolean headerTimeoutStarted;
     private boolean requestReceived;
     private boolean busy;
@@ -95,10 +80,9 @@
         this.front = front;
         this.onClosed = onClosed;
         this.acceptedAtMillis = front.nowMillis().getAsLong();
-        this.lastReceivedMillis = acceptedAtMillis;
+        this.progress = new ReceiveProgress(front.nowMillis());
         this.decoder = new RequestDecoder(front.limits().get(), this);
-        this.connectionMemory = front.memory().reserve(MemoryUse.CONNECTION);
-        this.headMemory = front.memory().reserve(MemoryUse.REQUEST_HEAD);
+        this.headMemory = new HeadMemory(front.memory(), front.reclaimer());
         this.pipelinedMessages = new PipelinedMessages(front.memory().reserve(MemoryUse.PIPELINED));
         this.unsentMemory = front.memory().reserve(MemoryUse.UNSENT);
         this.requestBody = new IncomingBody(front.memory().reserve(MemoryUse.REQUEST_BODY));
@@ -108,7 +92,7 @@
     public void channelActive(ChannelHandlerContext active) {
         context = active;
         awaitRequest();
-        if (!reserve(connectionMemory, CONNECTION_BYTES)) {
+        if (!headMemory.reserveConnection()) {
             refuseForMemory();
         }
     }
@@ -125,15 +109,6 @@
         return ImmutableList.of(arrivals, decoder, new HttpResponseEncoder(), this);
     }
 
-    /** Enlarges a reservation, at the expense of unfinished requests without progress if need be. */
-    private boolean reserve(MemoryReservation memory, long bytes) {
-        boolean reserved = memory.grow(bytes) || front.reclaimer().makeRoom(() -> memory.grow(bytes));
-        if (!reserved) {
-            memory.countRefusal();
-        }
-        return reserved;
-    }
-
     @Override
     public boolean takesMessages() {
         return closing || !(awaitingMemory || pipelinedMessages.isFull());
@@ -141,24 +116,18 @@
 
     @Override
     public void onUndecoded(int bytes) {
-        undecodedBytes = bytes;
         if (closing) {
             return;
         }
         if (!busy && !awaitingMemory) {
-            if (!reserveHead()) {
+            if (!headMemory.holdUndecoded(bytes)) {
                 refuseForMemory();
             }
-        } else if (!headMemory.resize(headBytes + bytes)) {
+        } else if (!headMemory.countUndecoded(bytes)) {
             context.channel().config().setAutoRead(false);
         }
     }
 
-    private boolean reserveHead() {
-        long bytes = headBytes + undecodedBytes;
-        return bytes <= headMemory.heldBytes() ? headMemory.resize(bytes) : reserve(headMemory, bytes);
-    }
-
     /** Returns the memory that is given back if the request that is being received is refused, in bytes. */
     long reclaimableBytes() {
         return headMemory.heldBytes() + requestBody.heldBytes();
@@ -166,27 +135,18 @@
 
     /** Returns whether a request is being received, and not held up by this instance. */
     boolean isReceiving() {
-        return !closing && !busy && !awaitingMemory && (headerTimeoutStarted || requestHead.isPresent());
+        boolean begun = headerTimeoutStarted || requestHead.isPresent() || headMemory.heldBytes() > 0;
+        return !closing && !busy && !awaitingMemory && begun;
     }
 
-    /** Returns whether no request is being received or served. */
+    /** Returns whether the connection may be closed without loss: nothing is received or served, or all is discarded. */
     boolean isIdle() {
-        return !closing && !busy && !awaitingMemory && !headerTimeoutStarted && requestHead.isEmpty();
-    }
-
-    /** Returns when bytes were received last, or the connection was accepted, in milliseconds. */
-    long lastReceivedMillis() {
-        return lastReceivedMillis;
+        return discardingAfter.isPresent() || (!isBusy() && !closing && !awaitingMemory);
     }
 
-    /** Returns when the first bytes of the request that is being received arrived, in milliseconds. */
-    long requestSinceMillis() {
-        return requestSinceMillis;
-    }
-
-    /** Returns the number of bytes received of the request that is being received. */
-    long requestBytes() {
-        return requestBytes;
+    /** Returns how the request that is being received arrives. */
+    ReceiveProgress progress() {
+        return progress;
     }
 
     /** Refuses the request that is being received, and closes the connection. */
@@ -194,8 +154,7 @@
         if (isReceiving()) {
             refuse(HttpResponseStatus.SERVICE_UNAVAILABLE);
         } else {
-            closing = true;
-            context.close();
+            closeNow();
         }
     }
 
@@ -225,16 +184,19 @@
 
     /** Called for all received bytes; the first bytes of a new request start the header timeout. */
     private void onBytesReceived(int bytes) {
-        lastReceivedMillis = front.nowMillis().getAsLong();
-        requestBytes += bytes;
+        progress.onReceived(bytes);
         if (!busy && !closing && requestHead.isEmpty() && context != null && !headerTimeoutStarted) {
             headerTimeoutStarted = true;
-            requestSinceMillis = lastReceivedMillis;
-            requestBytes = bytes;
+            progress.onRequestBegun(bytes);
             startTimeout(front.limits().get().headerTimeoutMillis(), this::onRequestTimeout);
         }
     }
 
+    private void closeNow() {
+        closing = true;
+        context.close();
+    }
+
     private void awaitRequest() {
         headerTimeoutStarted = false;
         startTimeout(front.limits().get().idleTimeoutMillis(), context::close);
@@ -298,8 +260,7 @@
             return;
         }
         requestHead = Optional.of(request);
-        headBytes = PipelinedMessages.bytesOf(request);
-        if (!reserveHead()) {
+        if (!headMemory.holdDecoded(PipelinedMessages.bytesOf(request))) {
             refuseForMemory();
             return;
         }
@@ -327,8 +288,18 @@
         awaitingMemory = true;
         context.channel().config().setAutoRead(false);
         long waitMillis = Math.min(MAX_MEMORY_WAIT_MILLIS, front.limits().get().idleTimeoutMillis());
-        startTimeout(waitMillis, this::refuseForMemory);
-        front.reclaimer().makeRoom(() -> !requestBody.isWaiting());
+        startTimeout(waitMillis, this::onMemoryTimeout);
+        makeRoomForBody();
+    }
+
+    private boolean makeRoomForBody() {
+        return !requestBody.isWaiting() || front.reclaimer().makeRoom(() -> !requestBody.isWaiting());
+    }
+
+    private void onMemoryTimeout() {
+        if (!makeRoomForBody()) {
+            refuseForMemory();
+        }
     }
 
     /** Called from within another connection's release of memory, so the reading is resumed in a task of its own. */
@@ -339,8 +310,7 @@
                 startTimeout(front.limits().get().idleTimeoutMillis(), this::onRequestTimeout);
                 context.channel().config().setAutoRead(true);
                 next.run();
-                readPipelined();
-                resumeDecoding();
+                readOn();
             }
         });
     }
@@ -351,6 +321,15 @@
         }
     }
 
+    /** Reads what has been received, and more unless too much of it has to wait. */
+    private void readOn() {
+        readPipelined();
+        resumeDecoding();
+        if (!closing && !awaitingMemory) {
+            context.channel().config().setAutoRead(!pipelinedMessages.isFull());
+        }
+    }
+
     private void resumeDecoding() {
         try {
             decoder.resume();
@@ -396,7 +375,14 @@
                 hostOf(request.headers().get(HttpHeaderNames.HOST)),
                 NettyHeaders.toRelay(request.headers()),
                 requestBody.take());
-        ResponseWriter writer = new ResponseWriter(keepAlive, chunkedResponse);
+        ResponseWriter writer = new ResponseWriter(
+                context,
+                unsentMemory,
+                front.draining(),
+                keepAlive,
+                chunkedResponse,
+                this::onResponseEnded,
+                this::closeNow);
         RequestInProgress started = front.relay().apply(callerRequest, writer);
         // If it is done, the one that is under way may already be a pipelined one behind it.
         if (!started.isDone()) {
@@ -431,7 +417,6 @@
 
     private void releaseRequest() {
         requestBody.release();
-        headBytes = 0;
         headMemory.release();
     }
 
@@ -468,8 +453,7 @@
     private void onResponseEnded(ChannelFuture write, boolean keepAlive) {
         relayedRequest = Optional.empty();
         requestBody.release();
-        headBytes = 0;
-        headMemory.resize(Math.min(headMemory.heldBytes(), undecodedBytes));
+        headMemory.releaseDecoded();
         closing |= !keepAlive;
         if (!write.isDone()) {
             awaitWriteProgress(unsentBytes());
@@ -501,18 +485,7 @@
             return;
         }
         awaitRequest();
-        context.channel().config().setAutoRead(true);
-        readPipelined();
-        resumeDecoding();
-    }
-
-    /** Counts response data that is about to be written; returns false if the caller must keep up or be cut off. */
-    private boolean reserveUnsent(int bytes) {
-        return unsentMemory.resize(unsentMemory.heldBytes() + bytes);
-    }
-
-    private void releaseUnsent(ChannelFuture written, int bytes) {
-        written.addListener(unused -> unsentMemory.resize(unsentMemory.heldBytes() - bytes));
+        readOn();
     }
 
     @Override
@@ -524,7 +497,7 @@
         relayedRequest = Optional.empty();
         interrupted.ifPresent(RequestInProgress::onCallerDisconnected);
         releaseRequest();
-        connectionMemory.release();
+        headMemory.releaseConnection();
         onClosed.accept(this);
     }
 
@@ -532,76 +505,4 @@
     public void exceptionCaught(ChannelHandlerContext unused, Throwable cause) {
         context.close();
     }
-
-    /** Writes the response to one request. */
-    private final class ResponseWriter implements CallerExchange {
-        private final boolean keepAlive;
-        private final boolean chunked;
-
-        private ResponseWriter(boolean keepAlive, boolean chunked) {
-            this.keepAlive = keepAlive;
-            this.chunked = chunked;
-        }
-
-        private boolean keepsConnectionOpen() {
-            return keepAlive && !front.draining().getAsBoolean();
-        }
-
-        @Override
-        public void answer(int status, Headers headers, byte[] content) {
-            boolean keepOpen = keepsConnectionOpen();
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(content));
-            NettyHeaders.addTo(response.headers(), headers);
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.length);
-            setConnection(response, keepOpen);
-            reserveUnsent(content.length);
-            ChannelFuture written = context.writeAndFlush(response);
-            releaseUnsent(written, content.length);
-            onResponseEnded(written, keepOpen);
-        }
-
-        private void setConnection(HttpResponse response, boolean keepOpen) {
-            if (!keepOpen) {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-            }
-        }
-
-        @Override
-        public void startStream(int status, Headers headers) {
-            DefaultHttpResponse response =
-                    new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
-            NettyHeaders.addTo(response.headers(), headers);
-            if (chunked) {
-                response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-            }
-            setConnection(response, chunked && keepsConnectionOpen());
-            context.write(response);
-        }
-
-        @Override
-        public void streamData(byte[] data) {
-            if (context.channel().bytesBeforeWritable() > MAX_UNSENT_BYTES) {
-                abort();
-                return;
-            }
-            boolean fits = reserveUnsent(data.length);
-            releaseUnsent(context.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(data))), data.length);
-            if (!fits) {
-                abort();
-            }
-        }
-
-        @Override
-        public void endStream() {
-            onResponseEnded(
-                    context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), chunked && keepsConnectionOpen());
-        }
-
-        @Override
-        public void abort() {
-            closing = true;
-            context.close();
-        }
-    }
 }
--- a/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
+++ b/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
@@ -15,10 +15,6 @@
  * that is being served is never touched. Not thread-safe.
  */
 final class ConnectionReclaimer {
-    /** Silence after which a request that is being received counts as without progress: several round trips. */
-    private static final long STALL_MILLIS = 1_000;
-    /** Slowest rate at which a request makes progress, from its first byte on; 128 kbit/s. */
-    private static final long MIN_BYTES_PER_MILLI = 16;
     /** Interval at which candidates are searched for; a search looks at all connections. */
     private static final long SEARCH_MILLIS = 100;
 
@@ -56,7 +52,8 @@
             connections.stream()
                     .filter(connection -> isStalled(connection, now))
                     .sorted(Comparator.comparingLong(
-                            (CallerConnection connection) -> -connection.reclaimableBytes() * ageMillis(connection, now)))
+                            (CallerConnection connection) -> -connection.reclaimableBytes()
+                                    * connection.progress().ageMillis(now)))
                     .forEach(candidates::add);
         }
         while (!candidates.isEmpty()) {
@@ -72,16 +69,8 @@
         return false;
     }
 
-    private static long ageMillis(CallerConnection connection, long now) {
-        return now - connection.requestSinceMillis();
-    }
-
     private static boolean isStalled(CallerConnection connection, long now) {
-        long ageMillis = ageMillis(connection, now);
-        return connection.isReceiving()
-                && ageMillis >= STALL_MILLIS
-                && (now - connection.lastReceivedMillis() >= STALL_MILLIS
-                        || connection.requestBytes() < ageMillis * MIN_BYTES_PER_MILLI);
+        return connection.isReceiving() && connection.progress().isStalled(now);
     }
 
     /**
@@ -92,8 +81,9 @@
         long now = nowMillis.getAsLong();
         Optional<CallerConnection> quietest = connections.stream()
                 .filter(connection -> isStalled(connection, now)
-                        || (connection.isIdle() && now - connection.lastReceivedMillis() >= STALL_MILLIS))
-                .min(Comparator.comparingLong(CallerConnection::lastReceivedMillis));
+                        || (connection.isIdle() && connection.progress().isSilent(now)))
+                .min(Comparator.comparingLong(
+                        connection -> connection.progress().lastMillis()));
         quietest.ifPresent(connection -> {
             reclaimedIdle++;
             connection.reclaim();
--- a/router/src/main/java/baobabcroft/front/FrontServer.java
+++ b/router/src/main/java/baobabcroft/front/FrontServer.java
@@ -24,12 +24,18 @@
 /** Server for callers' connections. Not thread-safe: apart from creation, used on its event loop only. */
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes the channel; the close is handled.
 public final class FrontServer {
-    /** Every request needs a connection of its caller and one to an endpoint or instance, each a descriptor. */
-    private static final int MAX_CONNECTIONS = DescriptorLimit.share(0.35);
+    /**
+     * Share of the descriptors for accepted connections: a request needs one of its caller and one to an endpoint, and
+     * there are servers for callers and for other instances.
+     */
+    private static final double DESCRIPTOR_SHARE = 0.25;
+    /** Share of the memory for connections as such; the rest is for their requests. */
+    private static final double MEMORY_SHARE = 0.25;
 
     private final FrontContext context;
     private final ConnectionReclaimer reclaimer;
     private final Set<CallerConnection> connections = new LinkedHashSet<>();
+    private final int maxConnections;
     private long rejectedConnections;
     private boolean draining;
     private Channel listener;
@@ -39,6 +45,9 @@
             MemoryBudget memory,
             LongSupplier nowMillis,
             BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {
+        this.maxConnections = (int) Math.min(
+                DescriptorLimit.share(DESCRIPTOR_SHARE),
+                Math.max(1, MEMORY_SHARE * memory.capacityBytes() / HeadMemory.CONNECTION_BYTES));
         this.reclaimer = new ConnectionReclaimer(connections, nowMillis);
         this.context = new FrontContext(limits, memory, reclaimer, () -> draining, nowMillis, relay);
     }
@@ -71,7 +80,7 @@
     }
 
     private List<ChannelHandler> handlers() {
-        if (connections.size() >= MAX_CONNECTIONS && !reclaimer.closeOne()) {
+        if (connections.size() >= maxConnections && !reclaimer.closeOne()) {
             rejectedConnections++;
             return ImmutableList.of(new ChannelInboundHandlerAdapter() {
                 @Override
--- a/router/src/main/java/baobabcroft/front/RequestDecoder.java
+++ b/router/src/main/java/baobabcroft/front/RequestDecoder.java
@@ -153,13 +153,16 @@
         }
         List<Object> parts = new ArrayList<>();
         int before;
-        do {
-            before = buffer.readerIndex();
-            super.decode(channel, buffer, parts);
-        } while (merger.merge(channel.alloc(), parts, buffer.readableBytes(), out)
-                && buffer.isReadable()
-                && buffer.readerIndex() > before);
-        merger.flush(out);
+        try {
+            do {
+                before = buffer.readerIndex();
+                super.decode(channel, buffer, parts);
+            } while (merger.merge(channel.alloc(), parts, buffer.readableBytes(), out)
+                    && buffer.isReadable()
+                    && buffer.readerIndex() > before);
+        } finally {
+            merger.flush(out);
+        }
     }
 
     private void startHead() {
--- a/router/src/main/java/baobabcroft/front/ResponseDecoder.java
+++ b/router/src/main/java/baobabcroft/front/ResponseDecoder.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
@@ -37,6 +38,7 @@
     private static final String PROTOCOL = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] +[0-9]{3}");
 
+    private final ContentMerger merger = new ContentMerger();
     private int undecodedBytes;
 
     ResponseDecoder() {
@@ -59,14 +61,27 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
-        int decoded = out.size();
-        int readable = buffer.readableBytes();
-        super.decode(context, buffer, out);
-        undecodedBytes = out.size() > decoded ? 0 : undecodedBytes + readable - buffer.readableBytes();
+        List<Object> decoded = new ArrayList<>();
+        int readable;
+        try {
+            do {
+                readable = buffer.readableBytes();
+                super.decode(context, buffer, decoded);
+                countUndecoded(decoded, readable - buffer.readableBytes());
+            } while (merger.merge(context.alloc(), decoded, buffer.readableBytes(), out)
+                    && buffer.isReadable()
+                    && buffer.readableBytes() < readable);
+        } finally {
+            merger.flush(out);
+        }
+    }
+
+    private void countUndecoded(List<Object> decoded, int consumedBytes) {
+        undecodedBytes = decoded.isEmpty() ? undecodedBytes + consumedBytes : 0;
         if (undecodedBytes > MAX_UNDECODED_BYTES) {
             throw new TooLongFrameException("no response in " + undecodedBytes + " bytes");
         }
-        for (Object message : out.subList(decoded, out.size())) {
+        for (Object message : decoded) {
             if (message instanceof HttpResponse response) {
                 rejectJoinedHeads(response);
             }
--- a/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
@@ -45,10 +45,12 @@
     private final MemoryBudget memory = MemoryBudget.create(CAPACITY_BYTES);
     private final List<CallerExchange> unanswered = new ArrayList<>();
     private final List<Socket> sockets = new ArrayList<>();
+    private final FrontServer server;
+    private volatile long nowMillis;
     private int received;
 
     RequestMemoryTest() {
-        FrontServer.start(loop, address, () -> LIMITS, memory, () -> 0, this::receive);
+        server = FrontServer.start(loop, address, () -> LIMITS, memory, () -> nowMillis, this::receive);
     }
 
     /** Answers requests for "/now", and leaves others open. */
@@ -274,6 +276,70 @@
         }
     }
 
+    /** Callers that hold memory or connections and send nothing. */
+    @Nested
+    class WithoutProgress {
+        private static final long LATER_MILLIS = 2_000;
+        /** A quarter of the memory, at 8 KB each. */
+        private static final int MOST_CONNECTIONS = 128;
+
+        /** Guards against unfinished requests that keep out others until their timeout. */
+        @Test
+        void areRefusedWhenOthersNeedTheirMemory() throws IOException {
+            Socket first = sendHead("/now", BODY_BYTES);
+            for (int i = 1; i < BODIES_AT_ONCE; i++) {
+                sendHead("/now", BODY_BYTES);
+            }
+            awaitBodyBytes(BODIES_AT_ONCE * BODY_BYTES);
+            nowMillis = LATER_MILLIS;
+            Socket late = sendHead("/now", BODY_BYTES);
+            send(late, "x".repeat(BODY_BYTES));
+
+            assertEquals(OK, statusLine(late));
+            String refusal = response(first);
+            assertTrue(refusal.startsWith(UNAVAILABLE), refusal);
+            assertTrue(refusal.toLowerCase(Locale.ROOT).contains("retry-after: 1"), refusal);
+            assertEquals(1, received);
+        }
+
+        /** Guards against a limit that refuses what there is room for. */
+        @Test
+        void areKeptInCalm() throws IOException {
+            Socket half = sendHalfBodies(1).get(0);
+            awaitBodyBytes(BODY_BYTES);
+            nowMillis = LATER_MILLIS;
+            Socket other = sendHead("/now", BODY_BYTES);
+            send(other, "x".repeat(BODY_BYTES));
+            assertEquals(OK, statusLine(other));
+            send(half, "x".repeat(BODY_BYTES / 2));
+
+            assertEquals(OK, statusLine(half));
+        }
+
+        /** Guards against silent connections that take all descriptors. */
+        @Test
+        void areClosedWhenOthersConnect() throws IOException {
+            for (int i = 0; i < MOST_CONNECTIONS; i++) {
+                send("");
+            }
+            await("connections", MOST_CONNECTIONS, server::openConnections);
+            nowMillis = LATER_MILLIS;
+            Socket late = sendHead("/now", 0);
+
+            assertEquals(OK, statusLine(late));
+            onLoop(() -> assertEquals(1, server.excessConnections()));
+        }
+
+        /** Guards against a limit that refuses a single legal request: a head of 4,096 lines. */
+        @Test
+        void aHeadOfThousandsOfLinesIsServedInCalm() throws IOException {
+            Socket socket = send("GET /now HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + "g:\r\n".repeat(4_080) + "\r\n");
+
+            assertEquals(OK, statusLine(socket));
+            await("bytes of heads", 0, () -> memory.usedBytes(MemoryUse.REQUEST_HEAD));
+        }
+    }
+
     @Nested
     class Responses {
         private static final int BLOCK_BYTES = 64 << 10;
