--- a/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
+++ b/router/src/main/java/baobabcroft/front/ConnectionReclaimer.java
@@ -51,9 +51,8 @@
             candidates.clear();
             connections.stream()
                     .filter(connection -> isStalled(connection, now))
-                    .sorted(Comparator.comparingLong(
-                            (CallerConnection connection) -> -connection.reclaimableBytes()
-                                    * connection.progress().ageMillis(now)))
+                    .sorted(Comparator.comparingLong((CallerConnection connection) -> -connection.reclaimableBytes()
+                            * connection.progress().ageMillis(now)))
                     .forEach(candidates::add);
         }
         while (!candidates.isEmpty()) {
--- a/router/src/main/java/baobabcroft/front/RequestDecoder.java
+++ b/router/src/main/java/baobabcroft/front/RequestDecoder.java
@@ -211,8 +211,8 @@
 
     private HttpMessage tooLong() {
         HttpMessage message = createInvalidMessage();
-        message.setDecoderResult(
-                DecoderResult.failure(new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes)));
+        message.setDecoderResult(DecoderResult.failure(
+                new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes)));
         failed = true;
         return message;
     }
--- a/router/src/main/java/baobabcroft/front/ResponseWriter.java
+++ b/router/src/main/java/baobabcroft/front/ResponseWriter.java
@@ -122,8 +122,7 @@
 
     @Override
     public void endStream() {
-        onEnded.accept(
-                context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), chunked && keepsConnectionOpen());
+        onEnded.accept(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT), chunked && keepsConnectionOpen());
     }
 
     @Override
--- a/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
@@ -333,7 +333,8 @@
         /** Guards against a limit that refuses a single legal request: a head of 4,096 lines. */
         @Test
         void aHeadOfThousandsOfLinesIsServedInCalm() throws IOException {
-            Socket socket = send("GET /now HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + "g:\r\n".repeat(4_080) + "\r\n");
+            Socket socket =
+                    send("GET /now HTTP/1.1\r\nHost: a\r\nConnection: close\r\n" + "g:\r\n".repeat(4_080) + "\r\n");
 
             assertEquals(OK, statusLine(socket));
             await("bytes of heads", 0, () -> memory.usedBytes(MemoryUse.REQUEST_HEAD));
