Let the soak evacuate failure domains and limit regions

Cause: allowed regions and evacuations were shown without a network only.

Change: endpoints of a run are in three failure domains and two regions. Faults evacuation and regions-limited; promises EVACUATED (5 s after the order, until its end) and REGIONS (4 s after the configuration), judged by what endpoints saw. The plant lost-orders keeps orders and limits from the store.

--- a/soak/src/main/java/baobabcroft/soak/Configuration.java
+++ b/soak/src/main/java/baobabcroft/soak/Configuration.java
@@ -19,9 +19,10 @@
      * @param version number of the configuration
      * @param service name of the service
      * @param withdrawn whether the callers' key is not among the keys
+     * @param regionsLimited whether some routes are allowed in one region only
      * @param otherRoutes number of routes that no caller uses
      */
-    static String text(int version, String service, boolean withdrawn, int otherRoutes) {
+    static String text(int version, String service, boolean withdrawn, boolean regionsLimited, int otherRoutes) {
         return String.format(
                 Locale.ROOT,
                 """
@@ -29,9 +30,9 @@
                  {"name":"chat","host":"127.0.0.1","path_prefix":"/chat/","kind":"streaming","timeout_ms":%1$d,
                   "goal_ms":2000,"priority":1,"service":"%2$s","attempts":3,"resumable":true},
                  {"name":"lookup","host":"127.0.0.1","path_prefix":"/lookup/","kind":"idempotent","timeout_ms":%1$d,
-                  "goal_ms":2000,"priority":1,"service":"%2$s","attempts":3},
+                  "goal_ms":2000,"priority":1,"service":"%2$s","attempts":3%6$s},
                  {"name":"order","host":"127.0.0.1","path_prefix":"/order/","kind":"non_idempotent","timeout_ms":%1$d,
-                  "goal_ms":2000,"priority":1,"service":"%2$s","attempts":1}%5$s],
+                  "goal_ms":2000,"priority":1,"service":"%2$s","attempts":1%7$s}%5$s],
                  "services":[{"name":"%2$s","max_conns":64}],
                  "tenants":[{"name":"kamera","api_keys":["%4$s"]}]}
                 """,
@@ -39,7 +40,9 @@
                 service,
                 version,
                 withdrawn ? OTHER_KEY : KEY,
-                otherRoutes(otherRoutes, service));
+                otherRoutes(otherRoutes, service),
+                regionsLimited ? Placement.configurationOf(Call.Route.LOOKUP) : "",
+                regionsLimited ? Placement.configurationOf(Call.Route.ORDER) : "");
     }
 
     private static String otherRoutes(int count, String service) {
--- a/soak/src/main/java/baobabcroft/soak/FaultKind.java
+++ b/soak/src/main/java/baobabcroft/soak/FaultKind.java
@@ -32,6 +32,10 @@
     KEY_WITHDRAWN,
     /** The operators write large configurations in series. */
     CONFIG_SERIES,
+    /** The operators order the evacuation of a failure domain, and end it. */
+    EVACUATION,
+    /** The operators allow some routes in one region only, and in all again. */
+    REGIONS_LIMITED,
     /** Callers send several times as much. */
     BURST;
 
--- a/soak/src/main/java/baobabcroft/soak/FaultPlan.java
+++ b/soak/src/main/java/baobabcroft/soak/FaultPlan.java
@@ -52,7 +52,8 @@
     private Fault fault(FaultKind kind, long atMillis) {
         long forMillis = (long)
                 switch (kind) {
-                    case LINK_CUT, LINK_RESET, ENDPOINT_LIMIT, ENDPOINT_BRITTLE -> 7_000 + 6_000 * random.nextDouble();
+                    case LINK_CUT, LINK_RESET, ENDPOINT_LIMIT, ENDPOINT_BRITTLE, EVACUATION, REGIONS_LIMITED ->
+                        7_000 + 6_000 * random.nextDouble();
                     case ENDPOINT_LEAVING, KEY_WITHDRAWN, CONFIG_SERIES -> 6_000 + 3_000 * random.nextDouble();
                     case ENDPOINT_SILENCE -> 1_000;
                     default -> 700 + 2_800 * random.nextDouble();
--- a/soak/src/main/java/baobabcroft/soak/InstanceProcess.java
+++ b/soak/src/main/java/baobabcroft/soak/InstanceProcess.java
@@ -12,7 +12,6 @@
 /** An instance: its settings file and at most one process at a time. Thread-safe. */
 final class InstanceProcess implements AutoCloseable {
     private static final long EXIT_TIMEOUT_MILLIS = 30_000;
-    private static final int DOMAINS = 3;
     private static final List<String> JAVA_OPTIONS =
             List.of("-Xmx160m", "-Xss256k", "-XX:-UsePerfData", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
 
@@ -48,8 +47,8 @@
                 String.format(
                         Locale.ROOT,
                         """
-                        {"instance":"%s","address":"127.0.0.1","peerPorts":[%d,%d],"failureDomain":"zone-%d",
-                         "regions":{"zone-0":"north","zone-1":"north","zone-2":"south","here":"north"},
+                        {"instance":"%s","address":"127.0.0.1","peerPorts":[%d,%d],"failureDomain":"%s",
+                         "regions":{"zone-0":"north","zone-1":"north","zone-2":"south"},
                          "listen":{"callers":"127.0.0.1:%d","readiness":"127.0.0.1:%d","metricsPort":%d},
                          "store":{"address":"%s"},"cascade":{"keepFromPercent":50},
                          "endpoints":{"hostNames":true},
@@ -59,7 +58,7 @@
                         name,
                         ports.peers(),
                         ports.peers() + 1,
-                        number % DOMAINS,
+                        Placement.failureDomain(number),
                         ports.callers(),
                         ports.readiness(),
                         ports.metrics(),
--- a/soak/src/main/java/baobabcroft/soak/Oracle.java
+++ b/soak/src/main/java/baobabcroft/soak/Oracle.java
@@ -37,6 +37,7 @@
     /** Returns the verdicts on all promises. */
     static ImmutableList<Verdict> judge(History history) {
         Oracle oracle = new Oracle(history);
+        PlacementDetector placement = new PlacementDetector(history);
         return ImmutableList.of(
                 oracle.once(),
                 oracle.notRun(),
@@ -48,7 +49,9 @@
                 oracle.pause(),
                 new LimitDetector(history, oracle.bySubject).verdict(),
                 oracle.brittle(),
-                oracle.recover());
+                oracle.recover(),
+                placement.evacuated(),
+                placement.regions());
     }
 
     private Map<String, Long> runsById() {
--- a/soak/src/main/java/baobabcroft/soak/Plant.java
+++ b/soak/src/main/java/baobabcroft/soak/Plant.java
@@ -9,5 +9,7 @@
     /** Endpoints run requests that they reject as not executed. */
     FALSE_NOT_RUN,
     /** Endpoints believe that they have named limits, pauses and that they leave, and have not. */
-    SILENT_STATEMENTS
+    SILENT_STATEMENTS,
+    /** Orders to evacuate and limits of regions are not written to the store. */
+    LOST_ORDERS
 }
--- a/soak/src/main/java/baobabcroft/soak/Promise.java
+++ b/soak/src/main/java/baobabcroft/soak/Promise.java
@@ -23,7 +23,11 @@
     /** Promise on brittle endpoints. */
     BRITTLE(true, "brittle endpoints seldom fall over"),
     /** Promise on cuts. */
-    RECOVER(true, "instances cut off from the endpoints serve their callers");
+    RECOVER(true, "instances cut off from the endpoints serve their callers"),
+    /** Promise on evacuations. */
+    EVACUATED(true, "endpoints of an evacuated failure domain get nothing new"),
+    /** Promise on allowed regions. */
+    REGIONS(true, "no request reaches an endpoint outside of its allowed regions");
 
     private final boolean timed;
     private final String text;
--- a/soak/src/main/java/baobabcroft/soak/Rig.java
+++ b/soak/src/main/java/baobabcroft/soak/Rig.java
@@ -4,7 +4,9 @@
 import baobabcroft.standin.platform.PlatformEndpointStandin;
 import baobabcroft.standin.platform.PlatformStoreStandin;
 import baobabcroft.testing.FreePorts;
+import com.google.common.collect.ConcurrentHashMultiset;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Multiset;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -32,6 +34,7 @@
     private static final long SERIES_INTERVAL_MILLIS = 330;
 
     private static final int MAX_OTHER_ROUTES = 1_500;
+    private static final String EVACUATION_PREFIX = "op/evacuate/";
 
     private final LongSupplier nowMillis;
     private final long originNanos;
@@ -48,6 +51,10 @@
     private final Scheduling scheduling;
     private int configurations;
     private int withdrawals;
+    private int regionLimits;
+    /** Orders to evacuate, by failure domain, with the number of disturbances that want them. */
+    private final Multiset<String> evacuations = ConcurrentHashMultiset.create();
+
     private int otherRoutes;
     private boolean writesSeries;
 
@@ -67,7 +74,7 @@
         FreePorts ports = new FreePorts();
         for (int i = 0; i < endpointCount; i++) {
             PlatformEndpointStandin endpoint =
-                    PlatformEndpointStandin.start("endpoint-" + i, ports.next(), CAPACITY, new Recorder());
+                    PlatformEndpointStandin.start(Placement.endpointId(i), ports.next(), CAPACITY, new Recorder());
             endpoints.add(endpoint);
             if (plant == Plant.SILENT_STATEMENTS) {
                 endpoint.withholdStatements();
@@ -165,13 +172,37 @@
     }
 
     private void register(PlatformEndpointStandin endpoint, String state) {
-        store.put("servers/" + endpoint.id(), endpoint.entry(SERVICE, state, hostOf(endpoint)));
+        String failureDomain = Placement.failureDomainOf(endpoint.id()).orElseThrow();
+        store.put("servers/" + endpoint.id(), endpoint.entry(SERVICE, state, hostOf(endpoint), failureDomain));
     }
 
     /** Writes what operators and endpoints have in the store; they do so again when it has returned from a copy. */
     private void registerAll() {
         configure();
         endpoints.forEach(endpoint -> register(endpoint, "ready"));
+        evacuations.elementSet().forEach(this::orderEvacuation);
+    }
+
+    private void orderEvacuation(String failureDomain) {
+        if (plant != Plant.LOST_ORDERS) {
+            store.put(EVACUATION_PREFIX + failureDomain, "{}");
+        }
+    }
+
+    private synchronized void beginEvacuation(Fault fault) {
+        fault.endpoints().stream().map(Placement::failureDomain).forEach(failureDomain -> {
+            evacuations.add(failureDomain);
+            orderEvacuation(failureDomain);
+        });
+    }
+
+    private synchronized void endEvacuation(Fault fault) {
+        fault.endpoints().stream().map(Placement::failureDomain).forEach(failureDomain -> {
+            evacuations.remove(failureDomain);
+            if (!evacuations.contains(failureDomain)) {
+                store.remove(EVACUATION_PREFIX + failureDomain);
+            }
+        });
     }
 
     long originNanos() {
@@ -180,7 +211,9 @@
 
     private synchronized void configure() {
         configurations++;
-        store.put("op/config", Configuration.text(configurations, SERVICE, withdrawals > 0, otherRoutes));
+        store.put(
+                "op/config",
+                Configuration.text(configurations, SERVICE, withdrawals > 0, regionLimits > 0, otherRoutes));
     }
 
     private synchronized void withdraw(int change) {
@@ -188,6 +221,11 @@
         configure();
     }
 
+    private synchronized void limitRegions(int change) {
+        regionLimits += plant == Plant.LOST_ORDERS ? 0 : change;
+        configure();
+    }
+
     private synchronized void beginSeries(Fault fault) {
         otherRoutes = (int) (MAX_OTHER_ROUTES * fault.strength());
         writesSeries = true;
@@ -228,6 +266,8 @@
             case LINK_CUT, LINK_RESET -> eachLink(fault, link -> link.cut(fault.kind() == FaultKind.LINK_RESET));
             case STORE_DOWN -> store.down(true);
             case KEY_WITHDRAWN -> withdraw(1);
+            case EVACUATION -> beginEvacuation(fault);
+            case REGIONS_LIMITED -> limitRegions(1);
             case CONFIG_SERIES -> beginSeries(fault);
             case STORE_COPY -> returnFromCopy(fault);
             case ENDPOINT_CRASH -> eachEndpoint(fault, PlatformEndpointStandin::crash);
@@ -258,6 +298,8 @@
             case LINK_CUT, LINK_RESET -> eachLink(fault, LinkProxy::heal);
             case STORE_DOWN -> store.down(false);
             case KEY_WITHDRAWN -> withdraw(-1);
+            case EVACUATION -> endEvacuation(fault);
+            case REGIONS_LIMITED -> limitRegions(-1);
             case CONFIG_SERIES -> endSeries();
             case ENDPOINT_CRASH, ENDPOINT_LEAVING -> eachEndpoint(fault, this::restart);
             case ENDPOINT_LIMIT -> eachEndpoint(fault, PlatformEndpointStandin::stateNoLimit);
--- a/soak/src/test/java/baobabcroft/soak/OracleTest.java
+++ b/soak/src/test/java/baobabcroft/soak/OracleTest.java
@@ -356,4 +356,72 @@
                 List.of(Promise.values()),
                 Oracle.judge(empty).stream().map(Verdict::promise).toList());
     }
+
+    @Nested
+    class Evacuated {
+        private void arrivalAt(int endpoint, int instance, long atMillis) {
+            arrivals.add(new Arrival(
+                    "endpoint-" + endpoint,
+                    1,
+                    "r",
+                    instance,
+                    atMillis,
+                    OptionalLong.of(atMillis + 1),
+                    true,
+                    Optional.of(NOTHING)));
+        }
+
+        @Test
+        void findsRequestsInTheFailureDomain() {
+            fault(FaultKind.EVACUATION, 1_000, 9_000);
+            arrivalAt(3, 0, 6_500);
+
+            assertBroken(Promise.EVACUATED);
+        }
+
+        @Test
+        void passesOtherDomainsAndTimesAndDisturbedInstances() {
+            fault(FaultKind.EVACUATION, 1_000, 9_000);
+            fault(FaultKind.LINK_CUT, 3_000, 1_000, 2);
+            arrivalAt(1, 0, 6_500);
+            arrivalAt(0, 0, 5_900);
+            arrivalAt(0, 0, 10_100);
+            arrivalAt(0, 2, 6_500);
+
+            assertHeld(Promise.EVACUATED);
+        }
+    }
+
+    @Nested
+    class Regions {
+        private void lookupAt(int endpoint, String id, long sentMillis) {
+            call(id, Call.Route.LOOKUP, 0, sentMillis, 200);
+            arrivals.add(new Arrival(
+                    "endpoint-" + endpoint,
+                    1,
+                    id,
+                    1,
+                    sentMillis + 10,
+                    OptionalLong.of(sentMillis + 20),
+                    true,
+                    Optional.of(NOTHING)));
+        }
+
+        @Test
+        void findsRequestsInOtherRegions() {
+            fault(FaultKind.REGIONS_LIMITED, 1_000, 9_000);
+            lookupAt(2, "r", 6_000);
+
+            assertBroken(Promise.REGIONS);
+        }
+
+        @Test
+        void passesAllowedRegionsAndEarlierRequests() {
+            fault(FaultKind.REGIONS_LIMITED, 1_000, 9_000);
+            lookupAt(1, "r-1", 6_000);
+            lookupAt(2, "r-2", 4_000);
+
+            assertHeld(Promise.REGIONS);
+        }
+    }
 }
