--- a/router/src/main/java/baobabcroft/instance/InstancePace.java
+++ b/router/src/main/java/baobabcroft/instance/InstancePace.java
@@ -65,8 +65,9 @@
                 directory,
                 nowMillis,
                 random,
-                service ->
-                        routing.current().flatMap(table -> table.service(service)).flatMap(ServiceProfile::warmUp),
+                service -> routing.current()
+                        .flatMap(table -> table.service(service))
+                        .flatMap(ServiceProfile::warmUp),
                 new Evidence(peerLoads, loads),
                 statedPerSecond -> bounds.get().warmUpRequests(statedPerSecond),
                 new Recorder(metrics));
@@ -76,8 +77,7 @@
     /** Lets the sends to endpoints be limited, and returns the rule by which they are not chosen. */
     EndpointEligibility.Rule limit(EndpointAvailability availability) {
         availability.limitSends(pace);
-        return (endpoint, request) ->
-                pace.isHeldBack(endpoint) ? Optional.of(Ineligibility.PACED) : Optional.empty();
+        return (endpoint, request) -> pace.isHeldBack(endpoint) ? Optional.of(Ineligibility.PACED) : Optional.empty();
     }
 
     /** Returns a listener that passes failed attempts on to the paces, and everything to another listener. */
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -211,8 +211,7 @@
     }
 
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
-        return ImmutableList.of(
-                (endpoint, request) -> availability.unavailability(endpoint), pace.limit(availability));
+        return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint), pace.limit(availability));
     }
 
     private static Optional<Ineligibility> when(boolean excluded, Ineligibility reason) {
--- a/router/src/main/java/baobabcroft/pace/EndpointPace.java
+++ b/router/src/main/java/baobabcroft/pace/EndpointPace.java
@@ -299,8 +299,7 @@
         if (known != null) {
             return known;
         }
-        PacedEndpoint state =
-                new PacedEndpoint(fleet, entry, reason, nowMillis.getAsLong(), random.getAsDouble());
+        PacedEndpoint state = new PacedEndpoint(fleet, entry, reason, nowMillis.getAsLong(), random.getAsDouble());
         paced.put(entry.address(), state);
         updatePlan(state);
         PacePlan plan = state.plan();
@@ -316,9 +315,7 @@
 
     private OptionalDouble statedRate(EndpointEntry endpoint) {
         Optional<WarmUp> warmUp = warmUpOfService.apply(endpoint.service());
-        return warmUp.isPresent()
-                ? OptionalDouble.of(warmUp.get().requestsPerSecond())
-                : OptionalDouble.empty();
+        return warmUp.isPresent() ? OptionalDouble.of(warmUp.get().requestsPerSecond()) : OptionalDouble.empty();
     }
 
     private boolean mayHold() {
@@ -389,8 +386,8 @@
         @Override
         public boolean confirm() {
             Optional<PacedEndpoint> state = pacedState(endpoint);
-            boolean allowed =
-                    state.map(now -> mayHold() && now.maySend(nowMillis.getAsLong())).orElse(true);
+            boolean allowed = state.map(now -> mayHold() && now.maySend(nowMillis.getAsLong()))
+                    .orElse(true);
             if (allowed) {
                 release();
                 state.ifPresent(now -> now.onSent(nowMillis.getAsLong()));
--- a/router/src/test/java/baobabcroft/pace/EndpointPaceTest.java
+++ b/router/src/test/java/baobabcroft/pace/EndpointPaceTest.java
@@ -52,9 +52,11 @@
             fleet.listAll(STARTED, 20_000);
             for (int round = 0; round < 4; round++) {
                 ImmutableSet<String> next = shuffled(PaceFixture.names(instances + 4 * round), order, 2);
-                fleet.members.stream().filter(member -> !next.contains(member.name)).forEach(member -> {
-                    member.sends = order.nextBoolean();
-                });
+                fleet.members.stream()
+                        .filter(member -> !next.contains(member.name))
+                        .forEach(member -> {
+                            member.sends = order.nextBoolean();
+                        });
                 List<PaceFixture.Member> late = new ArrayList<>(fleet.members);
                 Collections.shuffle(late, order);
                 for (int step = 0; step < 4; step++) {
@@ -303,9 +305,8 @@
     void requestsAreCheckedAgainWhenTheyAreWritten() {
         PaceFixture fleet = new PaceFixture(82, 1).settled();
         fleet.members.forEach(member -> member.directory.put(STARTED));
-        List<SendGate.Pass> passes = fleet.members.stream()
-                .map(member -> member.pace.enter(STARTED))
-                .toList();
+        List<SendGate.Pass> passes =
+                fleet.members.stream().map(member -> member.pace.enter(STARTED)).toList();
         fleet.listAll(STARTED, 3_000);
         fleet.nowMillis += 1_200;
 
--- a/router/src/test/java/baobabcroft/pace/PaceFixture.java
+++ b/router/src/test/java/baobabcroft/pace/PaceFixture.java
@@ -25,6 +25,7 @@
     private static final int DOMAINS = 6;
     /** Enough to exceed the bound at once if an instance does not limit its requests. */
     private static final int MAX_REQUESTS_PER_STEP = 20;
+
     private static final int MAX_CONNECT_MILLIS = 60;
     private static final int MAX_JITTER_MILLIS = 60;
 
--- a/router/src/test/java/baobabcroft/pace/PacePolicyModelTest.java
+++ b/router/src/test/java/baobabcroft/pace/PacePolicyModelTest.java
@@ -34,11 +34,13 @@
     private static final long OUTPUT_MILLIS_PER_STREAM = 10;
     /** Factor by which a cold engine is slower than a warm one. */
     private static final long COLD_FACTOR = 3;
+
     private static final long STEP_MILLIS = 10;
     private static final long NOTICE_MILLIS = 50;
     private static final int DOMAINS = 6;
     /** Costs of another domain and of another region, as numbers of requests in flight; those of EndpointChooser. */
     private static final double OTHER_DOMAIN_COST = 1.5;
+
     private static final double OTHER_REGION_COST = 12;
     private static final long SHORT_LISTING_DELAY_MILLIS = 300;
     private static final long MAX_LISTING_DELAY_MILLIS = 3_200;
@@ -47,6 +49,7 @@
     private static final long LATE_MILLIS = 500;
     /** Time before the start in which queues build up, in milliseconds. */
     private static final long BEFORE_MILLIS = 5_000;
+
     private static final long EARLY_MILLIS = 5_000;
     private static final EndpointEntry STARTED = PaceFixture.endpoint(2);
 
@@ -95,8 +98,7 @@
         int[] load = new int[ENGINES];
         int[] told = new int[ENGINES];
         PriorityQueue<Output> outputs = new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
-        PriorityQueue<Open> open =
-                new PriorityQueue<>((a, b) -> Long.compare(a.doneAtMillis(), b.doneAtMillis()));
+        PriorityQueue<Open> open = new PriorityQueue<>((a, b) -> Long.compare(a.doneAtMillis(), b.doneAtMillis()));
         Deque<Long> lastSecond = new ArrayDeque<>();
         int early = 0;
         int late = 0;
@@ -163,7 +165,9 @@
         int best = -1;
         double bestLoad = Double.MAX_VALUE;
         for (int engine = usable ? 0 : 1; engine < ENGINES; engine++) {
-            double known = Math.max(told[engine], instance.own[engine]) + cost(instance, engine) + 0.3 * fleet.random.nextDouble();
+            double known = Math.max(told[engine], instance.own[engine])
+                    + cost(instance, engine)
+                    + 0.3 * fleet.random.nextDouble();
             if (known < bestLoad) {
                 bestLoad = known;
                 best = engine;
@@ -265,7 +269,10 @@
 
     private static int owner(int size) {
         return Math.floorMod(
-                Hashing.murmur3_128().hashString(STARTED.incarnation(), StandardCharsets.UTF_8).asInt(), size);
+                Hashing.murmur3_128()
+                        .hashString(STARTED.incarnation(), StandardCharsets.UTF_8)
+                        .asInt(),
+                size);
     }
 
     /** Compares the policies, and guards the figures that the design note relies on. */
@@ -273,8 +280,10 @@
     void policiesAtAnEngineThatStarts() {
         Map<String, Function<PaceFixture, Policy>> policies = new LinkedHashMap<>();
         policies.put("no pace", fleet -> of((instance, now) -> true));
-        policies.put("owner by hash", fleet -> of((instance, now) ->
-                now - instance.listedAtMillis >= WARM_MILLIS || instance.number == owner(fleet.members.size())));
+        policies.put(
+                "owner by hash",
+                fleet -> of((instance, now) -> now - instance.listedAtMillis >= WARM_MILLIS
+                        || instance.number == owner(fleet.members.size())));
         policies.put("equal shares of all", fleet -> bucket(fleet.members.size()));
         policies.put("additive increase", fleet -> additiveIncrease());
         policies.put("gradient of response times", fleet -> gradient());
--- a/router/src/test/java/baobabcroft/relay/PacedEndpointsFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/PacedEndpointsFleetTest.java
@@ -39,13 +39,12 @@
             ImmutableMap.of("orders-1", new TreeMap<>(), "orders-2", new TreeMap<>(), "orders-3", new TreeMap<>());
 
     private void create() {
-        ImmutableSet<String> names = IntStream.range(0, INSTANCES)
-                .mapToObj(i -> "instance-" + i)
-                .collect(ImmutableSet.toImmutableSet());
+        ImmutableSet<String> names =
+                IntStream.range(0, INSTANCES).mapToObj(i -> "instance-" + i).collect(ImmutableSet.toImmutableSet());
         for (ForwardingFleet.Member member : fleet.members) {
             RelayFixture relay = member.relay;
-            PaceFleet known = new PaceFleet(
-                    "instance-" + paces.size(), relay.failureDomain, ImmutableMap.of(), () -> names);
+            PaceFleet known =
+                    new PaceFleet("instance-" + paces.size(), relay.failureDomain, ImmutableMap.of(), () -> names);
             IntStream.range(0, INSTANCES).forEach(i -> known.putInstance("instance-" + i, "domain-" + (1 + i % 3)));
             EndpointPace pace = new EndpointPace(
                     known,
@@ -110,7 +109,9 @@
     }
 
     private int sentTo(String endpoint) {
-        return arrivals.get(endpoint).values().stream().mapToInt(Integer::intValue).sum();
+        return arrivals.get(endpoint).values().stream()
+                .mapToInt(Integer::intValue)
+                .sum();
     }
 
     private long answered() {
@@ -139,7 +140,9 @@
         assertBound("orders-1");
         assertEquals(callers.size(), answered());
         assertTrue(sentTo("orders-1") >= 30, "cold endpoint got " + sentTo("orders-1") + " in 10 s");
-        assertEquals(0, fleet.members.stream().mapToLong(member -> member.forwardedIn).sum());
+        assertEquals(
+                0,
+                fleet.members.stream().mapToLong(member -> member.forwardedIn).sum());
     }
 
     /** Guards against WARMUP and needless refusals: all endpoints of a service are cold. */
@@ -153,6 +156,7 @@
 
         assertBound("orders-1", "orders-2", "orders-3");
         assertTrue(answered() >= 0.8 * callers.size(), answered() + " answered of " + callers.size());
-        assertTrue(fleet.members.stream().mapToLong(member -> member.forwardedIn).sum() > 0, "nothing forwarded");
+        assertTrue(
+                fleet.members.stream().mapToLong(member -> member.forwardedIn).sum() > 0, "nothing forwarded");
     }
 }
