--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -52,8 +52,6 @@
      * after a second.
      */
     private static final long MAX_MEMORY_WAIT_MILLIS = 750;
-    /** Delay after which a request that was refused for lack of memory may be sent again, in seconds. */
-    private static final int MEMORY_RETRY_AFTER_SECONDS = 1;
 
     private final FrontContext front;
     private final Consumer<CallerConnection> onClosed;
--- a/router/src/main/java/baobabcroft/front/DescriptorLimit.java
+++ b/router/src/main/java/baobabcroft/front/DescriptorLimit.java
@@ -28,7 +28,7 @@
     private static int limit() {
         try (Stream<String> lines = Files.lines(LIMITS)) {
             return lines.filter(line -> line.startsWith(LINE))
-                    .map(line -> line.substring(LINE.length()).trim().split(" +")[0])
+                    .map(line -> line.substring(LINE.length()).trim().split(" +", 2)[0])
                     .mapToInt(soft -> soft.matches("[0-9]{1,9}") ? Integer.parseInt(soft) : Integer.MAX_VALUE)
                     .findFirst()
                     .orElse(DEFAULT_LIMIT);
