--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -29,7 +29,7 @@
     private static final double OTHER_REGION_COST_MILLIS = 120;
     /** Round trip between regions, in milliseconds. */
     private static final double OTHER_REGION_ROUND_TRIP_MILLIS = 60;
-    /** Delay that each in-flight request adds to the others on a model engine, in milliseconds. */
+    /** Delay that each in-flight request adds to the others on a model engine of usual speed, in milliseconds. */
     private static final double ENGINE_REQUEST_DELAY_MILLIS = 10;
     /** Delay that each in-flight request adds on another instance with one slot, in milliseconds. */
     private static final double PEER_REQUEST_DELAY_MILLIS = 300;
@@ -108,7 +108,10 @@
         return best == null
                 ? Optional.empty()
                 : Optional.of(new Choice(
-                        best, bestMillis, waitMillis(loads.stateOf(best).load()), roundTripMillis(best)));
+                        best,
+                        bestMillis,
+                        waitMillis(loads.stateOf(best), loads.stateOf(best).load()),
+                        roundTripMillis(best)));
     }
 
     private double expectedMillis(
@@ -127,7 +130,7 @@
             if (isRendezvous) {
                 tokens -= RENDEZVOUS_CACHED_PROBABILITY * Math.max(0, tokens - prompt.ownTokens());
             }
-            return millis + loads.prefillMillis(model, prompt, tokens) * state.timeFactor() + waitMillis(load);
+            return millis + loads.prefillMillis(model, prompt, tokens) * state.timeFactor() + waitMillis(state, load);
         }
         if (profile.isEmpty()) {
             return millis + load.inFlight() * PEER_REQUEST_DELAY_MILLIS / candidate.slots();
@@ -145,8 +148,12 @@
         return requestMillis + waitMillis + unknownMillis;
     }
 
-    private static double waitMillis(PeerLoads.Load load) {
-        return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS;
+    /**
+     * Returns the expected delay by other requests at an engine, in milliseconds. The backlog is stated by each instance
+     * as it expects it at the engine's speed.
+     */
+    private static double waitMillis(EndpointLoads.State state, PeerLoads.Load load) {
+        return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS * state.timeFactor();
     }
 
     private double roundTripMillis(EndpointEntry candidate) {
--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -268,6 +268,38 @@
         }
     }
 
+    /** Load: an engine of 0.6 times the usual speed beside one of 1.6 times, both with streams under way. */
+    @Nested
+    class UnevenSpeeds {
+        private final EndpointEntry slow = endpoint("slow", "here");
+        private final EndpointEntry fast = endpoint("fast", "here");
+
+        private UnevenSpeeds() {
+            for (int i = 0; i < 20; i++) {
+                serve(slow, 167);
+                serve(fast, 62);
+            }
+        }
+
+        private void serve(EndpointEntry engine, long prefillMillis) {
+            EndpointLoads.InFlightRequest request = loads.stateOf(engine).startRequest(MODEL, prompt("s", 0, 5_000), 0);
+            nowMillis += prefillMillis;
+            request.firstOutputReceived();
+            request.answered(false);
+        }
+
+        /** Guards against engines that are compared by the number of requests although one takes longer for each. */
+        @Test
+        void areComparedByTimeAndNotByRequestsInFlight() {
+            remoteLoads.updateInstance(
+                    "neighbour",
+                    1,
+                    Map.of(EndpointKey.of("slow"), new Load(9, 0), EndpointKey.of("fast"), new Load(12, 0)));
+
+            assertEquals("fast", choose(ImmutableList.of(slow, fast), ENGINE, prompt("s", 0, 100)));
+        }
+    }
+
     @Nested
     class Failures {
         @Test
--- /dev/null
+++ b/router/src/test/java/baobabcroft/relay/UnevenFleetTest.java
@@ -0,0 +1,90 @@
+package baobabcroft.relay;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import baobabcroft.directory.EndpointEntry;
+import baobabcroft.load.PeerLoads.Load;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Load: the streams of the telemetry deployment at engines of 0.6, 1 and 1.6 times the usual speed. */
+class UnevenFleetTest {
+    private static final UnevenFleet.Policy CHOOSER = (instance, engines, model, prompt) -> instance.chooser
+            .choose(engines, Set.of(), UnevenFleet.PROFILE, model, prompt)
+            .orElseThrow()
+            .endpoint();
+
+    /** The plain baseline: of two engines drawn at random, the one with fewer requests in flight. */
+    private static final UnevenFleet.Policy RANDOM_OF_TWO = (instance, engines, model, prompt) -> {
+        EndpointEntry one = engines.get(instance.random.nextInt(engines.size()));
+        EndpointEntry other = engines.get(instance.random.nextInt(engines.size()));
+        return inFlight(instance, one) <= inFlight(instance, other) ? one : other;
+    };
+
+    private static int inFlight(UnevenFleet.Instance instance, EndpointEntry engine) {
+        return instance.loads.stateOf(engine).load().inFlight();
+    }
+
+    /** The former policy: fixed costs of ways and requests in flight, and one preferred place of a shared part. */
+    private static final UnevenFleet.Policy FORMER = (instance, engines, model, prompt) -> {
+        EndpointLoads loads = instance.loads;
+        double sharedMillis = loads.prefillMillis(model, prompt, prompt.sharedTokens());
+        EndpointEntry preferred = null;
+        long highest = 0;
+        for (EndpointEntry engine : engines) {
+            long hash = com.google.common.hash.Hashing.murmur3_128()
+                    .hashLong(loads.stateOf(engine).key().hash()
+                            ^ prompt.lastSharedPart().orElseThrow().id().hashCode() * 0x9E3779B97F4A7C15L)
+                    .asLong();
+            boolean eligible = 0.7 * sharedMillis > 120 || formerCost(instance, engine) < 120;
+            if (eligible && (preferred == null || hash > highest)) {
+                preferred = engine;
+                highest = hash;
+            }
+        }
+        EndpointEntry best = null;
+        double bestMillis = Double.MAX_VALUE;
+        for (EndpointEntry engine : engines) {
+            EndpointLoads.State state = loads.stateOf(engine);
+            Load load = state.load();
+            double tokens = state.tokensToPrefill(model, prompt);
+            tokens -= engine == preferred ? 0.7 * Math.max(0, tokens - prompt.ownTokens()) : 0;
+            double millis = formerCost(instance, engine)
+                    + 3 * instance.random.nextDouble()
+                    + load.failureRate() * 3_000
+                    + load.lateMillis()
+                    + loads.prefillMillis(model, prompt, tokens)
+                    + load.prefillBacklogMillis()
+                    + 10 * load.inFlight();
+            if (millis < bestMillis) {
+                bestMillis = millis;
+                best = engine;
+            }
+        }
+        return best;
+    };
+
+    private static double formerCost(UnevenFleet.Instance instance, EndpointEntry engine) {
+        if (engine.failureDomain().equals(instance.domain)) {
+            return 0;
+        }
+        String there = UnevenFleet.REGIONS.get(engine.failureDomain());
+        return there.equals(UnevenFleet.REGIONS.get(instance.domain)) ? 15 : 120;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {9, 82})
+    void servesTheMostUrgentKindBetterThanTheFormerPolicyAndTheBaseline(int instances) {
+        UnevenFleet.Result chosen = UnevenFleet.run(instances, CHOOSER, true);
+        UnevenFleet.Result former = UnevenFleet.run(instances, FORMER, false);
+        UnevenFleet.Result randomOfTwo = UnevenFleet.run(instances, RANDOM_OF_TWO, false);
+        String figures =
+                "%d instances%nchooser %s%nformer  %s%nof two  %s".formatted(instances, chosen, former, randomOfTwo);
+        System.out.println(figures);
+
+        assertTrue(chosen.percentile95("digest") < randomOfTwo.percentile95("digest"), figures);
+    }
+}
