Expect the measured round trip to other failure domains, and a price for traffic to them apart from it

Cause: the way to another domain of the region counted as 15 ms and to another region as 120 ms, whatever it was. On the payroll deployment the round trips are 2.8 and 60 ms, on the telemetry deployment 1 and 60 ms.

The connection pool reports how long a connect took.

--- a/router/src/main/java/baobabcroft/front/ConnectionObserver.java
+++ b/router/src/main/java/baobabcroft/front/ConnectionObserver.java
@@ -2,8 +2,13 @@
 
 /** Notified of the connections to endpoints. */
 public interface ConnectionObserver {
-    /** Called when a connection has been opened. */
-    void onOpened();
+    /**
+     * Called when a connection has been opened.
+     *
+     * @param failureDomain failure domain of the endpoint
+     * @param connectMillis how long that took, in milliseconds
+     */
+    void onOpened(String failureDomain, double connectMillis);
 
     /** Called when a connection could not be opened, or was lost while a request was open on it. */
     void onFailed();
--- a/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
+++ b/router/src/main/java/baobabcroft/front/EndpointConnectionPool.java
@@ -35,6 +35,8 @@
     /** Several round trips between regions, but less than the retransmission of a lost packet takes. */
     private static final int CONNECT_TIMEOUT_MILLIS = 600;
 
+    private static final double NANOS_PER_MILLI = 1e6;
+
     private final EventLoop loop;
     private final Scheduler readScheduler;
     private final BiPredicate<String, Headers> isResponseTo;
@@ -133,10 +135,11 @@
                 endpoint.address().getHost(), endpoint.address().getPort());
         exchange.channel = connectFuture.channel();
         connecting.add(exchange);
+        long startedAtNanos = System.nanoTime();
         connectFuture.addListener(done -> {
             connecting.remove(exchange);
             if (done.isSuccess()) {
-                observer.onOpened();
+                observer.onOpened(endpoint.failureDomain(), (System.nanoTime() - startedAtNanos) / NANOS_PER_MILLI);
             } else if (!exchange.isDone()) {
                 observer.onFailed();
             }
--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -23,6 +23,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.function.ObjDoubleConsumer;
 import java.util.function.Supplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -36,7 +37,7 @@
 
     private static final ConnectionObserver UNOBSERVED = new ConnectionObserver() {
         @Override
-        public void onOpened() {}
+        public void onOpened(String failureDomain, double connectMillis) {}
 
         @Override
         public void onFailed() {}
@@ -54,6 +55,7 @@
     private final ForwardingPeers peers;
     private final PeerForwarding route;
     private final Consumer<Boolean> onChange;
+    private final ObjDoubleConsumer<String> onConnected;
     private final EventLog log = EventLog.of(InstanceForwarding.class);
     private Optional<FrontServer> server = Optional.empty();
 
@@ -70,6 +72,7 @@
      * @param directory the listed endpoints
      * @param metrics counts what happens
      * @param onChange called with whether this instance is isolated, when that has changed
+     * @param onConnected called with the failure domain of an endpoint and how long a connect took, in milliseconds
      */
     InstanceForwarding(
             InstanceSettings settings,
@@ -81,11 +84,13 @@
             RequestDialect dialect,
             EndpointDirectory directory,
             RouterMetrics metrics,
-            Consumer<Boolean> onChange) {
+            Consumer<Boolean> onChange,
+            ObjDoubleConsumer<String> onConnected) {
         this.settings = settings;
         this.nowMillis = nowMillis;
         this.metrics = metrics;
         this.onChange = onChange;
+        this.onConnected = onConnected;
         this.endpointConnections = new EndpointConnectionPool(
                 loop.next(), aligned, dialect::isResponseTo, request -> !request.repeatable(), new EndpointObserver());
         this.reachability = EndpointReachability.create(
@@ -136,8 +141,9 @@
     /** Passes on whether endpoints accept connections. */
     private final class EndpointObserver implements ConnectionObserver {
         @Override
-        public void onOpened() {
+        public void onOpened(String failureDomain, double connectMillis) {
             reachability.onConnected();
+            onConnected.accept(failureDomain, connectMillis);
         }
 
         @Override
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -144,7 +144,8 @@
                 dialect,
                 directory,
                 metrics,
-                this::onIsolationChanged);
+                this::onIsolationChanged,
+                this::onConnected);
         this.connections = forwarding.endpointConnections();
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
@@ -309,6 +310,10 @@
         onLoadChanged();
     }
 
+    private void onConnected(String domain, double connectMillis) {
+        services.endpointChooser().onConnected(domain, connectMillis);
+    }
+
     private void onLoadChanged() {
         noticeExchange.ifPresent(NoticeExchange::scheduleNotice);
     }
--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -23,12 +23,6 @@
  * that all instances of a region, or of all regions if the part is long, send it to the same one. Not thread-safe.
  */
 public final class EndpointChooser {
-    /** Round trip between failure domains of one region, plus a surcharge for paid traffic, in milliseconds. */
-    private static final double SAME_REGION_COST_MILLIS = 15;
-    /** Round trip between regions, plus the same again as a surcharge for paid traffic, in milliseconds. */
-    private static final double OTHER_REGION_COST_MILLIS = 120;
-    /** Round trip between regions, in milliseconds. */
-    private static final double OTHER_REGION_ROUND_TRIP_MILLIS = 60;
     /** Delay that each in-flight request adds to the others on a model engine of usual speed, in milliseconds. */
     private static final double ENGINE_REQUEST_DELAY_MILLIS = 10;
     /** Delay that each in-flight request adds on another instance with one slot, in milliseconds. */
@@ -44,8 +38,7 @@
 
     private static final HashFunction HASH = Hashing.murmur3_128();
 
-    private final String failureDomain;
-    private final Map<String, String> regions;
+    private final NetworkDistances distances;
     private final EndpointLoads loads;
     private final Runnable refreshLoads;
     private final UniformRandomProvider random;
@@ -65,13 +58,22 @@
             EndpointLoads loads,
             Runnable refreshLoads,
             UniformRandomProvider random) {
-        this.failureDomain = checkNotNull(failureDomain);
-        this.regions = Map.copyOf(regions);
+        this.distances = new NetworkDistances(failureDomain, regions);
         this.loads = checkNotNull(loads);
         this.refreshLoads = checkNotNull(refreshLoads);
         this.random = checkNotNull(random);
     }
 
+    /**
+     * Adds the time that a connect to an endpoint took: about a round trip.
+     *
+     * @param domain failure domain of the endpoint
+     * @param connectMillis time until the connection was open, in milliseconds
+     */
+    public void onConnected(String domain, double connectMillis) {
+        distances.onConnected(domain, connectMillis);
+    }
+
     /**
      * A chosen endpoint with its expected times.
      *
@@ -111,7 +113,7 @@
                         best,
                         bestMillis,
                         waitMillis(loads.stateOf(best), loads.stateOf(best).load()),
-                        roundTripMillis(best)));
+                        distances.roundTripMillis(best.failureDomain())));
     }
 
     private double expectedMillis(
@@ -122,7 +124,7 @@
             boolean isRendezvous) {
         EndpointLoads.State state = loads.stateOf(candidate);
         PeerLoads.Load load = state.load();
-        double millis = networkCostMillis(candidate) + random.nextDouble() * JITTER_MILLIS;
+        double millis = distances.costMillis(candidate.failureDomain()) + random.nextDouble() * JITTER_MILLIS;
         millis += load.failureRate() * FAILURE_COST_MILLIS + load.lateMillis();
         millis += state.isEjected() ? 2 * FAILURE_COST_MILLIS : 0;
         if (profile.isPresent() && profile.get().isEngine()) {
@@ -156,20 +158,6 @@
         return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS * state.timeFactor();
     }
 
-    private double roundTripMillis(EndpointEntry candidate) {
-        double costMillis = networkCostMillis(candidate);
-        return costMillis >= OTHER_REGION_COST_MILLIS ? OTHER_REGION_ROUND_TRIP_MILLIS : 0;
-    }
-
-    private double networkCostMillis(EndpointEntry candidate) {
-        if (candidate.failureDomain().equals(failureDomain)) {
-            return 0;
-        }
-        String here = regions.getOrDefault(failureDomain, failureDomain);
-        String there = regions.getOrDefault(candidate.failureDomain(), candidate.failureDomain());
-        return here.equals(there) ? SAME_REGION_COST_MILLIS : OTHER_REGION_COST_MILLIS;
-    }
-
     /**
      * Returns the endpoint to which all instances send a shared part. They agree across regions if that is likely to
      * save more than the way between regions costs.
@@ -177,12 +165,12 @@
     private Optional<String> rendezvousEndpoint(
             Collection<EndpointEntry> candidates, Optional<String> model, Prompt prompt, String sharedPartId) {
         double sharedMillis = loads.prefillMillis(model, prompt, prompt.sharedTokens());
-        boolean anyRegion = RENDEZVOUS_CACHED_PROBABILITY * sharedMillis > OTHER_REGION_COST_MILLIS;
+        boolean anyRegion = RENDEZVOUS_CACHED_PROBABILITY * sharedMillis > distances.otherRegionCostMillis();
         long partHash = HASH.hashString(sharedPartId, StandardCharsets.UTF_8).asLong();
         String best = null;
         long bestHash = 0;
         for (EndpointEntry candidate : candidates) {
-            if (!anyRegion && networkCostMillis(candidate) >= OTHER_REGION_COST_MILLIS) {
+            if (!anyRegion && !distances.isSameRegion(candidate.failureDomain())) {
                 continue;
             }
             long hash = HASH.hashLong(loads.stateOf(candidate).key().hash() ^ partHash)
