Keep a shared part at few endpoints, the next one only while the first is busy

Cause: a part had one preferred endpoint; when that was busy, it was read at any other. Reading counted as a delay of the request itself only, although it delays all others at the engine.

PartPlacement ranks endpoints for a part by rendezvous hashing and opens the second and third place while the wait at those before exceeds 1.5 times the reading time. Reading a shared part again costs its time once more in the comparison, but not in the expected time to first output that the rule on larger models sees.

--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -5,9 +5,6 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.routing.ServiceProfile;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
@@ -19,8 +16,8 @@
  *
  * <p>The expected time is the sum of the network round trip, the prefill of the prompts queued at the endpoint and of
  * this request's own uncached tokens, the delay that in-flight requests add, and the expected cost of a failure. For a
- * shared prompt part that this instance has not sent yet, the endpoint named by rendezvous hashing is preferred, so
- * that all instances of a region, or of all regions if the part is long, send it to the same one. Not thread-safe.
+ * shared prompt part that this instance has not sent yet, the endpoints of its {@link PartPlacement} are preferred, so
+ * that all instances of a region, or of all regions if the part is long, send it to the same few. Not thread-safe.
  */
 public final class EndpointChooser {
     /** Delay that each in-flight request adds to the others on a model engine of usual speed, in milliseconds. */
@@ -31,17 +28,26 @@
     private static final double UNKNOWN_REQUESTS_SHARE = 0.5;
     /** Cost of an endpoint that fails all its requests, in milliseconds: about a whole deadline. */
     private static final double FAILURE_COST_MILLIS = 3_000;
-    /** Probability that another instance has already sent a new shared part to its rendezvous endpoint. */
-    private static final double RENDEZVOUS_CACHED_PROBABILITY = 0.7;
+    /** Probability that another instance has already sent a new shared part to its places. */
+    private static final double PLACE_CACHED_PROBABILITY = 0.7;
+    /** Wait at a place of a shared part above which its next place is used, as a multiple of the time to read it. */
+    private static final double PLACE_WAIT_FACTOR = 1.5;
+    /**
+     * Weight of the time to read a shared part that other endpoints have, besides the delay of the request itself: it
+     * delays all other requests of the endpoint.
+     */
+    private static final double READ_AGAIN_WEIGHT = 1;
+    /** Least such wait, in milliseconds: a few requests in flight are no reason to read a part again. */
+    private static final double MIN_PLACE_WAIT_MILLIS = 60;
     /** Upper bound of the random time that breaks ties, in milliseconds. */
     private static final double JITTER_MILLIS = 3;
 
-    private static final HashFunction HASH = Hashing.murmur3_128();
-
     private final NetworkDistances distances;
     private final EndpointLoads loads;
     private final Runnable refreshLoads;
     private final UniformRandomProvider random;
+    /** Places of the shared part of the request for which a choice is being made. */
+    private final PartPlacement placement = new PartPlacement();
 
     /**
      * Creates a chooser.
@@ -92,18 +98,19 @@
             Optional<String> model,
             Prompt prompt) {
         refreshLoads.run();
-        Optional<String> rendezvous =
-                prompt.lastSharedPart().flatMap(part -> rendezvousEndpoint(candidates, model, prompt, part.id()));
+        placeSharedPart(candidates, used, profile, model, prompt);
         EndpointEntry best = null;
-        double bestMillis = Double.MAX_VALUE;
+        double bestMillis = 0;
+        double bestCostMillis = Double.MAX_VALUE;
         for (EndpointEntry candidate : candidates) {
             if (used.contains(candidate.id())) {
                 continue;
             }
-            boolean isRendezvous = rendezvous.isPresent() && rendezvous.get().equals(candidate.id());
-            double millis = expectedMillis(candidate, profile, model, prompt, isRendezvous);
-            if (millis < bestMillis) {
-                bestMillis = millis;
+            double firstOutputMillis = expectedMillis(candidate, profile, model, prompt);
+            double costMillis = firstOutputMillis + readAgainMillis(candidate, model, prompt);
+            if (costMillis < bestCostMillis) {
+                bestCostMillis = costMillis;
+                bestMillis = firstOutputMillis;
                 best = candidate;
             }
         }
@@ -120,8 +127,7 @@
             EndpointEntry candidate,
             Optional<ServiceProfile> profile,
             Optional<String> model,
-            Prompt prompt,
-            boolean isRendezvous) {
+            Prompt prompt) {
         EndpointLoads.State state = loads.stateOf(candidate);
         PeerLoads.Load load = state.load();
         double millis = distances.costMillis(candidate.failureDomain()) + random.nextDouble() * JITTER_MILLIS;
@@ -129,9 +135,7 @@
         millis += state.isEjected() ? 2 * FAILURE_COST_MILLIS : 0;
         if (profile.isPresent() && profile.get().isEngine()) {
             double tokens = state.tokensToPrefill(model, prompt);
-            if (isRendezvous) {
-                tokens -= RENDEZVOUS_CACHED_PROBABILITY * Math.max(0, tokens - prompt.ownTokens());
-            }
+            tokens -= likelyCachedTokens(candidate, prompt, tokens);
             return millis + loads.prefillMillis(model, prompt, tokens) * state.timeFactor() + waitMillis(state, load);
         }
         if (profile.isEmpty()) {
@@ -140,6 +144,21 @@
         return millis + plainMillis(state.plainRequestMillis(), load.inFlight(), candidate.slots());
     }
 
+    /** Returns how many of the tokens to prefill another instance's request is likely to have left in the cache. */
+    private double likelyCachedTokens(EndpointEntry candidate, Prompt prompt, double tokens) {
+        return placement.contains(candidate) ? PLACE_CACHED_PROBABILITY * Math.max(0, tokens - prompt.ownTokens()) : 0;
+    }
+
+    /** Returns the cost to other requests, in milliseconds, of reading shared parts again at an endpoint. */
+    private double readAgainMillis(EndpointEntry candidate, Optional<String> model, Prompt prompt) {
+        if (placement.size() == 0) {
+            return 0;
+        }
+        double tokens = loads.stateOf(candidate).tokensToPrefill(model, prompt);
+        double sharedTokens = tokens - prompt.ownTokens() - likelyCachedTokens(candidate, prompt, tokens);
+        return sharedTokens <= 0 ? 0 : READ_AGAIN_WEIGHT * loads.prefillMillis(model, prompt, sharedTokens);
+    }
+
     /**
      * Returns the expected time of a request at a plain service, in milliseconds. Requests beyond the slots wait for
      * their turn; a part of those under way at other instances is not known yet and may take a free slot.
@@ -159,27 +178,39 @@
     }
 
     /**
-     * Returns the endpoint to which all instances send a shared part. They agree across regions if that is likely to
-     * save more than the way between regions costs.
+     * Determines the endpoints to which all instances send a shared part. They agree across regions if that is likely to
+     * save more than the way between regions costs. A place is passed over if the wait there is longer than reading the
+     * part elsewhere takes.
      */
-    private Optional<String> rendezvousEndpoint(
-            Collection<EndpointEntry> candidates, Optional<String> model, Prompt prompt, String sharedPartId) {
+    private void placeSharedPart(
+            Collection<EndpointEntry> candidates,
+            Set<String> used,
+            Optional<ServiceProfile> profile,
+            Optional<String> model,
+            Prompt prompt) {
+        Optional<PromptPart> part = prompt.lastSharedPart();
+        if (part.isEmpty() || profile.isEmpty() || !profile.get().isEngine()) {
+            placement.clear();
+            return;
+        }
         double sharedMillis = loads.prefillMillis(model, prompt, prompt.sharedTokens());
-        boolean anyRegion = RENDEZVOUS_CACHED_PROBABILITY * sharedMillis > distances.otherRegionCostMillis();
-        long partHash = HASH.hashString(sharedPartId, StandardCharsets.UTF_8).asLong();
-        String best = null;
-        long bestHash = 0;
+        boolean anyRegion = PLACE_CACHED_PROBABILITY * sharedMillis > distances.otherRegionCostMillis();
+        placement.start(part.get().id());
         for (EndpointEntry candidate : candidates) {
-            if (!anyRegion && !distances.isSameRegion(candidate.failureDomain())) {
-                continue;
-            }
-            long hash = HASH.hashLong(loads.stateOf(candidate).key().hash() ^ partHash)
-                    .asLong();
-            if (best == null || hash > bestHash) {
-                best = candidate.id();
-                bestHash = hash;
+            if (anyRegion || distances.isSameRegion(candidate.failureDomain())) {
+                placement.offer(candidate, loads.stateOf(candidate).key().hash());
             }
         }
-        return Optional.ofNullable(best);
+        double boundMillis = Math.max(MIN_PLACE_WAIT_MILLIS, PLACE_WAIT_FACTOR * sharedMillis);
+        int rank = 0;
+        while (rank < placement.size() - 1 && isBusy(placement.place(rank), used, boundMillis)) {
+            rank++;
+        }
+        placement.openUpTo(rank);
+    }
+
+    private boolean isBusy(EndpointEntry place, Set<String> used, double boundMillis) {
+        EndpointLoads.State state = loads.stateOf(place);
+        return used.contains(place.id()) || state.isEjected() || waitMillis(state, state.load()) > boundMillis;
     }
 }
