Let the configured priority decide before the size of the prompt

Cause: a prompt of 9,190 tokens lowered the priority by two, so the long digest (priority 0) had the same priority at engines as a chat (2) and an explanation (1 + 1), and waited behind them.

EndpointPriority divides the ten values of endpoints among the priorities that routes and accounts name; the size decides within one. With ten configured priorities it has no influence. During an upgrade old builds send 2 where new ones send 0 to 2 for a digest and 6 to 8 for a chat.

--- a/router/src/main/java/baobabcroft/relay/OutgoingRequests.java
+++ b/router/src/main/java/baobabcroft/relay/OutgoingRequests.java
@@ -16,7 +16,7 @@
         this.admitted = admitted;
     }
 
-    /** Returns the request to an endpoint. Large prompts get a lower priority than the request's own. */
+    /** Returns the request to an endpoint. Among requests of the same priority, large prompts get a lower one. */
     EndpointRequest toEndpoint(
             EndpointEntry endpoint, Optional<String> model, long remainingMillis, OptionalLong resumeAfter) {
         int penalty = services.loads()
@@ -27,7 +27,7 @@
                 admitted.account().map(AccountProfile::name),
                 remainingMillis,
                 model,
-                admitted.priority() + penalty,
+                EndpointPriority.of(admitted.priority(), admitted.table().lowestPriority(), penalty),
                 resumeAfter);
         return withHeaders(services.dialect().toEndpoint(admitted.request(), context));
     }
--- a/router/src/main/java/baobabcroft/routing/RoutingTable.java
+++ b/router/src/main/java/baobabcroft/routing/RoutingTable.java
@@ -19,6 +19,7 @@
     private final CallerLimits limits;
     private final ImmutableMap<String, AccountProfile> accountsByKey;
     private final boolean keysRequired;
+    private final int lowestPriority;
 
     private RoutingTable(
             long version,
@@ -33,6 +34,7 @@
         this.limits = limits;
         this.accountsByKey = accountsByKey;
         this.keysRequired = keysRequired;
+        this.lowestPriority = lowestPriority(routes, accountsByKey.values());
         for (Route route : routes) {
             routesByHost
                     .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
@@ -40,6 +42,17 @@
         }
     }
 
+    private static int lowestPriority(Collection<Route> routes, Collection<AccountProfile> accounts) {
+        int lowest = 0;
+        for (Route route : routes) {
+            lowest = Math.max(lowest, route.priority());
+        }
+        for (AccountProfile account : accounts) {
+            lowest = Math.max(lowest, account.priority().orElse(0));
+        }
+        return lowest;
+    }
+
     /**
      * Returns a routing table.
      *
@@ -117,6 +130,15 @@
         return version;
     }
 
+    /**
+     * Returns the lowest priority of routes and client accounts.
+     *
+     * @return the greatest number, 0 being the highest priority
+     */
+    public int lowestPriority() {
+        return lowestPriority;
+    }
+
     /**
      * Returns the routes.
      *
--- a/router/src/test/java/baobabcroft/relay/UnevenFleet.java
+++ b/router/src/test/java/baobabcroft/relay/UnevenFleet.java
@@ -41,8 +41,8 @@
         EndpointEntry choose(Instance instance, List<EndpointEntry> engines, Optional<String> model, Prompt prompt);
 
         /** Returns the request's priority at the engine. */
-        default int priority(Instance instance, EndpointEntry engine, Optional<String> model, Job job) {
-            return job.kind.priority + instance.loads.stateOf(engine).priorityPenalty(model, job.prompt);
+        default int priority(int priority, int sizePenalty) {
+            return priority + sizePenalty;
         }
     }
 
@@ -240,7 +240,8 @@
         job.engine = engines.get(entries.indexOf(chosen));
         boolean sameRegion = REGIONS.get(chosen.failureDomain()).equals(REGIONS.get(instance.domain));
         job.roundTrip = chosen.failureDomain().equals(instance.domain) ? 0.2 : sameRegion ? 1 : 60;
-        job.priority = policy.priority(instance, chosen, job.model, job);
+        job.priority = policy.priority(
+                kind.priority(), instance.loads.stateOf(chosen).priorityPenalty(job.model, prompt));
         job.inFlight = instance.loads.stateOf(chosen).startRequest(
                 job.model, prompt, PROFILE.get().cacheTokens(), sameRegion ? 0 : 60);
         job.arrivedAt = now;
--- a/router/src/test/java/baobabcroft/relay/UnevenFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/UnevenFleetTest.java
@@ -12,10 +12,21 @@
 
 /** Load: the streams of the telemetry deployment at engines of 0.6, 1 and 1.6 times the usual speed. */
 class UnevenFleetTest {
-    private static final UnevenFleet.Policy CHOOSER = (instance, engines, model, prompt) -> instance.chooser
-            .choose(engines, Set.of(), UnevenFleet.PROFILE, model, prompt)
-            .orElseThrow()
-            .endpoint();
+    private static final UnevenFleet.Policy CHOOSER = new UnevenFleet.Policy() {
+        @Override
+        public EndpointEntry choose(
+                UnevenFleet.Instance instance, List<EndpointEntry> engines, Optional<String> model, Prompt prompt) {
+            return instance.chooser
+                    .choose(engines, Set.of(), UnevenFleet.PROFILE, model, prompt)
+                    .orElseThrow()
+                    .endpoint();
+        }
+
+        @Override
+        public int priority(int priority, int sizePenalty) {
+            return EndpointPriority.of(priority, 2, sizePenalty);
+        }
+    };
 
     /** The plain baseline: of two engines drawn at random, the one with fewer requests in flight. */
     private static final UnevenFleet.Policy RANDOM_OF_TWO = (instance, engines, model, prompt) -> {
