Compute what all candidates of a choice share once

Cause: for each candidate the keys of the prompt's parts were joined anew and the length of the shared parts summed by a stream; the comparison by cost had doubled that.

EndpointChooserTest, EndpointLoadsTest, PartPlacementTest, UnevenFleetTest, RelayedRequestTest, PeerForwardingTest.

--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -90,6 +90,21 @@
      */
     record Choice(EndpointEntry endpoint, double firstOutputMillis, double waitMillis, double roundTripMillis) {}
 
+    /** What is the same for all candidates of a choice. */
+    private record Query(
+            Optional<ServiceProfile> profile,
+            Optional<String> model,
+            Prompt prompt,
+            boolean atEngine,
+            int ownTokens,
+            String[] partKeys) {
+        private static Query of(Optional<ServiceProfile> profile, Optional<String> model, Prompt prompt) {
+            boolean atEngine = profile.isPresent() && profile.get().isEngine();
+            return new Query(
+                    profile, model, prompt, atEngine, prompt.ownTokens(), EndpointLoads.partKeys(model, prompt));
+        }
+    }
+
     /** Returns the best candidate whose id is not in {@code used}, or empty if there is none. */
     Optional<Choice> choose(
             Collection<EndpointEntry> candidates,
@@ -98,7 +113,8 @@
             Optional<String> model,
             Prompt prompt) {
         refreshLoads.run();
-        placeSharedPart(candidates, used, profile, model, prompt);
+        Query query = Query.of(profile, model, prompt);
+        placeSharedPart(candidates, used, query);
         EndpointEntry best = null;
         double bestMillis = 0;
         double bestCostMillis = Double.MAX_VALUE;
@@ -106,8 +122,13 @@
             if (used.contains(candidate.id())) {
                 continue;
             }
-            double firstOutputMillis = expectedMillis(candidate, profile, model, prompt);
-            double costMillis = firstOutputMillis + readAgainMillis(candidate, model, prompt);
+            EndpointLoads.State state = loads.stateOf(candidate);
+            double tokens = query.atEngine() ? state.tokensToPrefill(prompt, query.partKeys()) : 0;
+            if (placement.contains(candidate)) {
+                tokens -= PLACE_CACHED_PROBABILITY * Math.max(0, tokens - query.ownTokens());
+            }
+            double firstOutputMillis = expectedMillis(candidate, state, query, tokens);
+            double costMillis = firstOutputMillis + readAgainMillis(query, tokens);
             if (costMillis < bestCostMillis) {
                 bestCostMillis = costMillis;
                 bestMillis = firstOutputMillis;
@@ -123,40 +144,27 @@
                         distances.roundTripMillis(best.failureDomain())));
     }
 
-    private double expectedMillis(
-            EndpointEntry candidate,
-            Optional<ServiceProfile> profile,
-            Optional<String> model,
-            Prompt prompt) {
-        EndpointLoads.State state = loads.stateOf(candidate);
+    private double expectedMillis(EndpointEntry candidate, EndpointLoads.State state, Query query, double tokens) {
         PeerLoads.Load load = state.load();
         double millis = distances.costMillis(candidate.failureDomain()) + random.nextDouble() * JITTER_MILLIS;
         millis += load.failureRate() * FAILURE_COST_MILLIS + load.lateMillis();
         millis += state.isEjected() ? 2 * FAILURE_COST_MILLIS : 0;
-        if (profile.isPresent() && profile.get().isEngine()) {
-            double tokens = state.tokensToPrefill(model, prompt);
-            tokens -= likelyCachedTokens(candidate, prompt, tokens);
-            return millis + loads.prefillMillis(model, prompt, tokens) * state.timeFactor() + waitMillis(state, load);
+        if (query.atEngine()) {
+            double prefillMillis = loads.prefillMillis(query.model(), query.prompt(), tokens) * state.timeFactor();
+            return millis + prefillMillis + waitMillis(state, load);
         }
-        if (profile.isEmpty()) {
+        if (query.profile().isEmpty()) {
             return millis + load.inFlight() * PEER_REQUEST_DELAY_MILLIS / candidate.slots();
         }
         return millis + plainMillis(state.plainRequestMillis(), load.inFlight(), candidate.slots());
     }
 
-    /** Returns how many of the tokens to prefill another instance's request is likely to have left in the cache. */
-    private double likelyCachedTokens(EndpointEntry candidate, Prompt prompt, double tokens) {
-        return placement.contains(candidate) ? PLACE_CACHED_PROBABILITY * Math.max(0, tokens - prompt.ownTokens()) : 0;
-    }
-
     /** Returns the cost to other requests, in milliseconds, of reading shared parts again at an endpoint. */
-    private double readAgainMillis(EndpointEntry candidate, Optional<String> model, Prompt prompt) {
-        if (placement.size() == 0) {
-            return 0;
-        }
-        double tokens = loads.stateOf(candidate).tokensToPrefill(model, prompt);
-        double sharedTokens = tokens - prompt.ownTokens() - likelyCachedTokens(candidate, prompt, tokens);
-        return sharedTokens <= 0 ? 0 : READ_AGAIN_WEIGHT * loads.prefillMillis(model, prompt, sharedTokens);
+    private double readAgainMillis(Query query, double tokens) {
+        double sharedTokens = tokens - query.ownTokens();
+        return placement.size() == 0 || sharedTokens <= 0
+                ? 0
+                : READ_AGAIN_WEIGHT * loads.prefillMillis(query.model(), query.prompt(), sharedTokens);
     }
 
     /**
@@ -182,18 +190,14 @@
      * save more than the way between regions costs. A place is passed over if the wait there is longer than reading the
      * part elsewhere takes.
      */
-    private void placeSharedPart(
-            Collection<EndpointEntry> candidates,
-            Set<String> used,
-            Optional<ServiceProfile> profile,
-            Optional<String> model,
-            Prompt prompt) {
-        Optional<PromptPart> part = prompt.lastSharedPart();
-        if (part.isEmpty() || profile.isEmpty() || !profile.get().isEngine()) {
+    private void placeSharedPart(Collection<EndpointEntry> candidates, Set<String> used, Query query) {
+        Optional<PromptPart> part = query.prompt().lastSharedPart();
+        if (part.isEmpty() || !query.atEngine()) {
             placement.clear();
             return;
         }
-        double sharedMillis = loads.prefillMillis(model, prompt, prompt.sharedTokens());
+        int sharedTokens = query.prompt().sharedTokens();
+        double sharedMillis = loads.prefillMillis(query.model(), query.prompt(), sharedTokens);
         boolean anyRegion = PLACE_CACHED_PROBABILITY * sharedMillis > distances.otherRegionCostMillis();
         placement.start(part.get().id());
         for (EndpointEntry candidate : candidates) {
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -211,12 +211,14 @@
 
         /** Returns the number of prompt tokens to prefill: those from the first uncached part to the end. */
         int tokensToPrefill(Optional<String> model, Prompt prompt) {
+            return tokensToPrefill(prompt, partKeys(model, prompt));
+        }
+
+        /** Returns the same for the keys of the prompt's parts, which are the same for all endpoints. */
+        int tokensToPrefill(Prompt prompt, String[] partKeys) {
             int cached = 0;
-            for (PromptPart part : prompt.parts()) {
-                if (!cachedParts.containsKey(partKey(model, part))) {
-                    break;
-                }
-                cached += part.tokens();
+            for (int i = 0; i < partKeys.length && cachedParts.containsKey(partKeys[i]); i++) {
+                cached += prompt.parts().get(i).tokens();
             }
             return Math.max(0, prompt.promptTokens() - cached);
         }
@@ -270,9 +272,11 @@
         }
 
         private void cacheParts(Optional<String> model, Prompt prompt, long cacheTokens) {
-            for (PromptPart part : prompt.parts()) {
-                Integer before = cachedParts.put(partKey(model, part), part.tokens());
-                cachedTokens += part.tokens() - (before == null ? 0 : before);
+            String[] keys = partKeys(model, prompt);
+            for (int i = 0; i < keys.length; i++) {
+                int tokens = prompt.parts().get(i).tokens();
+                Integer before = cachedParts.put(keys[i], tokens);
+                cachedTokens += tokens - (before == null ? 0 : before);
             }
             var oldest = cachedParts.entrySet().iterator();
             while (cachedTokens > cacheTokens && oldest.hasNext()) {
@@ -293,9 +297,15 @@
             }
         }
 
-        private static String partKey(Optional<String> model, PromptPart part) {
-            return model.orElse("") + '/' + part.id();
+    }
+
+    /** Returns the keys by which the parts of a prompt are cached for a model. */
+    static String[] partKeys(Optional<String> model, Prompt prompt) {
+        String[] keys = new String[prompt.parts().size()];
+        for (int i = 0; i < keys.length; i++) {
+            keys[i] = model.orElse("") + '/' + prompt.parts().get(i).id();
         }
+        return keys;
     }
 
     /** Tracks one in-flight request at an endpoint. */
