--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -268,6 +268,38 @@
         }
     }
 
+    /** Load: a plain service of 43 ms a request, whose endpoint here has six slots. */
+    @Nested
+    class PlainServices {
+        private final EndpointEntry near = endpoint("near", "here");
+        private final ImmutableList<EndpointEntry> both = ImmutableList.of(endpoint("far", "away"), near);
+
+        private PlainServices() {
+            for (int i = 0; i < 40; i++) {
+                EndpointLoads.InFlightRequest request =
+                        loads.stateOf(near).startRequest(Optional.empty(), Prompt.NONE, 0);
+                nowMillis += 43;
+                request.answered(false);
+            }
+        }
+
+        private String choiceAt(int inFlight) {
+            remoteLoads.updateInstance("neighbour", inFlight, Map.of(EndpointKey.of("near"), new Load(inFlight, 0)));
+            return choose(both, PLAIN, Prompt.NONE);
+        }
+
+        /** Guards against requests that cross regions although a slot is free: four in flight counted as 200 ms. */
+        @Test
+        void areServedInTheirRegionWhileSlotsAreFree() {
+            assertEquals("near", choiceAt(5));
+        }
+
+        @Test
+        void areLeftForAnotherRegionWhenTheWaitIsLongerThanTheWay() {
+            assertEquals("far", choiceAt(30));
+        }
+    }
+
     /** Load: an engine of 0.6 times the usual speed beside one of 1.6 times, both with streams under way. */
     @Nested
     class UnevenSpeeds {
