--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -5,6 +5,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.routing.ServiceProfile;
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
@@ -97,7 +98,7 @@
             Prompt prompt,
             boolean atEngine,
             int ownTokens,
-            String[] partKeys) {
+            ImmutableList<String> partKeys) {
         private static Query of(Optional<ServiceProfile> profile, Optional<String> model, Prompt prompt) {
             boolean atEngine = profile.isPresent() && profile.get().isEngine();
             return new Query(
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -45,8 +45,7 @@
     private final EndpointSpeeds speeds;
     private boolean isolated;
 
-    private EndpointLoads(
-            LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange, EndpointSpeeds speeds) {
+    private EndpointLoads(LongSupplier nowMillis, PeerLoads remoteLoads, Runnable onChange, EndpointSpeeds speeds) {
         this.nowMillis = checkNotNull(nowMillis);
         this.remoteLoads = checkNotNull(remoteLoads);
         this.onChange = checkNotNull(onChange);
@@ -215,9 +214,9 @@
         }
 
         /** Returns the same for the keys of the prompt's parts, which are the same for all endpoints. */
-        int tokensToPrefill(Prompt prompt, String[] partKeys) {
+        int tokensToPrefill(Prompt prompt, ImmutableList<String> partKeys) {
             int cached = 0;
-            for (int i = 0; i < partKeys.length && cachedParts.containsKey(partKeys[i]); i++) {
+            for (int i = 0; i < partKeys.size() && cachedParts.containsKey(partKeys.get(i)); i++) {
                 cached += prompt.parts().get(i).tokens();
             }
             return Math.max(0, prompt.promptTokens() - cached);
@@ -246,8 +245,7 @@
          *
          * @param roundTripMillis round trip to the endpoint, which is no part of its own time, in milliseconds
          */
-        InFlightRequest startRequest(
-                Optional<String> model, Prompt prompt, long cacheTokens, double roundTripMillis) {
+        InFlightRequest startRequest(Optional<String> model, Prompt prompt, long cacheTokens, double roundTripMillis) {
             int tokensToPrefill = tokensToPrefill(model, prompt);
             double prefillMillis =
                     EndpointLoads.this.prefillMillis(model, prompt, tokensToPrefill) * speed.timeFactor();
@@ -272,10 +270,10 @@
         }
 
         private void cacheParts(Optional<String> model, Prompt prompt, long cacheTokens) {
-            String[] keys = partKeys(model, prompt);
-            for (int i = 0; i < keys.length; i++) {
+            ImmutableList<String> keys = partKeys(model, prompt);
+            for (int i = 0; i < keys.size(); i++) {
                 int tokens = prompt.parts().get(i).tokens();
-                Integer before = cachedParts.put(keys[i], tokens);
+                Integer before = cachedParts.put(keys.get(i), tokens);
                 cachedTokens += tokens - (before == null ? 0 : before);
             }
             var oldest = cachedParts.entrySet().iterator();
@@ -296,16 +294,16 @@
                 outcomes.eject();
             }
         }
-
     }
 
     /** Returns the keys by which the parts of a prompt are cached for a model. */
-    static String[] partKeys(Optional<String> model, Prompt prompt) {
-        String[] keys = new String[prompt.parts().size()];
-        for (int i = 0; i < keys.length; i++) {
-            keys[i] = model.orElse("") + '/' + prompt.parts().get(i).id();
+    static ImmutableList<String> partKeys(Optional<String> model, Prompt prompt) {
+        ImmutableList.Builder<String> keys =
+                ImmutableList.builderWithExpectedSize(prompt.parts().size());
+        for (PromptPart part : prompt.parts()) {
+            keys.add(model.orElse("") + '/' + part.id());
         }
-        return keys;
+        return keys.build();
     }
 
     /** Tracks one in-flight request at an endpoint. */
--- a/router/src/main/java/baobabcroft/relay/EndpointSpeeds.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointSpeeds.java
@@ -134,7 +134,8 @@
             UsualTime usual = usualTimes.computeIfAbsent(kind, unused -> new UsualTime(defaultMillis));
             if (perEndpoint && usual.observations >= PROVISIONAL_OBSERVATIONS) {
                 double logBefore = Math.log(factorBefore);
-                double observedLog = logBefore + clamp(Math.log(observedMillis / usual.millis) - logBefore, MAX_LOG_STEP);
+                double observedLog =
+                        logBefore + clamp(Math.log(observedMillis / usual.millis) - logBefore, MAX_LOG_STEP);
                 decay(nowMillis.getAsLong());
                 weight = weight * OBSERVATION_RETENTION + 1;
                 weightedLog = weightedLog * OBSERVATION_RETENTION + observedLog;
--- a/router/src/main/java/baobabcroft/relay/PartPlacement.java
+++ b/router/src/main/java/baobabcroft/relay/PartPlacement.java
@@ -26,9 +26,8 @@
     /** Starts the ranking for a part. */
     void start(String partId) {
         clear();
-        partHash = Hashing.murmur3_128()
-                .hashString(partId, StandardCharsets.UTF_8)
-                .asLong();
+        partHash =
+                Hashing.murmur3_128().hashString(partId, StandardCharsets.UTF_8).asLong();
     }
 
     /** Removes all places. */
@@ -79,7 +78,7 @@
     /** Returns whether requests that need the part are sent to an endpoint, so that it is likely to be cached there. */
     boolean contains(EndpointEntry endpoint) {
         for (int i = 0; i < open; i++) {
-            if (places[i] == endpoint) {
+            if (places[i].id().equals(endpoint.id())) {
                 return true;
             }
         }
--- a/router/src/test/java/baobabcroft/relay/PartPlacementTest.java
+++ b/router/src/test/java/baobabcroft/relay/PartPlacementTest.java
@@ -61,7 +61,8 @@
         @Test
         void spreadsParts() {
             Set<EndpointEntry> first = new HashSet<>();
-            IntStream.range(0, 1_704).forEach(part -> first.add(rank(engines, "part" + part).get(0)));
+            IntStream.range(0, 1_704)
+                    .forEach(part -> first.add(rank(engines, "part" + part).get(0)));
 
             assertEquals(engines.size(), first.size());
         }
@@ -84,8 +85,8 @@
         }
 
         private Set<EndpointEntry> read(int requests) {
-            Prompt prompt = new Prompt(
-                    ImmutableList.of(new PromptPart("hot", 6_300), new PromptPart("own", 500)), 6_800, 54);
+            Prompt prompt =
+                    new Prompt(ImmutableList.of(new PromptPart("hot", 6_300), new PromptPart("own", 500)), 6_800, 54);
             Set<EndpointEntry> readers = new HashSet<>();
             for (int request = 0; request < requests; request++) {
                 int instance = request % INSTANCES;
--- a/router/src/test/java/baobabcroft/relay/UnevenFleet.java
+++ b/router/src/test/java/baobabcroft/relay/UnevenFleet.java
@@ -54,7 +54,14 @@
 
     /** A kind of request; one of {@code parts} parts is shared after one of four parts of 2/5 of the length. */
     record Kind(
-            String name, double perSecond, int shared, int own, int outputTokens, long goalMillis, int priority, int parts) {}
+            String name,
+            double perSecond,
+            int shared,
+            int own,
+            int outputTokens,
+            long goalMillis,
+            int priority,
+            int parts) {}
 
     static final ImmutableList<Kind> KINDS = ImmutableList.of(
             new Kind("digest", 147, 6_300, 2_890, 54, 2_000, 0, 1_704),
@@ -70,7 +77,10 @@
         double utilisation;
 
         double mean(String kind) {
-            return firstOutputMillis.get(kind).stream().mapToDouble(x -> x).average().orElse(0);
+            return firstOutputMillis.get(kind).stream()
+                    .mapToDouble(x -> x)
+                    .average()
+                    .orElse(0);
         }
 
         double percentile95(String kind) {
@@ -95,12 +105,14 @@
                         percentile95(kind.name()),
                         onTime(kind)));
             }
-            return text + String.format(
-                    Locale.ROOT,
-                    "utilisation %.2f, read again %.2f M, busiest/mean %.2f, other region %.2f",
-                    utilisation, readAgainTokens / 1e6,
-                    busiestOverMean,
-                    crossRegionShare);
+            return text
+                    + String.format(
+                            Locale.ROOT,
+                            "utilisation %.2f, read again %.2f M, busiest/mean %.2f, other region %.2f",
+                            utilisation,
+                            readAgainTokens / 1e6,
+                            busiestOverMean,
+                            crossRegionShare);
         }
     }
 
@@ -158,8 +170,14 @@
 
         Engine(int number) {
             entry = new EndpointEntry(
-                    "engine-" + number, "engines", HostAndPort.fromParts("127.0.0.1", 1), "d" + number % DOMAINS, "v1", 64,
-                    false, 1);
+                    "engine-" + number,
+                    "engines",
+                    HostAndPort.fromParts("127.0.0.1", 1),
+                    "d" + number % DOMAINS,
+                    "v1",
+                    64,
+                    false,
+                    1);
             timeFactor = TIME_FACTORS[number / DOMAINS % TIME_FACTORS.length];
         }
     }
@@ -198,7 +216,10 @@
         for (; fleet.now < END_MILLIS; fleet.now++) {
             fleet.tick();
         }
-        double mean = fleet.engines.stream().mapToDouble(engine -> engine.busy).average().orElse(1);
+        double mean = fleet.engines.stream()
+                .mapToDouble(engine -> engine.busy)
+                .average()
+                .orElse(1);
         fleet.result.utilisation = mean / (END_MILLIS - WARM_UP_MILLIS);
         fleet.result.busiestOverMean =
                 fleet.engines.stream().mapToDouble(engine -> engine.busy).max().orElse(0) / mean;
@@ -249,10 +270,11 @@
         job.engine = engines.get(entries.indexOf(chosen));
         boolean sameRegion = REGIONS.get(chosen.failureDomain()).equals(REGIONS.get(instance.domain));
         job.roundTrip = chosen.failureDomain().equals(instance.domain) ? 0.2 : sameRegion ? 1 : 60;
-        job.priority = policy.priority(
-                kind.priority(), instance.loads.stateOf(chosen).priorityPenalty(job.model, prompt));
-        job.inFlight = instance.loads.stateOf(chosen).startRequest(
-                job.model, prompt, PROFILE.get().cacheTokens(), sameRegion ? 0 : 60);
+        job.priority =
+                policy.priority(kind.priority(), instance.loads.stateOf(chosen).priorityPenalty(job.model, prompt));
+        job.inFlight = instance.loads
+                .stateOf(chosen)
+                .startRequest(job.model, prompt, PROFILE.get().cacheTokens(), sameRegion ? 0 : 60);
         job.arrivedAt = now;
         job.readyAt = now + job.roundTrip / 2;
         underWay.add(job);
@@ -283,7 +305,7 @@
                 engine.running.add(reading);
             }
         }
-        engine.freeAt = Math.max(engine.freeAt, now);
+        engine.freeAt = Math.max(engine.freeAt, (double) now);
     }
 
     private static Job mostUrgent(Engine engine) {
@@ -349,7 +371,8 @@
                     .filter(instance -> !instance.domain.equals(domain))
                     .forEach(instance -> instance.remote.updateFailureDomain(domain, loads)));
             for (int i = 0; i < Math.min(DOMAINS, instances.size()); i++) {
-                domainNotices.put(instances.get(i).domain, instances.get(i).remote.ownDomainLoads(own.get(i)));
+                domainNotices.put(
+                        instances.get(i).domain, instances.get(i).remote.ownDomainLoads(own.get(i)));
             }
         }
         for (int from = 0; from < instances.size(); from++) {
