--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -5,9 +5,7 @@
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.routing.ServiceProfile;
-import com.google.common.hash.HashFunction;
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
+import com.google.common.collect.ImmutableList;
 import java.util.Collection;
 import java.util.Map;
 import java.util.Optional;
@@ -19,17 +17,11 @@
  *
  * <p>The expected time is the sum of the network round trip, the prefill of the prompts queued at the endpoint and of
  * this request's own uncached tokens, the delay that in-flight requests add, and the expected cost of a failure. For a
- * shared prompt part that this instance has not sent yet, the endpoint named by rendezvous hashing is preferred, so
- * that all instances of a region, or of all regions if the part is long, send it to the same one. Not thread-safe.
+ * shared prompt part that this instance has not sent yet, the endpoints of its {@link PartPlacement} are preferred, so
+ * that all instances of a region, or of all regions if the part is long, send it to the same few. Not thread-safe.
  */
 public final class EndpointChooser {
-    /** Round trip between failure domains of one region, plus a surcharge for paid traffic, in milliseconds. */
-    private static final double SAME_REGION_COST_MILLIS = 15;
-    /** Round trip between regions, plus the same again as a surcharge for paid traffic, in milliseconds. */
-    private static final double OTHER_REGION_COST_MILLIS = 120;
-    /** Round trip between regions, in milliseconds. */
-    private static final double OTHER_REGION_ROUND_TRIP_MILLIS = 60;
-    /** Delay that each in-flight request adds to the others on a model engine, in milliseconds. */
+    /** Delay that each in-flight request adds to the others on a model engine of usual speed, in milliseconds. */
     private static final double ENGINE_REQUEST_DELAY_MILLIS = 10;
     /** Delay that each in-flight request adds on another instance with one slot, in milliseconds. */
     private static final double PEER_REQUEST_DELAY_MILLIS = 300;
@@ -37,18 +29,26 @@
     private static final double UNKNOWN_REQUESTS_SHARE = 0.5;
     /** Cost of an endpoint that fails all its requests, in milliseconds: about a whole deadline. */
     private static final double FAILURE_COST_MILLIS = 3_000;
-    /** Probability that another instance has already sent a new shared part to its rendezvous endpoint. */
-    private static final double RENDEZVOUS_CACHED_PROBABILITY = 0.7;
+    /** Probability that another instance has already sent a new shared part to its places. */
+    private static final double PLACE_CACHED_PROBABILITY = 0.7;
+    /** Wait at a place of a shared part above which its next place is used, as a multiple of the time to read it. */
+    private static final double PLACE_WAIT_FACTOR = 1.5;
+    /**
+     * Weight of the time to read a shared part that other endpoints have, besides the delay of the request itself: it
+     * delays all other requests of the endpoint.
+     */
+    private static final double READ_AGAIN_WEIGHT = 1;
+    /** Least such wait, in milliseconds: a few requests in flight are no reason to read a part again. */
+    private static final double MIN_PLACE_WAIT_MILLIS = 60;
     /** Upper bound of the random time that breaks ties, in milliseconds. */
     private static final double JITTER_MILLIS = 3;
 
-    private static final HashFunction HASH = Hashing.murmur3_128();
-
-    private final String failureDomain;
-    private final Map<String, String> regions;
+    private final NetworkDistances distances;
     private final EndpointLoads loads;
     private final Runnable refreshLoads;
     private final UniformRandomProvider random;
+    /** Places of the shared part of the request for which a choice is being made. */
+    private final PartPlacement placement = new PartPlacement();
 
     /**
      * Creates a chooser.
@@ -65,13 +65,22 @@
             EndpointLoads loads,
             Runnable refreshLoads,
             UniformRandomProvider random) {
-        this.failureDomain = checkNotNull(failureDomain);
-        this.regions = Map.copyOf(regions);
+        this.distances = new NetworkDistances(failureDomain, regions);
         this.loads = checkNotNull(loads);
         this.refreshLoads = checkNotNull(refreshLoads);
         this.random = checkNotNull(random);
     }
 
+    /**
+     * Adds the time that a connect to an endpoint took: about a round trip.
+     *
+     * @param domain failure domain of the endpoint
+     * @param connectMillis time until the connection was open, in milliseconds
+     */
+    public void onConnected(String domain, double connectMillis) {
+        distances.onConnected(domain, connectMillis);
+    }
+
     /**
      * A chosen endpoint with its expected times.
      *
@@ -82,6 +91,21 @@
      */
     record Choice(EndpointEntry endpoint, double firstOutputMillis, double waitMillis, double roundTripMillis) {}
 
+    /** What is the same for all candidates of a choice. */
+    private record Query(
+            Optional<ServiceProfile> profile,
+            Optional<String> model,
+            Prompt prompt,
+            boolean atEngine,
+            int ownTokens,
+            ImmutableList<String> partKeys) {
+        private static Query of(Optional<ServiceProfile> profile, Optional<String> model, Prompt prompt) {
+            boolean atEngine = profile.isPresent() && profile.get().isEngine();
+            return new Query(
+                    profile, model, prompt, atEngine, prompt.ownTokens(), EndpointLoads.partKeys(model, prompt));
+        }
+    }
+
     /** Returns the best candidate whose id is not in {@code used}, or empty if there is none. */
     Optional<Choice> choose(
             Collection<EndpointEntry> candidates,
@@ -90,51 +114,60 @@
             Optional<String> model,
             Prompt prompt) {
         refreshLoads.run();
-        Optional<String> rendezvous =
-                prompt.lastSharedPart().flatMap(part -> rendezvousEndpoint(candidates, model, prompt, part.id()));
+        Query query = Query.of(profile, model, prompt);
+        placeSharedPart(candidates, used, query);
         EndpointEntry best = null;
-        double bestMillis = Double.MAX_VALUE;
+        double bestMillis = 0;
+        double bestCostMillis = Double.MAX_VALUE;
         for (EndpointEntry candidate : candidates) {
             if (used.contains(candidate.id())) {
                 continue;
             }
-            boolean isRendezvous = rendezvous.isPresent() && rendezvous.get().equals(candidate.id());
-            double millis = expectedMillis(candidate, profile, model, prompt, isRendezvous);
-            if (millis < bestMillis) {
-                bestMillis = millis;
+            EndpointLoads.State state = loads.stateOf(candidate);
+            double tokens = query.atEngine() ? state.tokensToPrefill(prompt, query.partKeys()) : 0;
+            if (placement.contains(candidate)) {
+                tokens -= PLACE_CACHED_PROBABILITY * Math.max(0, tokens - query.ownTokens());
+            }
+            double firstOutputMillis = expectedMillis(candidate, state, query, tokens);
+            double costMillis = firstOutputMillis + readAgainMillis(query, tokens);
+            if (costMillis < bestCostMillis) {
+                bestCostMillis = costMillis;
+                bestMillis = firstOutputMillis;
                 best = candidate;
             }
         }
         return best == null
                 ? Optional.empty()
                 : Optional.of(new Choice(
-                        best, bestMillis, waitMillis(loads.stateOf(best).load()), roundTripMillis(best)));
+                        best,
+                        bestMillis,
+                        waitMillis(loads.stateOf(best), loads.stateOf(best).load()),
+                        distances.roundTripMillis(best.failureDomain())));
     }
 
-    private double expectedMillis(
-            EndpointEntry candidate,
-            Optional<ServiceProfile> profile,
-            Optional<String> model,
-            Prompt prompt,
-            boolean isRendezvous) {
-        EndpointLoads.State state = loads.stateOf(candidate);
+    private double expectedMillis(EndpointEntry candidate, EndpointLoads.State state, Query query, double tokens) {
         PeerLoads.Load load = state.load();
-        double millis = networkCostMillis(candidate) + random.nextDouble() * JITTER_MILLIS;
+        double millis = distances.costMillis(candidate.failureDomain()) + random.nextDouble() * JITTER_MILLIS;
         millis += load.failureRate() * FAILURE_COST_MILLIS + load.lateMillis();
         millis += state.isEjected() ? 2 * FAILURE_COST_MILLIS : 0;
-        if (profile.isPresent() && profile.get().isEngine()) {
-            double tokens = state.tokensToPrefill(model, prompt);
-            if (isRendezvous) {
-                tokens -= RENDEZVOUS_CACHED_PROBABILITY * Math.max(0, tokens - prompt.ownTokens());
-            }
-            return millis + loads.prefillMillis(model, prompt, tokens) * state.timeFactor() + waitMillis(load);
+        if (query.atEngine()) {
+            double prefillMillis = loads.prefillMillis(query.model(), query.prompt(), tokens) * state.timeFactor();
+            return millis + prefillMillis + waitMillis(state, load);
         }
-        if (profile.isEmpty()) {
+        if (query.profile().isEmpty()) {
             return millis + load.inFlight() * PEER_REQUEST_DELAY_MILLIS / candidate.slots();
         }
         return millis + plainMillis(state.plainRequestMillis(), load.inFlight(), candidate.slots());
     }
 
+    /** Returns the cost to other requests, in milliseconds, of reading shared parts again at an endpoint. */
+    private double readAgainMillis(Query query, double tokens) {
+        double sharedTokens = tokens - query.ownTokens();
+        return placement.size() == 0 || sharedTokens <= 0
+                ? 0
+                : READ_AGAIN_WEIGHT * loads.prefillMillis(query.model(), query.prompt(), sharedTokens);
+    }
+
     /**
      * Returns the expected time of a request at a plain service, in milliseconds. Requests beyond the slots wait for
      * their turn; a part of those under way at other instances is not known yet and may take a free slot.
@@ -145,46 +178,44 @@
         return requestMillis + waitMillis + unknownMillis;
     }
 
-    private static double waitMillis(PeerLoads.Load load) {
-        return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS;
-    }
-
-    private double roundTripMillis(EndpointEntry candidate) {
-        double costMillis = networkCostMillis(candidate);
-        return costMillis >= OTHER_REGION_COST_MILLIS ? OTHER_REGION_ROUND_TRIP_MILLIS : 0;
-    }
-
-    private double networkCostMillis(EndpointEntry candidate) {
-        if (candidate.failureDomain().equals(failureDomain)) {
-            return 0;
-        }
-        String here = regions.getOrDefault(failureDomain, failureDomain);
-        String there = regions.getOrDefault(candidate.failureDomain(), candidate.failureDomain());
-        return here.equals(there) ? SAME_REGION_COST_MILLIS : OTHER_REGION_COST_MILLIS;
+    /**
+     * Returns the expected delay by other requests at an engine, in milliseconds. The backlog is stated by each instance
+     * as it expects it at the engine's speed.
+     */
+    private static double waitMillis(EndpointLoads.State state, PeerLoads.Load load) {
+        return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS * state.timeFactor();
     }
 
     /**
-     * Returns the endpoint to which all instances send a shared part. They agree across regions if that is likely to
-     * save more than the way between regions costs.
+     * Determines the endpoints to which all instances send a shared part. They agree across regions if that is likely to
+     * save more than the way between regions costs. A place is passed over if the wait there is longer than reading the
+     * part elsewhere takes.
      */
-    private Optional<String> rendezvousEndpoint(
-            Collection<EndpointEntry> candidates, Optional<String> model, Prompt prompt, String sharedPartId) {
-        double sharedMillis = loads.prefillMillis(model, prompt, prompt.sharedTokens());
-        boolean anyRegion = RENDEZVOUS_CACHED_PROBABILITY * sharedMillis > OTHER_REGION_COST_MILLIS;
-        long partHash = HASH.hashString(sharedPartId, StandardCharsets.UTF_8).asLong();
-        String best = null;
-        long bestHash = 0;
+    private void placeSharedPart(Collection<EndpointEntry> candidates, Set<String> used, Query query) {
+        Optional<PromptPart> part = query.prompt().lastSharedPart();
+        if (part.isEmpty() || !query.atEngine()) {
+            placement.clear();
+            return;
+        }
+        int sharedTokens = query.prompt().sharedTokens();
+        double sharedMillis = loads.prefillMillis(query.model(), query.prompt(), sharedTokens);
+        boolean anyRegion = PLACE_CACHED_PROBABILITY * sharedMillis > distances.otherRegionCostMillis();
+        placement.start(part.get().id());
         for (EndpointEntry candidate : candidates) {
-            if (!anyRegion && networkCostMillis(candidate) >= OTHER_REGION_COST_MILLIS) {
-                continue;
-            }
-            long hash = HASH.hashLong(loads.stateOf(candidate).key().hash() ^ partHash)
-                    .asLong();
-            if (best == null || hash > bestHash) {
-                best = candidate.id();
-                bestHash = hash;
+            if (anyRegion || distances.isSameRegion(candidate.failureDomain())) {
+                placement.offer(candidate, loads.stateOf(candidate).key().hash());
             }
         }
-        return Optional.ofNullable(best);
+        double boundMillis = Math.max(MIN_PLACE_WAIT_MILLIS, PLACE_WAIT_FACTOR * sharedMillis);
+        int rank = 0;
+        while (rank < placement.size() - 1 && isBusy(placement.place(rank), used, boundMillis)) {
+            rank++;
+        }
+        placement.openUpTo(rank);
+    }
+
+    private boolean isBusy(EndpointEntry place, Set<String> used, double boundMillis) {
+        EndpointLoads.State state = loads.stateOf(place);
+        return used.contains(place.id()) || state.isEjected() || waitMillis(state, state.load()) > boundMillis;
     }
 }
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -210,12 +210,14 @@
 
         /** Returns the number of prompt tokens to prefill: those from the first uncached part to the end. */
         int tokensToPrefill(Optional<String> model, Prompt prompt) {
+            return tokensToPrefill(prompt, partKeys(model, prompt));
+        }
+
+        /** Returns the same for the keys of the prompt's parts, which are the same for all endpoints. */
+        int tokensToPrefill(Prompt prompt, ImmutableList<String> partKeys) {
             int cached = 0;
-            for (PromptPart part : prompt.parts()) {
-                if (!cachedParts.containsKey(partKey(model, part))) {
-                    break;
-                }
-                cached += part.tokens();
+            for (int i = 0; i < partKeys.size() && cachedParts.containsKey(partKeys.get(i)); i++) {
+                cached += prompt.parts().get(i).tokens();
             }
             return Math.max(0, prompt.promptTokens() - cached);
         }
@@ -268,9 +270,11 @@
         }
 
         private void cacheParts(Optional<String> model, Prompt prompt, long cacheTokens) {
-            for (PromptPart part : prompt.parts()) {
-                Integer before = cachedParts.put(partKey(model, part), part.tokens());
-                cachedTokens += part.tokens() - (before == null ? 0 : before);
+            ImmutableList<String> keys = partKeys(model, prompt);
+            for (int i = 0; i < keys.size(); i++) {
+                int tokens = prompt.parts().get(i).tokens();
+                Integer before = cachedParts.put(keys.get(i), tokens);
+                cachedTokens += tokens - (before == null ? 0 : before);
             }
             var oldest = cachedParts.entrySet().iterator();
             while (cachedTokens > cacheTokens && oldest.hasNext()) {
@@ -290,10 +294,16 @@
                 outcomes.eject();
             }
         }
+    }
 
-        private static String partKey(Optional<String> model, PromptPart part) {
-            return model.orElse("") + '/' + part.id();
+    /** Returns the keys by which the parts of a prompt are cached for a model. */
+    static ImmutableList<String> partKeys(Optional<String> model, Prompt prompt) {
+        ImmutableList.Builder<String> keys =
+                ImmutableList.builderWithExpectedSize(prompt.parts().size());
+        for (PromptPart part : prompt.parts()) {
+            keys.add(model.orElse("") + '/' + part.id());
         }
+        return keys.build();
     }
 
     /** Tracks one in-flight request at an endpoint. */
--- a/router/src/test/java/baobabcroft/front/EndpointUploadTest.java
+++ b/router/src/test/java/baobabcroft/front/EndpointUploadTest.java
@@ -89,7 +89,7 @@
                 request -> false,
                 new ConnectionObserver() {
                     @Override
-                    public void onOpened() {}
+                    public void onOpened(String failureDomain, double connectMillis) {}
 
                     @Override
                     public void onFailed() {}
