--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -137,7 +137,7 @@
         return !closing && !busy && !awaitingMemory && begun;
     }
 
-    /** Returns whether the connection may be closed without loss: nothing is received or served, or all is discarded. */
+    /** Returns whether a close loses nothing: no request is received or served, or all is discarded. */
     boolean isIdle() {
         return discardingAfter.isPresent() || (!isBusy() && !closing && !awaitingMemory);
     }
--- a/router/src/main/java/baobabcroft/front/NettyChannels.java
+++ b/router/src/main/java/baobabcroft/front/NettyChannels.java
@@ -31,8 +31,8 @@
     private static final int FIRST_READ_BYTES = 2 << 10;
 
     /**
-     * Bytes of a request that the kernel takes before the server reads them. A request counts as written once the kernel
-     * has all of it; with the kernel's own limit of several megabytes, an upload that nobody reads would count as well.
+     * Bytes of a request that the kernel takes before the server reads them. A request counts as written once the
+     * kernel has all of it; with its own limit of several megabytes, an upload that nobody reads would count as well.
      * Linux doubles the figure; 512 KB fill a link of 68 Mbit/s over the 60 ms of a round trip between regions.
      */
     private static final int SEND_BUFFER_BYTES = 256 << 10;
