--- a/router/src/main/java/baobabcroft/pace/LearnedPaces.java
+++ b/router/src/main/java/baobabcroft/pace/LearnedPaces.java
@@ -74,7 +74,7 @@
             return OptionalDouble.empty();
         }
         double average = own.getAsDouble() * Math.max(1, fleet.names().size()) / endpoints;
-        return OptionalDouble.of(Math.pow(2, Math.round(Math.log(average) / Math.log(2))));
+        return OptionalDouble.of(Math.pow(2, Math.rint(Math.log(average) / Math.log(2))));
     }
 
     /** Takes in what instances have seen of the endpoints; to be called a few times a second. */
