Let no rounding decide how many requests one holder sends in a window

Cause: with 9 instances and 8.8 requests a second, the rounding of the time between requests to milliseconds made 4 holders with 3 requests each preferable to 5 with 2, which leaves room for 2 holders too many instead of 4.

Change: a greater number for each holder must raise the rate by 5 %.

Run: PacePlanTest, EndpointPaceTest, PacedEndpointsFleetTest and PacePolicyModelTest, 33 tests, all passed.

--- a/router/src/main/java/baobabcroft/pace/PacePlan.java
+++ b/router/src/main/java/baobabcroft/pace/PacePlan.java
@@ -23,6 +23,9 @@
     /** Share of the bound that one holder uses at most: an instance may wrongly believe that it is alone. */
     private static final double MAX_HOLDER_SHARE = 0.25;
 
+    /** Gain of the rate from which a holder sends more in a window; rounding to milliseconds must not decide. */
+    private static final double MIN_GAIN = 1.05;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     /**
@@ -46,7 +49,7 @@
                 int wanted = (int) Math.ceil(ratePerSecond * WINDOW_MILLIS / MILLIS_PER_SECOND / perWindow);
                 int holders = Math.min(Math.min(instances, wanted), total / perWindow - extras);
                 PacePlan plan = of(ratePerSecond, Math.max(1, holders), perWindow);
-                if (holders >= 1 && plan.ratePerSecond() > best.ratePerSecond()) {
+                if (holders >= 1 && plan.ratePerSecond() > MIN_GAIN * best.ratePerSecond()) {
                     best = plan;
                 }
             }
