Send no request to an engine that its token memory cannot hold

Cause: nothing counted what requests hold at an engine, and an engine whose requests exceed its memory crashes.

Change: package capacity counts the token memory of own requests (shared parts once, the expected output from the caller's hint or the maximum); notices carry it in held_tokens; MemoryRule excludes engines with MEMORY_FULL. Others' memory grows with the age of their notice, what own domain has added in the last second is assumed of every other domain, and an eighth stays free. Former builds are estimated from their requests in flight. A request larger than the memory is refused at once. Services without kv_capacity are not affected.

A part shared by several instances counts for each of them, so the rule is stricter than needed there.

--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -28,6 +28,7 @@
 import baobabcroft.relay.EndpointEligibility;
 import baobabcroft.relay.EndpointLoads;
 import baobabcroft.relay.Ineligibility;
+import baobabcroft.relay.MemoryRule;
 import baobabcroft.relay.PauseQueue;
 import baobabcroft.relay.PlannedStop;
 import baobabcroft.relay.RegionRule;
@@ -44,12 +45,14 @@
 import baobabcroft.routing.RoutingTableHolder;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Sets;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -198,7 +201,15 @@
     }
 
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
-        return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint));
+        return ImmutableList.of(
+                (endpoint, request) -> availability.unavailability(endpoint),
+                new MemoryRule(loads, peerLoads, otherDomains(), nowMillis));
+    }
+
+    /** Returns the number of other failure domains in the settings; 0 if these list none. */
+    private int otherDomains() {
+        return Sets.difference(settings.regions().keySet(), Set.of(settings.failureDomain()))
+                .size();
     }
 
     private static Optional<Ineligibility> when(boolean excluded, Ineligibility reason) {
--- a/router/src/main/java/baobabcroft/load/PeerLoads.java
+++ b/router/src/main/java/baobabcroft/load/PeerLoads.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.capacity.TokenMemory;
 import com.google.common.collect.ImmutableMap;
 import java.util.HashMap;
 import java.util.Map;
@@ -19,6 +20,11 @@
     private static final double MIN_REPORTED_PREFILL_BACKLOG_MILLIS = 60;
     /** Minimum number of requests in flight reported: with few slots per endpoint, they cause about the same delay. */
     private static final int MIN_REPORTED_IN_FLIGHT = 2;
+    /**
+     * Minimum token memory reported. What five other failure domains hold without reporting it is about what {@link
+     * TokenMemory#fits} keeps free of the memory of an engine.
+     */
+    private static final long MIN_REPORTED_HELD_TOKENS = 4_000;
 
     private final LongSupplier nowMillis;
     private final Map<String, LoadUpdate> byInstance = new HashMap<>();
@@ -32,8 +38,11 @@
      * @param prefillBacklogMillis expected time to process the prompts that wait at the endpoint, in milliseconds
      * @param failureRate recent share of failed requests, from zero to one
      * @param lateMillis recent delay of first outputs beyond the expected time, in milliseconds
+     * @param heldTokens token memory that the requests in flight hold or are going to hold; 0 if there are none or the
+     *     instance reports no memory
      */
-    public record Load(int inFlight, double prefillBacklogMillis, double failureRate, double lateMillis) {
+    public record Load(
+            int inFlight, double prefillBacklogMillis, double failureRate, double lateMillis, long heldTokens) {
         /** No load and no recent failures or delays. */
         public static final Load NONE = new Load(0, 0);
 
@@ -42,9 +51,20 @@
             this(inFlight, prefillBacklogMillis, 0, 0);
         }
 
+        /** Creates the load of an endpoint without token memory. */
+        public Load(int inFlight, double prefillBacklogMillis, double failureRate, double lateMillis) {
+            this(inFlight, prefillBacklogMillis, failureRate, lateMillis, 0);
+        }
+
+        /** Estimates the memory by the number of requests if an instance of a former build reports none. */
+        private long estimatedHeldTokens(long tokensPerRequest) {
+            return heldTokens > 0 ? heldTokens : inFlight * tokensPerRequest;
+        }
+
         private boolean isWorthReporting() {
             return inFlight >= MIN_REPORTED_IN_FLIGHT
                     || prefillBacklogMillis >= MIN_REPORTED_PREFILL_BACKLOG_MILLIS
+                    || heldTokens >= MIN_REPORTED_HELD_TOKENS
                     || failureRate > 0
                     || lateMillis > 0;
         }
@@ -61,7 +81,8 @@
                     inFlight + other.inFlight,
                     prefillBacklogMillis + other.prefillBacklogMillis,
                     Math.max(failureRate, other.failureRate),
-                    Math.max(lateMillis, other.lateMillis));
+                    Math.max(lateMillis, other.lateMillis),
+                    heldTokens + other.heldTokens);
         }
     }
 
@@ -146,6 +167,43 @@
         return sumAt(endpoint, byInstance).plus(sumAt(endpoint, byFailureDomain));
     }
 
+    /**
+     * Returns the token memory that requests of the other instances of this failure domain hold at an endpoint, with a
+     * margin for those sent since their last notices. A part that requests of several instances share counts for each
+     * of them.
+     *
+     * @param endpoint key of the endpoint
+     * @param tokensPerRequest memory of a request of an instance that reports none
+     * @return the tokens
+     */
+    public long ownDomainHeldTokens(EndpointKey endpoint, long tokensPerRequest) {
+        return heldAt(endpoint, tokensPerRequest, byInstance);
+    }
+
+    /**
+     * Returns the same for the other failure domains.
+     *
+     * @param endpoint key of the endpoint
+     * @param tokensPerRequest memory of a request of a failure domain that reports none
+     * @return the tokens
+     */
+    public long otherDomainsHeldTokens(EndpointKey endpoint, long tokensPerRequest) {
+        return heldAt(endpoint, tokensPerRequest, byFailureDomain);
+    }
+
+    private long heldAt(EndpointKey endpoint, long tokensPerRequest, Map<String, LoadUpdate> updates) {
+        long now = nowMillis.getAsLong();
+        long tokens = 0;
+        for (LoadUpdate update : updates.values()) {
+            Load load = update.loads().get(endpoint);
+            if (load != null && isFresh(update)) {
+                tokens += TokenMemory.projected(
+                        load.estimatedHeldTokens(tokensPerRequest), now - update.receivedAtMillis());
+            }
+        }
+        return tokens;
+    }
+
     private Load sumAt(EndpointKey endpoint, Map<String, LoadUpdate> updates) {
         Load sum = Load.NONE;
         for (LoadUpdate update : updates.values()) {
--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -57,7 +57,8 @@
                 .setInFlight(load.inFlight())
                 .setUnreadMillis((int) load.prefillBacklogMillis())
                 .setFailurePercent((int) Math.round(load.failureRate() * PERCENT))
-                .setLateMillis((int) load.lateMillis())));
+                .setLateMillis((int) load.lateMillis())
+                .setHeldTokens((int) Math.min(load.heldTokens(), Integer.MAX_VALUE))));
         rolloutCounts.forEach((service, counts) -> {
             VersionAnswers.Builder answers = VersionAnswers.newBuilder()
                     .setService(service)
@@ -97,7 +98,8 @@
                             load.getInFlight(),
                             load.getUnreadMillis(),
                             load.getFailurePercent() / PERCENT,
-                            load.getLateMillis()));
+                            load.getLateMillis(),
+                            Integer.toUnsignedLong(load.getHeldTokens())));
         }
         ImmutableMap.Builder<String, RolloutCounts> rolloutCounts = ImmutableMap.builder();
         for (VersionAnswers answers : notice.getAnswersList()) {
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.capacity.HeldTokens;
+import baobabcroft.capacity.TokenNeed;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads;
@@ -168,6 +170,7 @@
         private final EndpointKey key;
         private final long startedAtEpochMillis;
         private final LinkedHashMap<String, Integer> cachedParts = new LinkedHashMap<>(16, 0.75f, true);
+        private final HeldTokens heldTokens = HeldTokens.create();
         private long cachedTokens;
         private int inFlight;
         private double pendingPrefillMillis;
@@ -200,12 +203,23 @@
                     local.inFlight() + remote.inFlight(),
                     local.prefillBacklogMillis() + remote.prefillBacklogMillis(),
                     Math.max(local.failureRate(), remoteWeight * remote.failureRate()),
-                    Math.max(local.lateMillis(), remoteWeight * remote.lateMillis()));
+                    Math.max(local.lateMillis(), remoteWeight * remote.lateMillis()),
+                    local.heldTokens() + remote.heldTokens());
         }
 
         /** Returns the load that this instance causes, and the failures and delays that it has seen. */
         private Load localLoad() {
-            return new Load(inFlight, pendingPrefillMillis, failureRate * decayFactor(), lateMillis * decayFactor());
+            return new Load(
+                    inFlight,
+                    pendingPrefillMillis,
+                    failureRate * decayFactor(),
+                    lateMillis * decayFactor(),
+                    heldTokens.tokens());
+        }
+
+        /** Returns the token memory that this instance's requests hold at the endpoint. */
+        HeldTokens heldTokens() {
+            return heldTokens;
         }
 
         private boolean isReportable() {
@@ -256,10 +270,11 @@
             boolean noPendingPrefill = before.prefillBacklogMillis() == 0;
             inFlight++;
             pendingPrefillMillis += prefillMillis;
-            onChange.run();
             double expectedMillis = prefillMillis + before.prefillBacklogMillis();
-            return new InFlightRequest(
+            InFlightRequest started = new InFlightRequest(
                     this, model, prompt, tokensToPrefill, prefillMillis, expectedMillis, noPendingPrefill, cacheTokens);
+            onChange.run();
+            return started;
         }
 
         private void cacheParts(Optional<String> model, Prompt prompt, long cacheTokens) {
@@ -331,6 +346,7 @@
         private final double expectedMillis;
         private final boolean noPendingPrefill;
         private final long cacheTokens;
+        private final HeldTokens.Hold memory;
         private final long sentAtMillis = nowMillis.getAsLong();
         private boolean prefillDone;
         private boolean ended;
@@ -352,6 +368,7 @@
             this.expectedMillis = expectedMillis;
             this.noPendingPrefill = noPendingPrefill;
             this.cacheTokens = cacheTokens;
+            this.memory = state.heldTokens.hold(cacheTokens > 0 ? prompt.tokenNeed(model) : TokenNeed.NONE);
         }
 
         /** Records the first output, with which the prefill of the prompt has ended. */
@@ -435,6 +452,7 @@
             }
             ended = true;
             state.inFlight--;
+            memory.release();
             markPrefillDone();
             onChange.run();
             return true;
--- a/router/src/main/java/baobabcroft/relay/EndpointSelection.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointSelection.java
@@ -1,6 +1,7 @@
 package baobabcroft.relay;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.routing.ServiceProfile;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.Optional;
@@ -33,6 +34,14 @@
                         metadata.prompt());
     }
 
+    /** Returns whether the request takes up more token memory than an endpoint has, even if it holds nothing else. */
+    boolean isLargerThanMemory(Optional<String> model) {
+        return admitted.serviceProfile(service)
+                .filter(ServiceProfile::isEngine)
+                .filter(profile -> admitted.metadata().prompt().tokenNeed(model).totalTokens() > profile.cacheTokens())
+                .isPresent();
+    }
+
     /** Returns the instances that hold a part of what the endpoints take from all instances together. */
     ImmutableSet<String> partHolders() {
         return services.availability().holders(accepting());
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -37,6 +37,8 @@
     private static final int MAX_UNCOUNTED_ATTEMPTS = 3;
     /** Mean retry delay given to callers when no endpoint could run the request, in milliseconds. */
     private static final long NO_ENDPOINT_RETRY_MILLIS = 400;
+    /** Mean retry delay for a request that no endpoint has memory for, in milliseconds: until endpoints are replaced. */
+    private static final long TOO_LARGE_RETRY_MILLIS = 60_000;
     /** Maximum wait for the first configuration, in milliseconds: an eighth of goals of a few seconds. */
     private static final long CONFIG_WAIT_MILLIS = 250;
 
@@ -182,6 +184,10 @@
             fail(StopReason.DEADLINE);
             return;
         }
+        if (selection.isLargerThanMemory(model)) {
+            refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, withJitter(TOO_LARGE_RETRY_MILLIS)));
+            return;
+        }
         startFirstAttempt();
     }
 
--- a/router/src/test/java/baobabcroft/notice/NoticeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeTest.java
@@ -40,7 +40,7 @@
         @Test
         void roundTripThroughProtobuf() {
             NoticeContents contents = new NoticeContents(
-                    ImmutableMap.of(ENGINE, new Load(3, 250)),
+                    ImmutableMap.of(ENGINE, new Load(3, 250, 0, 0, 28_000)),
                     ImmutableMap.of("engines", counts(7, 20, 2)),
                     ImmutableList.of(
                             new BoundReport(-5, OptionalDouble.of(0.5), 1_200),
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -171,7 +171,9 @@
                     headers.first("id").orElse("r-1"),
                     wait,
                     headers.first("key"),
-                    Prompt.NONE,
+                    headers.first("prompt-tokens")
+                            .map(text -> new Prompt(ImmutableList.of(), Integer.parseInt(text), 0))
+                            .orElse(Prompt.NONE),
                     headers.first("model").filter("*"::equals).isPresent(),
                     headers.first("resume-after")
                             .map(text -> OptionalLong.of(Long.parseLong(text)))
@@ -469,7 +471,9 @@
                         (endpoint, request) -> availability.isLeaving(endpoint)
                                 ? Optional.of(Ineligibility.LEAVING)
                                 : Optional.empty()),
-                ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint)));
+                ImmutableList.of(
+                        (endpoint, request) -> availability.unavailability(endpoint),
+                        new MemoryRule(loads, remoteLoads, 0, this::now)));
     }
 
     RelayServices services() {
