Give each client account a fair share of a service whose endpoints are full

Cause: while endpoints are full, who is served depends on who sends most: one account with six times its traffic takes the places of the small ones.

Change: package fairness. Each instance counts the requests of accounts; notices carry the counts of contended services (accounts). FairAdmission decides at the arrival of a request: everything is admitted below 7/8 of the slots or while half of them are free; above, accounts over their weighted max-min share are refused, the farthest first, and less urgent requests of an account first (the account's priority, else the route's, then the shorter goal; routes state no benefit). A refusal is immediate: 503, not run, Retry-After by how far the account is above its share and how long requests last. Accounts may have a weight in the configuration. BC7005 and a counter name who is refused.

--- a/router/src/main/java/baobabcroft/instance/NoticeStateAdapter.java
+++ b/router/src/main/java/baobabcroft/instance/NoticeStateAdapter.java
@@ -1,5 +1,7 @@
 package baobabcroft.instance;
 
+import baobabcroft.fairness.AccountUses;
+import baobabcroft.fairness.FairAdmission;
 import baobabcroft.limit.DomainBoundReports;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.notice.NoticeContents;
@@ -14,7 +16,7 @@
 /**
  * Provides the contents of this instance's notices and applies those of other instances: endpoint loads, and response
  * counts of versions that are being rolled out, limits that endpoints
- * state, and which instances are cut off from all endpoints. Not thread-safe.
+ * state, which instances are cut off from all endpoints, and what client accounts use. Not thread-safe.
  */
 final class NoticeStateAdapter implements NoticeDelegate {
     /** Distinguishes a failure domain from an instance of the same name. */
@@ -28,6 +30,8 @@
     private final DomainBoundReports limits;
     private final DomainBoundReports toleratedRejections;
     private final FleetIsolation isolation;
+    private final FairAdmission fairness;
+    private final AccountUses accountUses;
 
     NoticeStateAdapter(
             EndpointLoads ownLoads,
@@ -36,7 +40,9 @@
             FleetRollouts rollouts,
             EndpointAvailability availability,
             LongSupplier nowMillis,
-            FleetIsolation isolation) {
+            FleetIsolation isolation,
+            FairAdmission fairness,
+            AccountUses accountUses) {
         this.ownLoads = ownLoads;
         this.peerLoads = peerLoads;
         this.counts = counts;
@@ -45,6 +51,8 @@
         this.limits = DomainBoundReports.create(nowMillis);
         this.toleratedRejections = DomainBoundReports.create(nowMillis);
         this.isolation = isolation;
+        this.fairness = fairness;
+        this.accountUses = accountUses;
     }
 
     @Override
@@ -54,7 +62,8 @@
                 counts.own(),
                 availability.limitReports(),
                 availability.toleratedRejectionReports(),
-                isolation.own());
+                isolation.own(),
+                fairness.ownReport());
     }
 
     @Override
@@ -64,12 +73,14 @@
                 counts.domainTotal(),
                 limits.latest(availability.limitReports()),
                 toleratedRejections.latest(availability.toleratedRejectionReports()),
-                isolation.ownDomain());
+                isolation.ownDomain(),
+                fairness.domainReport());
     }
 
     @Override
     public void onInstanceNotice(String instance, long sequence, NoticeContents contents) {
         peerLoads.updateInstance(instance, sequence, contents.loads());
+        accountUses.updateInstance(instance, sequence, contents.accounts());
         counts.setPeer(instance, contents.rolloutCounts());
         limits.setPeer(instance, contents.limits());
         toleratedRejections.setPeer(instance, contents.toleratedRejections());
@@ -81,6 +92,7 @@
     @Override
     public void onDomainNotice(String failureDomain, NoticeContents contents) {
         peerLoads.updateFailureDomain(failureDomain, contents.loads());
+        accountUses.updateFailureDomain(failureDomain, contents.accounts());
         isolation.setFailureDomain(failureDomain, contents.isolatedInstances());
         availability.onReports(contents.limits(), contents.toleratedRejections());
         contents.rolloutCounts()
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -6,6 +6,8 @@
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.directory.EvacuatedDomains;
+import baobabcroft.fairness.AccountUses;
+import baobabcroft.fairness.FairAdmission;
 import baobabcroft.feed.FeedClient;
 import baobabcroft.feed.FeedServer;
 import baobabcroft.front.EndpointConnectionPool;
@@ -35,6 +37,7 @@
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RelayedRequest;
 import baobabcroft.relay.RequestDialect;
+import baobabcroft.relay.ServiceUseReader;
 import baobabcroft.replica.StoreCalls;
 import baobabcroft.replica.StoreReplica;
 import baobabcroft.retry.RetryBudget;
@@ -109,6 +112,9 @@
     private final PeerLoads peerLoads;
     private final EndpointLoads loads;
     private final EndpointAvailability availability;
+    private final EndpointEligibility eligibility;
+    private final AccountUses accountUses = AccountUses.create(nowMillis);
+    private final FairAdmission fairness;
     private final DomainRolloutCounts rolloutCounts = new DomainRolloutCounts();
     private final StoreContents storeContents;
     private final StoreReplica store;
@@ -186,6 +192,13 @@
                 storeDialect.rolloutStatusWriter(store),
                 new SharedStoreRecords.Receivers(rollouts, crashTracker, new Peers()));
         this.plannedStop = PlannedStop.create(nowMillis, scheduler);
+        this.eligibility = EndpointEligibility.of(placementRules(), admissionRules());
+        this.fairness = FairAdmission.create(
+                nowMillis,
+                accountUses,
+                new ServiceUseReader(directory, routing, eligibility, loads),
+                new AccountDirectory(routing),
+                new FairnessRecorder(metrics, nowMillis));
         this.services = createServices(dialect);
     }
 
@@ -227,7 +240,8 @@
                 loads,
                 memory,
                 availability,
-                EndpointEligibility.of(placementRules(), admissionRules()),
+                eligibility,
+                fairness,
                 PauseQueue.create(fleetView(), random::nextDouble),
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
@@ -274,7 +288,15 @@
                 settings.failureDomain(),
                 settings.peers(),
                 new NoticeStateAdapter(
-                        loads, peerLoads, rolloutCounts, rollouts, availability, nowMillis, forwarding.isolation())));
+                        loads,
+                        peerLoads,
+                        rolloutCounts,
+                        rollouts,
+                        availability,
+                        nowMillis,
+                        forwarding.isolation(),
+                        fairness,
+                        accountUses)));
         FeedServer.start(loop, settings.peers(), store.feed());
         loop.execute(this::startStore);
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -199,6 +199,16 @@
     SEND_FAILED(7002, INFO, "send failed", "request", "endpoint", "reason", "agoMillis"),
     /** A request waits, as all endpoints that it could be sent to want no requests for some time. */
     REQUEST_WAITING(7004, INFO, "request waits for the end of a pause", "request", "waitMillis", "agoMillis"),
+    /** Requests of a client account are refused, as its share of a service whose endpoints are full is used up. */
+    ACCOUNT_REFUSED(
+            7005,
+            INFO,
+            "requests refused above the account's share",
+            "account",
+            "service",
+            "refusals",
+            "percentOfShare",
+            "percentOccupied"),
     /** A request received its final response. */
     REQUEST_FINISHED(
             7003,
--- a/router/src/main/java/baobabcroft/notice/NoticeContents.java
+++ b/router/src/main/java/baobabcroft/notice/NoticeContents.java
@@ -2,9 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.fairness.AccountSubject;
+import baobabcroft.fairness.AccountUse;
 import baobabcroft.limit.BoundReport;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads.Load;
+import baobabcroft.notice.proto.AccountLoad;
 import baobabcroft.notice.proto.EndpointLoad;
 import baobabcroft.notice.proto.PeerNotice;
 import baobabcroft.notice.proto.RouteAnswers;
@@ -27,13 +30,15 @@
  * @param limits what endpoints have told of limits on their requests, by start of the endpoint
  * @param toleratedRejections what endpoints have told of the rejections that they tolerate, by service
  * @param isolatedInstances names of instances that are cut off from all endpoints
+ * @param accounts what client accounts use of services that are contended
  */
 public record NoticeContents(
         ImmutableMap<EndpointKey, Load> loads,
         ImmutableMap<String, RolloutCounts> rolloutCounts,
         ImmutableList<BoundReport> limits,
         ImmutableList<BoundReport> toleratedRejections,
-        ImmutableSet<String> isolatedInstances) {
+        ImmutableSet<String> isolatedInstances,
+        ImmutableMap<AccountSubject, AccountUse> accounts) {
     private static final double PERCENT = 100;
 
     /** Rejects null components. */
@@ -43,6 +48,17 @@
         checkNotNull(limits);
         checkNotNull(toleratedRejections);
         checkNotNull(isolatedInstances);
+        checkNotNull(accounts);
+    }
+
+    /** Creates the contents of a notice while no service is contended. */
+    public NoticeContents(
+            ImmutableMap<EndpointKey, Load> loads,
+            ImmutableMap<String, RolloutCounts> rolloutCounts,
+            ImmutableList<BoundReport> limits,
+            ImmutableList<BoundReport> toleratedRejections,
+            ImmutableSet<String> isolatedInstances) {
+        this(loads, rolloutCounts, limits, toleratedRejections, isolatedInstances, ImmutableMap.of());
     }
 
     /** Returns whether nothing is lost if the notice is not repeated. */
@@ -76,6 +92,10 @@
             notice.addAnswers(answers);
         });
         notice.addAllIsolatedInstances(isolatedInstances);
+        accounts.forEach((subject, use) -> notice.addAccounts(AccountLoad.newBuilder()
+                .setSubjectHash(subject.hash())
+                .setInFlight(use.inFlight())
+                .setHeldTokens((int) Math.min(use.heldTokens(), Integer.MAX_VALUE))));
         limits.forEach(report -> notice.addLimits(toProto(report)));
         toleratedRejections.forEach(report -> notice.addToleratedRejections(toProto(report)));
     }
@@ -121,12 +141,19 @@
                             new StoreRevision(answers.getOrderEra(), answers.getOrderRevision()),
                             routes.buildKeepingLast()));
         }
+        ImmutableMap.Builder<AccountSubject, AccountUse> accounts = ImmutableMap.builder();
+        for (AccountLoad account : notice.getAccountsList()) {
+            accounts.put(
+                    new AccountSubject(account.getSubjectHash()),
+                    new AccountUse(account.getInFlight(), Integer.toUnsignedLong(account.getHeldTokens())));
+        }
         return new NoticeContents(
                 loads.buildKeepingLast(),
                 rolloutCounts.buildKeepingLast(),
                 reports(notice.getLimitsList()),
                 reports(notice.getToleratedRejectionsList()),
-                ImmutableSet.copyOf(notice.getIsolatedInstancesList()));
+                ImmutableSet.copyOf(notice.getIsolatedInstancesList()),
+                accounts.buildKeepingLast());
     }
 
     private static ImmutableList<BoundReport> reports(List<StatedBound> bounds) {
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.common.ErrorCode;
 import baobabcroft.common.RouterException;
+import baobabcroft.fairness.FairRequest;
 import baobabcroft.routing.AccountProfile;
 import baobabcroft.routing.AllowedRegions;
 import baobabcroft.routing.Route;
@@ -74,6 +75,18 @@
             return table.service(service);
         }
 
+        /** Returns what the decision on shares of client accounts knows of the request. */
+        FairRequest fairRequest(String service, Optional<String> model) {
+            boolean engine =
+                    serviceProfile(service).filter(ServiceProfile::isEngine).isPresent();
+            return new FairRequest(
+                    service,
+                    account.map(AccountProfile::name).orElse(""),
+                    account.map(AccountProfile::weight).orElse(1.0),
+                    table.precedence(service, priority(), route.goalMillis()),
+                    engine ? metadata.prompt().tokenNeed(model).totalTokens() : 0);
+        }
+
         RequestIdentity identity() {
             return new RequestIdentity(
                     request, account.map(AccountProfile::name).orElse(""), metadata.prompt());
--- a/router/src/main/java/baobabcroft/relay/PeerForwarding.java
+++ b/router/src/main/java/baobabcroft/relay/PeerForwarding.java
@@ -149,6 +149,7 @@
                 services.memory(),
                 links.availability(),
                 EndpointEligibility.of(ImmutableList.of(links.regions()), ImmutableList.of()),
+                services.fairness(),
                 services.pauseQueue(),
                 links.chooser(),
                 services.modelChooser(),
--- a/router/src/main/java/baobabcroft/relay/RelayServices.java
+++ b/router/src/main/java/baobabcroft/relay/RelayServices.java
@@ -2,6 +2,7 @@
 
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
+import baobabcroft.fairness.FairAdmission;
 import baobabcroft.memory.MemoryBudget;
 import baobabcroft.retry.RetryBudget;
 import baobabcroft.routing.RoutingTableHolder;
@@ -22,6 +23,7 @@
  * @param memory memory of the instance, which answers and streams take from
  * @param availability what endpoints have stated about taking requests
  * @param eligibility decides which endpoints a request may use
+ * @param fairness decides which client accounts may use services whose endpoints are full
  * @param pauseQueue requests that wait until endpoints have ended a pause
  * @param endpointChooser chooses endpoints
  * @param modelChooser chooses models
@@ -44,6 +46,7 @@
         MemoryBudget memory,
         EndpointAvailability availability,
         EndpointEligibility eligibility,
+        FairAdmission fairness,
         PauseQueue pauseQueue,
         EndpointChooser endpointChooser,
         ModelChooser modelChooser,
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -6,6 +6,8 @@
 import baobabcroft.common.Execution;
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.fairness.FairAdmission;
+import baobabcroft.fairness.FairRequest;
 import baobabcroft.relay.ForwardingHeaders.PriorSends;
 import baobabcroft.retry.RequestAttempts;
 import baobabcroft.retry.RetryBudget;
@@ -74,6 +76,7 @@
     private boolean waited;
     private boolean delivered;
     private boolean done;
+    private FairAdmission.Admitted accountUse = FairAdmission.Admitted.NONE;
     private Optional<Scheduler.Cancellable> pauseWait = Optional.empty();
     private Scheduler.Cancellable deadlineTimer = () -> {};
     private Scheduler.Cancellable plannedStopEnd = () -> {};
@@ -188,6 +191,16 @@
             refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, withJitter(TOO_LARGE_RETRY_MILLIS)));
             return;
         }
+        FairRequest fairRequest = allowed.fairRequest(service, model);
+        // A forwarded request was admitted by the instance that its caller is connected to.
+        OptionalLong refusalMillis = priorSends.isPresent()
+                ? OptionalLong.empty()
+                : services.fairness().refusalMillis(fairRequest);
+        if (refusalMillis.isPresent()) {
+            refuse(Refusal.retryAfter(ErrorCode.OVERLOADED, withJitter(refusalMillis.getAsLong())));
+            return;
+        }
+        accountUse = services.fairness().start(fairRequest);
         startFirstAttempt();
     }
 
@@ -542,6 +555,7 @@
         deadlineTimer.cancel();
         plannedStopEnd.cancel();
         leavePauseQueue();
+        accountUse.end();
         Optional<Admission.Admitted> admittedIfAny = Optional.ofNullable(admitted);
         services.listener()
                 .onFinished(new RelaySummary(
--- a/router/src/main/java/baobabcroft/routing/RoutingTable.java
+++ b/router/src/main/java/baobabcroft/routing/RoutingTable.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.Collection;
@@ -98,6 +99,37 @@
         return Optional.ofNullable(accountsByKey.get(key));
     }
 
+    /**
+     * Returns the client accounts.
+     *
+     * @return the accounts; one with several keys is repeated
+     */
+    public ImmutableCollection<AccountProfile> accounts() {
+        return accountsByKey.values();
+    }
+
+    /**
+     * Returns how many of the kinds of requests of a service come before one.
+     *
+     * @param service name of the service
+     * @param priority priority of the requests, 0 first
+     * @param goalMillis their latency goal, in milliseconds: of equal priorities the shorter one comes first
+     * @return the share of the service's routes that are more urgent, from 0 to 1
+     */
+    public double precedence(String service, int priority, long goalMillis) {
+        int all = 0;
+        int before = 0;
+        for (Route route : routes) {
+            if (route.targets().stream().anyMatch(target -> target.service().equals(service))) {
+                all++;
+                boolean moreUrgent = route.priority() < priority
+                        || (route.priority() == priority && route.goalMillis() < goalMillis);
+                before += moreUrgent ? 1 : 0;
+            }
+        }
+        return all == 0 ? 0 : (double) before / all;
+    }
+
     /**
      * Returns the configuration of a service.
      *
--- a/router/src/test/java/baobabcroft/notice/NoticeTest.java
+++ b/router/src/test/java/baobabcroft/notice/NoticeTest.java
@@ -3,6 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import baobabcroft.fairness.AccountSubject;
+import baobabcroft.fairness.AccountUse;
 import baobabcroft.limit.BoundReport;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads;
@@ -46,7 +48,8 @@
                             new BoundReport(-5, OptionalDouble.of(0.5), 1_200),
                             new BoundReport(6, OptionalDouble.empty(), 30)),
                     ImmutableList.of(new BoundReport(8, OptionalDouble.of(3), 70)),
-                    ImmutableSet.of("instance-1"));
+                    ImmutableSet.of("instance-1"),
+                    ImmutableMap.of(new AccountSubject(-3), new AccountUse(4, 40_000)));
             PeerNotice.Builder notice = PeerNotice.newBuilder();
             contents.addTo(notice);
 
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -5,6 +5,9 @@
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.fairness.AccountUses;
+import baobabcroft.fairness.FairAdmission;
+import baobabcroft.fairness.ServiceUse;
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
@@ -54,6 +57,14 @@
 
     final EndpointAvailability availability;
     private final PauseQueue pauseQueue;
+    /** Shares of accounts; no service is contended unless a test says so. */
+    FairAdmission fairness = FairAdmission.create(
+            this::now,
+            AccountUses.create(this::now),
+            service -> new ServiceUse(0, 0, 0, 0),
+            service -> ImmutableMap.of(),
+            (request, aboveShare, occupancy) -> {});
+
     final PlannedStop plannedStop = PlannedStop.create(this::now, time.scheduler());
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
@@ -490,6 +501,7 @@
                 memory,
                 availability,
                 eligibility(),
+                fairness,
                 pauseQueue,
                 chooser,
                 models,
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -6,6 +6,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import baobabcroft.common.Execution;
+import baobabcroft.fairness.AccountSubject;
+import baobabcroft.fairness.AccountUse;
+import baobabcroft.fairness.AccountUses;
+import baobabcroft.fairness.FairAdmission;
+import baobabcroft.fairness.ServiceUse;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads;
 import baobabcroft.relay.RelayFixture.Caller;
@@ -21,6 +26,26 @@
     private final RelayFixture relay = RelayFixture.create();
     private final Caller caller = new Caller();
 
+    /** Guards against a caller that waits although its account's share of a full service is used up. */
+    @Test
+    void aboveTheShareOfItsAccountIsRefusedAtOnce() {
+        AccountSubject subject = AccountSubject.of("orders", "kamera");
+        AccountUses uses = AccountUses.create(relay::now);
+        uses.updateInstance("instance-2", 1, Map.of(subject, new AccountUse(30, 0)));
+        relay.fairness = FairAdmission.create(
+                relay::now,
+                uses,
+                service -> new ServiceUse(18, 30, 0, 0),
+                service -> Map.of(subject, 1.0),
+                (request, aboveShare, occupancy) -> {});
+        relay.start("/order/1", caller);
+
+        assertEquals(503, caller.status);
+        assertTrue(caller.headers.first("retry-after-millis").isPresent());
+        assertTrue(relay.sentRequests.isEmpty());
+        assertEquals(Execution.NOT_RUN, relay.summaries.get(0).execution());
+    }
+
     /** What a version's rollout learns of attempts, also of those that nobody waits for any longer. */
     @Nested
     class AttemptResults {
