--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -216,7 +216,8 @@
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
         return ImmutableList.of(
                 (endpoint, request) -> availability.unavailability(endpoint),
-                new MemoryRule(loads, peerLoads, otherDomains(), nowMillis));
+                new MemoryRule(
+                        loads, peerLoads, otherDomains(), nowMillis, metrics.counter("capacity.memory_full")::inc));
     }
 
     /** Returns the number of other failure domains in the settings; 0 if these list none. */
--- a/router/src/main/java/baobabcroft/relay/MemoryRule.java
+++ b/router/src/main/java/baobabcroft/relay/MemoryRule.java
@@ -27,6 +27,7 @@
     private final PeerLoads peerLoads;
     private final int otherDomains;
     private final LongSupplier nowMillis;
+    private final Runnable onExcluded;
     private Optional<EligibilityRequest> lastRequest = Optional.empty();
     private TokenNeed lastNeed = TokenNeed.NONE;
     private double meanRequestTokens = DEFAULT_REQUEST_TOKENS;
@@ -38,12 +39,15 @@
      * @param peerLoads what those of other instances hold
      * @param otherDomains number of the other failure domains that have instances
      * @param nowMillis monotonic clock, in milliseconds
+     * @param onExcluded run each time an endpoint is excluded
      */
-    public MemoryRule(EndpointLoads loads, PeerLoads peerLoads, int otherDomains, LongSupplier nowMillis) {
+    public MemoryRule(
+            EndpointLoads loads, PeerLoads peerLoads, int otherDomains, LongSupplier nowMillis, Runnable onExcluded) {
         this.loads = checkNotNull(loads);
         this.peerLoads = checkNotNull(peerLoads);
         this.otherDomains = otherDomains;
         this.nowMillis = checkNotNull(nowMillis);
+        this.onExcluded = checkNotNull(onExcluded);
     }
 
     @Override
@@ -60,14 +64,16 @@
         long unreportedTokens = otherDomains * own.domainGrowthTokens(nowMillis.getAsLong(), domainTokens);
         long heldTokens =
                 domainTokens + peerLoads.otherDomainsHeldTokens(state.key(), requestTokens) + unreportedTokens;
-        return TokenMemory.fits(capacityTokens, heldTokens, own.addedTokens(need))
-                ? Optional.empty()
-                : Optional.of(Ineligibility.MEMORY_FULL);
+        if (TokenMemory.fits(capacityTokens, heldTokens, own.addedTokens(need))) {
+            return Optional.empty();
+        }
+        onExcluded.run();
+        return Optional.of(Ineligibility.MEMORY_FULL);
     }
 
     /** Returns the need of a request, computed once for all endpoints that are checked in a row. */
     private TokenNeed needOf(EligibilityRequest request, long capacityTokens) {
-        if (lastRequest.isEmpty() || lastRequest.get() != request) {
+        if (!lastRequest.equals(Optional.of(request))) {
             lastRequest = Optional.of(request);
             lastNeed = request.prompt().tokenNeed(request.model());
             long averagedTokens = Math.min(lastNeed.totalTokens(), capacityTokens / MAX_AVERAGED_PART);
--- a/router/src/main/java/baobabcroft/relay/Prompt.java
+++ b/router/src/main/java/baobabcroft/relay/Prompt.java
@@ -66,7 +66,7 @@
         return Math.max(0, promptTokens - sharedTokens());
     }
 
-    /** Returns the number of tokens that the answer is expected to have; the maximum if the caller estimates nothing. */
+    /** Returns the number of tokens that the answer is expected to have: the maximum if there is no estimate. */
     private long expectedOutputTokens() {
         if (outputHintTokens.isEmpty()) {
             return maxOutputTokens;
--- a/router/src/test/java/baobabcroft/relay/MemoryFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/MemoryFleetTest.java
@@ -61,7 +61,7 @@
         private final int domain;
         private final PeerLoads peerLoads = PeerLoads.create(time::nowMillis);
         private final EndpointLoads loads = EndpointLoads.create(time::nowMillis, peerLoads, () -> {});
-        private final MemoryRule rule = new MemoryRule(loads, peerLoads, DOMAINS - 1, time::nowMillis);
+        private final MemoryRule rule = new MemoryRule(loads, peerLoads, DOMAINS - 1, time::nowMillis, () -> {});
         private final EndpointChooser chooser;
 
         private Instance(int domain) {
--- a/router/src/test/java/baobabcroft/relay/MemoryRuleTest.java
+++ b/router/src/test/java/baobabcroft/relay/MemoryRuleTest.java
@@ -26,7 +26,7 @@
     private long nowMillis = 10_000;
     private final PeerLoads peerLoads = PeerLoads.create(() -> nowMillis);
     private final EndpointLoads loads = EndpointLoads.create(() -> nowMillis, peerLoads, () -> {});
-    private final MemoryRule rule = new MemoryRule(loads, peerLoads, 2, () -> nowMillis);
+    private final MemoryRule rule = new MemoryRule(loads, peerLoads, 2, () -> nowMillis, () -> {});
 
     private static Prompt prompt(int tokens) {
         return new Prompt(ImmutableList.of(new PromptPart("own", tokens)), tokens, 0);
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -484,7 +484,7 @@
                                 : Optional.empty()),
                 ImmutableList.of(
                         (endpoint, request) -> availability.unavailability(endpoint),
-                        new MemoryRule(loads, remoteLoads, 0, this::now)));
+                        new MemoryRule(loads, remoteLoads, 0, this::now, () -> {})));
     }
 
     RelayServices services() {
