--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -6,6 +6,8 @@
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.directory.EvacuatedDomains;
+import baobabcroft.fairness.AccountUses;
+import baobabcroft.fairness.FairAdmission;
 import baobabcroft.feed.FeedClient;
 import baobabcroft.feed.FeedServer;
 import baobabcroft.front.EndpointConnectionPool;
@@ -27,11 +29,13 @@
 import baobabcroft.relay.EndpointChooser;
 import baobabcroft.relay.EndpointEligibility;
 import baobabcroft.relay.EndpointLoads;
+import baobabcroft.relay.MemoryRule;
 import baobabcroft.relay.PauseQueue;
 import baobabcroft.relay.PlannedStop;
 import baobabcroft.relay.RelayServices;
 import baobabcroft.relay.RelayedRequest;
 import baobabcroft.relay.RequestDialect;
+import baobabcroft.relay.ServiceUseReader;
 import baobabcroft.replica.StoreCalls;
 import baobabcroft.replica.StoreReplica;
 import baobabcroft.retry.RetryBudget;
@@ -42,12 +46,14 @@
 import baobabcroft.routing.RoutingTableHolder;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Sets;
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoopGroup;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -105,6 +111,9 @@
     private final PeerLoads peerLoads;
     private final EndpointLoads loads;
     private final EndpointAvailability availability;
+    private final EndpointEligibility eligibility;
+    private final AccountUses accountUses = AccountUses.create(nowMillis);
+    private final FairAdmission fairness;
     private final DomainRolloutCounts rolloutCounts = new DomainRolloutCounts();
     private final InstancePace pace;
     private final StoreContents storeContents;
@@ -196,6 +205,13 @@
                 storeDialect.rolloutStatusWriter(store),
                 new SharedStoreRecords.Receivers(rollouts, crashTracker, new Peers()));
         this.plannedStop = PlannedStop.create(nowMillis, scheduler);
+        this.eligibility = EndpointEligibility.of(placement.rules(settings.regions(), availability), admissionRules());
+        this.fairness = FairAdmission.create(
+                nowMillis,
+                accountUses,
+                new ServiceUseReader(directory, routing, eligibility, loads),
+                new AccountDirectory(routing),
+                new FairnessRecorder(metrics, nowMillis));
         this.services = createServices(dialect);
     }
 
@@ -204,7 +220,17 @@
     }
 
     private ImmutableList<EndpointEligibility.Rule> admissionRules() {
-        return ImmutableList.of((endpoint, request) -> availability.unavailability(endpoint), pace.limit(availability));
+        return ImmutableList.of(
+                (endpoint, request) -> availability.unavailability(endpoint),
+                pace.limit(availability),
+                new MemoryRule(
+                        loads, peerLoads, otherDomains(), nowMillis, metrics.counter("capacity.memory_full")::inc));
+    }
+
+    /** Returns the number of other failure domains in the settings; 0 if these list none. */
+    private int otherDomains() {
+        return Sets.difference(settings.regions().keySet(), Set.of(settings.failureDomain()))
+                .size();
     }
 
     private RelayServices createServices(RequestDialect dialect) {
@@ -218,7 +244,8 @@
                 loads,
                 memory,
                 availability,
-                EndpointEligibility.of(placement.rules(settings.regions(), availability), admissionRules()),
+                eligibility,
+                fairness,
                 PauseQueue.create(fleetView(), random::nextDouble),
                 new EndpointChooser(settings.failureDomain(), settings.regions(), loads, this::receiveNotices, random),
                 ConfidenceCascade.withDynamicThreshold(() -> this.settings.keepFromPercent()),
@@ -265,7 +292,15 @@
                 settings.failureDomain(),
                 settings.peers(),
                 new NoticeStateAdapter(
-                        loads, peerLoads, rolloutCounts, rollouts, availability, nowMillis, forwarding.isolation())));
+                        loads,
+                        peerLoads,
+                        rolloutCounts,
+                        rollouts,
+                        availability,
+                        nowMillis,
+                        forwarding.isolation(),
+                        fairness,
+                        accountUses)));
         FeedServer.start(loop, settings.peers(), store.feed());
         loop.execute(this::startStore);
         log.log(LogEvent.STARTED, settings.instance(), settings.callers(), settings.readiness(), settings.peers());
--- a/router/src/main/java/baobabcroft/log/LogEvent.java
+++ b/router/src/main/java/baobabcroft/log/LogEvent.java
@@ -221,6 +221,16 @@
     REQUEST_WAITING(7004, INFO, "request waits for the end of a pause", "request", "waitMillis", "agoMillis"),
     /** A request found no endpoint; why the service's endpoints are excluded, with their number for each reason. */
     NO_ENDPOINT(7005, INFO, "no endpoint for the request", "request", "reasons", "agoMillis"),
+    /** Requests of a client account are refused, as its share of a service whose endpoints are full is used up. */
+    ACCOUNT_REFUSED(
+            7006,
+            INFO,
+            "requests refused above the account's share",
+            "account",
+            "service",
+            "refusals",
+            "percentOfShare",
+            "percentOccupied"),
     /** A request received its final response. */
     REQUEST_FINISHED(
             7003,
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import baobabcroft.capacity.HeldTokens;
+import baobabcroft.capacity.TokenNeed;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.load.EndpointKey;
 import baobabcroft.load.PeerLoads;
@@ -156,6 +158,7 @@
 
         private final EndpointSpeeds.Speed speed = speeds.newEndpoint();
         private final LinkedHashMap<String, Integer> cachedParts = new LinkedHashMap<>(16, 0.75f, true);
+        private final HeldTokens heldTokens = HeldTokens.create();
         private long cachedTokens;
         private int inFlight;
         private double pendingPrefillMillis;
@@ -195,12 +198,23 @@
                     local.inFlight() + remote.inFlight(),
                     local.prefillBacklogMillis() + remote.prefillBacklogMillis(),
                     Math.max(local.failureRate(), remoteWeight * remote.failureRate()),
-                    Math.max(local.lateMillis(), remoteWeight * remote.lateMillis()));
+                    Math.max(local.lateMillis(), remoteWeight * remote.lateMillis()),
+                    local.heldTokens() + remote.heldTokens());
         }
 
         /** Returns the load that this instance causes, and the failures and delays that it has seen. */
         private Load localLoad() {
-            return new Load(inFlight, pendingPrefillMillis, outcomes.failureRate(), outcomes.lateMillis());
+            return new Load(
+                    inFlight,
+                    pendingPrefillMillis,
+                    outcomes.failureRate(),
+                    outcomes.lateMillis(),
+                    heldTokens.tokens());
+        }
+
+        /** Returns the token memory that this instance's requests hold at the endpoint. */
+        HeldTokens heldTokens() {
+            return heldTokens;
         }
 
         /** Returns whether the endpoint is ejected because of recent connection failures. */
@@ -254,9 +268,8 @@
             boolean slotFree = before.inFlight() < slots;
             inFlight++;
             pendingPrefillMillis += prefillMillis;
-            onChange.run();
             double expectedMillis = prefillMillis + before.prefillBacklogMillis();
-            return new InFlightRequest(
+            InFlightRequest started = new InFlightRequest(
                     this,
                     model,
                     prompt,
@@ -267,6 +280,8 @@
                     slotFree,
                     cacheTokens,
                     roundTripMillis);
+            onChange.run();
+            return started;
         }
 
         private void cacheParts(Optional<String> model, Prompt prompt, long cacheTokens) {
@@ -318,6 +333,7 @@
         private final boolean slotFree;
         private final long cacheTokens;
         private final double roundTripMillis;
+        private final HeldTokens.Hold memory;
         private final long sentAtMillis = nowMillis.getAsLong();
         private boolean prefillDone;
         private boolean ended;
@@ -343,6 +359,7 @@
             this.slotFree = slotFree;
             this.cacheTokens = cacheTokens;
             this.roundTripMillis = roundTripMillis;
+            this.memory = state.heldTokens.hold(cacheTokens > 0 ? prompt.tokenNeed(model) : TokenNeed.NONE);
         }
 
         /** Records the first output, with which the prefill of the prompt has ended. */
@@ -449,6 +466,7 @@
             }
             ended = true;
             state.inFlight--;
+            memory.release();
             markPrefillDone();
             onChange.run();
             return true;
--- a/router/src/main/java/baobabcroft/relay/EndpointSelection.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointSelection.java
@@ -1,6 +1,7 @@
 package baobabcroft.relay;
 
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.routing.ServiceProfile;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMultiset;
 import com.google.common.collect.ImmutableSet;
@@ -47,6 +48,14 @@
                         admitted.eligibilityRequest(service, Optional.empty()));
     }
 
+    /** Returns whether the request takes up more token memory than an endpoint has, even if it holds nothing else. */
+    boolean isLargerThanMemory(Optional<String> model) {
+        return admitted.serviceProfile(service)
+                .filter(ServiceProfile::isEngine)
+                .filter(profile -> admitted.metadata().prompt().tokenNeed(model).totalTokens() > profile.cacheTokens())
+                .isPresent();
+    }
+
     /** Returns the instances that hold a part of what the endpoints take from all instances together. */
     ImmutableSet<String> partHolders() {
         return services.availability().holders(accepting());
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -6,6 +6,8 @@
 import baobabcroft.common.Execution;
 import baobabcroft.common.Scheduler;
 import baobabcroft.directory.EndpointEntry;
+import baobabcroft.fairness.FairAdmission;
+import baobabcroft.fairness.FairRequest;
 import baobabcroft.relay.ForwardingHeaders.PriorSends;
 import baobabcroft.retry.RequestAttempts;
 import baobabcroft.retry.RetryBudget;
@@ -42,6 +44,8 @@
      * in which a change of the configuration, or the end of an evacuation, reaches the instances.
      */
     private static final long NO_PLACEMENT_RETRY_MILLIS = 2_000;
+    /** Mean retry delay for a request that no endpoint has memory for, in milliseconds: until endpoints are replaced. */
+    private static final long TOO_LARGE_RETRY_MILLIS = 60_000;
     /** Maximum wait for the first configuration, in milliseconds: an eighth of goals of a few seconds. */
     private static final long CONFIG_WAIT_MILLIS = 250;
 
@@ -77,6 +81,7 @@
     private boolean waited;
     private boolean delivered;
     private boolean done;
+    private FairAdmission.Admitted accountUse = FairAdmission.Admitted.NONE;
     private Optional<Scheduler.Cancellable> pauseWait = Optional.empty();
     private final Runnable placementListener = this::onPlacementChanged;
     private Scheduler.Cancellable deadlineTimer = () -> {};
@@ -192,6 +197,20 @@
             fail(StopReason.DEADLINE);
             return;
         }
+        if (selection.isLargerThanMemory(model)) {
+            refuse(Refusal.retryAfter(ErrorCode.POOL_EXHAUSTED, withJitter(TOO_LARGE_RETRY_MILLIS)));
+            return;
+        }
+        FairRequest fairRequest = allowed.fairRequest(service, model);
+        // A forwarded request was admitted by the instance that its caller is connected to.
+        OptionalLong refusalMillis = priorSends.isPresent()
+                ? OptionalLong.empty()
+                : services.fairness().refusalMillis(fairRequest);
+        if (refusalMillis.isPresent()) {
+            refuse(Refusal.retryAfter(ErrorCode.OVERLOADED, withJitter(refusalMillis.getAsLong())));
+            return;
+        }
+        accountUse = services.fairness().start(fairRequest);
         startFirstAttempt();
     }
 
@@ -575,6 +594,7 @@
         deadlineTimer.cancel();
         plannedStopEnd.cancel();
         leavePauseQueue();
+        accountUse.end();
         Optional<Admission.Admitted> admittedIfAny = Optional.ofNullable(admitted);
         services.listener()
                 .onFinished(new RelaySummary(
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -6,6 +6,9 @@
 import baobabcroft.directory.EndpointDirectory;
 import baobabcroft.directory.EndpointEntry;
 import baobabcroft.directory.EvacuatedDomains;
+import baobabcroft.fairness.AccountUses;
+import baobabcroft.fairness.FairAdmission;
+import baobabcroft.fairness.ServiceUse;
 import baobabcroft.fake.VirtualTime;
 import baobabcroft.limit.FleetView;
 import baobabcroft.load.PeerLoads;
@@ -64,6 +67,14 @@
     final EndpointAvailability availability;
     private final PauseQueue pauseQueue;
     EndpointEligibility.Rule otherRule = (endpoint, request) -> Optional.empty();
+    /** Shares of accounts; no service is contended unless a test says so. */
+    FairAdmission fairness = FairAdmission.create(
+            this::now,
+            AccountUses.create(this::now),
+            service -> new ServiceUse(0, 0, 0, 0),
+            service -> ImmutableMap.of(),
+            (request, aboveShare, occupancy) -> {});
+
     final PlannedStop plannedStop = PlannedStop.create(this::now, time.scheduler());
     RetryBudget budget = RetryBudget.of(1, 100, 100);
     ModelChooser models = ConfidenceCascade.of(50);
@@ -187,7 +198,9 @@
                     headers.first("id").orElse("r-1"),
                     wait,
                     headers.first("key"),
-                    Prompt.NONE,
+                    headers.first("prompt-tokens")
+                            .map(text -> new Prompt(ImmutableList.of(), Integer.parseInt(text), 0))
+                            .orElse(Prompt.NONE),
                     headers.first("model").filter("*"::equals).isPresent(),
                     headers.first("resume-after")
                             .map(text -> OptionalLong.of(Long.parseLong(text)))
@@ -502,6 +515,7 @@
                                 : Optional.empty()),
                 ImmutableList.of(
                         (endpoint, request) -> availability.unavailability(endpoint),
+                        new MemoryRule(loads, remoteLoads, 0, this::now, () -> {}),
                         (endpoint, request) -> otherRule.check(endpoint, request)));
     }
 
@@ -519,6 +533,7 @@
                 memory,
                 availability,
                 eligibility(),
+                fairness,
                 pauseQueue,
                 chooser,
                 models,
