--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -205,11 +205,7 @@
         /** Returns the load that this instance causes, and the failures and delays that it has seen. */
         private Load localLoad() {
             return new Load(
-                    inFlight,
-                    pendingPrefillMillis,
-                    outcomes.failureRate(),
-                    outcomes.lateMillis(),
-                    heldTokens.tokens());
+                    inFlight, pendingPrefillMillis, outcomes.failureRate(), outcomes.lateMillis(), heldTokens.tokens());
         }
 
         /** Returns the token memory that this instance's requests hold at the endpoint. */
