--- a/router/src/main/java/baobabcroft/relay/EndpointChooser.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointChooser.java
@@ -179,17 +179,17 @@
     }
 
     /**
-     * Returns the expected delay by other requests at an engine, in milliseconds. The backlog is stated by each instance
-     * as it expects it at the engine's speed.
+     * Returns the expected delay by other requests at an engine, in milliseconds. The backlog is stated by each
+     * instance as it expects it at the engine's speed.
      */
     private static double waitMillis(EndpointLoads.State state, PeerLoads.Load load) {
         return load.prefillBacklogMillis() + load.inFlight() * ENGINE_REQUEST_DELAY_MILLIS * state.timeFactor();
     }
 
     /**
-     * Determines the endpoints to which all instances send a shared part. They agree across regions if that is likely to
-     * save more than the way between regions costs. A place is passed over if the wait there is longer than reading the
-     * part elsewhere takes.
+     * Determines the endpoints to which all instances send a shared part. They agree across regions if that is likely
+     * to save more than the way between regions costs. A place is passed over if the wait there is longer than reading
+     * the part elsewhere takes.
      */
     private void placeSharedPart(Collection<EndpointEntry> candidates, Set<String> used, Query query) {
         Optional<PromptPart> part = query.prompt().lastSharedPart();
--- a/router/src/main/java/baobabcroft/relay/EndpointLoads.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointLoads.java
@@ -28,10 +28,14 @@
     private static final double DOUBLING_CONTEXT_TOKENS = 24_000;
     /** Minimum uncached tokens for observing the prefill time; with shorter prompts other delays dominate. */
     private static final int MIN_OBSERVED_TOKENS = 400;
-    /** Largest share of tokens that another instance's request may have had cached, for observing an endpoint's speed. */
+    /**
+     * Largest share of tokens that another instance's request may have had cached, for observing an endpoint's speed.
+     */
     private static final double MAX_DOUBTFUL_SHARE = 0.3;
 
-    /** Time of a request at a plain service before any observation, in milliseconds: more than services usually take. */
+    /**
+     * Time of a request at a plain service before any observation, in milliseconds: more than services usually take.
+     */
     private static final double DEFAULT_PLAIN_REQUEST_MILLIS = 300;
 
     /** Uncached tokens above which a request's priority drops by one more: one prefill chunk, then several. */
@@ -373,8 +377,8 @@
         }
 
         /**
-         * Observes the prefill time of a token. If shared parts are most of what is to be prefilled, it is not known how
-         * much was: other instances may have sent these parts to the endpoint.
+         * Observes the prefill time of a token. If shared parts are most of what is to be prefilled, it is not known
+         * how much was: other instances may have sent these parts to the endpoint.
          */
         private void observeTokenPrefill() {
             if (isolated || !noPendingPrefill || tokensToPrefill < MIN_OBSERVED_TOKENS) {
--- a/router/src/main/java/baobabcroft/relay/EndpointPriority.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointPriority.java
@@ -5,8 +5,8 @@
 /**
  * Decides on the priority that a request has at an endpoint, 0 being the highest.
  *
- * <p>The configured priority decides first; the size of the prompt decides among requests of the same one. Ten values are
- * divided evenly among the configured priorities, so that three of them leave three values each for prompt sizes.
+ * <p>The configured priority decides first; the size of the prompt decides among requests of the same one. Ten values
+ * are divided evenly among the configured priorities, so that three of them leave three values each for prompt sizes.
  */
 final class EndpointPriority {
     /** Values that endpoints tell apart, from 0 to 9. */
--- a/router/src/test/java/baobabcroft/relay/UnevenFleet.java
+++ b/router/src/test/java/baobabcroft/relay/UnevenFleet.java
@@ -21,8 +21,8 @@
 import org.apache.commons.rng.simple.RandomSource;
 
 /**
- * Model of the telemetry deployment on virtual time: 62 engines of three speeds that work in batches, instances with late
- * notices, and three kinds of streams whose load varies with a different phase in each failure domain.
+ * Model of the telemetry deployment on virtual time: 62 engines of three speeds that work in batches, instances with
+ * late notices, and three kinds of streams whose load varies with a different phase in each failure domain.
  */
 final class UnevenFleet {
     static final ImmutableMap<String, String> REGIONS =
--- a/router/src/test/java/baobabcroft/relay/UnevenFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/UnevenFleetTest.java
@@ -63,7 +63,7 @@
             EndpointLoads.State state = loads.stateOf(engine);
             Load load = state.load();
             double tokens = state.tokensToPrefill(model, prompt);
-            tokens -= engine == preferred ? 0.7 * Math.max(0, tokens - prompt.ownTokens()) : 0;
+            tokens -= engine.equals(preferred) ? 0.7 * Math.max(0, tokens - prompt.ownTokens()) : 0;
             double millis = formerCost(instance, engine)
                     + 3 * instance.random.nextDouble()
                     + load.failureRate() * 3_000
