--- a/router/src/main/java/baobabcroft/front/DescriptorLimit.java
+++ b/router/src/main/java/baobabcroft/front/DescriptorLimit.java
@@ -6,7 +6,7 @@
 import java.nio.file.Path;
 import java.util.stream.Stream;
 
-/** Descriptors that the operating system allows the process. */
+/** Descriptors that the deployment or the operating system allows the process. */
 final class DescriptorLimit {
     private static final Path LIMITS = Path.of("/proc/self/limits");
     private static final String LINE = "Max open files";
@@ -23,12 +23,14 @@
      * Returns a share of the descriptors that are not reserved.
      *
      * @param share the share, more than 0 and at most 1
+     * @param statedDescriptors descriptors that the deployment allows the process; 0 to ask the operating system
      */
-    static int share(double share) {
-        return Math.max(1, (int) (share * (limit() - RESERVED)));
+    static int share(double share, int statedDescriptors) {
+        int descriptors = statedDescriptors > 0 ? statedDescriptors : limitOfProcess();
+        return Math.max(1, (int) (share * (descriptors - RESERVED)));
     }
 
-    private static int limit() {
+    private static int limitOfProcess() {
         try (Stream<String> lines = Files.lines(LIMITS)) {
             return lines.filter(line -> line.startsWith(LINE))
                     .map(line ->
--- a/router/src/main/java/baobabcroft/front/FrontServer.java
+++ b/router/src/main/java/baobabcroft/front/FrontServer.java
@@ -41,12 +41,13 @@
     private Channel listener;
 
     private FrontServer(
+            int statedDescriptors,
             Supplier<CallerLimits> limits,
             MemoryBudget memory,
             LongSupplier nowMillis,
             BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {
         this.maxConnections = (int) Math.min(
-                DescriptorLimit.share(DESCRIPTOR_SHARE),
+                DescriptorLimit.share(DESCRIPTOR_SHARE, statedDescriptors),
                 Math.max(1, MEMORY_SHARE * memory.capacityBytes() / HeadMemory.CONNECTION_BYTES));
         this.reclaimer = new ConnectionReclaimer(connections, nowMillis);
         this.context = new FrontContext(limits, memory, reclaimer, () -> draining, nowMillis, relay);
@@ -57,6 +58,7 @@
      *
      * @param loop event loop of all connections
      * @param address address that callers connect to
+     * @param statedDescriptors descriptors that the deployment allows the process; 0 if it states none
      * @param limits current limits on callers' requests
      * @param memory memory of the instance, which requests and responses take from
      * @param nowMillis monotonic clock, in milliseconds
@@ -66,12 +68,17 @@
     public static FrontServer start(
             EventLoopGroup loop,
             HostAndPort address,
+            int statedDescriptors,
             Supplier<CallerLimits> limits,
             MemoryBudget memory,
             LongSupplier nowMillis,
             BiFunction<CallerRequest, CallerExchange, RequestInProgress> relay) {
         FrontServer server = new FrontServer(
-                checkNotNull(limits), checkNotNull(memory), checkNotNull(nowMillis), checkNotNull(relay));
+                statedDescriptors,
+                checkNotNull(limits),
+                checkNotNull(memory),
+                checkNotNull(nowMillis),
+                checkNotNull(relay));
         server.listener = NettyChannels.server(loop, server::handlers)
                 .bind(address.getHost(), address.getPort())
                 .syncUninterruptibly()
--- a/router/src/main/java/baobabcroft/front/UnreadTrailers.java
+++ b/router/src/main/java/baobabcroft/front/UnreadTrailers.java
@@ -4,7 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpHeadersFactory;
 
-/** Trailers of a chunked body, none of which is kept: they are not used, and an incomplete trailer would take memory. */
+/** Trailers of a chunked body. None is kept: they are not used, and an incomplete trailer would take memory. */
 final class UnreadTrailers extends DefaultHttpHeaders {
     static final HttpHeadersFactory FACTORY = new HttpHeadersFactory() {
         @Override
--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -122,8 +122,14 @@
     void listen(EventLoopGroup loop, Supplier<CallerLimits> limits, RelayServices services, BooleanSupplier stopping) {
         ForwardedRequests requests = ForwardedRequests.create(services, () -> rejectionReason(stopping));
         server = settings.forwarding()
-                .map(address ->
-                        FrontServer.start(loop, address, limits, services.memory(), nowMillis, requests::serve));
+                .map(address -> FrontServer.start(
+                        loop,
+                        address,
+                        settings.maxDescriptors(),
+                        limits,
+                        services.memory(),
+                        nowMillis,
+                        requests::serve));
     }
 
     private Optional<String> rejectionReason(BooleanSupplier stopping) {
--- a/router/src/main/java/baobabcroft/instance/InstanceSettings.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceSettings.java
@@ -19,6 +19,7 @@
  * @param peers address that receives the datagrams of other instances
  * @param forwarding address that takes requests forwarded by other instances; empty if this instance takes none
  * @param linkMegabitsPerSecond rate of the network link; 0 if unknown
+ * @param maxDescriptors open files and connections that the deployment allows the process; 0 if it states none
  * @param keepFromPercent lowest confidence, in percent, with which the answer of a smaller model is used
  * @param maxEndpointPauseMillis longest time for which an endpoint gets no requests because it said so, in milliseconds
  * @param bounds bounds that the contract of the deployment sets
@@ -33,6 +34,7 @@
         HostAndPort peers,
         Optional<HostAndPort> forwarding,
         double linkMegabitsPerSecond,
+        int maxDescriptors,
         int keepFromPercent,
         long maxEndpointPauseMillis,
         DeploymentBounds bounds) {
@@ -50,6 +52,7 @@
                 linkMegabitsPerSecond >= 0,
                 "linkMegabitsPerSecond negative or not a number: %s",
                 linkMegabitsPerSecond);
+        checkArgument(maxDescriptors >= 0, "negative maxDescriptors: %s", maxDescriptors);
         checkArgument(maxEndpointPauseMillis > 0, "maxEndpointPauseMillis not positive: %s", maxEndpointPauseMillis);
         checkNotNull(bounds);
     }
@@ -80,6 +83,7 @@
                 peers,
                 forwarding,
                 linkMegabitsPerSecond,
+                maxDescriptors,
                 read.keepFromPercent,
                 read.maxEndpointPauseMillis,
                 changed);
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -143,39 +143,12 @@
         this.aligned = Scheduler.aligned(scheduler, nowMillis, WAKE_PERIOD_MILLIS);
         this.members = new FleetMembers(
                 settings.instance(), scheduler, settings.bounds().contactMillis());
-        this.forwarding = new InstanceForwarding(
-                settings,
-                loop,
-                scheduler,
-                aligned,
-                nowMillis,
-                random,
-                dialect,
-                placement::reachableEndpoints,
-                metrics,
-                this::onIsolationChanged,
-                this::onConnected);
+        this.forwarding = createForwarding(dialect);
         this.connections = forwarding.endpointConnections();
         this.peerLoads = PeerLoads.create(nowMillis);
         this.loads = EndpointLoads.create(nowMillis, peerLoads, this::onLoadChanged);
-        this.availability = EndpointAvailability.create(
-                nowMillis,
-                random::nextDouble,
-                () -> this.settings.maxEndpointPauseMillis(),
-                fleetView(),
-                loads::openRequests,
-                new AvailabilityRecorder(metrics));
-        this.pace = new InstancePace(
-                settings,
-                () -> this.settings.bounds(),
-                members::names,
-                directory,
-                routing,
-                peerLoads,
-                loads,
-                metrics,
-                nowMillis,
-                random::nextDouble);
+        this.availability = createAvailability();
+        this.pace = createPace();
         this.sharedRecords = new SharedStoreRecords(settings.instance(), rolloutCounts);
         this.rollouts = new FleetRollouts(
                 sharedRecords,
@@ -206,13 +179,56 @@
                 new SharedStoreRecords.Receivers(rollouts, crashTracker, new Peers()));
         this.plannedStop = PlannedStop.create(nowMillis, scheduler);
         this.eligibility = EndpointEligibility.of(placement.rules(settings.regions(), availability), admissionRules());
-        this.fairness = FairAdmission.create(
+        this.fairness = createFairness();
+        this.services = createServices(dialect);
+    }
+
+    private InstanceForwarding createForwarding(RequestDialect dialect) {
+        return new InstanceForwarding(
+                settings,
+                loop,
+                scheduler,
+                aligned,
+                nowMillis,
+                random,
+                dialect,
+                placement::reachableEndpoints,
+                metrics,
+                this::onIsolationChanged,
+                this::onConnected);
+    }
+
+    private EndpointAvailability createAvailability() {
+        return EndpointAvailability.create(
+                nowMillis,
+                random::nextDouble,
+                () -> this.settings.maxEndpointPauseMillis(),
+                fleetView(),
+                loads::openRequests,
+                new AvailabilityRecorder(metrics));
+    }
+
+    private InstancePace createPace() {
+        return new InstancePace(
+                settings,
+                () -> this.settings.bounds(),
+                members::names,
+                directory,
+                routing,
+                peerLoads,
+                loads,
+                metrics,
+                nowMillis,
+                random::nextDouble);
+    }
+
+    private FairAdmission createFairness() {
+        return FairAdmission.create(
                 nowMillis,
                 accountUses,
                 new ServiceUseReader(directory, routing, eligibility, loads),
                 new AccountDirectory(routing),
                 new FairnessRecorder(metrics, nowMillis));
-        this.services = createServices(dialect);
     }
 
     private FleetView fleetView() {
@@ -282,7 +298,8 @@
         StatusServer.start(loop, settings.readiness(), ImmutableMap.of("/readyz", this::readiness));
         StatusServer.start(loop, settings.metrics(), ImmutableMap.of("/metrics", this::metricsPage));
         registerGauges();
-        front = FrontServer.start(loop, settings.callers(), this::limits, memory, nowMillis, this::relay);
+        front = FrontServer.start(
+                loop, settings.callers(), settings.maxDescriptors(), this::limits, memory, nowMillis, this::relay);
         forwarding.listen(loop, this::limits, services, () -> stopping);
         loop.execute(this::tick);
         noticeExchange = Optional.of(NoticeExchange.start(
--- a/router/src/main/java/baobabcroft/pace/EndpointPace.java
+++ b/router/src/main/java/baobabcroft/pace/EndpointPace.java
@@ -39,7 +39,7 @@
     private static final long STORE_DELAY_MILLIS = 2_200;
     /** Time from reading the store to holding shares, in milliseconds: for this instance's own key, and a margin. */
     private static final long SETTLING_MILLIS = 5_000;
-    /** Addition to the time that an entry states, in milliseconds: entries state whole milliseconds of another clock. */
+    /** Addition to the time that an entry states, in milliseconds, as entries state the time of another clock. */
     private static final long COLD_MARGIN_MILLIS = 100;
     /** Failure rate as seen by any other instance from which an endpoint may be about to start again: one failure. */
     private static final double DOUBTFUL_FAILURE_RATE = 0.15;
--- a/router/src/main/java/baobabcroft/pace/PacedEndpoint.java
+++ b/router/src/main/java/baobabcroft/pace/PacedEndpoint.java
@@ -35,8 +35,8 @@
     /**
      * Creates the state of an endpoint that is not paced yet.
      *
-     * @param phase part of the time between two requests, from 0 to 1, that passes before the first one; differs between
-     *     instances, so that their first requests do not arrive together
+     * @param phase part of the time between two requests, from 0 to 1, that passes before the first one; it differs
+     *     between instances, so that their first requests do not arrive together
      */
     PacedEndpoint(PaceFleet fleet, EndpointEntry entry, PaceReason reason, long nowMillis, double phase) {
         this.fleet = fleet;
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -44,7 +44,7 @@
      * in which a change of the configuration, or the end of an evacuation, reaches the instances.
      */
     private static final long NO_PLACEMENT_RETRY_MILLIS = 2_000;
-    /** Mean retry delay for a request that no endpoint has memory for, in milliseconds: until endpoints are replaced. */
+    /** Mean retry delay for a request that exceeds the memory of all endpoints, in milliseconds. */
     private static final long TOO_LARGE_RETRY_MILLIS = 60_000;
     /** Maximum wait for the first configuration, in milliseconds: an eighth of goals of a few seconds. */
     private static final long CONFIG_WAIT_MILLIS = 250;
--- a/router/src/test/java/baobabcroft/front/FrontServerTest.java
+++ b/router/src/test/java/baobabcroft/front/FrontServerTest.java
@@ -45,7 +45,7 @@
     private final AtomicReference<CallerExchange> heldCaller = new AtomicReference<>();
     private volatile CallerLimits limits = CallerLimits.DEFAULT;
     private final FrontServer server =
-            FrontServer.start(loop, address, () -> limits, memory, time::nowMillis, this::answer);
+            FrontServer.start(loop, address, 0, () -> limits, memory, time::nowMillis, this::answer);
 
     /** Answers with the target of the request, with many bytes, or not at all. */
     private RequestInProgress answer(CallerRequest request, CallerExchange caller) {
--- a/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestMemoryTest.java
@@ -50,7 +50,7 @@
     private int received;
 
     RequestMemoryTest() {
-        server = FrontServer.start(loop, address, () -> LIMITS, memory, () -> nowMillis, this::receive);
+        server = FrontServer.start(loop, address, 0, () -> LIMITS, memory, () -> nowMillis, this::receive);
     }
 
     /** Answers requests for "/now", and leaves others open. */
--- a/router/src/test/java/baobabcroft/pace/PacePolicyModelTest.java
+++ b/router/src/test/java/baobabcroft/pace/PacePolicyModelTest.java
@@ -87,30 +87,58 @@
     private record Result(int coldPeak, int peak, long fairAtMillis, int early, int late, int total) {}
 
     private static Result play(int size, Function<PaceFixture, Policy> newPolicy, long maxDelayMillis, long seed) {
-        PaceFixture fleet = new PaceFixture(size, seed).settled();
-        Policy policy = newPolicy.apply(fleet);
-        List<Instance> instances = new ArrayList<>();
-        long start = fleet.nowMillis + BEFORE_MILLIS;
-        for (int i = 0; i < size; i++) {
-            Instance instance = new Instance(i, fleet.members.get(i));
-            instance.listedAtMillis = start + (long) (fleet.random.nextDouble() * maxDelayMillis);
-            instances.add(instance);
+        return new Run(size, newPolicy, maxDelayMillis, seed).play();
+    }
+
+    /** One run of the model. */
+    private static final class Run {
+        private final PaceFixture fleet;
+        private final Policy policy;
+        private final List<Instance> instances = new ArrayList<>();
+        private final long start;
+        private final int[] load = new int[ENGINES];
+        private final int[] told = new int[ENGINES];
+        private final PriorityQueue<Output> outputs =
+                new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
+        private final PriorityQueue<Open> open =
+                new PriorityQueue<>((a, b) -> Long.compare(a.doneAtMillis(), b.doneAtMillis()));
+        private final Deque<Long> lastSecond = new ArrayDeque<>();
+        private int early;
+        private int late;
+        private int total;
+        private int coldPeak;
+        private int peak;
+        private long fairAtMillis = RUN_MILLIS;
+        private double due;
+
+        private Run(int size, Function<PaceFixture, Policy> newPolicy, long maxDelayMillis, long seed) {
+            fleet = new PaceFixture(size, seed).settled();
+            policy = newPolicy.apply(fleet);
+            start = fleet.nowMillis + BEFORE_MILLIS;
+            for (int i = 0; i < size; i++) {
+                Instance instance = new Instance(i, fleet.members.get(i));
+                instance.listedAtMillis = start + (long) (fleet.random.nextDouble() * maxDelayMillis);
+                instances.add(instance);
+            }
         }
-        int[] load = new int[ENGINES];
-        int[] told = new int[ENGINES];
-        PriorityQueue<Output> outputs = new PriorityQueue<>((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
-        PriorityQueue<Open> open = new PriorityQueue<>((a, b) -> Long.compare(a.doneAtMillis(), b.doneAtMillis()));
-        Deque<Long> lastSecond = new ArrayDeque<>();
-        int early = 0;
-        int late = 0;
-        int total = 0;
-        int coldPeak = 0;
-        int peak = 0;
-        long fairAtMillis = RUN_MILLIS;
-        double due = 0;
-        for (long at = -BEFORE_MILLIS; at < RUN_MILLIS; at += STEP_MILLIS) {
-            fleet.nowMillis = start + at;
-            long now = fleet.nowMillis;
+
+        private Result play() {
+            for (long at = -BEFORE_MILLIS; at < RUN_MILLIS; at += STEP_MILLIS) {
+                fleet.nowMillis = start + at;
+                endRequests(fleet.nowMillis);
+                if (at % NOTICE_MILLIS == 0) {
+                    System.arraycopy(load, 0, told, 0, ENGINES);
+                }
+                updateInstances(at, fleet.nowMillis);
+                due += REQUESTS_PER_SECOND * STEP_MILLIS / 1_000;
+                for (; due >= 1; due--) {
+                    send(at, fleet.nowMillis);
+                }
+            }
+            return new Result(coldPeak, peak, fairAtMillis, early, late, total);
+        }
+
+        private void endRequests(long now) {
             while (!open.isEmpty() && open.peek().doneAtMillis() <= now) {
                 Open done = open.poll();
                 load[done.engine()]--;
@@ -120,9 +148,9 @@
                 Output output = outputs.poll();
                 policy.answered(instances.get(output.instance()), output.millis());
             }
-            if (at % NOTICE_MILLIS == 0) {
-                System.arraycopy(load, 0, told, 0, ENGINES);
-            }
+        }
+
+        private void updateInstances(long at, long now) {
             for (Instance instance : instances) {
                 if (instance.listedAtMillis > now - STEP_MILLIS && instance.listedAtMillis <= now) {
                     instance.member.list(STARTED, 0);
@@ -131,35 +159,38 @@
                     instance.member.pace.tick();
                 }
             }
-            due += REQUESTS_PER_SECOND * STEP_MILLIS / 1_000;
-            for (; due >= 1; due--) {
-                Instance instance = instances.get(fleet.random.nextInt(size));
-                boolean usable = instance.listedAtMillis <= now && policy.mayUse(instance, now);
-                int engine = choose(fleet, instance, told, usable);
-                instance.own[engine]++;
-                load[engine]++;
-                long factor = engine == 0 && at < WARM_MILLIS ? COLD_FACTOR : 1;
-                long outputMillis = factor * (FIRST_OUTPUT_MILLIS + OUTPUT_MILLIS_PER_STREAM * load[engine]);
-                open.add(new Open(instance.number, engine, now + STREAM_MILLIS));
-                late += at >= 0 && outputMillis > LATE_MILLIS ? 1 : 0;
-                total += at >= 0 ? 1 : 0;
-                early += engine == 0 && at < EARLY_MILLIS ? 1 : 0;
-                if (engine == 0) {
-                    policy.sent(instance);
-                    outputs.add(new Output(instance.number, outputMillis, now + outputMillis));
-                    lastSecond.add(now);
-                }
-                while (!lastSecond.isEmpty() && lastSecond.peek() <= now - 1_000) {
-                    lastSecond.poll();
-                }
-                peak = Math.max(peak, lastSecond.size());
-                coldPeak = at < WARM_MILLIS ? peak : coldPeak;
-                if (fairAtMillis == RUN_MILLIS && lastSecond.size() >= REQUESTS_PER_SECOND / ENGINES) {
-                    fairAtMillis = at;
-                }
+        }
+
+        private void send(long at, long now) {
+            Instance instance = instances.get(fleet.random.nextInt(instances.size()));
+            boolean usable = instance.listedAtMillis <= now && policy.mayUse(instance, now);
+            int engine = choose(fleet, instance, told, usable);
+            instance.own[engine]++;
+            load[engine]++;
+            long factor = engine == 0 && at < WARM_MILLIS ? COLD_FACTOR : 1;
+            long outputMillis = factor * (FIRST_OUTPUT_MILLIS + OUTPUT_MILLIS_PER_STREAM * load[engine]);
+            open.add(new Open(instance.number, engine, now + STREAM_MILLIS));
+            late += at >= 0 && outputMillis > LATE_MILLIS ? 1 : 0;
+            total += at >= 0 ? 1 : 0;
+            early += engine == 0 && at < EARLY_MILLIS ? 1 : 0;
+            if (engine == 0) {
+                policy.sent(instance);
+                outputs.add(new Output(instance.number, outputMillis, now + outputMillis));
+                lastSecond.add(now);
+            }
+            countLastSecond(at, now);
+        }
+
+        private void countLastSecond(long at, long now) {
+            while (!lastSecond.isEmpty() && lastSecond.peek() <= now - 1_000) {
+                lastSecond.poll();
+            }
+            peak = Math.max(peak, lastSecond.size());
+            coldPeak = at < WARM_MILLIS ? peak : coldPeak;
+            if (fairAtMillis == RUN_MILLIS && lastSecond.size() >= REQUESTS_PER_SECOND / ENGINES) {
+                fairAtMillis = at;
             }
         }
-        return new Result(coldPeak, peak, fairAtMillis, early, late, total);
     }
 
     private static int choose(PaceFixture fleet, Instance instance, int[] told, boolean usable) {
--- a/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
+++ b/router/src/test/java/baobabcroft/relay/EndpointChooserTest.java
@@ -270,7 +270,7 @@
 
     /** Load: a plain service of 43 ms a request, whose endpoint here has six slots. */
     @Nested
-    class PlainServices {
+    final class PlainServices {
         private final EndpointEntry near = endpoint("near", "here");
         private final ImmutableList<EndpointEntry> both = ImmutableList.of(endpoint("far", "away"), near);
 
@@ -302,7 +302,7 @@
 
     /** Load: an engine of 0.6 times the usual speed beside one of 1.6 times, both with streams under way. */
     @Nested
-    class UnevenSpeeds {
+    final class UnevenSpeeds {
         private final EndpointEntry slow = endpoint("slow", "here");
         private final EndpointEntry fast = endpoint("fast", "here");
 
--- a/router/src/test/java/baobabcroft/relay/MemoryFleetTest.java
+++ b/router/src/test/java/baobabcroft/relay/MemoryFleetTest.java
@@ -25,9 +25,9 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * Load: long prompts that need 1.3 times the memory of all engines, a fifth of them with the same shared part, while one
- * of six engines leaves after half of the time. Notices are late, and a tenth of them is lost. An engine whose requests
- * exceed its memory would crash.
+ * Load: long prompts that need 1.3 times the memory of all engines, a fifth of them with the same shared part, while
+ * one of six engines leaves after half of the time. Notices are late, and a tenth of them is lost. An engine whose
+ * requests exceed its memory would crash.
  */
 class MemoryFleetTest {
     private static final int DOMAINS = 3;
--- a/router/src/test/java/baobabcroft/relay/PartPlacementTest.java
+++ b/router/src/test/java/baobabcroft/relay/PartPlacementTest.java
@@ -70,7 +70,7 @@
 
     /** Load: a burst at nine instances of requests that share one part, of which reading takes about half a second. */
     @Nested
-    class HotPart {
+    final class HotPart {
         private final PeerLoads[] remote = new PeerLoads[INSTANCES];
         private final EndpointLoads[] loads = new EndpointLoads[INSTANCES];
         private final EndpointChooser[] choosers = new EndpointChooser[INSTANCES];
