--- a/router/src/test/java/baobabcroft/pace/PaceFixture.java
+++ b/router/src/test/java/baobabcroft/pace/PaceFixture.java
@@ -10,6 +10,7 @@
 import com.google.common.net.HostAndPort;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Predicate;
@@ -94,7 +95,7 @@
         }
 
         /** Sends all that is allowed now; each request is written when its connection is open. */
-        private void sendTo(EndpointEntry endpoint, TreeMap<Long, List<Runnable>> later) {
+        private void sendTo(EndpointEntry endpoint, Map<Long, List<Runnable>> later) {
             int budget = MAX_REQUESTS_PER_STEP;
             while (sends && budget-- > 0 && !pace.isHeldBack(endpoint)) {
                 SendGate.Pass pass = pace.enter(endpoint);
