--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -287,10 +287,14 @@
 
     /** Writes a configuration with one plain service: lookups may repeat, dispatches may not. */
     void configure(long version) {
+        configure(version, 16_384);
+    }
+
+    void configure(long version, int maxHeaderBytes) {
         store.put("op/config", "{\"version\":" + version + ",\"routes\":["
                 + route("lookup", "idempotent", 2) + "," + route("dispatch", "non_idempotent", 1)
                 + "],\"services\":[{\"name\":\"orders\",\"health_path\":\"/healthz\",\"max_conns\":110,"
-                + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":16384,"
+                + "\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"max_header_bytes\":" + maxHeaderBytes + ","
                 + "\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},"
                 + "\"tenants\":[{\"name\":\"" + TENANT + "\",\"api_keys\":[\"" + KEY + "\"]}]}");
     }
