--- a/review/8/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.."
 [ -f target/review-2/classes/LimitCase.class ] || exit 2
 [ -f target/baobabcroft.jar ] || exit 2
-exec java -cp target/review-2/classes LimitCase review/8
+exec java -cp target/review-2/classes LimitCase review/9
