Reject a truncated body that the next response has filled up

Cause: an endpoint broke off a body of a stated length and went on with another response on the connection. The decoder took the missing bytes from that response. PlatformDialect.containsAnswer sees the join only if the whole name of the id's header lies within the body; of a shorter cut, the rest of the head was still in the decoder, and the bytes behind the end were taken for harmless additional ones (TRAILING). A response without an id behind the truncated one was never seen.

Ruled out: that the bytes are mixed between connections or requests. In the record of the case each wrong body is that of its own request, and ends with the head that the endpoint wrote second.

Change: ResponseDecoder scans each body for a status line. If bytes follow the end, a body that contains one, or ends with the part of one that the bytes continue, is malformed, whatever the header names. Where no byte has arrived yet behind such a body, its end is held back for up to 50 ms, or until the connection ends. A whole body is passed on, whatever follows it: its last bytes are not continued by a status line that begins behind them. The client of the store decodes with the same class.

--- a/router/src/main/java/baobabcroft/front/ResponseDecoder.java
+++ b/router/src/main/java/baobabcroft/front/ResponseDecoder.java
@@ -2,26 +2,36 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import baobabcroft.relay.StatusLineScanner;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Iterables;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultLastHttpContent;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.regex.Pattern;
 
 /**
  * Decodes responses strictly, with limits on the length of their heads.
  *
- * <p>A response whose head breaks off on a connection that stays open is joined with the head of the next one. The
- * second status line then is part of the first one's reason phrase or of a header, so a head that contains one is
- * malformed.
+ * <p>A response that breaks off on a connection that stays open is joined with the next one. If it breaks off in its
+ * head, the second status line is part of the first one's reason phrase or of a header, so a head that contains one is
+ * malformed. If it breaks off in its body, the body is filled up with the start of the next response, and the rest of
+ * that follows the end: a body that contains a status line, or ends in one, is malformed if bytes follow it.
  */
 final class ResponseDecoder extends HttpResponseDecoder {
     private static final int MAX_HEADER_BYTES = 65_536;
@@ -38,8 +48,16 @@
     private static final String PROTOCOL = "HTTP/";
     private static final Pattern STATUS_LINE = Pattern.compile("HTTP/[0-9]\\.[0-9] +[0-9]{3}");
 
+    /** Longest time between two parts of a head that an endpoint sends at once: that of a delayed acknowledgement. */
+    private static final long FOLLOWING_BYTES_MILLIS = 50;
+
     private final ContentMerger merger = new ContentMerger();
+    private final StatusLineScanner bodyScanner = new StatusLineScanner();
     private int undecodedBytes;
+    /** End of a response whose body may be joined with bytes that have not been received yet. */
+    private Optional<LastHttpContent> heldEnd = Optional.empty();
+
+    private ScheduledFuture<?> heldEndTimeout;
 
     ResponseDecoder() {
         super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES));
@@ -59,8 +77,26 @@
         return super.createMessage(initialLine);
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        super.channelRead(context, message);
+        if (heldEnd.isPresent() && actualReadableBytes() > 0) {
+            passOnHeldEnd(context);
+            super.channelRead(context, Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) throws Exception {
+        passOnHeldEnd(context);
+        super.channelInactive(context);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> out) throws Exception {
+        if (heldEnd.isPresent()) {
+            return;
+        }
         List<Object> decoded = new ArrayList<>();
         int readable;
         try {
@@ -68,12 +104,14 @@
                 readable = buffer.readableBytes();
                 super.decode(context, buffer, decoded);
                 countUndecoded(decoded, readable - buffer.readableBytes());
+                inspect(decoded);
             } while (merger.merge(context.alloc(), decoded, buffer.readableBytes(), out)
                     && buffer.isReadable()
                     && buffer.readableBytes() < readable);
         } finally {
             merger.flush(out);
         }
+        checkEnd(context, buffer, out);
     }
 
     private void countUndecoded(List<Object> decoded, int consumedBytes) {
@@ -81,11 +119,77 @@
         if (undecodedBytes > MAX_UNDECODED_BYTES) {
             throw new TooLongFrameException("no response in " + undecodedBytes + " bytes");
         }
+    }
+
+    private void inspect(List<Object> decoded) {
         for (Object message : decoded) {
             if (message instanceof HttpResponse response) {
                 rejectJoinedHeads(response);
+                bodyScanner.reset();
             }
+            if (message instanceof HttpContent content) {
+                scanBody(content.content());
+            }
+        }
+    }
+
+    private void scanBody(ByteBuf part) {
+        int index = part.readerIndex();
+        while (index < part.writerIndex() && !bodyScanner.isFound()) {
+            if (!bodyScanner.isFoundOrBegun()) {
+                index = part.indexOf(index, part.writerIndex(), StatusLineScanner.FIRST_BYTE);
+                if (index < 0) {
+                    return;
+                }
+            }
+            bodyScanner.scan(part.getByte(index));
+            index++;
+        }
+    }
+
+    /** Fails the end of a response whose body is joined with the next one, or holds it back until that is known. */
+    private void checkEnd(ChannelHandlerContext context, ByteBuf following, List<Object> out) {
+        if (!bodyScanner.isFoundOrBegun() || !(Iterables.getLast(out, null) instanceof LastHttpContent end)) {
+            return;
+        }
+        out.remove(out.size() - 1);
+        if (following.isReadable()) {
+            out.add(checked(end, following));
+        } else {
+            heldEnd = Optional.of(end);
+            heldEndTimeout = context.executor()
+                    .schedule(() -> passOnHeldEnd(context), FOLLOWING_BYTES_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private LastHttpContent checked(LastHttpContent end, ByteBuf following) {
+        if (!continuesStatusLine(following)) {
+            return end;
+        }
+        end.release();
+        LastHttpContent failure = new DefaultLastHttpContent();
+        failure.setDecoderResult(DecoderResult.failure(
+                new IllegalArgumentException("status line in a body, and bytes that follow the body")));
+        return failure;
+    }
+
+    private boolean continuesStatusLine(ByteBuf following) {
+        for (int i = following.readerIndex(); i < following.writerIndex() && !bodyScanner.isFound(); i++) {
+            if (!bodyScanner.advance(following.getByte(i))) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    private void passOnHeldEnd(ChannelHandlerContext context) {
+        if (heldEnd.isEmpty()) {
+            return;
         }
+        heldEndTimeout.cancel(false);
+        LastHttpContent end = heldEnd.get();
+        heldEnd = Optional.empty();
+        context.fireChannelRead(actualReadableBytes() > 0 ? checked(end, internalBuffer()) : end);
     }
 
     private static void rejectJoinedHeads(HttpResponse response) {
--- a/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
+++ b/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
@@ -20,11 +20,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class EndpointConnectionTest {
     private static final String CHUNKED_HEAD = "HTTP/1.1 200 OK\r\nid: r-1\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -326,6 +330,129 @@
         }
     }
 
+    /** A response breaks off in its body, and the endpoint goes on with another response on the same connection. */
+    @Nested
+    class TruncatedBodies {
+        private static final String BODY = "permit 4711 was issued; the fee has been charged";
+        private static final String CHUNKED_BODY =
+                CHUNKED_HEAD + chunk(BODY.substring(0, 20)) + chunk(BODY.substring(20));
+        private static final String WITHOUT_ID =
+                "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed";
+
+        /** Receives the parts, and lets the time pass after which no further bytes are expected. */
+        private Recorder receiveParts(String... parts) {
+            Recorder recorder = send("r-1");
+            for (int i = 0; i < parts.length && channel.isActive(); i++) {
+                receive(parts[i]);
+            }
+            channel.advanceTimeBy(1, TimeUnit.SECONDS);
+            channel.runScheduledPendingTasks();
+            return recorder;
+        }
+
+        private void assertNotTakenForWhole(Recorder recorder) {
+            boolean passedOn = recorder.ended && !recorder.body.equals(BODY);
+            assertFalse(passedOn, recorder.body);
+            boolean failed = recorder.failures.equals(List.of(SendFailure.ANSWER_MALFORMED));
+            assertEquals(failed, !channel.isActive(), recorder.failures.toString());
+        }
+
+        // Guards against a success that has the start of the next response as the end of its body.
+        @ParameterizedTest
+        @MethodSource("baobabcroft.front.EndpointConnectionTest#truncatedBodies")
+        void areNotFilledUpByTheNextResponse(String truncated, String next) {
+            assertNotTakenForWhole(receiveParts(truncated + next));
+        }
+
+        // Guards against a check of those bytes only that were received together with the end of the body.
+        @ParameterizedTest
+        @MethodSource("baobabcroft.front.EndpointConnectionTest#truncatedBodies")
+        void areNotFilledUpByANextResponseInManyParts(String truncated, String next) {
+            assertNotTakenForWhole(receiveParts((truncated + next).split("")));
+        }
+
+        // Guards against a joined body that ends just where one read ends.
+        @Test
+        void areHeldBackUntilFurtherBytesCanHaveArrived() {
+            String truncated = response("r-1", BODY).replaceAll(".{4}$", "");
+            Recorder recorder = send("r-1");
+            receive(truncated + "HTTP");
+            assertFalse(recorder.ended);
+            receive("/1.1 500 Internal Server Error\r\n\r\n");
+
+            assertNotTakenForWhole(recorder);
+            assertEquals(List.of(SendFailure.ANSWER_MALFORMED), recorder.failures);
+        }
+    }
+
+    /** Returns responses that break off in their body, each with the response that follows. */
+    static Stream<Arguments> truncatedBodies() {
+        String whole = response("r-1", TruncatedBodies.BODY);
+        String chunked = TruncatedBodies.CHUNKED_BODY;
+        return IntStream.range(1, TruncatedBodies.BODY.length())
+                .boxed()
+                .flatMap(missing -> Stream.of(
+                        Arguments.of(whole.substring(0, whole.length() - missing), whole),
+                        Arguments.of(whole.substring(0, whole.length() - missing), TruncatedBodies.WITHOUT_ID),
+                        Arguments.of(chunked.substring(0, chunked.length() - missing), chunked + "0\r\n\r\n"),
+                        Arguments.of(chunked.substring(0, chunked.length() - missing), whole),
+                        Arguments.of(chunked.substring(0, chunked.length() - missing), TruncatedBodies.WITHOUT_ID)));
+    }
+
+    /** A whole response is passed on, whatever its body looks like and whatever follows it. */
+    @Nested
+    class WholeBodies {
+        private static final String QUOTE = "The server said HTTP/1.1 404 Not Found.";
+
+        private Recorder receiveWhole(String body, String following) {
+            Recorder recorder = send("r-1");
+            receive(response("r-1", body) + following);
+            return recorder;
+        }
+
+        // Guards against the loss of a whole response because of the bytes behind it.
+        @ParameterizedTest
+        @ValueSource(strings = {"HTTP/1.1 200 OK\r\n\r\n", "H", "\r\n", "some other bytes"})
+        void endThoughBytesFollow(String following) {
+            Recorder recorder = receiveWhole("end with HTTP/1.H", following);
+
+            assertEquals("end with HTTP/1.H", recorder.body);
+            assertTrue(recorder.ended);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"H", "served over HTTP", "HTTP/1.1 20", QUOTE})
+        void endAfterAShortWaitIfTheyLookLikeTheStartOfAResponse(String body) {
+            Recorder recorder = receiveWhole(body, "");
+            channel.advanceTimeBy(1, TimeUnit.SECONDS);
+            channel.runScheduledPendingTasks();
+
+            assertEquals(body, recorder.body);
+            assertTrue(recorder.ended);
+            assertEquals(List.of(connection), idle);
+        }
+
+        @Test
+        void endWithTheirConnection() {
+            Recorder recorder = receiveWhole(QUOTE, "");
+            channel.finishAndReleaseAll();
+
+            assertTrue(recorder.ended);
+            assertEquals(List.of(), recorder.failures);
+        }
+
+        // Guards against the reuse of a connection on which bytes arrived while the end was held back.
+        @Test
+        void keepAConnectionFromReuseIfBytesFollowLate() {
+            Recorder recorder = receiveWhole("served over HTTP", "");
+            receive("HTTP/1.1 200 OK\r\n");
+
+            assertTrue(recorder.ended);
+            assertEquals(List.of(), idle);
+            assertFalse(channel.isActive());
+        }
+    }
+
     static IntStream cuts() {
         return IntStream.range(1, TruncatedCopies.COPY.length());
     }
--- a/router/src/test/java/baobabcroft/front/PooledHttpClientTest.java
+++ b/router/src/test/java/baobabcroft/front/PooledHttpClientTest.java
@@ -35,6 +35,7 @@
     private static final int MAX_REQUEST_BYTES = 4_096;
     private static final long MAX_RESPONSE_BYTES = 4_096;
     private static final String TRUNCATED_COPY_PATH = "/truncated-copy/";
+    private static final String TRUNCATED_BODY_PATH = "/truncated-body";
 
     private final EventLoopGroup loop = new NioEventLoopGroup(1);
     private final Channel server = NettyChannels.server(
@@ -57,6 +58,11 @@
                 answerWithTruncatedCopy(context);
                 return;
             }
+            if (request.uri().equals(TRUNCATED_BODY_PATH)) {
+                String head = "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n";
+                write(context, head + "one two" + head + "one two three 45");
+                return;
+            }
             lastTarget.ifPresent(target -> context.write(response(target)));
             lastTarget = Optional.of(request.uri());
             context.writeAndFlush(response(request.uri()));
@@ -71,6 +77,10 @@
             String copy = lastTarget.isPresent() ? "" : "HTTP/1.1 200 OK";
             lastTarget = Optional.of(status);
             String bytes = "HTTP/1.1 " + status + "\r\nContent-Length: " + status.length() + "\r\n\r\n" + status + copy;
+            write(context, bytes);
+        }
+
+        private static void write(ChannelHandlerContext context, String bytes) {
             context.channel()
                     .pipeline()
                     .firstContext()
@@ -90,12 +100,14 @@
         loop.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    private String body(Consumer<Consumer<Result>> call) {
+    private Result result(Consumer<Consumer<Result>> call) {
         CompletableFuture<Result> result = new CompletableFuture<>();
         loop.execute(() -> call.accept(result::complete));
-        Result.Response response = (Result.Response)
-                result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
-        return new String(response.body(), StandardCharsets.UTF_8);
+        return result.orTimeout(TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    private String body(Consumer<Consumer<Result>> call) {
+        return new String(((Result.Response) result(call)).body(), StandardCharsets.UTF_8);
     }
 
     /** Responses of the server carry no id. */
@@ -121,5 +133,13 @@
                         "each call is the first one on its connection");
             }
         }
+
+        // Guards against a body that is filled up with the start of the next response.
+        @Test
+        void areNotTakenForTheEndOfATruncatedBody() {
+            assertEquals(
+                    new Result.Failure(true, "malformed response"),
+                    result(callback -> client.get(TRUNCATED_BODY_PATH, TIMEOUT_MILLIS, MAX_RESPONSE_BYTES, callback)));
+        }
     }
 }
