Apply the current limit on heads to each request of a connection

Cause: CallerConnection read the limits once, when the connection was accepted, and built its decoder from them. Netty's decoder keeps the limits that it is created with.

Ruled out: that the new configuration had not arrived. The same process serves the request on a new connection at that time, and the other limits of the same record are read for each request.

Change: RequestDecoder gets the limit from a supplier. It already keeps a head undecoded until it is complete; it now parses it with a parser that is replaced between two requests if the limit has changed, and compares an unfinished head with the current limit. A lower limit takes effect in the same way.

Tests: FrontServerTest$ChangedLimits.applyToHeadsOnOpenConnections failed before, with 431 in place of the answer.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -79,7 +79,7 @@
         this.onClosed = onClosed;
         this.acceptedAtMillis = front.nowMillis().getAsLong();
         this.progress = new ReceiveProgress(front.nowMillis());
-        this.decoder = new RequestDecoder(front.limits().get(), this);
+        this.decoder = new RequestDecoder(() -> front.limits().get().maxHeaderBytes(), this);
         this.headMemory = new HeadMemory(front.memory(), front.reclaimer());
         this.pipelinedMessages = new PipelinedMessages(front.memory().reserve(MemoryUse.PIPELINED));
         this.unsentMemory = front.memory().reserve(MemoryUse.UNSENT);
--- a/router/src/main/java/baobabcroft/front/RequestDecoder.java
+++ b/router/src/main/java/baobabcroft/front/RequestDecoder.java
@@ -2,10 +2,10 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import baobabcroft.routing.CallerLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -17,20 +17,23 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.IntSupplier;
 
 /**
  * Decodes callers' requests and rejects ambiguous framing, which would allow request smuggling.
  *
  * <p>A header line takes many times its length once it is decoded, so a head is kept as received until it is complete.
- * Chunks that were received together become one message. Nothing is decoded while the connection takes no messages.
+ * Chunks that were received together become one message. Nothing is decoded while the connection takes no messages. The
+ * limit on the length of a head may change while a connection is open: the current one applies to each request.
  */
-final class RequestDecoder extends HttpRequestDecoder {
+final class RequestDecoder extends ByteToMessageDecoder {
     private static final int LINE_END_BYTES = 2;
 
     private final Intake intake;
-    private final int maxHeaderBytes;
+    private final IntSupplier maxHeaderBytes;
     private final ContentMerger merger = new ContentMerger();
     private ChannelHandlerContext context;
+    private RequestParser parser;
     private boolean decoding;
     private boolean inBody;
     private boolean failed;
@@ -67,13 +70,16 @@
         void onUndecoded(int bytes);
     }
 
-    RequestDecoder(CallerLimits limits, Intake intake) {
-        super(new HttpDecoderConfig()
-                .setMaxInitialLineLength(limits.maxHeaderBytes())
-                .setMaxHeaderSize(limits.maxHeaderBytes())
-                .setTrailersFactory(UnreadTrailers.FACTORY));
-        this.maxHeaderBytes = limits.maxHeaderBytes();
+    /**
+     * Creates a decoder.
+     *
+     * @param maxHeaderBytes current limit on the length of a request line, and of all headers of a request, in bytes
+     * @param intake what the connection does with the bytes
+     */
+    RequestDecoder(IntSupplier maxHeaderBytes, Intake intake) {
+        this.maxHeaderBytes = checkNotNull(maxHeaderBytes);
         this.intake = checkNotNull(intake);
+        this.parser = new RequestParser(maxHeaderBytes.getAsInt());
     }
 
     @Override
@@ -81,6 +87,11 @@
         context = added;
     }
 
+    @Override
+    protected void handlerRemoved0(ChannelHandlerContext removed) throws Exception {
+        parser.handlerRemoved0(removed);
+    }
+
     /** Drops what has been received of an incomplete message, and all that follows. */
     void skipAll() {
         failed = true;
@@ -148,7 +159,8 @@
 
     private void decodeMessages(ChannelHandlerContext channel, ByteBuf buffer, List<Object> out) throws Exception {
         if (!inBody) {
-            super.decode(channel, buffer, out);
+            applyLimit(channel);
+            parser.decode(channel, buffer, out);
             return;
         }
         List<Object> parts = new ArrayList<>();
@@ -156,7 +168,7 @@
         try {
             do {
                 before = buffer.readerIndex();
-                super.decode(channel, buffer, parts);
+                parser.decode(channel, buffer, parts);
             } while (merger.merge(channel.alloc(), parts, buffer.readableBytes(), out)
                     && buffer.isReadable()
                     && buffer.readerIndex() > before);
@@ -165,6 +177,14 @@
         }
     }
 
+    /** Replaces the parser between two requests if the limit has changed, as a parser keeps the one it began with. */
+    private void applyLimit(ChannelHandlerContext channel) throws Exception {
+        if (parser.maxHeaderBytes != maxHeaderBytes.getAsInt()) {
+            parser.handlerRemoved0(channel);
+            parser = new RequestParser(maxHeaderBytes.getAsInt());
+        }
+    }
+
     private void startHead() {
         searchedBytes = 0;
         lines = 0;
@@ -192,7 +212,7 @@
             firstLineBytes = lines == 1 ? searchedBytes : firstLineBytes;
         }
         int headerBytes = buffer.readableBytes() - firstLineBytes - LINE_END_BYTES * lines;
-        if (headerBytes > maxHeaderBytes) {
+        if (headerBytes > maxHeaderBytes.getAsInt()) {
             out.add(tooLong());
             buffer.skipBytes(buffer.readableBytes());
         }
@@ -210,15 +230,43 @@
     }
 
     private HttpMessage tooLong() {
-        HttpMessage message = createInvalidMessage();
+        HttpMessage message = parser.createInvalidMessage();
         message.setDecoderResult(DecoderResult.failure(
-                new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes)));
+                new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes.getAsInt())));
         failed = true;
         return message;
     }
 
-    @Override
-    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
-        throw new IllegalArgumentException("both Transfer-Encoding and Content-Length");
+    /** Parses requests within fixed limits. */
+    private static final class RequestParser extends HttpRequestDecoder {
+        private final int maxHeaderBytes;
+
+        RequestParser(int maxHeaderBytes) {
+            super(new HttpDecoderConfig()
+                    .setMaxInitialLineLength(maxHeaderBytes)
+                    .setMaxHeaderSize(maxHeaderBytes)
+                    .setTrailersFactory(UnreadTrailers.FACTORY));
+            this.maxHeaderBytes = maxHeaderBytes;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext channel, ByteBuf buffer, List<Object> out) throws Exception {
+            super.decode(channel, buffer, out);
+        }
+
+        @Override
+        protected void handlerRemoved0(ChannelHandlerContext removed) throws Exception {
+            super.handlerRemoved0(removed);
+        }
+
+        @Override
+        protected HttpMessage createInvalidMessage() {
+            return super.createInvalidMessage();
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("both Transfer-Encoding and Content-Length");
+        }
     }
 }
--- a/router/src/main/java/baobabcroft/front/StatusServer.java
+++ b/router/src/main/java/baobabcroft/front/StatusServer.java
@@ -1,6 +1,5 @@
 package baobabcroft.front;
 
-import baobabcroft.routing.CallerLimits;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.net.HostAndPort;
 import io.netty.buffer.Unpooled;
@@ -29,7 +28,6 @@
 @SuppressWarnings("FutureReturnValueIgnored") // A failed write or bind closes the channel; the close is handled.
 public final class StatusServer {
     private static final int MAX_REQUEST_BYTES = 4_096;
-    private static final CallerLimits LIMITS = new CallerLimits(MAX_REQUEST_BYTES, MAX_REQUEST_BYTES, 0, 0);
     /** Far more than the probes and metrics collectors of one instance use. */
     private static final int MAX_CONNECTIONS = 64;
     /** Silence after which a connection is closed; longer than usual intervals of probes. */
@@ -58,7 +56,7 @@
                         loop,
                         () -> List.of(
                                 new IdleStateHandler(IDLE_SECONDS, 0, 0),
-                                new RequestDecoder(LIMITS, RequestDecoder.Intake.ALWAYS),
+                                new RequestDecoder(() -> MAX_REQUEST_BYTES, RequestDecoder.Intake.ALWAYS),
                                 new HttpResponseEncoder(),
                                 new HttpObjectAggregator(MAX_REQUEST_BYTES),
                                 new Handler(pages, connections)))
--- a/router/src/test/java/baobabcroft/front/FrontServerTest.java
+++ b/router/src/test/java/baobabcroft/front/FrontServerTest.java
@@ -294,6 +294,34 @@
         }
     }
 
+    /** Limits of a configuration that is applied while connections are open. */
+    @Nested
+    class ChangedLimits {
+        private static final int LONG_HEADER_BYTES = 20_000;
+
+        /** Guards against DENIED: connections held to the limit on heads of the time at which they were accepted. */
+        @Test
+        void applyToHeadsOnOpenConnections() throws IOException {
+            try (Socket socket = connect()) {
+                send(socket, request("/held"));
+                awaitCount(held, 1);
+                limits = new CallerLimits(
+                        2 * LONG_HEADER_BYTES,
+                        limits.maxBodyBytes(),
+                        limits.headerTimeoutMillis(),
+                        limits.idleTimeoutMillis());
+                onLoop(() -> heldCaller.get().answer(204, Headers.EMPTY, new byte[0]));
+                send(
+                        socket,
+                        "GET /long HTTP/1.1\r\nHost: shop.example\r\nConnection: close\r\nNote: "
+                                + "n".repeat(LONG_HEADER_BYTES) + "\r\n\r\n");
+                String responses = new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+
+                assertTrue(responses.endsWith("/long"), responses);
+            }
+        }
+    }
+
     /** Several requests that a caller sends without waiting for the answers. */
     @Nested
     class Pipelining {
--- a/router/src/test/java/baobabcroft/front/RequestDecoderTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestDecoderTest.java
@@ -5,7 +5,6 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import baobabcroft.routing.CallerLimits;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
@@ -14,16 +13,18 @@
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
 class RequestDecoderTest {
-    private static final CallerLimits LIMITS = new CallerLimits(16_384, 4 << 20, 1_000, 1_000);
+    private static final int MAX_HEADER_BYTES = 16_384;
     private static final String HEAD = "POST /a HTTP/1.1\r\nHost: a\r\n";
     private static final String CHUNKED = HEAD + "Transfer-Encoding: chunked\r\n\r\n";
 
     private boolean takesMessages = true;
     private int undecodedBytes;
-    private final RequestDecoder decoder = new RequestDecoder(LIMITS, new RequestDecoder.Intake() {
+    private int maxHeaderBytes = MAX_HEADER_BYTES;
+    private final RequestDecoder decoder = new RequestDecoder(() -> maxHeaderBytes, new RequestDecoder.Intake() {
         @Override
         public boolean takesMessages() {
             return takesMessages;
@@ -85,6 +86,72 @@
         assertNull(channel.readInbound());
     }
 
+    /** The limit is raised or lowered while the connection is open. */
+    @Nested
+    class ChangedLimits {
+        private static final String REQUEST = HEAD + "Content-Length: 0\r\n";
+
+        private boolean receiveRequest(int headerBytes) {
+            receive(REQUEST + "note: " + "x".repeat(headerBytes) + "\r\n\r\n");
+            HttpRequest request = channel.readInbound();
+            boolean decoded = request.decoderResult().isSuccess();
+            if (decoded) {
+                assertTrue(channel.readInbound() instanceof LastHttpContent);
+            }
+            return decoded;
+        }
+
+        /** Guards against a connection that holds to the limit of the time at which it was accepted. */
+        @Test
+        void applyToTheNextRequest() {
+            assertTrue(receiveRequest(10));
+            maxHeaderBytes = 2 * MAX_HEADER_BYTES;
+            assertTrue(receiveRequest(20_000));
+            maxHeaderBytes = MAX_HEADER_BYTES;
+            assertFalse(receiveRequest(20_000));
+        }
+
+        @Test
+        void applyToARequestThatIsBeingReceived() {
+            receive(REQUEST + "note: " + "x".repeat(16_000));
+            assertNull(channel.readInbound());
+            maxHeaderBytes = 2 * MAX_HEADER_BYTES;
+            receive("x".repeat(4_000) + "\r\n\r\n");
+
+            HttpRequest request = channel.readInbound();
+            assertTrue(request.decoderResult().isSuccess());
+        }
+
+        @Test
+        void applyToALongRequestLine() {
+            String line = "GET /" + "x".repeat(20_000) + " HTTP/1.1\r\nHost: a\r\n\r\n";
+            assertTrue(receiveRequest(10));
+            maxHeaderBytes = 2 * MAX_HEADER_BYTES;
+            receive(line);
+
+            HttpRequest request = channel.readInbound();
+            assertTrue(request.decoderResult().isSuccess());
+        }
+    }
+
+    @Test
+    void failsAChunkSizeLineThatIsTooLong() {
+        receive(CHUNKED + "1;" + "x".repeat(20_000));
+
+        assertTrue(channel.readInbound() instanceof HttpRequest);
+        HttpContent content = channel.readInbound();
+        assertTrue(content.decoderResult().isFailure());
+    }
+
+    @Test
+    void failsTrailersThatAreTooLong() {
+        receive(CHUNKED + "0\r\n" + "t: 1\r\n".repeat(10_000));
+
+        assertTrue(channel.readInbound() instanceof HttpRequest);
+        HttpContent content = channel.readInbound();
+        assertTrue(content.decoderResult().isFailure());
+    }
+
     /** Guards against a message for each byte, which keeps the event loop busy and the whole read buffer in memory. */
     @Test
     void joinsShortChunks() {
