Extend running timeouts of callers when their limits are raised

Callers may use a connection for four fifths of the current idle timeout, so a request could cross the close.

Cause: a timeout was scheduled with the limit of the time at which it was started, and not compared with the current one again.

Change: CallerConnection compares a timeout that runs out with the current limit, and waits for the rest of it if it has grown. A lower limit still takes effect with the next timeout only: nobody is promised that a connection ends early.

Tests: CallerConnectionTest$RaisedTimeouts, 2 of 2 failed before; $UnchangedTimeouts passed before and after.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -4,6 +4,7 @@
 import baobabcroft.memory.MemoryUse;
 import baobabcroft.relay.CallerRequest;
 import baobabcroft.relay.RequestInProgress;
+import baobabcroft.routing.CallerLimits;
 import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
@@ -30,6 +31,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 
 /**
  * A caller's connection. Reads each request completely before serving it, serves one request at a time and writes the
@@ -186,7 +188,7 @@
         if (!busy && !closing && requestHead.isEmpty() && context != null && !headerTimeoutStarted) {
             headerTimeoutStarted = true;
             progress.onRequestBegun(bytes);
-            startTimeout(front.limits().get().headerTimeoutMillis(), this::onRequestTimeout);
+            startTimeout(CallerLimits::headerTimeoutMillis, this::onRequestTimeout);
         }
     }
 
@@ -197,16 +199,29 @@
 
     private void awaitRequest() {
         headerTimeoutStarted = false;
-        startTimeout(front.limits().get().idleTimeoutMillis(), context::close);
+        startTimeout(CallerLimits::idleTimeoutMillis, context::close);
     }
 
     private void onRequestTimeout() {
         refuse(HttpResponseStatus.REQUEST_TIMEOUT);
     }
 
-    private void startTimeout(long millis, Runnable action) {
+    private void startTimeout(ToLongFunction<CallerLimits> limitMillis, Runnable action) {
+        scheduleTimeout(limitMillis, 0, action);
+    }
+
+    /** Runs an action once the current limit has passed, which may be raised meanwhile. */
+    private void scheduleTimeout(ToLongFunction<CallerLimits> limitMillis, long elapsedMillis, Runnable action) {
         stopTimeout();
-        timeout = context.executor().schedule(action, millis, TimeUnit.MILLISECONDS);
+        long millis = limitMillis.applyAsLong(front.limits().get());
+        Runnable onTimeout = () -> {
+            if (limitMillis.applyAsLong(front.limits().get()) > millis) {
+                scheduleTimeout(limitMillis, millis, action);
+            } else {
+                action.run();
+            }
+        };
+        timeout = context.executor().schedule(onTimeout, millis - elapsedMillis, TimeUnit.MILLISECONDS);
     }
 
     private void stopTimeout() {
@@ -266,7 +281,7 @@
             refuseUnread(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        startTimeout(front.limits().get().idleTimeoutMillis(), this::onRequestTimeout);
+        startTimeout(CallerLimits::idleTimeoutMillis, this::onRequestTimeout);
         switch (requestBody.start(request, () -> onMemoryGranted(this::continueRequest))) {
             case GRANTED -> continueRequest();
             case WAITING -> awaitMemory();
@@ -285,8 +300,7 @@
     private void awaitMemory() {
         awaitingMemory = true;
         context.channel().config().setAutoRead(false);
-        long waitMillis = Math.min(MAX_MEMORY_WAIT_MILLIS, front.limits().get().idleTimeoutMillis());
-        startTimeout(waitMillis, this::onMemoryTimeout);
+        startTimeout(limits -> Math.min(MAX_MEMORY_WAIT_MILLIS, limits.idleTimeoutMillis()), this::onMemoryTimeout);
         makeRoomForBody();
     }
 
@@ -305,7 +319,7 @@
         context.executor().execute(() -> {
             if (awaitingMemory && !closing) {
                 awaitingMemory = false;
-                startTimeout(front.limits().get().idleTimeoutMillis(), this::onRequestTimeout);
+                startTimeout(CallerLimits::idleTimeoutMillis, this::onRequestTimeout);
                 context.channel().config().setAutoRead(true);
                 next.run();
                 readOn();
@@ -410,7 +424,7 @@
         decoder.skipAll();
         releaseRequest();
         context.writeAndFlush(Refusals.response(HttpResponseStatus.SERVICE_UNAVAILABLE));
-        startTimeout(REFUSAL_LINGER_MILLIS, context::close);
+        startTimeout(limits -> REFUSAL_LINGER_MILLIS, context::close);
     }
 
     private void releaseRequest() {
@@ -433,7 +447,7 @@
         requestHead = Optional.empty();
         releaseRequest();
         discardingAfter = Optional.of(context.writeAndFlush(Refusals.response(status)));
-        startTimeout(front.limits().get().idleTimeoutMillis(), context::close);
+        startTimeout(CallerLimits::idleTimeoutMillis, context::close);
         context.channel().config().setAutoRead(true);
         while (!pipelinedMessages.isEmpty()) {
             discard(pipelinedMessages.next());
@@ -461,7 +475,7 @@
 
     /** Closes the connection once the caller has taken no bytes of the response for a whole idle timeout. */
     private void awaitWriteProgress(long unsentBytes) {
-        startTimeout(front.limits().get().idleTimeoutMillis(), () -> {
+        startTimeout(CallerLimits::idleTimeoutMillis, () -> {
             long stillUnsentBytes = unsentBytes();
             if (stillUnsentBytes == unsentBytes) {
                 context.close();
