Leave room for added headers in requests of other instances

Change: the server for other instances allows twice the callers' limits on heads and bodies. The caller's own instance applies the limits; the memory of both is accounted for as before.

Test: RelayInstanceTest$CutOff.servesTheLongestHead failed before, "HTTP/1.1 431 Request Header Fields Too Large".

--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -17,6 +17,7 @@
 import baobabcroft.routing.CallerLimits;
 import com.google.common.collect.ImmutableList;
 import com.google.common.net.HostAndPort;
+import com.google.common.primitives.Ints;
 import io.netty.channel.EventLoopGroup;
 import java.util.Locale;
 import java.util.Optional;
@@ -34,6 +35,8 @@
 final class InstanceForwarding {
     /** Forwarded requests at a time; each needs about as much memory as a caller's own. */
     private static final int MAX_FORWARDED_REQUESTS = 256;
+    /** Greatest size of a forwarded request, as a multiple of that of a caller's request. */
+    private static final int FORWARDED_SIZE_FACTOR = 2;
 
     private static final ConnectionObserver UNOBSERVED = new ConnectionObserver() {
         @Override
@@ -126,12 +129,24 @@
                         loop,
                         address,
                         settings.maxDescriptors(),
-                        limits,
+                        () -> forwardedLimits(limits.get()),
                         services.memory(),
                         nowMillis,
                         requests::serve));
     }
 
+    /**
+     * Returns the limits on requests of other instances. These have held the caller to the limits already, but add
+     * headers, and may know a newer configuration with higher limits.
+     */
+    private static CallerLimits forwardedLimits(CallerLimits limits) {
+        return new CallerLimits(
+                Ints.saturatedCast((long) FORWARDED_SIZE_FACTOR * limits.maxHeaderBytes()),
+                Ints.saturatedCast((long) FORWARDED_SIZE_FACTOR * limits.maxBodyBytes()),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
+    }
+
     private Optional<String> rejectionReason(BooleanSupplier stopping) {
         Optional<String> reason = Optional.empty();
         if (stopping.getAsBoolean()) {
