Find routes without a look-up for each slash of the path

Cause: RoutingTable.find looked up each prefix of the path that ends with a slash, from the longest to the shortest, and copied and hashed each of them.

Change: the routes of a host know the lengths of their prefixes. The path is compared once with each length that occurs, so the time depends on the configuration and not on the path.

--- a/router/src/main/java/baobabcroft/routing/RoutingTable.java
+++ b/router/src/main/java/baobabcroft/routing/RoutingTable.java
@@ -5,7 +5,10 @@
 import com.google.common.collect.ImmutableCollection;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import com.google.common.primitives.ImmutableIntArray;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -15,7 +18,7 @@
 public final class RoutingTable {
     private final long version;
     private final ImmutableList<Route> routes;
-    private final Map<String, Map<String, Route>> routesByHost = new HashMap<>();
+    private final ImmutableMap<String, HostRoutes> routesByHost;
     private final ImmutableMap<String, ServiceProfile> services;
     private final CallerLimits limits;
     private final ImmutableMap<String, AccountProfile> accountsByKey;
@@ -36,11 +39,47 @@
         this.accountsByKey = accountsByKey;
         this.keysRequired = keysRequired;
         this.lowestPriority = lowestPriority(routes, accountsByKey.values());
+        this.routesByHost = routesByHost(routes);
+    }
+
+    private static ImmutableMap<String, HostRoutes> routesByHost(Collection<Route> routes) {
+        Map<String, Map<String, Route>> byPrefix = new HashMap<>();
         for (Route route : routes) {
-            routesByHost
-                    .computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
+            byPrefix.computeIfAbsent(route.host().toLowerCase(Locale.ROOT), host -> new HashMap<>())
                     .put(route.pathPrefix(), route);
         }
+        return ImmutableMap.copyOf(Maps.transformValues(byPrefix, HostRoutes::of));
+    }
+
+    /**
+     * The routes of one host.
+     *
+     * @param byPrefix the routes by path prefix
+     * @param prefixLengths the lengths of the prefixes, the greatest first
+     */
+    private record HostRoutes(ImmutableMap<String, Route> byPrefix, ImmutableIntArray prefixLengths) {
+        static HostRoutes of(Map<String, Route> byPrefix) {
+            return new HostRoutes(
+                    ImmutableMap.copyOf(byPrefix),
+                    ImmutableIntArray.copyOf(byPrefix.keySet().stream()
+                            .map(String::length)
+                            .distinct()
+                            .sorted(Comparator.reverseOrder())
+                            .toList()));
+        }
+
+        /** Compares the path with prefixes of each length once, so that the time does not depend on its slashes. */
+        Optional<Route> find(String path) {
+            for (int i = 0; i < prefixLengths.length(); i++) {
+                int length = prefixLengths.get(i);
+                boolean ends = length <= path.length() && path.charAt(length - 1) == '/';
+                Route route = ends ? byPrefix.get(path.substring(0, length)) : null;
+                if (route != null) {
+                    return Optional.of(route);
+                }
+            }
+            return Optional.empty();
+        }
     }
 
     private static int lowestPriority(Collection<Route> routes, Collection<AccountProfile> accounts) {
@@ -89,17 +128,8 @@
      * @return the route, or empty if none matches
      */
     public Optional<Route> find(String host, String path) {
-        Map<String, Route> byPrefix = routesByHost.get(host.toLowerCase(Locale.ROOT));
-        if (byPrefix == null) {
-            return Optional.empty();
-        }
-        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
-            Route route = byPrefix.get(path.substring(0, slash + 1));
-            if (route != null) {
-                return Optional.of(route);
-            }
-        }
-        return Optional.empty();
+        return Optional.ofNullable(routesByHost.get(host.toLowerCase(Locale.ROOT)))
+                .flatMap(hostRoutes -> hostRoutes.find(path));
     }
 
     /**
