Limit how many suspects of one crash are compared

Cause: PromptPartLedger compares each suspected part with all suspects of a crash. Callers state how many parts a prompt has.

Change: a crash has at most 500 suspects, those known first, and a part that was at too few crashes to explain others is left out before its crashes are collected. Engines run tens of requests with a few shared parts, which are far fewer.

--- a/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
+++ b/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
@@ -28,6 +28,11 @@
     private static final int EXPLAINING_EXCESS = 2;
     /** Crashes whose suspects are kept. */
     private static final int MAX_CRASHES = 1_000;
+    /**
+     * Suspects of one crash. Each may be compared with each other one, so their number, which callers state, is limited.
+     * An engine runs tens of requests with a few shared parts each.
+     */
+    private static final int MAX_SUSPECTS_OF_CRASH = 500;
     /** Crashes, and clearances, that are kept of one part; the latest. Parts in most requests are near most crashes. */
     private static final int MAX_CRASHES_OF_PART = 100;
 
@@ -74,18 +79,18 @@
     }
 
     /**
-     * Adds a crash. It does not count if the part was or will be cleared of it.
+     * Adds a crash. It does not count if the part was or will be cleared of it, or if the crash has many suspects already.
      *
      * @param part id of a part of a request that the endpoint was about to answer
      * @param incarnation the endpoint, with what distinguishes its starts
      * @param nowMillis monotonic clock, in milliseconds
      */
     public void addCrash(String part, String incarnation, long nowMillis) {
-        Part suspect = parts.computeIfAbsent(part, unused -> new Part());
-        if (suspect.crashedAtMillis.putIfAbsent(incarnation, nowMillis) == null) {
-            suspectsByCrash
-                    .computeIfAbsent(incarnation, unused -> new HashSet<>())
-                    .add(part);
+        Set<String> suspects = suspectsByCrash.computeIfAbsent(incarnation, unused -> new HashSet<>());
+        if (suspects.size() < MAX_SUSPECTS_OF_CRASH || suspects.contains(part)) {
+            Part suspect = parts.computeIfAbsent(part, unused -> new Part());
+            suspect.crashedAtMillis.putIfAbsent(incarnation, nowMillis);
+            suspects.add(part);
         }
     }
 
@@ -181,9 +186,13 @@
                 .map(parts::get)
                 .filter(cause -> cause != null && cause.answers <= part.answers)
                 .anyMatch(cause -> {
-                    Set<String> caused = cause.suspicions(nowMillis - retentionMillis);
                     int excess = cause.answers < part.answers ? 0 : EXPLAINING_EXCESS;
-                    return caused.size() >= crashes.size() + excess && caused.containsAll(crashes);
+                    int leastCrashes = crashes.size() + excess;
+                    if (cause.crashedAtMillis.size() < leastCrashes) {
+                        return false;
+                    }
+                    Set<String> caused = cause.suspicions(nowMillis - retentionMillis);
+                    return caused.size() >= leastCrashes && caused.containsAll(crashes);
                 });
     }
 }
--- a/router/src/test/java/baobabcroft/poison/PromptPartLedgerTest.java
+++ b/router/src/test/java/baobabcroft/poison/PromptPartLedgerTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 class PromptPartLedgerTest {
     private static final long RETENTION_MILLIS = 10_000;
@@ -18,6 +20,30 @@
         }
     }
 
+    /** Crashes with many suspects, as callers state how many parts a prompt has. */
+    @Nested
+    class ManySuspects {
+        private static final int SUSPECTS = 20_000;
+        private static final long STALL_SECONDS = 60;
+
+        // Guards against a process that stops while it compares each suspect of a crash with each other one.
+        @Test
+        @Timeout(value = STALL_SECONDS, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+        void areNotAllComparedWithEachOther() {
+            PromptPartLedger large = PromptPartLedger.create(RETENTION_MILLIS, SUSPECTS);
+            for (int crash = 0; crash < 4; crash++) {
+                for (int part = 0; part < SUSPECTS; part++) {
+                    large.addCrash("part-" + part, "e-" + crash, crash);
+                }
+            }
+            long poison = IntStream.range(0, SUSPECTS)
+                    .filter(part -> large.isPoison("part-" + part, 10))
+                    .count();
+
+            assertTrue(poison > 0 && poison < SUSPECTS, poison + " parts");
+        }
+    }
+
     @Nested
     class Poison {
         @Test
