Refuse heads with folded lines before they are parsed

Netty joins the lines of a folded header one by one and copies what it has joined so far.

Change: HeadScanner, taken from RequestDecoder, finds the end of a head in one pass, and both decoders parse complete heads only. A line that begins with white space is refused: 400 for a request, a malformed response otherwise. HTTP/1.1 allows both (RFC 9112, 5.2). Trailers of responses, which nothing reads, are not kept either.

--- a/router/src/main/java/baobabcroft/front/RequestDecoder.java
+++ b/router/src/main/java/baobabcroft/front/RequestDecoder.java
@@ -7,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.handler.codec.DecoderResult;
-import io.netty.handler.codec.http.HttpConstants;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObject;
@@ -27,21 +26,15 @@
  * limit on the length of a head may change while a connection is open: the current one applies to each request.
  */
 final class RequestDecoder extends ByteToMessageDecoder {
-    private static final int LINE_END_BYTES = 2;
-
     private final Intake intake;
     private final IntSupplier maxHeaderBytes;
+    private final HeadScanner headScanner = new HeadScanner();
     private final ContentMerger merger = new ContentMerger();
     private ChannelHandlerContext context;
     private RequestParser parser;
     private boolean decoding;
     private boolean inBody;
     private boolean failed;
-    /** Bytes of the incomplete head that were searched for its end. */
-    private int searchedBytes;
-
-    private int lines;
-    private int firstLineBytes;
     private int heldBytes;
 
     /** What the connection does with decoded and undecoded bytes. */
@@ -153,7 +146,7 @@
             inBody &= !(message instanceof LastHttpContent);
         }
         if (!inBody) {
-            startHead();
+            headScanner.reset();
         }
     }
 
@@ -185,56 +178,27 @@
         }
     }
 
-    private void startHead() {
-        searchedBytes = 0;
-        lines = 0;
-        firstLineBytes = 0;
-    }
-
-    /** Returns whether the buffer holds a complete head; adds a failure if the head is too long. */
+    /** Returns whether the buffer holds a complete head; adds a failure if the head cannot be parsed. */
     private boolean hasHead(ByteBuf buffer, List<Object> out) {
-        if (searchedBytes == 0) {
-            skipBlanks(buffer);
-        }
-        int start = buffer.readerIndex();
-        while (true) {
-            int from = start + searchedBytes;
-            int lineFeed = buffer.indexOf(from, buffer.writerIndex(), HttpConstants.LF);
-            if (lineFeed < 0) {
-                break;
-            }
-            searchedBytes = lineFeed + 1 - start;
-            int lineBytes = lineFeed - from;
-            if (lines > 0 && (lineBytes == 0 || (lineBytes == 1 && buffer.getByte(lineFeed - 1) == HttpConstants.CR))) {
-                return true;
-            }
-            lines++;
-            firstLineBytes = lines == 1 ? searchedBytes : firstLineBytes;
-        }
-        int headerBytes = buffer.readableBytes() - firstLineBytes - LINE_END_BYTES * lines;
-        if (headerBytes > maxHeaderBytes.getAsInt()) {
-            out.add(tooLong());
-            buffer.skipBytes(buffer.readableBytes());
-        }
-        return false;
-    }
-
-    private static void skipBlanks(ByteBuf buffer) {
-        while (buffer.isReadable() && isBlank(buffer.getByte(buffer.readerIndex()))) {
-            buffer.skipBytes(1);
+        HeadScanner.Result result = headScanner.scan(buffer);
+        if (result == HeadScanner.Result.FOLDED) {
+            fail(new IllegalArgumentException("folded header line"), buffer, out);
+        } else if (result == HeadScanner.Result.INCOMPLETE
+                && headScanner.headerBytes(buffer) > maxHeaderBytes.getAsInt()) {
+            fail(
+                    new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes.getAsInt()),
+                    buffer,
+                    out);
         }
+        return result == HeadScanner.Result.COMPLETE;
     }
 
-    private static boolean isBlank(byte value) {
-        return Character.isISOControl(value & 0xff) || Character.isWhitespace(value & 0xff);
-    }
-
-    private HttpMessage tooLong() {
-        HttpMessage message = parser.createInvalidMessage();
-        message.setDecoderResult(DecoderResult.failure(
-                new TooLongHttpHeaderException("head without end of more than " + maxHeaderBytes.getAsInt())));
+    private void fail(Exception cause, ByteBuf buffer, List<Object> out) {
         failed = true;
-        return message;
+        buffer.skipBytes(buffer.readableBytes());
+        HttpMessage message = parser.createInvalidMessage();
+        message.setDecoderResult(DecoderResult.failure(cause));
+        out.add(message);
     }
 
     /** Parses requests within fixed limits. */
--- a/router/src/main/java/baobabcroft/front/ResponseDecoder.java
+++ b/router/src/main/java/baobabcroft/front/ResponseDecoder.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -51,8 +52,11 @@
     /** Longest time between two parts of a head that an endpoint sends at once: that of a delayed acknowledgement. */
     private static final long FOLLOWING_BYTES_MILLIS = 50;
 
+    private final HeadScanner headScanner = new HeadScanner();
     private final ContentMerger merger = new ContentMerger();
     private final StatusLineScanner bodyScanner = new StatusLineScanner();
+    private boolean inHead = true;
+    private boolean failed;
     private int undecodedBytes;
     /** End of a response whose body may be joined with bytes that have not been received yet. */
     private Optional<LastHttpContent> heldEnd = Optional.empty();
@@ -60,7 +64,10 @@
     private ScheduledFuture<?> heldEndTimeout;
 
     ResponseDecoder() {
-        super(new HttpDecoderConfig().setMaxHeaderSize(MAX_HEADER_BYTES).setMaxInitialLineLength(MAX_HEADER_BYTES));
+        super(new HttpDecoderConfig()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setMaxInitialLineLength(MAX_HEADER_BYTES)
+                .setTrailersFactory(UnreadTrailers.FACTORY));
     }
 
     /** Returns the number of received bytes that have not been decoded yet. */
@@ -97,13 +104,20 @@
         if (heldEnd.isPresent()) {
             return;
         }
+        if (failed) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
         List<Object> decoded = new ArrayList<>();
         int readable;
         try {
             do {
                 readable = buffer.readableBytes();
-                super.decode(context, buffer, decoded);
-                countUndecoded(decoded, readable - buffer.readableBytes());
+                if (!inHead || hasHead(buffer, decoded)) {
+                    super.decode(context, buffer, decoded);
+                }
+                countUndecoded(
+                        decoded, readable - buffer.readableBytes(), decoded.isEmpty() ? buffer.readableBytes() : 0);
                 inspect(decoded);
             } while (merger.merge(context.alloc(), decoded, buffer.readableBytes(), out)
                     && buffer.isReadable()
@@ -114,10 +128,22 @@
         checkEnd(context, buffer, out);
     }
 
-    private void countUndecoded(List<Object> decoded, int consumedBytes) {
+    /** Returns whether the buffer holds a complete head; adds a failure if the head cannot be parsed. */
+    private boolean hasHead(ByteBuf buffer, List<Object> decoded) {
+        HeadScanner.Result result = headScanner.scan(buffer);
+        if (result == HeadScanner.Result.FOLDED) {
+            buffer.skipBytes(buffer.readableBytes());
+            HttpMessage message = createInvalidMessage();
+            message.setDecoderResult(DecoderResult.failure(new IllegalArgumentException("folded header line")));
+            decoded.add(message);
+        }
+        return result == HeadScanner.Result.COMPLETE;
+    }
+
+    private void countUndecoded(List<Object> decoded, int consumedBytes, int heldBytes) {
         undecodedBytes = decoded.isEmpty() ? undecodedBytes + consumedBytes : 0;
-        if (undecodedBytes > MAX_UNDECODED_BYTES) {
-            throw new TooLongFrameException("no response in " + undecodedBytes + " bytes");
+        if (undecodedBytes + heldBytes > MAX_UNDECODED_BYTES) {
+            throw new TooLongFrameException("no response in " + (undecodedBytes + heldBytes) + " bytes");
         }
     }
 
@@ -126,10 +152,16 @@
             if (message instanceof HttpResponse response) {
                 rejectJoinedHeads(response);
                 bodyScanner.reset();
+                inHead = false;
             }
             if (message instanceof HttpContent content) {
                 scanBody(content.content());
             }
+            if (message instanceof LastHttpContent) {
+                headScanner.reset();
+                inHead = true;
+            }
+            failed |= ((HttpObject) message).decoderResult().isFailure();
         }
     }
 
--- a/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
+++ b/router/src/test/java/baobabcroft/front/EndpointConnectionTest.java
@@ -542,6 +542,29 @@
         }
     }
 
+    /** Heads whose lines are folded, which a parser joins in a time that grows with the square of the head. */
+    @Nested
+    class FoldedHeads {
+        // Guards against a process that stops while it joins the lines of a head.
+        @Test
+        void areMalformed() {
+            Recorder recorder = send("r-1");
+            receive("HTTP/1.1 200 OK\r\nid: r-1\r\nnote: a\r\n b\r\nContent-Length: 0\r\n\r\n");
+
+            assertEquals(List.of(SendFailure.ANSWER_MALFORMED), recorder.failures);
+            assertFalse(channel.isActive());
+        }
+
+        @Test
+        void areSeenBeforeTheyAreComplete() {
+            Recorder recorder = send("r-1");
+            receive("HTTP/1.1 200 OK\r\nnote: a\r\n");
+            receive("\tb\r\n");
+
+            assertEquals(List.of(SendFailure.ANSWER_MALFORMED), recorder.failures);
+        }
+    }
+
     /** Bytes that are not a response and come without end. */
     @Nested
     class EndlessBytes {
--- a/router/src/test/java/baobabcroft/front/RequestDecoderTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestDecoderTest.java
@@ -9,12 +9,15 @@
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RequestDecoderTest {
     private static final int MAX_HEADER_BYTES = 16_384;
@@ -134,6 +137,19 @@
         }
     }
 
+    /** Guards against heads whose lines the parser joins one by one, in a time that grows with the square of the head. */
+    @ParameterizedTest
+    @ValueSource(strings = {"note: a\r\n b\r\n\r\n", "note: a\r\n\tb\r\n", "note: a\r\n \r\n\r\n"})
+    void failsFoldedLines(String headers) {
+        receive(HEAD + headers);
+
+        HttpRequest request = channel.readInbound();
+        assertTrue(request.decoderResult().isFailure());
+        assertEquals(
+                HttpResponseStatus.BAD_REQUEST,
+                Refusals.statusOf(request.decoderResult().cause()));
+    }
+
     @Test
     void failsAChunkSizeLineThatIsTooLong() {
         receive(CHUNKED + "1;" + "x".repeat(20_000));
