--- a/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
+++ b/router/src/main/java/baobabcroft/poison/PromptPartLedger.java
@@ -29,8 +29,8 @@
     /** Crashes whose suspects are kept. */
     private static final int MAX_CRASHES = 1_000;
     /**
-     * Suspects of one crash. Each may be compared with each other one, so their number, which callers state, is limited.
-     * An engine runs tens of requests with a few shared parts each.
+     * Suspects of one crash. Each may be compared with each other one, so their number, which callers state, is
+     * limited. An engine runs tens of requests with a few shared parts each.
      */
     private static final int MAX_SUSPECTS_OF_CRASH = 500;
     /** Crashes, and clearances, that are kept of one part; the latest. Parts in most requests are near most crashes. */
@@ -79,7 +79,8 @@
     }
 
     /**
-     * Adds a crash. It does not count if the part was or will be cleared of it, or if the crash has many suspects already.
+     * Adds a crash. It does not count if the part was or will be cleared of it, or if the crash has many suspects
+     * already.
      *
      * @param part id of a part of a request that the endpoint was about to answer
      * @param incarnation the endpoint, with what distinguishes its starts
--- a/router/src/test/java/baobabcroft/front/RequestDecoderTest.java
+++ b/router/src/test/java/baobabcroft/front/RequestDecoderTest.java
@@ -137,7 +137,7 @@
         }
     }
 
-    /** Guards against heads whose lines the parser joins one by one, in a time that grows with the square of the head. */
+    /** Guards against heads whose lines the parser joins one by one, in time that grows with the square of the head. */
     @ParameterizedTest
     @ValueSource(strings = {"note: a\r\n b\r\n\r\n", "note: a\r\n\tb\r\n", "note: a\r\n \r\n\r\n"})
     void failsFoldedLines(String headers) {
