Reject answers that end with responses to no request

Cause: where a body has no length, what follows it is told from it only by the header with a request's id (PlatformDialect.containsAnswer). Responses to rubbish carry none.

Change: TrailingResponses finds out, in one pass, whether a body or an event ends with nothing but complete responses, the last of which may be cut off; the answer then is malformed. Text that quotes a response is passed on, as something else follows, or as it has no complete head. A body whose end is stated may quote responses as before.

Not told: bytes behind a body without a length that are no responses, and responses in chunks or without a length whose body follows.

--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -26,6 +26,8 @@
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
     private static final String CONTENT_LENGTH = "Content-Length";
+
+    private static final String TRANSFER_ENCODING = "Transfer-Encoding";
     /** Maximum length of an event, in bytes. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
     /** Share of the remaining time after which a request without output is retried, but not before its goal. */
@@ -323,7 +325,7 @@
             if (ended) {
                 return;
             }
-            if (services.dialect().containsAnswer(event.bytes()) || !owner.onEvent(this, event)) {
+            if (isJoined(event.bytes()) || !owner.onEvent(this, event)) {
                 onFailure(SendFailure.ANSWER_MALFORMED);
                 return;
             }
@@ -337,6 +339,17 @@
         }
     }
 
+    /**
+     * Returns whether bytes contain another answer. A body whose end is shown by the protocol may quote one, as long as
+     * the answer it quotes does not name a request.
+     */
+    private boolean isJoined(byte[] bytes) {
+        boolean delimited = !eventStream
+                && (headers.first(CONTENT_LENGTH).isPresent()
+                        || headers.first(TRANSFER_ENCODING).isPresent());
+        return services.dialect().containsAnswer(bytes) || (!delimited && TrailingResponses.follow(bytes));
+    }
+
     /** Comments, empty events and repetitions are none: an endpoint that sends only these has stalled. */
     private boolean isProgress(EventSplitter.Event event) {
         if (event.id().isEmpty()) {
@@ -374,7 +387,7 @@
             return;
         }
         byte[] content = body.take();
-        if (services.dialect().containsAnswer(content)) {
+        if (isJoined(content)) {
             onFailure(SendFailure.ANSWER_MALFORMED);
             return;
         }
--- a/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedRequestTest.java
@@ -359,6 +359,27 @@
             assertEquals(2, relay.sentRequests.size());
         }
 
+        // Guards against a success with bytes that the endpoint sent behind it, before it closed the connection.
+        @Test
+        void doesNotDeliverASuccessWithoutALengthThatResponsesFollow() {
+            String extra = "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+            relay.start("/lookup/1", caller);
+            relay.lastRequest().answer(200, "found" + extra.repeat(3));
+            relay.lastRequest().answer(200, "found");
+
+            assertEquals("found", caller.body);
+            assertEquals(2, relay.sentRequests.size());
+        }
+
+        @Test
+        void deliversASuccessWithALengthThatQuotesAResponse() {
+            String quote = "It sends HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n";
+            relay.start("/lookup/1", caller);
+            relay.lastRequest().answer(200, quote, new Header("Content-Length", Integer.toString(quote.length())));
+
+            assertEquals(quote, caller.body);
+        }
+
         @Test
         void keepsWaitingForAnInactiveEndpointWithAnOrder() {
             relay.start("/order/1", caller);
--- a/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
@@ -257,6 +257,19 @@
             assertEquals(2, relay.sentRequests.size());
         }
 
+        // Guards against an event that breaks off and goes on with an answer that names no request.
+        @Test
+        void resumesAStreamThatGoesOnWithAnAnswerToNoRequest() {
+            relay.start("/chat/1", caller);
+            SentRequest first = relay.lastRequest();
+            first.head(200);
+            first.event(1);
+            first.data("id: 2\ndata: piHTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n");
+
+            assertEquals("id: 1\ndata: piece 1\n\n", caller.body);
+            assertEquals(2, relay.sentRequests.size());
+        }
+
         /** An endpoint may hang in the middle of a stream while its connection stays open. */
         @Test
         void resumesAnInactiveStreamAtAnotherEndpoint() {
