--- a/router/src/main/java/baobabcroft/front/ResponseDecoder.java
+++ b/router/src/main/java/baobabcroft/front/ResponseDecoder.java
@@ -186,7 +186,7 @@
         }
         out.remove(out.size() - 1);
         if (following.isReadable()) {
-            out.add(checked(end, following));
+            out.add(failedIfJoined(end, following));
         } else {
             heldEnd = Optional.of(end);
             heldEndTimeout = context.executor()
@@ -194,7 +194,7 @@
         }
     }
 
-    private LastHttpContent checked(LastHttpContent end, ByteBuf following) {
+    private LastHttpContent failedIfJoined(LastHttpContent end, ByteBuf following) {
         if (!continuesStatusLine(following)) {
             return end;
         }
@@ -221,7 +221,7 @@
         heldEndTimeout.cancel(false);
         LastHttpContent end = heldEnd.get();
         heldEnd = Optional.empty();
-        context.fireChannelRead(actualReadableBytes() > 0 ? checked(end, internalBuffer()) : end);
+        context.fireChannelRead(actualReadableBytes() > 0 ? failedIfJoined(end, internalBuffer()) : end);
     }
 
     private static void rejectJoinedHeads(HttpResponse response) {
--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -26,7 +26,6 @@
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
     private static final String CONTENT_LENGTH = "Content-Length";
-
     private static final String TRANSFER_ENCODING = "Transfer-Encoding";
     /** Maximum length of an event, in bytes. */
     private static final int MAX_EVENT_BYTES = 1 << 20;
@@ -340,8 +339,8 @@
     }
 
     /**
-     * Returns whether bytes contain another answer. A body whose end is shown by the protocol may quote one, as long as
-     * the answer it quotes does not name a request.
+     * Returns whether bytes contain another answer. A body with a length or chunks may quote one that does not name a
+     * request.
      */
     private boolean isJoined(byte[] bytes) {
         boolean delimited = !eventStream
--- a/router/src/main/java/baobabcroft/relay/TrailingResponses.java
+++ b/router/src/main/java/baobabcroft/relay/TrailingResponses.java
@@ -10,11 +10,11 @@
 import java.util.OptionalInt;
 
 /**
- * Finds out whether bytes end with other responses. An endpoint that takes rubbish for further requests answers these,
- * too, and where nothing shows the end of a body, those answers look like a part of it.
+ * Finds out whether bytes end with other responses. An endpoint that parses unexpected bytes as further requests
+ * answers these, too, and where nothing marks the end of a body, those answers look like a part of it.
  *
- * <p>Text that quotes the head of a response is told from them by what follows: behind a response there is nothing, or
- * another response. The time grows with the number of the bytes only. Not thread-safe.
+ * <p>Text that quotes the head of a response is distinguished by what follows it: a response is followed by nothing, or
+ * by another response. The time grows with the number of the bytes only. Not thread-safe.
  */
 final class TrailingResponses {
     private static final byte[] PROTOCOL = "HTTP/1.".getBytes(StandardCharsets.US_ASCII);
