Reserve memory for parts of a body before they are stored

Callers saw a process end (OutOfMemoryError, ExitOnOutOfMemoryError): 300 callers who each send 400 KB of a chunked body that they never finish end a process with a heap of 64 MB within 1.4 s.

Cause: IncomingBody copied each part into a new block, of up to 256 KB, and only then asked for its memory. All connections that waited held such a block uncounted, up to the share of bodies a second time (the bound on waiting reservations): 57 of 61 MB beside what else the heap holds.

Now a part that has to wait for memory is kept as a message, counted as pipelined, and read again after the wait.

--- a/router/src/main/java/baobabcroft/front/CallerConnection.java
+++ b/router/src/main/java/baobabcroft/front/CallerConnection.java
@@ -359,9 +359,13 @@
             refuseUnread(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE);
             return;
         }
-        switch (requestBody.add(content, () -> onMemoryGranted(this::serveIfComplete))) {
+        switch (requestBody.add(content, () -> onMemoryGranted(this::readPipelined))) {
             case GRANTED -> serveIfComplete();
-            case WAITING -> awaitMemory();
+            case WAITING -> {
+                // Read again after the wait.
+                pipelinedMessages.addFirst(ReferenceCountUtil.retain(content));
+                awaitMemory();
+            }
             case REFUSED -> refuseForMemory();
             default -> throw new IllegalStateException("unknown result of a memory reservation");
         }
--- a/router/src/main/java/baobabcroft/front/IncomingBody.java
+++ b/router/src/main/java/baobabcroft/front/IncomingBody.java
@@ -42,14 +42,23 @@
     }
 
     /**
-     * Adds a part; returns whether more may be read, or {@code WAITING} to pause until {@code onceGranted} is called.
+     * Adds a part if there is memory for it; otherwise nothing of it is stored. If the result is {@code WAITING}, the
+     * same part is to be added again once {@code onceGranted} has been called.
      */
     MemoryReservation.Outcome add(HttpContent part, Runnable onceGranted) {
-        bytes.add(part.content().nioBuffer());
-        complete = part instanceof LastHttpContent;
-        return bytes.heldBytes() <= memory.heldBytes()
+        MemoryReservation.Outcome outcome =
+                reserve(bytes.heldBytesAfter(part.content().readableBytes()), onceGranted);
+        if (outcome == MemoryReservation.Outcome.GRANTED) {
+            bytes.add(part.content().nioBuffer());
+            complete = part instanceof LastHttpContent;
+        }
+        return outcome;
+    }
+
+    private MemoryReservation.Outcome reserve(long totalBytes, Runnable onceGranted) {
+        return totalBytes <= memory.heldBytes()
                 ? MemoryReservation.Outcome.GRANTED
-                : memory.growOrWait(bytes.heldBytes(), onceGranted);
+                : memory.growOrWait(totalBytes, onceGranted);
     }
 
     /** Returns the number of bytes that were added. */
--- a/router/src/main/java/baobabcroft/front/PipelinedMessages.java
+++ b/router/src/main/java/baobabcroft/front/PipelinedMessages.java
@@ -10,7 +10,10 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 
-/** Messages that are received while an earlier request on the same connection is served. Not thread-safe. */
+/**
+ * Messages that are received while an earlier request on the same connection is served, or the present one waits for
+ * memory. Not thread-safe.
+ */
 final class PipelinedMessages {
     /** Messages beyond which no others are decoded. */
     private static final int MAX_MESSAGES = 64;
@@ -34,6 +37,16 @@
     /** Adds a message. */
     void add(HttpObject message) {
         messages.add(message);
+        onAdded(message);
+    }
+
+    /** Adds a message before all others. */
+    void addFirst(HttpObject message) {
+        messages.addFirst(message);
+        onAdded(message);
+    }
+
+    private void onAdded(HttpObject message) {
         boolean fits = memory.resize(memory.heldBytes() + bytesOf(message));
         full |= !fits || messages.size() > MAX_MESSAGES;
     }
--- a/router/src/main/java/baobabcroft/memory/BodyBuffer.java
+++ b/router/src/main/java/baobabcroft/memory/BodyBuffer.java
@@ -62,6 +62,25 @@
         return (long) fullBytes + block.length;
     }
 
+    /**
+     * Returns the memory that the buffer would take up if bytes were added.
+     *
+     * @param addedBytes number of bytes; not negative
+     * @return the bytes, at least {@link #heldBytes()}
+     */
+    public long heldBytesAfter(int addedBytes) {
+        checkArgument(addedBytes >= 0, "addedBytes negative: %s", addedBytes);
+        int unstoredBytes = addedBytes - (block.length - blockUsed);
+        if (unstoredBytes <= 0) {
+            return heldBytes();
+        }
+        int storedBytes = fullBytes + block.length;
+        int nextBlockBytes = blockBytes(storedBytes, unstoredBytes);
+        int furtherBytes = unstoredBytes - nextBlockBytes;
+        long heldBytes = (long) storedBytes + nextBlockBytes;
+        return furtherBytes <= 0 ? heldBytes : heldBytes + blockBytes(storedBytes + nextBlockBytes, furtherBytes);
+    }
+
     /**
      * Adds bytes.
      *
@@ -83,12 +102,18 @@
             fullBlocks.add(block);
         }
         fullBytes += blockUsed;
-        boolean first = fullBytes == 0 && expectedBytes > 0;
-        int growthBytes = Math.min(MAX_BLOCK_BYTES, Math.max(fullBytes, MIN_BLOCK_BYTES));
-        block = new byte[first ? expectedBytes : Math.max(addedBytes, growthBytes)];
+        block = new byte[blockBytes(fullBytes, addedBytes)];
         blockUsed = 0;
     }
 
+    /** Returns the length of the block that follows full ones. The first may be too short if a length is expected. */
+    private int blockBytes(int storedBytes, int addedBytes) {
+        if (storedBytes == 0 && expectedBytes > 0) {
+            return expectedBytes;
+        }
+        return Math.max(addedBytes, Math.min(MAX_BLOCK_BYTES, Math.max(storedBytes, MIN_BLOCK_BYTES)));
+    }
+
     /**
      * Returns the body and empties the buffer.
      *
--- a/router/src/test/java/baobabcroft/memory/BodyBufferTest.java
+++ b/router/src/test/java/baobabcroft/memory/BodyBufferTest.java
@@ -18,7 +18,10 @@
 
     private static void addInParts(BodyBuffer buffer, byte[] body, int partBytes) {
         for (int start = 0; start < body.length; start += partBytes) {
-            buffer.add(ByteBuffer.wrap(body, start, Math.min(partBytes, body.length - start)));
+            int length = Math.min(partBytes, body.length - start);
+            long foretoldBytes = buffer.heldBytesAfter(length);
+            buffer.add(ByteBuffer.wrap(body, start, length));
+            assertEquals(foretoldBytes, buffer.heldBytes(), "bytes held after a part");
         }
     }
 
