Count answers of endpoints as the blocks that hold them

Now the blocks are counted, and before they are allocated. A stated length is counted as before.

RelayedStreamTest$EndlessAnswers.ofUnknownLengthCountAsTheBlocksThatHoldThem failed before (1 byte counted for a block of 4 KB).

--- a/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
+++ b/router/src/main/java/baobabcroft/relay/EndpointAttempt.java
@@ -301,10 +301,8 @@
         if (body.size() == 0) {
             body = statedLength().map(BodyBuffer::ofLength).orElseGet(BodyBuffer::ofUnknownLength);
         }
-        int receivedBytes = body.size() + data.length;
-        boolean fits =
-                answerMemory.resize(Math.max(receivedBytes, statedLength().orElse(0)));
-        if (!fits || receivedBytes > MAX_ANSWER_BYTES) {
+        boolean fits = answerMemory.resize(body.heldBytesAfter(data.length));
+        if (!fits || body.size() + data.length > MAX_ANSWER_BYTES) {
             onFailure(SendFailure.ANSWER_TOO_LARGE);
             return;
         }
--- a/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
+++ b/router/src/test/java/baobabcroft/relay/RelayedStreamTest.java
@@ -132,6 +132,19 @@
             assertEquals(0, relay.memory.usedBytes(MemoryUse.ANSWER));
         }
 
+        /** Guards against memory exhaustion by answers that take up more memory than is counted. */
+        @Test
+        void ofUnknownLengthCountAsTheBlocksThatHoldThem() {
+            relay.start("/order/1", caller);
+            relay.lastRequest().head(200);
+            relay.lastRequest().data("x");
+            long firstBlockBytes = relay.memory.usedBytes(MemoryUse.ANSWER);
+            relay.lastRequest().data("x");
+
+            assertTrue(firstBlockBytes > 2, firstBlockBytes + " bytes");
+            assertEquals(firstBlockBytes, relay.memory.usedBytes(MemoryUse.ANSWER));
+        }
+
         @Test
         void endTheAttemptInABodyAndDoNotRepeatAnOrder() {
             SentRequest sent = receiveEndless("/order/1");
