Return forwarded requests that only a newer configuration admits

Cause: an instance that reaches no endpoint, or holds no share of the paced ones, forwards a request which it has admitted. The other instance admits it again, by its own configuration, and a refusal there was the caller's answer. Ruled out: late versions at the instance of the caller (in force 0.3 s after they were acknowledged) and the changed look-up of routes (a table of version 32 or later finds the route).

Now the version travels with the request. An instance with an older one returns what it would refuse by configuration, and returns everything if its view of the store is older than half of contactMillis; the instance of the caller then tries another one. Older builds state no version and are served as before.

PeerForwardingTest$Configurations: 3 of 4 fail without the comparison of versions (404 for 503, 7 and 8 of 10 served by the right instance).

--- a/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
+++ b/router/src/main/java/baobabcroft/instance/InstanceForwarding.java
@@ -121,9 +121,20 @@
                         UNOBSERVED));
     }
 
-    /** Takes requests of other instances, if the settings name an address. */
-    void listen(EventLoopGroup loop, Supplier<CallerLimits> limits, RelayServices services, BooleanSupplier stopping) {
-        ForwardedRequests requests = ForwardedRequests.create(services, () -> rejectionReason(stopping));
+    /**
+     * Takes requests of other instances, if the settings name an address.
+     *
+     * @param viewAgeMillis age of the view of the store: all changes before that are known, in milliseconds
+     */
+    void listen(
+            EventLoopGroup loop,
+            Supplier<CallerLimits> limits,
+            RelayServices services,
+            LongSupplier viewAgeMillis,
+            BooleanSupplier stopping) {
+        long recentMillis = settings.bounds().contactMillis() / 2;
+        ForwardedRequests requests = ForwardedRequests.create(
+                services, () -> viewAgeMillis.getAsLong() <= recentMillis, () -> rejectionReason(stopping));
         server = settings.forwarding()
                 .map(address -> FrontServer.start(
                         loop,
--- a/router/src/main/java/baobabcroft/instance/RelayInstance.java
+++ b/router/src/main/java/baobabcroft/instance/RelayInstance.java
@@ -300,7 +300,7 @@
         registerGauges();
         front = FrontServer.start(
                 loop, settings.callers(), settings.maxDescriptors(), this::limits, memory, nowMillis, this::relay);
-        forwarding.listen(loop, this::limits, services, () -> stopping);
+        forwarding.listen(loop, this::limits, services, store::ageMillis, () -> stopping);
         loop.execute(this::tick);
         noticeExchange = Optional.of(NoticeExchange.start(
                 loop.next(),
--- a/router/src/main/java/baobabcroft/relay/Admission.java
+++ b/router/src/main/java/baobabcroft/relay/Admission.java
@@ -29,7 +29,12 @@
      * @param requestId id of the caller's request; empty if its headers could not be read
      * @param refusal the answer to the caller
      */
-    record Refused(String requestId, Refusal refusal) implements Result {}
+    record Refused(String requestId, Refusal refusal) implements Result {
+        /** Returns whether another configuration could admit the request. */
+        boolean isByConfiguration() {
+            return refusal.code() == ErrorCode.NOT_FOUND || refusal.code() == ErrorCode.UNKNOWN_ACCOUNT;
+        }
+    }
 
     /**
      * The request is admitted.
--- a/router/src/main/java/baobabcroft/relay/ForwardingHeaders.java
+++ b/router/src/main/java/baobabcroft/relay/ForwardingHeaders.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -21,27 +22,31 @@
      * commas; absent if all are allowed. Older builds neither send nor read it.
      */
     private static final String ALLOWED_REGIONS = "Router-Allowed-Regions";
+    /** Version of the configuration at the caller's instance. Older builds neither send nor read it. */
+    private static final String CONFIG_VERSION = "Router-Config-Version";
     /** Why an instance does not serve a forwarded request, which it has not sent to any endpoint. */
     private static final String REJECTED = "Router-Forwarded-Rejected";
 
     private ForwardingHeaders() {}
 
     /**
-     * What the forwarding instance has done with a request, and where it may be served.
+     * What the forwarding instance has done with a request, and what it has decided.
      *
      * @param sends number of sends to endpoints, including those that failed before anything was sent
      * @param possibleRuns number of those after which the request may have run
      * @param allowedRegions the regions that the configuration at the request's arrival allows
+     * @param configVersion version of that configuration; 0 if it is not stated
      */
-    record PriorSends(int sends, int possibleRuns, AllowedRegions allowedRegions) {
-        static final PriorSends NONE = new PriorSends(0, 0, AllowedRegions.ALL);
+    record PriorSends(int sends, int possibleRuns, AllowedRegions allowedRegions, long configVersion) {
+        static final PriorSends NONE = new PriorSends(0, 0, AllowedRegions.ALL, 0);
     }
 
     /** Returns headers that state what this instance has done with the request, in place of any such statement. */
     static Headers withPriorSends(Headers headers, PriorSends prior) {
         ImmutableList.Builder<Header> lines = ImmutableList.<Header>builder()
                 .addAll(without(headers).lines())
-                .add(new Header(FORWARDED, prior.sends() + "," + prior.possibleRuns()));
+                .add(new Header(FORWARDED, prior.sends() + "," + prior.possibleRuns()))
+                .add(new Header(CONFIG_VERSION, Long.toString(prior.configVersion())));
         prior.allowedRegions()
                 .names()
                 .ifPresent(names -> lines.add(new Header(
@@ -61,9 +66,14 @@
         }
         Integer sends = Ints.tryParse(numbers.get(0));
         Integer possibleRuns = Ints.tryParse(numbers.get(1));
-        boolean isValid = sends != null && possibleRuns != null && possibleRuns >= 0 && sends >= possibleRuns;
+        Long configVersion = Longs.tryParse(headers.first(CONFIG_VERSION).orElse("0"));
+        boolean isValid = sends != null
+                && possibleRuns != null
+                && possibleRuns >= 0
+                && sends >= possibleRuns
+                && configVersion != null;
         return isValid
-                ? allowedRegions(headers).map(regions -> new PriorSends(sends, possibleRuns, regions))
+                ? allowedRegions(headers).map(regions -> new PriorSends(sends, possibleRuns, regions, configVersion))
                 : Optional.empty();
     }
 
@@ -90,6 +100,7 @@
         return Headers.copyOf(headers.lines().stream()
                 .filter(line -> !line.name().equalsIgnoreCase(FORWARDED))
                 .filter(line -> !line.name().equalsIgnoreCase(ALLOWED_REGIONS))
+                .filter(line -> !line.name().equalsIgnoreCase(CONFIG_VERSION))
                 .toList());
     }
 
--- a/router/src/main/java/baobabcroft/relay/RelayedRequest.java
+++ b/router/src/main/java/baobabcroft/relay/RelayedRequest.java
@@ -154,12 +154,21 @@
                 priorSends.orElse(PriorSends.NONE).allowedRegions());
         if (result instanceof Admission.Refused refused) {
             requestId = refused.requestId();
-            refuse(refused.refusal());
+            if (isRefusedByOlderConfiguration(table.get(), refused)) {
+                returnToForwardingInstance(ForwardedRequests.OLDER_CONFIGURATION);
+            } else {
+                refuse(refused.refusal());
+            }
         } else if (result instanceof Admission.Admitted allowed) {
             admit(allowed);
         }
     }
 
+    /** Returns whether the instance that forwarded the request has admitted it by a newer configuration. */
+    private boolean isRefusedByOlderConfiguration(RoutingTable table, Admission.Refused refused) {
+        return refused.isByConfiguration() && priorSends.orElse(PriorSends.NONE).configVersion() > table.version();
+    }
+
     /**
      * Retries admission shortly. An instance that has just started is about to read its configuration, and a short wait
      * costs the caller less than a refusal.
@@ -377,7 +386,10 @@
         int sends = endpointSends + priorSends.orElse(PriorSends.NONE).sends();
         EndpointRequest outgoing = outgoingRequests.toInstance(
                 new PriorSends(
-                        Math.max(sends, attempts.possibleRuns()), attempts.possibleRuns(), admitted.allowedRegions()),
+                        Math.max(sends, attempts.possibleRuns()),
+                        attempts.possibleRuns(),
+                        admitted.allowedRegions(),
+                        admitted.table().version()),
                 remainingMillis(),
                 stream.lastEvent());
         forwarded = true;
--- a/router/src/test/java/baobabcroft/relay/AllowedRegionsTest.java
+++ b/router/src/test/java/baobabcroft/relay/AllowedRegionsTest.java
@@ -227,7 +227,7 @@
         @Test
         void isRefusedIfItsRegionsAreUnreadable() {
             ForwardedRequests requests =
-                    ForwardedRequests.create(fleet.members.get(1).relay.services(), Optional::empty);
+                    ForwardedRequests.create(fleet.members.get(1).relay.services(), () -> true, Optional::empty);
             requests.serve(
                     new CallerRequest(
                             "POST",
--- a/router/src/test/java/baobabcroft/relay/ForwardingFleet.java
+++ b/router/src/test/java/baobabcroft/relay/ForwardingFleet.java
@@ -32,6 +32,7 @@
         final RelayFixture relay;
         final EndpointReachability reachability;
         long forwardedIn;
+        boolean viewRecent = true;
         /** Called when a request arrives from another instance. */
         Consumer<EndpointRequest> onForwarded = request -> {};
 
@@ -123,7 +124,9 @@
             onForwarded.accept(request);
             links.add(link);
             ForwardedRequests requests = ForwardedRequests.create(
-                    relay.services(), () -> reachability.isIsolated() ? Optional.of("isolated") : Optional.empty());
+                    relay.services(),
+                    () -> viewRecent,
+                    () -> reachability.isIsolated() ? Optional.of("isolated") : Optional.empty());
             link.running = Optional.of(requests.serve(
                     new CallerRequest(
                             request.method(), request.target(), "shop.example", request.headers(), request.body()),
--- a/router/src/test/java/baobabcroft/relay/PeerForwardingTest.java
+++ b/router/src/test/java/baobabcroft/relay/PeerForwardingTest.java
@@ -9,6 +9,7 @@
 import baobabcroft.relay.RelayFixture.Caller;
 import baobabcroft.relay.RelayFixture.SentRequest;
 import baobabcroft.retry.RetryBudget;
+import baobabcroft.routing.RoutingTable;
 import java.util.List;
 import java.util.Optional;
 import org.apache.commons.rng.simple.RandomSource;
@@ -200,7 +201,7 @@
         @Test
         void isSentToFewerEndpointsIfItMayHaveRunBefore() {
             Member peer = fleet.members.get(1);
-            ForwardedRequests requests = ForwardedRequests.create(peer.relay.services(), Optional::empty);
+            ForwardedRequests requests = ForwardedRequests.create(peer.relay.services(), () -> true, Optional::empty);
             requests.serve(forwarded("1,1"), caller);
             peer.relay.lastRequest().answer(500, "broken");
 
@@ -212,7 +213,7 @@
         @ValueSource(strings = {"", "1", "a,b", "1,2", "0,-1", "1,1,1"})
         void isRefusedIfItsOriginIsUnreadable(String value) {
             Member peer = fleet.members.get(1);
-            ForwardedRequests requests = ForwardedRequests.create(peer.relay.services(), Optional::empty);
+            ForwardedRequests requests = ForwardedRequests.create(peer.relay.services(), () -> true, Optional::empty);
 
             assertTrue(requests.serve(forwarded(value), caller).isDone());
             assertEquals(400, caller.status);
@@ -238,6 +239,65 @@
         }
     }
 
+    /** Instances that have read different versions of the configuration. */
+    @Nested
+    class Configurations {
+        private static final int NEWEST = 3;
+
+        private void configure(int number, RoutingTable table) {
+            fleet.members.get(number).relay.routing.updateIfNewer(table);
+        }
+
+        /** Guards against a 404 of an instance that has not read the configuration by which a request was admitted. */
+        @Test
+        void olderThanThatOfTheCallersInstanceDoNotRefuse() {
+            configure(0, RelayFixture.table(2, "report"));
+            configure(NEWEST, RelayFixture.table(2, "report"));
+            for (int i = 0; i < 10; i++) {
+                cutOff.relay.start("/report/" + i, new Caller());
+                fleet.advance(20);
+            }
+
+            assertEquals(10, sent().size());
+            assertEquals(10, fleet.members.get(NEWEST).forwardedIn);
+        }
+
+        /** Guards against a route of a former configuration that an instance without contact to the store applies. */
+        @Test
+        void thatAreOlderAndNotReadAnyMoreAreNotUsed() {
+            configure(0, RelayFixture.table(2));
+            configure(NEWEST, RelayFixture.table(2));
+            fleet.members.forEach(member -> member.viewRecent = false);
+            for (int i = 0; i < 10; i++) {
+                cutOff.relay.start("/order/" + i, new Caller());
+                fleet.advance(20);
+            }
+
+            assertEquals(10, fleet.members.get(NEWEST).relay.sentRequests.size());
+            assertEquals(10, sent().size());
+        }
+
+        @Test
+        void thatAreNewerThanThatOfTheCallersInstanceRefuse() {
+            for (int i = 1; i <= NEWEST; i++) {
+                configure(i, RelayFixture.table(2, "report"));
+            }
+            start("/order/1");
+
+            assertEquals(404, caller.status);
+        }
+
+        @Test
+        void thatAreAllOlderLeadToARefusalThatMayBeRepeated() {
+            configure(0, RelayFixture.table(2, "report"));
+            start("/report/1");
+            fleet.advance(20);
+
+            assertEquals(503, caller.status);
+            assertTrue(caller.headers.first("retry-after-millis").isPresent());
+        }
+    }
+
     @Nested
     class Load {
         /** Guards against the retry budget being used up by connections that never reached an endpoint. */
--- a/router/src/test/java/baobabcroft/relay/RelayFixture.java
+++ b/router/src/test/java/baobabcroft/relay/RelayFixture.java
@@ -450,9 +450,19 @@
 
     /** Returns such a table whose routes, and whose client account, allow some regions. */
     static RoutingTable table(long version, AllowedRegions ofRoutes, AllowedRegions ofAccount) {
+        return table(version, "order", ofRoutes, ofAccount);
+    }
+
+    /** Returns such a table with another name of the route for orders. */
+    static RoutingTable table(long version, String orderRoute) {
+        return table(version, orderRoute, AllowedRegions.ALL, AllowedRegions.ALL);
+    }
+
+    private static RoutingTable table(
+            long version, String orderRoute, AllowedRegions ofRoutes, AllowedRegions ofAccount) {
         Route chat =
                 route("chat", RouteKind.STREAMING, 3, true, ImmutableList.of("small", "large"), "engines", ofRoutes);
-        Route order = route("order", RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders", ofRoutes);
+        Route order = route(orderRoute, RouteKind.NON_IDEMPOTENT, 1, false, ImmutableList.of(), "orders", ofRoutes);
         Route lookup = route("lookup", RouteKind.IDEMPOTENT, 2, false, ImmutableList.of(), "orders", ofRoutes);
         ServiceProfile engines = new ServiceProfile("engines", 300, 64, 300_000, ImmutableMap.of(), Optional.empty());
         return RoutingTable.of(
