--- a/review/standins-3/CrashingWorker.java
+++ b/review/standins-3/CrashingWorker.java
@@ -2,6 +2,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -30,7 +31,8 @@
         CrashingWorker worker = new CrashingWorker(args[2], args[3].equals("chunks"));
         ServerSocket listener = new ServerSocket();
         listener.setReuseAddress(true);
-        listener.bind(new java.net.InetSocketAddress(InetAddress.getByName(args[0]), Integer.parseInt(args[1])), 256);
+        listener.bind(new InetSocketAddress(InetAddress.getByName(args[0]), Integer.parseInt(args[1])), 256);
+        new Thread(CrashingWorker::endWithParent).start();
         System.out.println("listening");
         while (true) {
             Socket socket = listener.accept();
@@ -38,6 +40,18 @@
         }
     }
 
+    /** Ends the process when the one that started it has ended. */
+    private static void endWithParent() {
+        try {
+            while (System.in.read() >= 0) {
+                // Nothing is written to it.
+            }
+        } catch (IOException closed) {
+            // The other end is gone.
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
     private void serve(Socket socket) {
         try (socket) {
             socket.setTcpNoDelay(true);
--- a/review/standins-3/Pipelining.java
+++ b/review/standins-3/Pipelining.java
@@ -55,6 +55,7 @@
                 status = run.play(folder);
             } finally {
                 run.killNodes();
+                Folders.delete(folder);
             }
         }
         System.exit(status);
--- a/review/standins-3/Poison.java
+++ b/review/standins-3/Poison.java
@@ -65,14 +65,15 @@
                 status = run.play(folder);
             } finally {
                 run.killAll();
+                Folders.delete(folder);
             }
         }
         System.exit(status);
     }
 
     private void killAll() {
-        ended = true;
         synchronized (workers) {
+            ended = true;
             workers.forEach(Process::destroyForcibly);
         }
         for (Node node : nodes) {
@@ -150,14 +151,9 @@
         while (!ended) {
             String id = "i-" + boots.incrementAndGet();
             try {
-                Process process = new ProcessBuilder(
-                                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx32m",
-                                "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", "target/review-3",
-                                "CrashingWorker", "127.0.0.1", Integer.toString(port), id, framing)
-                        .redirectError(ProcessBuilder.Redirect.DISCARD)
-                        .start();
-                synchronized (workers) {
-                    workers.add(process);
+                Process process = startWorker(port, id);
+                if (process == null) {
+                    return;
                 }
                 BufferedReader out =
                         new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
@@ -173,6 +169,23 @@
         }
     }
 
+    /** Returns the process; null if the play has ended. */
+    private Process startWorker(int port, String id) throws IOException {
+        synchronized (workers) {
+            if (ended) {
+                return null;
+            }
+            Process process = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-Xmx32m",
+                            "-XX:TieredStopAtLevel=1", "-XX:+UseSerialGC", "-cp", "target/review-3", "CrashingWorker",
+                            "127.0.0.1", Integer.toString(port), id, framing)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start();
+            workers.add(process);
+            return process;
+        }
+    }
+
     private void onWorkerLine(String id, String zone, int port, String line) {
         if (line.equals("listening")) {
             Map<String, Object> entry = new LinkedHashMap<>();
--- a/review/standins-3/Rollback.java
+++ b/review/standins-3/Rollback.java
@@ -56,6 +56,7 @@
                 status = run.play(folder);
             } finally {
                 run.killNodes();
+                Folders.delete(folder);
             }
         }
         System.exit(status);
